--- /dev/null
+++ b/internal/resource/resource.go
@@ -0,0 +1,282 @@
+// Package resource defines the kinds of the resource API with their specs, statuses and
+// validation.
+package resource
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Kind names a kind of resource. The value is the path segment of the API.
+type Kind string
+
+// Kinds of resource.
+const (
+	KindJob          Kind = "jobs"
+	KindGuarantee    Kind = "guarantees"
+	KindOrganisation Kind = "organisations"
+	KindPolicy       Kind = "policies"
+)
+
+// Kinds lists all kinds in a fixed order.
+func Kinds() []Kind { return []Kind{KindOrganisation, KindGuarantee, KindPolicy, KindJob} }
+
+// ErrUnknownKind is returned for a kind that the API does not have.
+var ErrUnknownKind = errors.New("resource: unknown kind")
+
+// Metadata is common to all resources.
+type Metadata struct {
+	Name   string            `json:"name" toml:"name"`
+	UID    string            `json:"uid,omitempty" toml:"-"`
+	Labels map[string]string `json:"labels,omitempty" toml:"labels"`
+	// Generation counts the changes of the spec.
+	Generation uint64 `json:"generation,omitempty" toml:"-"`
+	// ObservedGeneration is the generation that the status reflects.
+	ObservedGeneration uint64 `json:"observedGeneration,omitempty" toml:"-"`
+	// ResourceVersion is the log offset of the last change of spec or status.
+	ResourceVersion uint64    `json:"resourceVersion,omitempty" toml:"-"`
+	Created         time.Time `json:"created,omitzero" toml:"-"`
+}
+
+// ConditionStatus is True, False or Unknown.
+type ConditionStatus string
+
+// Values of a condition.
+const (
+	ConditionTrue    ConditionStatus = "True"
+	ConditionFalse   ConditionStatus = "False"
+	ConditionUnknown ConditionStatus = "Unknown"
+)
+
+// Condition is one observed aspect of a resource.
+type Condition struct {
+	Type    string          `json:"type"`
+	Status  ConditionStatus `json:"status"`
+	Reason  string          `json:"reason"`
+	Message string          `json:"message,omitempty"`
+	Since   time.Time       `json:"since,omitzero"`
+}
+
+// Condition types.
+const (
+	// ConditionHonourable of a guarantee: its shape can be reclaimed.
+	ConditionHonourable = "Honourable"
+	// ConditionScheduled of a job: all of its members hold leases.
+	ConditionScheduled = "Scheduled"
+)
+
+// Adjacency says how close the members of a gang must be.
+type Adjacency string
+
+// Values of Adjacency.
+const (
+	AdjacentWorker Adjacency = "worker"
+	AdjacentRack   Adjacency = "rack"
+	AdjacentZone   Adjacency = "zone"
+)
+
+// RestartPolicy says whether a job may be started again.
+type RestartPolicy string
+
+// Values of RestartPolicy.
+const (
+	// RestartAlways lets a job start again from its last checkpoint.
+	RestartAlways RestartPolicy = "always"
+	// RestartNever starts at most one attempt.
+	RestartNever RestartPolicy = "never"
+)
+
+// JobSpec is what an operator declares of a job.
+type JobSpec struct {
+	Organisation string `json:"organisation" toml:"organisation"`
+	// Members is the size of the gang.
+	Members int `json:"members" toml:"members"`
+	// AcceleratorsPerMember, CoresPerMember and MemoryMBPerMember are declared sizes.
+	AcceleratorsPerMember int       `json:"acceleratorsPerMember" toml:"accelerators_per_member"`
+	CoresPerMember        int       `json:"coresPerMember,omitempty" toml:"cores_per_member"`
+	MemoryMBPerMember     int       `json:"memoryMBPerMember,omitempty" toml:"memory_mb_per_member"`
+	Adjacency             Adjacency `json:"adjacency,omitempty" toml:"adjacency"`
+	// Urgency is 0 (most urgent) to 7, as in RFC 9218.
+	Urgency int `json:"urgency" toml:"urgency"`
+	// DeclaredSeconds is the run time that the operator expects; 0 means not known.
+	DeclaredSeconds float64       `json:"declaredSeconds,omitempty" toml:"declared_seconds"`
+	Checkpointable  bool          `json:"checkpointable,omitempty" toml:"checkpointable"`
+	Restart         RestartPolicy `json:"restart,omitempty" toml:"restart"`
+	// Payload is passed to the worker unchanged.
+	Payload string `json:"payload,omitempty" toml:"payload"`
+}
+
+// Accelerators returns the total of the gang.
+func (s JobSpec) Accelerators() int { return s.Members * s.AcceleratorsPerMember }
+
+// Phase is the phase of a job's life.
+type Phase string
+
+// Phases of a job.
+const (
+	PhaseQueued    Phase = "Queued"
+	PhaseRunning   Phase = "Running"
+	PhaseSucceeded Phase = "Succeeded"
+	PhaseFailed    Phase = "Failed"
+	PhaseCancelled Phase = "Cancelled"
+	// PhaseUnplaceable is a job that no worker set can ever hold.
+	PhaseUnplaceable Phase = "Unplaceable"
+)
+
+// Terminal reports whether a job in this phase never runs again.
+func (p Phase) Terminal() bool {
+	switch p {
+	case PhaseSucceeded, PhaseFailed, PhaseCancelled, PhaseUnplaceable:
+		return true
+	default:
+		return false
+	}
+}
+
+// JobStatus is the observed state of a job.
+type JobStatus struct {
+	Phase Phase `json:"phase"`
+	// Zone is the availability zone whose leader places the job.
+	Zone string `json:"zone,omitempty"`
+	// Attempt is the number of the newest committed attempt, 0 before the first.
+	Attempt uint64 `json:"attempt,omitempty"`
+	// Workers has the worker id of each member while the job runs.
+	Workers []string `json:"workers,omitempty"`
+	// Checkpoint is the last checkpoint that all members completed.
+	Checkpoint string `json:"checkpoint,omitempty"`
+	// ConsumedSeconds is the run time kept over all attempts by checkpoints.
+	ConsumedSeconds float64 `json:"consumedSeconds,omitempty"`
+	// Starts counts attempts, Failures those that ended by a failure of a task.
+	Starts     int       `json:"starts,omitempty"`
+	Failures   int       `json:"failures,omitempty"`
+	Reason     string    `json:"reason,omitempty"`
+	StartedAt  time.Time `json:"startedAt,omitzero"`
+	FinishedAt time.Time `json:"finishedAt,omitzero"`
+}
+
+// Job is a gang of tasks that run together.
+type Job struct {
+	Metadata   `json:"metadata"`
+	Spec       JobSpec     `json:"spec"`
+	Status     JobStatus   `json:"status"`
+	Conditions []Condition `json:"conditions,omitempty"`
+}
+
+// GuaranteeSpec promises a shape: Gangs gangs of Members members each.
+type GuaranteeSpec struct {
+	Organisation          string    `json:"organisation" toml:"organisation"`
+	Gangs                 int       `json:"gangs" toml:"gangs"`
+	Members               int       `json:"members" toml:"members"`
+	AcceleratorsPerMember int       `json:"acceleratorsPerMember" toml:"accelerators_per_member"`
+	Adjacency             Adjacency `json:"adjacency,omitempty" toml:"adjacency"`
+	// Zone pins the guarantee to one availability zone; empty lets the system choose.
+	Zone string `json:"zone,omitempty" toml:"zone"`
+}
+
+// GuaranteeStatus is the observed state of a guarantee.
+type GuaranteeStatus struct {
+	// Zone is the availability zone whose workers honour the guarantee.
+	Zone string `json:"zone,omitempty"`
+}
+
+// Guarantee promises a shape of capacity to an organisation.
+type Guarantee struct {
+	Metadata   `json:"metadata"`
+	Spec       GuaranteeSpec   `json:"spec"`
+	Status     GuaranteeStatus `json:"status"`
+	Conditions []Condition     `json:"conditions,omitempty"`
+}
+
+// OrganisationSpec holds the shares and limits of an organisation.
+type OrganisationSpec struct {
+	// Weight is the organisation's share of what guarantees leave over; default 1.
+	Weight float64 `json:"weight,omitempty" toml:"weight"`
+	// AcceleratorQuota is the most accelerators that its jobs hold at once; 0 means no limit.
+	AcceleratorQuota int `json:"acceleratorQuota,omitempty" toml:"accelerator_quota"`
+}
+
+// Organisation is a customer of the system.
+type Organisation struct {
+	Metadata   `json:"metadata"`
+	Spec       OrganisationSpec `json:"spec"`
+	Conditions []Condition      `json:"conditions,omitempty"`
+}
+
+// Policy is the configuration that governs jobs, guarantees and requests.
+type Policy struct {
+	Metadata   `json:"metadata"`
+	Spec       PolicySpec  `json:"spec"`
+	Conditions []Condition `json:"conditions,omitempty"`
+}
+
+// Object is any resource.
+type Object interface {
+	// Kind returns the object's kind.
+	Kind() Kind
+	// Meta returns the object's metadata for reading and writing.
+	Meta() *Metadata
+	// Validate returns all violations of the rules of the kind.
+	Validate() FieldErrors
+	// Clone returns a copy that shares no memory with the object.
+	Clone() Object
+}
+
+// Kind implements Object.
+func (*Job) Kind() Kind { return KindJob }
+
+// Kind implements Object.
+func (*Guarantee) Kind() Kind { return KindGuarantee }
+
+// Kind implements Object.
+func (*Organisation) Kind() Kind { return KindOrganisation }
+
+// Kind implements Object.
+func (*Policy) Kind() Kind { return KindPolicy }
+
+// Meta implements Object.
+func (m *Metadata) Meta() *Metadata { return m }
+
+// Clone implements Object.
+func (j *Job) Clone() Object { return clone(j) }
+
+// Clone implements Object.
+func (g *Guarantee) Clone() Object { return clone(g) }
+
+// Clone implements Object.
+func (o *Organisation) Clone() Object { return clone(o) }
+
+// Clone implements Object.
+func (p *Policy) Clone() Object { return clone(p) }
+
+// clone copies through JSON, which all resources support by design.
+func clone[T any](in *T) *T {
+	data, err := json.Marshal(in)
+	if err != nil {
+		panic(fmt.Sprintf("resource: encode %T: %v", in, err))
+	}
+	out := new(T)
+	if err := json.Unmarshal(data, out); err != nil {
+		panic(fmt.Sprintf("resource: decode %T: %v", in, err))
+	}
+	return out
+}
+
+// New returns an empty object of a kind, or ErrUnknownKind.
+func New(kind Kind) (Object, error) {
+	switch kind {
+	case KindJob:
+		return &Job{}, nil
+	case KindGuarantee:
+		return &Guarantee{}, nil
+	case KindOrganisation:
+		return &Organisation{}, nil
+	case KindPolicy:
+		return &Policy{}, nil
+	default:
+		return nil, eris.Wrap(ErrUnknownKind, string(kind))
+	}
+}
--- /dev/null
+++ b/internal/state/record.go
@@ -0,0 +1,172 @@
+// Package state builds the durable state of the system from the records of the platform's
+// log. It is deterministic: every process that applies the same records has the same state.
+package state
+
+import (
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+)
+
+// RecordVersion is the version of the record encoding that this package writes.
+const RecordVersion = 1
+
+// AppendWindow bounds, in offsets, how long after its base a record still takes effect and
+// how long its id is remembered. Both use the same bound, so a repeated append is always
+// recognised.
+const AppendWindow = 5000
+
+// Errors of the encoding.
+var (
+	ErrRecordVersion = errors.New("state: unknown record version")
+	ErrRecordFormat  = errors.New("state: malformed record")
+)
+
+// Record is one entry of the log. Exactly one payload is set.
+type Record struct {
+	Version int `json:"v"`
+	// ID is unique for each logical write; a repeated append carries the same id.
+	ID string `json:"id"`
+	// Base is the writer's applied offset when it first appended the record.
+	Base platform.Offset `json:"base"`
+	// Writer is the id of the instance that appended the record.
+	Writer string `json:"writer"`
+	// Time is the writer's wall time. It is informational and never orders records.
+	Time time.Time `json:"time"`
+
+	Put          *Put          `json:"put,omitempty"`
+	Delete       *Delete       `json:"delete,omitempty"`
+	Claim        *Claim        `json:"claim,omitempty"`
+	Release      *Release      `json:"release,omitempty"`
+	ZoneUpdate   *ZoneUpdate   `json:"zoneUpdate,omitempty"`
+	SnapshotPart *SnapshotPart `json:"snapshotPart,omitempty"`
+}
+
+// Put creates or replaces the spec of a resource.
+type Put struct {
+	Kind   resource.Kind   `json:"kind"`
+	Object json.RawMessage `json:"object"`
+	// IfVersion is the expected resource version; 0 expects that the resource does not exist.
+	// Nil accepts any version.
+	IfVersion *uint64 `json:"ifVersion,omitempty"`
+	// IfGuaranteeRevision is the expected State.GuaranteeRevision of the zone of a guarantee.
+	// It makes two guarantees that were checked against the same capacity conflict.
+	IfGuaranteeRevision uint64 `json:"ifGuaranteeRevision,omitempty"`
+}
+
+// Delete removes a resource. A job that has not ended is cancelled instead.
+type Delete struct {
+	Kind resource.Kind `json:"kind"`
+	Name string        `json:"name"`
+	// IfVersion is the expected resource version; nil accepts any.
+	IfVersion *uint64 `json:"ifVersion,omitempty"`
+}
+
+// Claim takes the leadership of a zone.
+type Claim struct {
+	Zone  string         `json:"zone"`
+	Epoch platform.Epoch `json:"epoch"`
+	// Expected is the epoch that the claim replaces. A provisional claim has none: it is
+	// accepted if its epoch is newer than the recorded one.
+	Expected    platform.Epoch `json:"expected"`
+	Provisional bool           `json:"provisional,omitempty"`
+}
+
+// Release ends the leadership of a zone as part of a graceful shutdown.
+type Release struct {
+	Zone  string         `json:"zone"`
+	Epoch platform.Epoch `json:"epoch"`
+	// Successor is the instance that should claim the zone next.
+	Successor string `json:"successor,omitempty"`
+}
+
+// ZoneUpdate carries observed state, written by the leader of a zone. It has no effect
+// unless the epoch is the zone's current one.
+type ZoneUpdate struct {
+	Zone       string            `json:"zone"`
+	Epoch      platform.Epoch    `json:"epoch"`
+	Jobs       []JobUpdate       `json:"jobs,omitempty"`
+	Guarantees []GuaranteeUpdate `json:"guarantees,omitempty"`
+	Workers    []WorkerHealth    `json:"workers,omitempty"`
+}
+
+// JobUpdate replaces the status of a job of the zone. Setting another Status.Zone moves a
+// queued job there.
+type JobUpdate struct {
+	Name       string               `json:"name"`
+	UID        string               `json:"uid"`
+	Status     resource.JobStatus   `json:"status"`
+	Conditions []resource.Condition `json:"conditions,omitempty"`
+}
+
+// GuaranteeUpdate replaces the conditions of a guarantee of the zone, or moves it.
+type GuaranteeUpdate struct {
+	Name       string               `json:"name"`
+	Zone       string               `json:"zone"`
+	Conditions []resource.Condition `json:"conditions,omitempty"`
+	// IfGuaranteeRevision is the expected revision of the new zone when the guarantee moves.
+	IfGuaranteeRevision uint64 `json:"ifGuaranteeRevision,omitempty"`
+}
+
+// WorkerHealth records that a worker is taken out of use or returned to it.
+type WorkerHealth struct {
+	Worker      string    `json:"worker"`
+	Quarantined bool      `json:"quarantined"`
+	Reason      string    `json:"reason,omitempty"`
+	Since       time.Time `json:"since,omitzero"`
+}
+
+// SnapshotPart is one part of an encoded snapshot of the state at an offset.
+type SnapshotPart struct {
+	// Offset is the last record that the snapshot contains.
+	Offset platform.Offset `json:"offset"`
+	// Snapshot identifies the parts that belong together.
+	Snapshot string `json:"snapshot"`
+	Part     int    `json:"part"`
+	Parts    int    `json:"parts"`
+	// Digest is the xxhash of the whole encoded snapshot.
+	Digest uint64 `json:"digest"`
+	Data   []byte `json:"data"`
+}
+
+// Encode returns the record's log entry.
+func (r Record) Encode() ([]byte, error) {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return nil, eris.Wrap(ErrRecordFormat, err.Error())
+	}
+	return data, nil
+}
+
+// DecodeRecord parses a log entry. It returns ErrRecordFormat or ErrRecordVersion.
+func DecodeRecord(data []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(data, &r); err != nil {
+		return Record{}, eris.Wrap(ErrRecordFormat, err.Error())
+	}
+	if r.Version != RecordVersion {
+		return Record{}, eris.Wrapf(ErrRecordVersion, "version %d", r.Version)
+	}
+	if r.ID == "" || r.payloads() != 1 {
+		return Record{}, eris.Wrapf(ErrRecordFormat, "id %q with %d payloads", r.ID, r.payloads())
+	}
+	return r, nil
+}
+
+func (r Record) payloads() int {
+	n := 0
+	for _, set := range []bool{
+		r.Put != nil, r.Delete != nil, r.Claim != nil,
+		r.Release != nil, r.ZoneUpdate != nil, r.SnapshotPart != nil,
+	} {
+		if set {
+			n++
+		}
+	}
+	return n
+}
