--- a/internal/resource/policy.go
+++ b/internal/resource/policy.go
@@ -40,3 +40,45 @@
 	// MaxFailures is how many failed attempts on distinct workers end a job as failed; default 3.
 	MaxFailures int `json:"maxFailures,omitempty" toml:"max_failures"`
 }
+
+// DefaultPolicyName names the policy that is in force.
+const DefaultPolicyName = "default"
+
+// Defaults of the knobs.
+const (
+	DefaultQueueLimit          = 4096
+	DefaultCallerQueueLimit    = 256
+	DefaultDeadlineMs          = 30_000
+	DefaultRetryBudget         = 0.08
+	DefaultEjectAfterFailures  = 5
+	DefaultEjectSeconds        = 5
+	DefaultReclaimSeconds      = 5
+	DefaultUrgentAtMost        = 1
+	DefaultQuarantineAfterJobs = 3
+	DefaultMaxFailures         = 3
+)
+
+// WithDefaults returns the policy with each zero knob replaced by its default.
+func (p PolicySpec) WithDefaults() PolicySpec {
+	setDefault(&p.Admission.QueueLimit, DefaultQueueLimit)
+	setDefault(&p.Admission.CallerQueueLimit, DefaultCallerQueueLimit)
+	setDefault(&p.Admission.DefaultDeadlineMs, DefaultDeadlineMs)
+	setDefault(&p.Dispatch.RetryBudget, DefaultRetryBudget)
+	setDefault(&p.Dispatch.EjectAfterFailures, DefaultEjectAfterFailures)
+	setDefault(&p.Dispatch.EjectSeconds, DefaultEjectSeconds)
+	setDefault(&p.Placement.ReclaimSeconds, DefaultReclaimSeconds)
+	setDefault(&p.Placement.QuarantineAfterJobs, DefaultQuarantineAfterJobs)
+	setDefault(&p.Placement.MaxFailures, DefaultMaxFailures)
+	if p.Placement.UrgentAtMost == nil {
+		urgent := DefaultUrgentAtMost
+		p.Placement.UrgentAtMost = &urgent
+	}
+	return p
+}
+
+func setDefault[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -450,3 +450,11 @@
 		s.bumpGuarantees(u.Zone)
 	}
 }
+
+// Policy returns the policy in force, with defaults filled in.
+func (s *State) Policy() resource.PolicySpec {
+	if policy, found := s.Policies[resource.DefaultPolicyName]; found {
+		return policy.Spec.WithDefaults()
+	}
+	return resource.PolicySpec{}.WithDefaults()
+}
