--- a/internal/state/access.go
+++ b/internal/state/access.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 )
 
 // Errors of writes.
@@ -30,3 +31,11 @@
 	// the same ID may be written again.
 	Write(ctx context.Context, r Record) (Verdict, error)
 }
+
+// Tail tells how fresh the state of this process is.
+type Tail interface {
+	// ReadAt returns the time, with its monotonic reading, at which the newest answered read
+	// of the log's tail was sent. The state has all records appended before that time. It is
+	// zero if the tail was never reached.
+	ReadAt() time.Time
+}
