--- /dev/null
+++ b/internal/resource/resource_test.go
@@ -0,0 +1,70 @@
+package resource
+
+import (
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func validJob() *Job {
+	return &Job{
+		Metadata: Metadata{Name: "forecast", Labels: map[string]string{"team": "plan"}},
+		Spec:     JobSpec{Organisation: "lulea", Members: 2, AcceleratorsPerMember: 8, Adjacency: AdjacentRack},
+	}
+}
+
+// Guards against a rule that is not checked, and against naming the wrong field.
+func TestJobValidation(t *testing.T) {
+	require.Empty(t, validJob().Validate())
+	cases := map[string]func(*Job){
+		"metadata.name":              func(j *Job) { j.Name = "Forecast!" },
+		"metadata.labels.team":       func(j *Job) { j.Labels["team"] = strings.Repeat("x", MaxLabelBytes+1) },
+		"spec.organisation":          func(j *Job) { j.Spec.Organisation = "" },
+		"spec.members":               func(j *Job) { j.Spec.Members = 0 },
+		"spec.acceleratorsPerMember": func(j *Job) { j.Spec.AcceleratorsPerMember = MaxAcceleratorsPerMember + 1 },
+		"spec.adjacency":             func(j *Job) { j.Spec.Adjacency = "row" },
+		"spec.urgency":               func(j *Job) { j.Spec.Urgency = 8 },
+		"spec.declaredSeconds":       func(j *Job) { j.Spec.DeclaredSeconds = math.NaN() },
+		"spec.restart":               func(j *Job) { j.Spec.Restart = "twice" },
+		"spec.payload":               func(j *Job) { j.Spec.Payload = strings.Repeat("x", MaxPayloadBytes+1) },
+	}
+	for field, spoil := range cases {
+		job := validJob()
+		spoil(job)
+		errs := job.Validate()
+		require.Len(t, errs, 1, field)
+		require.Equal(t, field, errs[0].Field)
+		require.LessOrEqual(t, len(errs[0].Value), 110)
+	}
+}
+
+// Guards against a clone that shares its labels with the original.
+func TestCloneSharesNothing(t *testing.T) {
+	job := validJob()
+	copied := job.Clone().(*Job)
+	copied.Labels["team"] = "other"
+	require.Equal(t, "plan", job.Labels["team"])
+	require.Equal(t, job.Spec, copied.Spec)
+}
+
+// Guards against a knob whose default or explicit zero is lost.
+func TestPolicyDefaults(t *testing.T) {
+	zero := 0
+	p := PolicySpec{Placement: PlacementPolicy{UrgentAtMost: &zero}}.WithDefaults()
+	require.Equal(t, 0, *p.Placement.UrgentAtMost)
+	require.Equal(t, DefaultQueueLimit, p.Admission.QueueLimit)
+	require.Equal(t, DefaultUrgentAtMost, *PolicySpec{}.WithDefaults().Placement.UrgentAtMost)
+}
+
+// Guards against a kind without a constructor, or one that answers for another kind.
+func TestNewCoversAllKinds(t *testing.T) {
+	for _, kind := range Kinds() {
+		object, err := New(kind)
+		require.NoError(t, err)
+		require.Equal(t, kind, object.Kind())
+	}
+	_, err := New("pods")
+	require.ErrorIs(t, err, ErrUnknownKind)
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,66 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const valid = `
+id = "n1"
+region = "central"
+zone = "kenya-a"
+caller_addr = "127.0.0.1:7000"
+operator_addr = "127.0.0.1:7001"
+peer_addr = "127.0.0.1:7002"
+peer_key = "0123456789abcdef"
+stop_timeout = "30s"
+
+[platform]
+log_url = "http://127.0.0.1:7100"
+instances_url = "http://127.0.0.1:7101"
+
+[[peers]]
+id = "n2"
+zone = "kenya-b"
+region = "central"
+addr = "127.0.0.1:7012"
+operator_addr = "127.0.0.1:7011"
+`
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "serve.toml")
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	return file
+}
+
+// Guards against valid settings that are refused or lose a value.
+func TestReadServe(t *testing.T) {
+	s, err := ReadServe(write(t, valid))
+	require.NoError(t, err)
+	require.Equal(t, "n2", s.Peers[0].ID)
+	require.Equal(t, "info", s.LogLevel)
+}
+
+// Guards against misspelt keys that are ignored, and against reporting one at a time.
+func TestAllProblemsAreReported(t *testing.T) {
+	_, err := ReadServe(write(t, "colour = 1\nsize = 2\n"+valid))
+	require.ErrorIs(t, err, ErrInvalid)
+	require.ErrorContains(t, err, "colour: unknown key")
+	require.ErrorContains(t, err, "size: unknown key")
+
+	_, err = ReadServe(write(t, "id = \"n1\"\npeer_addr = \"localhost:1\"\nlog_level = \"loud\"\n"))
+	require.ErrorContains(t, err, "peer_addr: must be IP:port")
+	require.ErrorContains(t, err, "log_level: must be debug, info, warn or error")
+	require.ErrorContains(t, err, "zone: must be set")
+}
+
+// Guards against a syntax error without its position.
+func TestSyntaxErrorHasPosition(t *testing.T) {
+	_, err := ReadServe(write(t, "id = \n"))
+	require.ErrorIs(t, err, ErrInvalid)
+	require.ErrorContains(t, err, "line 1")
+}
