Add in-process stand-ins of the log, instance list and workers

Cause: replica, gang, placement and membership need the platform's services in deterministic tests. Tasks run in simulated time computed on demand, so no worker needs a goroutine.

--- /dev/null
+++ b/internal/standin/faults.go
@@ -0,0 +1,124 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+	"github.com/oleanderbend/oleanderbend/internal/settings"
+)
+
+// CallFaults are the faults that every service can have.
+type CallFaults struct {
+	// Outage refuses every call at once, without effect.
+	Outage bool `json:"outage,omitempty"`
+	// Silent neither carries out nor answers any call.
+	Silent bool `json:"silent,omitempty"`
+	// Delay is added before a call takes effect. A caller that gives up does not stop the call.
+	Delay settings.Duration `json:"delay,omitzero"`
+	// LoseAnswers is the number of next calls that take effect but whose answer is lost;
+	// negative for all calls.
+	LoseAnswers int `json:"loseAnswers,omitempty"`
+}
+
+// LogFaults are the faults of the log.
+type LogFaults struct {
+	CallFaults
+	// LateAppends is the number of next appends whose answer is lost and that take effect
+	// LateBy after the call; negative for all appends.
+	LateAppends int               `json:"lateAppends,omitempty"`
+	LateBy      settings.Duration `json:"lateBy,omitzero"`
+}
+
+// WorkerFaults are the faults of one worker.
+type WorkerFaults struct {
+	CallFaults
+	// FailAll fails every task that runs or starts.
+	FailAll bool `json:"failAll,omitempty"`
+	// Frozen pauses tasks and answers; the lease clock goes on. Calls that arrived meanwhile
+	// take effect when the worker continues, even if their callers gave up.
+	Frozen bool `json:"frozen,omitempty"`
+	// Crashed ends all tasks and forgets all leases. Calls are refused until it is cleared.
+	Crashed bool `json:"crashed,omitempty"`
+	// ClockRate is the speed of the lease clock against true time; 0 means 1.
+	ClockRate float64 `json:"clockRate,omitempty"`
+}
+
+// takeOne consumes one of a count of faults; a negative count is not used up.
+func takeOne(count *int) bool {
+	switch {
+	case *count == 0:
+		return false
+	case *count > 0:
+		*count--
+	}
+	return true
+}
+
+// gate carries a call to a service through the faults of CallFaults.
+type gate struct {
+	clock  Clock
+	mu     sync.Mutex
+	faults CallFaults
+}
+
+func (g *gate) set(f CallFaults) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.faults = f
+}
+
+func (g *gate) get() CallFaults {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.faults
+}
+
+func (g *gate) loseAnswer() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return takeOne(&g.faults.LoseAnswers)
+}
+
+// do carries out apply, unless a fault prevents it. A nil error means that apply was carried
+// out and its answer arrived; otherwise the results of apply must not be used.
+func (g *gate) do(ctx context.Context, apply func()) error {
+	if err := ctx.Err(); err != nil {
+		return unavailable(err)
+	}
+	faults := g.get()
+	if faults.Outage {
+		return unavailable(errOutage)
+	}
+	if faults.Silent {
+		<-ctx.Done()
+		return unknownOutcome(ctx.Err())
+	}
+	if faults.Delay > 0 {
+		arrival := g.clock.After(time.Duration(faults.Delay))
+		select {
+		case <-arrival:
+		case <-ctx.Done():
+			go func() {
+				<-arrival
+				apply()
+			}()
+			return unknownOutcome(ctx.Err())
+		}
+	}
+	apply()
+	if g.loseAnswer() {
+		return unknownOutcome(errAnswerLost)
+	}
+	return nil
+}
+
+func unavailable(cause error) error {
+	return fmt.Errorf("%w: %w", platform.ErrUnavailable, cause)
+}
+
+func unknownOutcome(cause error) error {
+	return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, cause)
+}
--- /dev/null
+++ b/internal/standin/instances.go
@@ -0,0 +1,111 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+)
+
+// Instances is the platform's list of instances. The list that it answers lags behind the
+// changes made to it. It is safe for concurrent use.
+type Instances struct {
+	clock Clock
+	lag   time.Duration
+	gate  gate
+
+	mu sync.Mutex
+	// versions has the lists by the time of their change, oldest first. Lists are not modified.
+	versions []listVersion
+}
+
+type listVersion struct {
+	at   time.Time
+	rows []platform.Instance
+}
+
+// NewInstances returns a list with the given rows, visible at once. Later changes become
+// visible after lag. The clock is the system clock if nil.
+func NewInstances(clock Clock, lag time.Duration, rows []platform.Instance) *Instances {
+	clock = orSystem(clock)
+	first := listVersion{at: clock.Now().Add(-lag), rows: slices.Clone(rows)}
+	return &Instances{clock: clock, lag: lag, gate: gate{clock: clock}, versions: []listVersion{first}}
+}
+
+// SetFaults replaces the faults.
+func (i *Instances) SetFaults(f CallFaults) { i.gate.set(f) }
+
+// Put adds a row or replaces the one with the same id.
+func (i *Instances) Put(row platform.Instance) {
+	i.change(func(rows []platform.Instance) []platform.Instance {
+		at := slices.IndexFunc(rows, func(r platform.Instance) bool { return r.ID == row.ID })
+		if at < 0 {
+			return append(rows, row)
+		}
+		rows[at] = row
+		return rows
+	})
+}
+
+// SetState changes the state of one instance. It returns ErrNotFound for an unknown id.
+func (i *Instances) SetState(id string, state platform.InstanceState) error {
+	found := false
+	i.change(func(rows []platform.Instance) []platform.Instance {
+		for n := range rows {
+			if rows[n].ID == id {
+				rows[n].State, found = state, true
+			}
+		}
+		return rows
+	})
+	if !found {
+		return fmt.Errorf("%w: instance %q", ErrNotFound, id)
+	}
+	return nil
+}
+
+// Remove takes an instance off the list.
+func (i *Instances) Remove(id string) {
+	i.change(func(rows []platform.Instance) []platform.Instance {
+		return slices.DeleteFunc(rows, func(r platform.Instance) bool { return r.ID == id })
+	})
+}
+
+// Current returns the list without its lag.
+func (i *Instances) Current() []platform.Instance {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return slices.Clone(i.versions[len(i.versions)-1].rows)
+}
+
+// List implements platform.Instances.
+func (i *Instances) List(ctx context.Context) ([]platform.Instance, error) {
+	var rows []platform.Instance
+	err := i.gate.do(ctx, func() { rows = i.visible() })
+	if err != nil {
+		return nil, readError(err)
+	}
+	return rows, nil
+}
+
+func (i *Instances) visible() []platform.Instance {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	seen := i.clock.Now().Add(-i.lag)
+	n := 0
+	for n+1 < len(i.versions) && !i.versions[n+1].at.After(seen) {
+		n++
+	}
+	i.versions = i.versions[n:]
+	return slices.Clone(i.versions[0].rows)
+}
+
+func (i *Instances) change(edit func([]platform.Instance) []platform.Instance) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	rows := slices.Clone(i.versions[len(i.versions)-1].rows)
+	i.versions = append(i.versions, listVersion{at: i.clock.Now(), rows: edit(rows)})
+}
--- /dev/null
+++ b/internal/standin/log.go
@@ -0,0 +1,217 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+)
+
+// Defaults of LogConfig.
+const (
+	DefaultRetention        = time.Hour
+	DefaultAppendsPerSecond = 300
+)
+
+// maxReadEntries bounds one answer of Read.
+const maxReadEntries = 10_000
+
+// LogConfig configures a Log.
+type LogConfig struct {
+	// Clock is the system clock if nil.
+	Clock Clock
+	// Retention is how long entries are kept; default DefaultRetention.
+	Retention time.Duration
+	// AppendsPerSecond limits appends, with a burst of one second's worth; default
+	// DefaultAppendsPerSecond.
+	AppendsPerSecond float64
+}
+
+// Log is an append-only log in memory. It is safe for concurrent use.
+type Log struct {
+	config LogConfig
+	gate   gate
+
+	mu        sync.Mutex
+	late      LogFaults
+	entries   []logEntry
+	next      platform.Offset
+	tokens    float64
+	refilled  time.Time
+	appended  chan struct{}
+	attempted int
+}
+
+type logEntry struct {
+	platform.Entry
+	at time.Time
+}
+
+// NewLog returns an empty log.
+func NewLog(config LogConfig) *Log {
+	config.Clock = orSystem(config.Clock)
+	if config.Retention == 0 {
+		config.Retention = DefaultRetention
+	}
+	if config.AppendsPerSecond == 0 {
+		config.AppendsPerSecond = DefaultAppendsPerSecond
+	}
+	return &Log{
+		config:   config,
+		gate:     gate{clock: config.Clock},
+		next:     1,
+		tokens:   config.AppendsPerSecond,
+		refilled: config.Clock.Now(),
+		appended: make(chan struct{}),
+	}
+}
+
+// SetFaults replaces the faults.
+func (l *Log) SetFaults(f LogFaults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.gate.set(f.CallFaults)
+	l.late = f
+}
+
+// Attempts returns how many appends reached the log, refused ones included.
+func (l *Log) Attempts() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.attempted
+}
+
+// Append implements platform.Log.
+func (l *Log) Append(ctx context.Context, data []byte) (platform.Offset, error) {
+	if len(data) > platform.MaxEntryBytes {
+		return 0, fmt.Errorf("%w: %d bytes", platform.ErrTooLarge, len(data))
+	}
+	kept := append([]byte(nil), data...)
+	var (
+		offset    platform.Offset
+		appendErr error
+		late      time.Duration
+	)
+	err := l.gate.do(ctx, func() {
+		if late = l.takeLate(); late > 0 {
+			l.appendAfter(late, kept)
+			return
+		}
+		offset, appendErr = l.append(kept)
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case late > 0:
+		return 0, unknownOutcome(errAnswerLost)
+	}
+	return offset, appendErr
+}
+
+func (l *Log) takeLate() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.late.LateBy > 0 && takeOne(&l.late.LateAppends) {
+		return time.Duration(l.late.LateBy)
+	}
+	return 0
+}
+
+func (l *Log) appendAfter(d time.Duration, data []byte) {
+	arrival := l.config.Clock.After(d)
+	go func() {
+		<-arrival
+		// The caller was told that the outcome is unknown, so a refusal by the rate limit is allowed.
+		_, _ = l.append(data)
+	}()
+}
+
+func (l *Log) append(data []byte) (platform.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.attempted++
+	now := l.config.Clock.Now()
+	if !l.takeToken(now) {
+		return 0, unavailable(errRateLimit)
+	}
+	offset := l.next
+	l.next++
+	l.entries = append(l.entries, logEntry{Entry: platform.Entry{Offset: offset, Data: data}, at: now})
+	close(l.appended)
+	l.appended = make(chan struct{})
+	return offset, nil
+}
+
+// takeToken is called with the mutex held.
+func (l *Log) takeToken(now time.Time) bool {
+	rate := l.config.AppendsPerSecond
+	l.tokens = min(rate, l.tokens+now.Sub(l.refilled).Seconds()*rate)
+	l.refilled = now
+	if l.tokens < 1 {
+		return false
+	}
+	l.tokens--
+	return true
+}
+
+// Read implements platform.Log.
+func (l *Log) Read(ctx context.Context, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+	if err := l.gate.do(ctx, func() {}); err != nil {
+		return platform.Batch{}, readError(err)
+	}
+	deadline := l.config.Clock.After(wait)
+	for {
+		batch, appended, err := l.read(from, limit)
+		if err != nil || len(batch.Entries) > 0 || wait <= 0 {
+			return batch, err
+		}
+		select {
+		case <-appended:
+			// An outage that began meanwhile ends the long poll.
+			if l.gate.get().Outage {
+				return platform.Batch{}, unavailable(errOutage)
+			}
+		case <-deadline:
+			return batch, nil
+		case <-ctx.Done():
+			return platform.Batch{}, unavailable(ctx.Err())
+		}
+	}
+}
+
+// read also returns a channel that is closed by the next append.
+func (l *Log) read(from platform.Offset, limit int) (platform.Batch, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.prune()
+	batch := platform.Batch{
+		Oldest:           l.next - platform.Offset(len(l.entries)),
+		Next:             l.next,
+		RetentionSeconds: l.config.Retention.Seconds(),
+	}
+	if from < batch.Oldest {
+		return batch, nil, fmt.Errorf("%w: %d, oldest is %d", platform.ErrExpired, from, batch.Oldest)
+	}
+	if from >= l.next {
+		return batch, l.appended, nil
+	}
+	entries := l.entries[from-batch.Oldest:]
+	limit = min(max(limit, 1), maxReadEntries, len(entries))
+	batch.Entries = make([]platform.Entry, limit)
+	for i := range batch.Entries {
+		batch.Entries[i] = entries[i].Entry
+	}
+	return batch, l.appended, nil
+}
+
+// prune is called with the mutex held.
+func (l *Log) prune() {
+	oldest := l.config.Clock.Now().Add(-l.config.Retention)
+	n := 0
+	for n < len(l.entries) && l.entries[n].at.Before(oldest) {
+		n++
+	}
+	l.entries = l.entries[n:]
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,354 @@
+package standin
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+)
+
+// Reasons recorded in leases.
+const (
+	reasonExpired            = "lease expired"
+	reasonReservationExpired = "reservation expired"
+	reasonTaskFailed         = "task failed"
+	reasonWorkerFault        = "worker failed the task"
+)
+
+// maxRuns bounds the record of runs of one worker; the oldest are dropped.
+const maxRuns = 100_000
+
+// worker is the state of one worker. Its methods are called with the fleet's lock held and
+// compute what happened since the last call, so a worker needs no goroutine.
+type worker struct {
+	row    platform.Instance
+	gate   gate
+	faults WorkerFaults
+	store  *checkpointStore
+	epoch  platform.Epoch
+	tasks  map[platform.LeaseID]*task
+	// order lists the keys of tasks as they were reserved, so that answers are deterministic.
+	order []platform.LeaseID
+	runs  []Run
+	// dropped counts the runs dropped from the front of runs.
+	dropped int
+	// last is the time up to which the state is computed; clock is the lease clock then.
+	last  time.Time
+	clock time.Duration
+	// pending are calls that arrived while the worker was frozen.
+	pending []func()
+}
+
+func (w *worker) rate() float64 {
+	if w.faults.ClockRate > 0 {
+		return w.faults.ClockRate
+	}
+	return 1
+}
+
+// advance computes the state at now.
+func (w *worker) advance(now time.Time) {
+	if !now.After(w.last) {
+		return
+	}
+	for _, id := range w.order {
+		w.advanceTask(w.tasks[id], now)
+	}
+	w.clock += scale(now.Sub(w.last), w.rate())
+	w.last = now
+}
+
+func (w *worker) advanceTask(t *task, now time.Time) {
+	switch t.lease.State {
+	case platform.LeaseReserved:
+		if w.clock+scale(now.Sub(w.last), w.rate()) >= t.expires {
+			t.lease.State, t.lease.Reason = platform.LeaseStopped, reasonReservationExpired
+		}
+	case platform.LeaseRunning:
+		from, active := w.last, !w.faults.Frozen
+		if active && t.writing >= 0 && t.writing <= now.Sub(from) {
+			// The span is split at the end of the checkpoint, which counts only if the task reached it.
+			complete := from.Add(t.writing)
+			w.advanceRunning(t, from, complete, active)
+			if t.lease.State != platform.LeaseRunning {
+				return
+			}
+			w.completeCheckpoint(t)
+			from = complete
+		}
+		w.advanceRunning(t, from, now, active)
+		if active && t.writing >= 0 {
+			t.writing -= now.Sub(from)
+		}
+	}
+}
+
+func (w *worker) advanceRunning(t *task, from, to time.Time, active bool) {
+	clock := w.clock + scale(from.Sub(w.last), w.rate())
+	end, state, reason := t.advance(from, to, clock, w.rate(), active)
+	if !end.IsZero() {
+		w.end(t, end, state, reason)
+	}
+}
+
+func (w *worker) end(t *task, at time.Time, state platform.LeaseState, reason string) {
+	if t.lease.State == platform.LeaseRunning {
+		if n := t.run - w.dropped; n >= 0 {
+			w.runs[n].To, w.runs[n].End = at, state
+		}
+	}
+	t.lease.State, t.lease.Reason = state, reason
+	t.writing = -1
+}
+
+func (w *worker) completeCheckpoint(t *task) {
+	t.writing = -1
+	t.checkpoints++
+	t.checkpointAt = t.requested
+	t.lease.Checkpoint = checkpointName(t.lease.ID.Attempt, t.checkpoints)
+	w.store.put(t.lease.ID, t.lease.Checkpoint, t.written)
+}
+
+// fence refuses callers with an old epoch and remembers a new one.
+func (w *worker) fence(epoch platform.Epoch) error {
+	if epoch.Compare(w.epoch) < 0 {
+		return fmt.Errorf("%w: %d/%s, newest is %d/%s", platform.ErrStaleEpoch,
+			epoch.Number, epoch.Holder, w.epoch.Number, w.epoch.Holder)
+	}
+	w.epoch = epoch
+	return nil
+}
+
+func (w *worker) free() int {
+	free := w.row.Accelerators
+	for _, t := range w.tasks {
+		if t.lease.State.Active() {
+			free -= t.lease.Task.Accelerators
+		}
+	}
+	return free
+}
+
+func (w *worker) reserve(req platform.ReserveRequest) error {
+	if err := w.fence(req.Epoch); err != nil {
+		return err
+	}
+	var added []platform.LeaseID
+	for _, id := range req.Leases {
+		held, known := w.tasks[id]
+		switch {
+		case !known && !slices.Contains(added, id):
+			added = append(added, id)
+		case known && !held.lease.State.Active():
+			return fmt.Errorf("%w: member %d has ended", platform.ErrNoCapacity, id.Member)
+		}
+	}
+	if need, free := len(added)*req.Task.Accelerators, w.free(); need > free || req.Task.Accelerators < 0 {
+		return fmt.Errorf("%w: %s has %d free accelerators, need %d", platform.ErrNoCapacity, w.row.ID, free, need)
+	}
+	for _, id := range added {
+		w.tasks[id] = &task{lease: platform.Lease{ID: id, State: platform.LeaseReserved, Task: req.Task}, writing: -1, speed: 1}
+		w.order = append(w.order, id)
+	}
+	for _, id := range req.Leases {
+		// A repeated reservation holds for the whole TTL again.
+		if t := w.tasks[id]; t.lease.State == platform.LeaseReserved {
+			t.expires = w.clock + seconds(req.TTLSeconds)
+		}
+	}
+	return nil
+}
+
+// each applies change to the known leases of a request and reports all of them.
+func (w *worker) each(req platform.LeaseRequest, change func(*task)) ([]platform.LeaseResult, error) {
+	if err := w.fence(req.Epoch); err != nil {
+		return nil, err
+	}
+	results := make([]platform.LeaseResult, len(req.Leases))
+	for i, id := range req.Leases {
+		results[i].ID = id
+		if t, known := w.tasks[id]; known {
+			change(t)
+			results[i].Known = true
+			results[i].Lease = w.report(t)
+		}
+	}
+	return results, nil
+}
+
+func (w *worker) start(t *task, ttl time.Duration) {
+	if t.lease.State != platform.LeaseReserved {
+		return
+	}
+	t.lease.State = platform.LeaseRunning
+	t.expires = w.clock + ttl
+	t.startedAt = w.last
+	t.checkpointAt = w.last
+	t.work = w.store.get(t.lease.ID, t.lease.Task.Checkpoint)
+	t.lease.Checkpoint = t.lease.Task.Checkpoint
+	w.recordRun(t)
+	program, err := parsePayload(t.lease.Task.Payload)
+	t.program = program
+	switch {
+	case err != nil:
+		w.end(t, w.last, platform.LeaseFailed, err.Error())
+	case w.faults.FailAll:
+		w.end(t, w.last, platform.LeaseFailed, reasonWorkerFault)
+	}
+}
+
+func (w *worker) recordRun(t *task) {
+	if len(w.runs) == maxRuns {
+		w.runs = slices.Delete(w.runs, 0, maxRuns/2)
+		w.dropped += maxRuns / 2
+	}
+	t.run = w.dropped + len(w.runs)
+	w.runs = append(w.runs, Run{Worker: w.row.ID, ID: t.lease.ID, Members: t.lease.Task.Members, From: w.last})
+}
+
+func (w *worker) renew(t *task, ttl time.Duration) {
+	if t.lease.State == platform.LeaseRunning {
+		t.expires = w.clock + ttl
+	}
+}
+
+func (w *worker) beginCheckpoint(t *task) {
+	if t.lease.State != platform.LeaseRunning || t.writing >= 0 || t.program.checkpointTime < 0 {
+		return
+	}
+	t.writing, t.written, t.requested = t.program.checkpointTime, t.work, w.last
+	if t.writing == 0 {
+		w.completeCheckpoint(t)
+	}
+}
+
+// minSpeed keeps a throttled task moving, as TaskSpec excludes a speed of 0.
+const minSpeed = 0.001
+
+func (w *worker) throttle(t *task, speed float64) {
+	if t.lease.State == platform.LeaseRunning {
+		t.speed = min(max(speed, minSpeed), 1)
+		t.lease.Throttled = t.speed < 1
+	}
+}
+
+func (w *worker) stop(t *task, reason string) {
+	if t.lease.State.Active() {
+		w.end(t, w.last, platform.LeaseStopped, reason)
+	}
+}
+
+func (w *worker) release(ids []platform.LeaseID) {
+	for _, id := range ids {
+		if t, known := w.tasks[id]; known && !t.lease.State.Active() {
+			delete(w.tasks, id)
+		}
+	}
+	w.order = slices.DeleteFunc(w.order, func(id platform.LeaseID) bool { return w.tasks[id] == nil })
+}
+
+func (w *worker) report(t *task) platform.Lease {
+	lease := t.lease
+	lease.RanSeconds = t.ran.Seconds()
+	if lease.State.Active() {
+		lease.ExpiresInSeconds = max(0, t.expires-w.clock).Seconds()
+	}
+	if lease.Checkpoint != "" {
+		lease.CheckpointAgeSeconds = w.last.Sub(t.checkpointAt).Seconds()
+	}
+	return lease
+}
+
+func (w *worker) leases() []platform.Lease {
+	leases := make([]platform.Lease, len(w.order))
+	for i, id := range w.order {
+		leases[i] = w.report(w.tasks[id])
+	}
+	return leases
+}
+
+// usage reports the tasks that have been running for at least the lag.
+func (w *worker) usage(lag time.Duration) []platform.Usage {
+	var reports []platform.Usage
+	for _, id := range w.order {
+		t := w.tasks[id]
+		if t.lease.State != platform.LeaseRunning || w.last.Sub(t.startedAt) < lag {
+			continue
+		}
+		reports = append(reports, platform.Usage{
+			ID:         id,
+			Cores:      used(t.program.cores, t.lease.Task.Cores) * t.speed,
+			MemoryMB:   used(t.program.memoryMB, t.lease.Task.MemoryMB),
+			AgeSeconds: lag.Seconds(),
+		})
+	}
+	return reports
+}
+
+func used(set float64, declared int) float64 {
+	if set >= 0 {
+		return set
+	}
+	return defaultUsedShare * float64(declared)
+}
+
+// setFaults is called after advance, so that a fault acts from now on.
+func (w *worker) setFaults(f WorkerFaults) {
+	crashed, thawed := f.Crashed && !w.faults.Crashed, w.faults.Frozen && !f.Frozen
+	w.faults = f
+	calls := f.CallFaults
+	calls.Outage = calls.Outage || f.Crashed
+	w.gate.set(calls)
+	if crashed {
+		w.endAll(platform.LeaseStopped, "worker crashed")
+		w.tasks, w.order = make(map[platform.LeaseID]*task), nil
+		w.pending = nil
+	}
+	if f.FailAll {
+		w.endAll(platform.LeaseFailed, reasonWorkerFault)
+	}
+	if thawed {
+		pending := w.pending
+		w.pending = nil
+		for _, call := range pending {
+			call()
+		}
+	}
+}
+
+func (w *worker) endAll(state platform.LeaseState, reason string) {
+	for _, id := range w.order {
+		if t := w.tasks[id]; t.lease.State == platform.LeaseRunning {
+			w.end(t, w.last, state, reason)
+		}
+	}
+}
+
+// checkpointStore holds the work kept by checkpoints. It outlives workers.
+type checkpointStore struct {
+	work map[checkpointKey]time.Duration
+}
+
+type checkpointKey struct {
+	job    string
+	member int
+	name   string
+}
+
+// checkpointName returns names that sort in the order in which one member wrote them. All
+// members can resume from the least name of their last checkpoints.
+func checkpointName(attempt uint64, n int) string {
+	return fmt.Sprintf("%016d-%06d", attempt, n)
+}
+
+func (s *checkpointStore) put(id platform.LeaseID, name string, work time.Duration) {
+	s.work[checkpointKey{id.JobUID, id.Member, name}] = work
+}
+
+// get returns 0 for a checkpoint that the member did not write.
+func (s *checkpointStore) get(id platform.LeaseID, name string) time.Duration {
+	return s.work[checkpointKey{id.JobUID, id.Member, name}]
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
