--- /dev/null
+++ b/internal/scheduler/locate.go
@@ -0,0 +1,123 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+)
+
+// locate finds workers for the members of a gang within the units given for each node, or
+// returns nil. It packs tightly: the fullest workers and racks that can hold the gang are
+// taken, so that whole workers and racks stay free for large gangs.
+func (c *cluster) locate(free []int, s shape) []int {
+	switch s.adjacency {
+	case resource.AdjacentWorker:
+		return c.locateOnWorker(free, s)
+	case resource.AdjacentRack:
+		return c.locateInRack(free, s)
+	default:
+		return c.locateInZone(free, s)
+	}
+}
+
+// fits returns how many members the node can hold.
+func (c *cluster) fits(free []int, n int, s shape) int {
+	if free[n] < s.accel || free[n] <= 0 {
+		return 0
+	}
+	return free[n] / c.nodes[n].units(s)
+}
+
+func (c *cluster) locateOnWorker(free []int, s shape) []int {
+	best, bestLeft, bestRack := -1, 0, 0
+	for n := range c.nodes {
+		if c.fits(free, n, s) < s.members {
+			continue
+		}
+		left := free[n] - s.members*c.nodes[n].units(s)
+		rack := c.rackFree(free, c.nodes[n].rack)
+		if best < 0 || left < bestLeft || left == bestLeft && rack < bestRack {
+			best, bestLeft, bestRack = n, left, rack
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	out := make([]int, s.members)
+	for i := range out {
+		out[i] = best
+	}
+	return out
+}
+
+func (c *cluster) locateInRack(free []int, s shape) []int {
+	best, bestLeft := -1, 0
+	for rack, nodes := range c.racks {
+		room := 0
+		for _, n := range nodes {
+			room += c.fits(free, n, s)
+		}
+		if room < s.members {
+			continue
+		}
+		if left := c.rackFree(free, rack); best < 0 || left < bestLeft {
+			best, bestLeft = rack, left
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	return c.fill(free, s, c.tightestFirst(free, c.racks[best]), nil)
+}
+
+func (c *cluster) locateInZone(free []int, s shape) []int {
+	racks := make([]int, 0, len(c.racks))
+	room := make([]int, len(c.racks))
+	total := 0
+	for rack, nodes := range c.racks {
+		for _, n := range nodes {
+			total += c.fits(free, n, s)
+		}
+		room[rack] = c.rackFree(free, rack)
+		racks = append(racks, rack)
+	}
+	if total < s.members {
+		return nil
+	}
+	slices.SortStableFunc(racks, func(a, b int) int { return cmp.Compare(room[a], room[b]) })
+	out := make([]int, 0, s.members)
+	for _, rack := range racks {
+		out = c.fill(free, s, c.tightestFirst(free, c.racks[rack]), out)
+		if len(out) == s.members {
+			return out
+		}
+	}
+	return nil
+}
+
+// fill appends members on the nodes in their order until the gang is whole.
+func (c *cluster) fill(free []int, s shape, nodes, out []int) []int {
+	for _, n := range nodes {
+		for k := c.fits(free, n, s); k > 0 && len(out) < s.members; k-- {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// tightestFirst orders nodes by what is free, least first.
+func (c *cluster) tightestFirst(free []int, nodes []int) []int {
+	order := slices.Clone(nodes)
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(free[a], free[b]) })
+	return order
+}
+
+// rackFree returns the units free in a rack.
+func (c *cluster) rackFree(free []int, rack int) int {
+	total := 0
+	for _, n := range c.racks[rack] {
+		total += max(free[n], 0)
+	}
+	return total
+}
--- /dev/null
+++ b/internal/scheduler/reserve.go
@@ -0,0 +1,342 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+)
+
+// slot is the place that the reservation plan gives to one gang of a guarantee. Jobs of the
+// guarantee's organisation that run inside the slot use the guarantee; everything else inside
+// the slot is free or can be reclaimed.
+type slot struct {
+	guarantee int
+	shape     shape
+	// nodes has the worker of each member; nil if the slot has no place.
+	nodes []int
+	// used has the units that covered runs hold in the slot, by node.
+	used map[int]int
+	runs []*run
+}
+
+// reservation is a concrete assignment of all guaranteed gangs onto workers.
+type reservation struct {
+	slots []*slot
+	// covered has the slot of each run that uses its organisation's guarantee.
+	covered map[*run]*slot
+	// missing counts the slots without a place, by guarantee.
+	missing []int
+	// room has the units of each node that neither slots nor unmovable runs take.
+	room []int
+}
+
+// broken returns how many slots have no place.
+func (r *reservation) broken() int {
+	total := 0
+	for _, n := range r.missing {
+		total += n
+	}
+	return total
+}
+
+// protected reports whether a run must not be reclaimed.
+func (r *reservation) protected(run *run) bool {
+	return !run.movable || r.covered[run] != nil
+}
+
+// reserve computes the reservation plan for the runs of the index. Runs keep the cover of
+// their organisation's guarantee in the order of their start, so that a later start cannot
+// take it away. If the plan does not hold that way, it is computed again with the covered
+// runs treated as reclaimable where they are in the way: a run can be restarted elsewhere,
+// a broken guarantee cannot be explained.
+func (c *cluster) reserve(guarantees []*resource.Guarantee) *reservation {
+	best := c.reserveOnce(guarantees, true, bySpread)
+	if best.broken() == 0 {
+		return best
+	}
+	for _, try := range []struct {
+		cover bool
+		order slotOrder
+	}{{true, bySize}, {false, bySpread}, {false, bySize}} {
+		next := c.reserveOnce(guarantees, try.cover, try.order)
+		if next.broken() < best.broken() {
+			best = next
+		}
+		if best.broken() == 0 {
+			break
+		}
+	}
+	return best
+}
+
+func (c *cluster) reserveOnce(guarantees []*resource.Guarantee, cover bool, order slotOrder) *reservation {
+	r := &reservation{
+		covered: make(map[*run]*slot),
+		missing: make([]int, len(guarantees)),
+		room:    make([]int, len(c.nodes)),
+	}
+	for n := range c.nodes {
+		if c.nodes[n].usable {
+			r.room[n] = c.nodes[n].accel
+		}
+	}
+	byOrg := r.addSlots(guarantees)
+	c.coverRuns(r, byOrg, cover)
+	c.completeSlots(r)
+	c.placeSlots(r, order)
+	return r
+}
+
+func (r *reservation) addSlots(guarantees []*resource.Guarantee) map[string][]*slot {
+	byOrg := make(map[string][]*slot)
+	for i, g := range guarantees {
+		for range g.Spec.Gangs {
+			s := &slot{guarantee: i, shape: guaranteeShape(&g.Spec)}
+			r.slots = append(r.slots, s)
+			byOrg[g.Spec.Organisation] = append(byOrg[g.Spec.Organisation], s)
+		}
+	}
+	return byOrg
+}
+
+// coverRuns gives runs their cover. Unmovable runs come first, because no plan can move them,
+// and they take room whether or not they are covered.
+func (c *cluster) coverRuns(r *reservation, byOrg map[string][]*slot, cover bool) {
+	var movable []*run
+	var unmovable []*run
+	for _, run := range c.runs {
+		switch {
+		case !run.movable:
+			unmovable = append(unmovable, run)
+		case !run.reclaiming && byOrg[run.job.Spec.Organisation] != nil:
+			movable = append(movable, run)
+		}
+	}
+	slices.SortStableFunc(unmovable, olderRun)
+	for _, run := range unmovable {
+		if !c.cover(r, byOrg[run.job.Spec.Organisation], run) {
+			c.takeRoom(r, run)
+		}
+	}
+	if !cover {
+		return
+	}
+	slices.SortStableFunc(movable, olderRun)
+	for _, run := range movable {
+		c.cover(r, byOrg[run.job.Spec.Organisation], run)
+	}
+}
+
+func olderRun(a, b *run) int {
+	return cmp.Or(a.startedAt.Compare(b.startedAt), cmp.Compare(a.name, b.name))
+}
+
+func (c *cluster) takeRoom(r *reservation, run *run) {
+	for _, n := range run.nodes {
+		if n >= 0 {
+			r.room[n] -= c.nodes[n].units(run.shape)
+		}
+	}
+}
+
+// cover puts a run into the slot of its organisation that it fills best.
+func (c *cluster) cover(r *reservation, slots []*slot, run *run) bool {
+	if len(slots) == 0 || slices.Contains(run.nodes, -1) {
+		return false
+	}
+	use := make(map[int]int, len(run.nodes))
+	for _, n := range run.nodes {
+		use[n] += c.nodes[n].units(run.shape)
+	}
+	var best *slot
+	bestLeft := 0
+	for _, s := range slots {
+		left, ok := c.coverLeft(r, s, use)
+		if ok && (best == nil || left < bestLeft) {
+			best, bestLeft = s, left
+		}
+	}
+	if best == nil {
+		return false
+	}
+	c.join(r, best, run, use)
+	return true
+}
+
+// coverLeft returns the units of a slot that stay unused if a run with this use joins it.
+func (c *cluster) coverLeft(r *reservation, s *slot, use map[int]int) (int, bool) {
+	members, held := 0, 0
+	first := -1
+	for n, units := range s.used {
+		if !c.adjacent(s.shape.adjacency, &first, n) {
+			return 0, false
+		}
+		if _, both := use[n]; !both {
+			members += membersFor(units, s.shape.accel)
+		}
+		held += units
+	}
+	for n, units := range use {
+		if !c.nodes[n].usable || !c.adjacent(s.shape.adjacency, &first, n) {
+			return 0, false
+		}
+		before := membersFor(s.used[n], s.shape.accel)
+		after := membersFor(s.used[n]+units, s.shape.accel)
+		if (after-before)*s.shape.accel > r.room[n] {
+			return 0, false
+		}
+		members += after
+		held += units
+	}
+	return s.shape.members*s.shape.accel - held, members <= s.shape.members
+}
+
+// adjacent reports whether node n is as close to the first node as the adjacency demands.
+func (c *cluster) adjacent(a resource.Adjacency, first *int, n int) bool {
+	if *first < 0 {
+		*first = n
+		return true
+	}
+	switch a {
+	case resource.AdjacentWorker:
+		return n == *first
+	case resource.AdjacentRack:
+		return c.nodes[n].rack == c.nodes[*first].rack
+	default:
+		return true
+	}
+}
+
+// membersFor returns how many members of a slot the units fill, the last one partly.
+func membersFor(units, accel int) int { return (units + accel - 1) / accel }
+
+func (c *cluster) join(r *reservation, s *slot, run *run, use map[int]int) {
+	if s.used == nil {
+		s.used = make(map[int]int, len(use))
+	}
+	for n, units := range use {
+		before := membersFor(s.used[n], s.shape.accel)
+		after := membersFor(s.used[n]+units, s.shape.accel)
+		r.room[n] -= (after - before) * s.shape.accel
+		s.used[n] += units
+	}
+	s.runs = append(s.runs, run)
+	r.covered[run] = s
+}
+
+// completeSlots gives places to the members of partly used slots that no run fills. A slot
+// that cannot be completed loses its runs: they count as reclaimable.
+func (c *cluster) completeSlots(r *reservation) {
+	for _, s := range r.slots {
+		if s.used == nil {
+			continue
+		}
+		s.nodes = s.usedNodes()
+		if rest := s.shape.members - len(s.nodes); rest > 0 {
+			restShape := s.shape
+			restShape.members = rest
+			found := c.locateNear(r.room, restShape, s.nodes[0])
+			if found == nil {
+				c.dissolve(r, s)
+				continue
+			}
+			c.take(r, s.shape.accel, found)
+			s.nodes = append(s.nodes, found...)
+		}
+	}
+}
+
+func (s *slot) usedNodes() []int {
+	var out []int
+	for n, units := range s.used {
+		for range membersFor(units, s.shape.accel) {
+			out = append(out, n)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// locateNear finds places next to a node that the gang must be adjacent to.
+func (c *cluster) locateNear(room []int, s shape, near int) []int {
+	switch s.adjacency {
+	case resource.AdjacentWorker:
+		if c.fits(room, near, s) < s.members {
+			return nil
+		}
+		return c.fill(room, s, []int{near}, nil)
+	case resource.AdjacentRack:
+		out := c.fill(room, s, c.tightestFirst(room, c.racks[c.nodes[near].rack]), nil)
+		if len(out) < s.members {
+			return nil
+		}
+		return out
+	default:
+		return c.locateInZone(room, s)
+	}
+}
+
+func (c *cluster) take(r *reservation, accel int, nodes []int) {
+	for _, n := range nodes {
+		r.room[n] -= accel
+	}
+}
+
+func (c *cluster) dissolve(r *reservation, s *slot) {
+	for _, n := range s.nodes {
+		r.room[n] += s.shape.accel
+	}
+	for _, run := range s.runs {
+		delete(r.covered, run)
+		if !run.movable {
+			c.takeRoom(r, run)
+		}
+	}
+	s.nodes, s.used, s.runs = nil, nil, nil
+}
+
+// slotOrder orders the slots that are not used yet for their placement.
+type slotOrder func(a, b *slot) int
+
+// bySpread places the closest adjacency first and within it the largest gang.
+func bySpread(a, b *slot) int {
+	return cmp.Or(cmp.Compare(spread(a.shape.adjacency), spread(b.shape.adjacency)), bySize(a, b))
+}
+
+// bySize places the largest gang first.
+func bySize(a, b *slot) int {
+	return cmp.Or(
+		cmp.Compare(b.shape.members*b.shape.accel, a.shape.members*a.shape.accel),
+		cmp.Compare(b.shape.accel, a.shape.accel),
+		cmp.Compare(a.guarantee, b.guarantee))
+}
+
+func spread(a resource.Adjacency) int {
+	switch a {
+	case resource.AdjacentWorker:
+		return 0
+	case resource.AdjacentRack:
+		return 1
+	default:
+		return 2
+	}
+}
+
+func (c *cluster) placeSlots(r *reservation, order slotOrder) {
+	var open []*slot
+	for _, s := range r.slots {
+		if s.nodes == nil {
+			open = append(open, s)
+		}
+	}
+	slices.SortStableFunc(open, order)
+	for _, s := range open {
+		s.nodes = c.locate(r.room, s.shape)
+		if s.nodes == nil {
+			r.missing[s.guarantee]++
+			continue
+		}
+		c.take(r, s.shape.accel, s.nodes)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/schedule.go
@@ -0,0 +1,690 @@
+package scheduler
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+)
+
+const (
+	// urgencyStep is the wait that counts as much as one level of urgency within an
+	// organisation. It bounds how long less urgent work can be passed.
+	urgencyStep = 10 * time.Minute
+	// headReclaimAfter is how long the head of the queue waits before it may stop reclaimable
+	// jobs that were created after it. Until then it waits for running jobs to end, which
+	// loses no work.
+	headReclaimAfter = 15 * time.Minute
+	// moveMargin is how much sooner another place must become free before the reservation of
+	// the head of the queue moves there. Each move wastes what was kept free so far.
+	moveMargin = 5 * time.Minute
+)
+
+// policyScheduler implements Scheduler.
+type policyScheduler struct {
+	seed    int64
+	learned *predictor
+	// places has the workers reserved for waiting jobs, by job name. It is kept between
+	// decisions so that a reservation does not move with every change of the estimates.
+	places map[string][]string
+}
+
+// New returns a scheduler. The seed only decides between equal choices.
+func New(seed int64) Scheduler {
+	return &policyScheduler{seed: seed, learned: newPredictor(), places: make(map[string][]string)}
+}
+
+// Finished implements Scheduler.
+func (p *policyScheduler) Finished(job *resource.Job, ran time.Duration) {
+	p.learned.observe(&job.Spec, ran)
+}
+
+// CheckGuarantee implements Scheduler.
+func (p *policyScheduler) CheckGuarantee(snapshot Snapshot, candidate *resource.Guarantee) GuaranteeResult {
+	c := newCluster(&snapshot)
+	before := c.reserve(snapshot.Guarantees)
+	guarantees := append(slices.Clone(snapshot.Guarantees), candidate)
+	after := c.reserve(guarantees)
+	result := GuaranteeResult{Guarantee: candidate.Name, Honourable: true}
+	last := len(guarantees) - 1
+	if n := after.missing[last]; n > 0 {
+		result.Honourable = false
+		result.Reason = fmt.Sprintf("%d of %d gangs of %s have no place beside the existing guarantees",
+			n, candidate.Spec.Gangs, describe(guaranteeShape(&candidate.Spec)))
+	} else if after.broken() > before.broken() {
+		result.Honourable = false
+		result.Reason = "an existing guarantee could no longer be honoured"
+	}
+	return result
+}
+
+// Schedule implements Scheduler.
+func (p *policyScheduler) Schedule(now time.Time, snapshot Snapshot) Plan {
+	d := newDecision(p, now, &snapshot)
+	d.reportGuarantees()
+	queue := d.admissible(snapshot.Queued)
+	queue = d.placeGuaranteed(queue)
+	queue = d.placeUrgent(queue)
+	d.placeByShare(queue)
+	p.places = d.places
+	return d.plan
+}
+
+// claim holds units for a job that cannot start yet.
+type claim struct {
+	job   string
+	nodes []int
+	shape shape
+	// ready is when the place is expected to be free.
+	ready time.Time
+}
+
+// decision is the working state of one Schedule call.
+type decision struct {
+	p          *policyScheduler
+	now        time.Time
+	snapshot   *Snapshot
+	policy     resource.PlacementPolicy
+	c          *cluster
+	res        *reservation
+	guaranteed map[string]int
+	// held has the accelerators that each organisation's jobs hold, with those placed now.
+	held map[string]int
+	// beyond has the part of held that is not covered by a guarantee.
+	beyond map[string]int
+	// claimed has the units that claims hold, by node.
+	claimed []int
+	claims  []claim
+	places  map[string][]string
+	plan    Plan
+	// misfit remembers shapes that found no free place. Free units only shrink within a
+	// decision, so that a second search is in vain.
+	misfit map[shape]bool
+	// total has the units of all nodes with nothing running.
+	total     []int
+	weightSum float64
+}
+
+func newDecision(p *policyScheduler, now time.Time, snapshot *Snapshot) *decision {
+	policy := resource.PolicySpec{Placement: snapshot.Policy}.WithDefaults().Placement
+	c := newCluster(snapshot)
+	d := &decision{
+		p: p, now: now, snapshot: snapshot, policy: policy, c: c,
+		res:        c.reserve(snapshot.Guarantees),
+		guaranteed: make(map[string]int),
+		held:       make(map[string]int),
+		beyond:     make(map[string]int),
+		claimed:    make([]int, len(c.nodes)),
+		places:     make(map[string][]string),
+		misfit:     make(map[shape]bool),
+		total:      make([]int, len(c.nodes)),
+	}
+	for n := range c.nodes {
+		d.total[n] = c.nodes[n].accel
+	}
+	for _, g := range snapshot.Guarantees {
+		d.guaranteed[g.Spec.Organisation] += g.Spec.Gangs * g.Spec.Members * g.Spec.AcceleratorsPerMember
+	}
+	for _, r := range c.runs {
+		d.account(r)
+	}
+	d.sumWeights()
+	return d
+}
+
+func (d *decision) account(r *run) {
+	org := r.job.Spec.Organisation
+	d.held[org] += r.accelerators()
+	if d.res.covered[r] == nil {
+		d.beyond[org] += r.accelerators()
+	}
+}
+
+// sumWeights adds the weights of the organisations that have work.
+func (d *decision) sumWeights() {
+	active := make(map[string]bool, len(d.held))
+	for org := range d.held {
+		active[org] = true
+	}
+	for _, j := range d.snapshot.Queued {
+		active[j.Spec.Organisation] = true
+	}
+	names := make([]string, 0, len(active))
+	for org := range active {
+		names = append(names, org)
+	}
+	slices.Sort(names)
+	for _, org := range names {
+		d.weightSum += d.weight(org)
+	}
+}
+
+func (d *decision) weight(org string) float64 {
+	if o := d.snapshot.Organisations[org]; o != nil && o.Spec.Weight > 0 {
+		return o.Spec.Weight
+	}
+	return 1
+}
+
+func (d *decision) urgent(j *resource.Job) bool { return j.Spec.Urgency <= *d.policy.UrgentAtMost }
+
+func (d *decision) reportGuarantees() {
+	for i, g := range d.snapshot.Guarantees {
+		result := GuaranteeResult{Guarantee: g.Name, Honourable: d.res.missing[i] == 0}
+		if !result.Honourable {
+			result.Reason = fmt.Sprintf("%d of %d gangs of %s have no place on the usable workers",
+				d.res.missing[i], g.Spec.Gangs, describe(guaranteeShape(&g.Spec)))
+		}
+		d.plan.Guarantees = append(d.plan.Guarantees, result)
+	}
+}
+
+func describe(s shape) string {
+	text := fmt.Sprintf("%d x %d accelerators in one %s", s.members, s.accel, s.adjacency)
+	if s.cores > 0 || s.memoryMB > 0 {
+		text += fmt.Sprintf(" with %d cores and %d MB each", s.cores, s.memoryMB)
+	}
+	return text
+}
+
+func (d *decision) wait(j *resource.Job, code ReasonCode, unblock, format string, args ...any) {
+	d.plan.Waiting = append(d.plan.Waiting, Waiting{
+		Job: j.Name, Code: code, Message: fmt.Sprintf(format, args...), Unblock: unblock,
+	})
+}
+
+// admissible drops the jobs that can never run and orders the rest.
+func (d *decision) admissible(queued []*resource.Job) []*resource.Job {
+	possible := make(map[shape]bool)
+	out := make([]*resource.Job, 0, len(queued))
+	for _, j := range queued {
+		s := jobShape(&j.Spec)
+		ok, known := possible[s]
+		if !known {
+			ok = d.c.locate(d.total, s) != nil
+			possible[s] = ok
+		}
+		switch {
+		case ok:
+			out = append(out, j)
+		case len(d.c.nodes) == 0:
+			d.wait(j, ReasonCapacity, "workers of the zone are listed", "no worker of zone %q is known", d.snapshot.Zone)
+		default:
+			d.wait(j, ReasonImpossible, "a smaller gang, a wider adjacency or larger workers",
+				"%s fits on no set of the zone's %d workers, even if they were empty", describe(s), len(d.c.nodes))
+		}
+	}
+	slices.SortStableFunc(out, inOrder)
+	return out
+}
+
+// inOrder orders the jobs of one organisation by age and urgency.
+func inOrder(a, b *resource.Job) int {
+	return cmp.Or(rank(a).Compare(rank(b)), cmp.Compare(a.Name, b.Name))
+}
+
+func rank(j *resource.Job) time.Time {
+	return j.Created.Add(time.Duration(j.Spec.Urgency) * urgencyStep)
+}
+
+// overQuota reports a job that would take its organisation over its quota.
+func (d *decision) overQuota(j *resource.Job) bool {
+	o := d.snapshot.Organisations[j.Spec.Organisation]
+	if o == nil || o.Spec.AcceleratorQuota == 0 {
+		return false
+	}
+	held := d.held[j.Spec.Organisation]
+	if held+j.Spec.Accelerators() <= o.Spec.AcceleratorQuota {
+		return false
+	}
+	d.wait(j, ReasonQuota, "jobs of the organisation end or its quota is raised",
+		"organisation %s holds %d of its quota of %d accelerators, the job needs %d",
+		j.Spec.Organisation, held, o.Spec.AcceleratorQuota, j.Spec.Accelerators())
+	return true
+}
+
+// availableNow returns the units of each node that a job can start on now.
+func (d *decision) availableNow(held []int) []int {
+	out := make([]int, len(d.c.free))
+	for n := range out {
+		out[n] = min(d.c.free[n], d.c.soon[n]-held[n])
+	}
+	return out
+}
+
+// availableSoon returns the units of each node that are free or will be when the jobs that
+// were asked to stop have stopped.
+func (d *decision) availableSoon() []int {
+	out := make([]int, len(d.c.soon))
+	for n := range out {
+		out[n] = d.c.soon[n] - d.claimed[n]
+	}
+	return out
+}
+
+func (d *decision) hold(j *resource.Job, nodes []int, ready time.Time) {
+	s := jobShape(&j.Spec)
+	d.claims = append(d.claims, claim{job: j.Name, nodes: nodes, shape: s, ready: ready})
+	for _, n := range nodes {
+		d.claimed[n] += d.c.nodes[n].units(s)
+	}
+	d.misfit = make(map[shape]bool)
+}
+
+func (d *decision) newRun(j *resource.Job, nodes []int) *run {
+	return &run{
+		job: j, name: j.Name, shape: jobShape(&j.Spec), nodes: nodes, startedAt: d.now,
+		movable: j.Spec.Restart != resource.RestartNever, placed: true,
+	}
+}
+
+// tryStart returns the reservation plan with the run, or nil if the plan does not allow the
+// run: an unmovable job must leave every guarantee reclaimable, and a job that is to use its
+// organisation's guarantee must fit into it.
+func (d *decision) tryStart(r *run, useGuarantee bool) *reservation {
+	if !useGuarantee && r.movable {
+		return d.res
+	}
+	d.c.runs = append(d.c.runs, r)
+	next := d.c.reserve(d.snapshot.Guarantees)
+	d.c.runs = d.c.runs[:len(d.c.runs)-1]
+	if !d.keepsPlan(next) || useGuarantee && next.covered[r] == nil {
+		return nil
+	}
+	return next
+}
+
+// start places a job on nodes. It reports false, and changes nothing, if the reservation plan
+// does not allow it.
+func (d *decision) start(j *resource.Job, nodes []int, useGuarantee bool) bool {
+	r := d.newRun(j, nodes)
+	next := d.tryStart(r, useGuarantee)
+	if next == nil {
+		return false
+	}
+	d.res = next
+	d.c.occupy(r)
+	d.account(r)
+	d.plan.Placements = append(d.plan.Placements, Placement{
+		Job: j, Workers: d.c.ids(nodes), Reclaimable: !d.res.protected(r),
+	})
+	return true
+}
+
+// keepsPlan reports whether a new plan gives each guarantee at least the places it has now
+// and takes no running job's cover away.
+func (d *decision) keepsPlan(next *reservation) bool {
+	for i := range next.missing {
+		if next.missing[i] > d.res.missing[i] {
+			return false
+		}
+	}
+	for r := range d.res.covered {
+		if next.covered[r] == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// placeGuaranteed handles the jobs that fit into an unused part of their organisation's
+// guarantee and returns the others.
+func (d *decision) placeGuaranteed(queue []*resource.Job) []*resource.Job {
+	if len(d.snapshot.Guarantees) == 0 {
+		return queue
+	}
+	rest := queue[:0:0]
+	for _, j := range queue {
+		if d.guaranteed[j.Spec.Organisation] == 0 || !d.guaranteedStart(j) {
+			rest = append(rest, j)
+		}
+	}
+	return rest
+}
+
+// guaranteedStart places a job within its organisation's guarantee, reclaiming what is in the
+// way. It reports false if the job does not fit into what is unused.
+func (d *decision) guaranteedStart(j *resource.Job) bool {
+	s := jobShape(&j.Spec)
+	unused := d.unusedSlots(j.Spec.Organisation, s)
+	if len(unused) == 0 {
+		return false
+	}
+	if d.overQuota(j) {
+		return true
+	}
+	now := d.availableNow(d.claimed)
+	if nodes := d.c.locate(now, s); nodes != nil && d.start(j, nodes, true) {
+		return true
+	}
+	for _, slot := range unused {
+		if nodes := d.c.locate(d.within(slot, now), s); nodes != nil && d.start(j, nodes, true) {
+			return true
+		}
+	}
+	best := d.evictGuaranteed(j, s, unused)
+	if best == nil {
+		return false
+	}
+	d.reclaimFor(j, best, "the job is within its organisation's guarantee")
+	return true
+}
+
+// evictGuaranteed finds the cheapest place outside the slots of other organisations at which
+// the job is covered. If the plan does not hold there, it falls back to the organisation's own
+// slots, where it holds.
+func (d *decision) evictGuaranteed(j *resource.Job, s shape, unused []*slot) *eviction {
+	soon := d.availableSoon()
+	may := func(r *run) bool { return !r.placed && !r.reclaiming && !d.res.protected(r) }
+	limit := slices.Clone(d.res.room)
+	for _, slot := range unused {
+		for n, units := range d.unusedUnits(slot) {
+			limit[n] += units
+		}
+	}
+	if e := d.c.evictWithin(soon, s, may, limit); e != nil && d.tryStart(d.newRun(j, e.nodes), true) != nil {
+		return e
+	}
+	var best *eviction
+	for _, slot := range unused {
+		e := d.c.evictWithin(soon, s, may, d.unusedUnits(slot))
+		if e != nil && (best == nil || e.loss < best.loss) {
+			best = e
+		}
+	}
+	return best
+}
+
+// unusedSlots returns the slots of an organisation with a place that could hold a gang.
+func (d *decision) unusedSlots(org string, s shape) []*slot {
+	var out []*slot
+	for _, slot := range d.res.slots {
+		if slot.nodes == nil || d.snapshot.Guarantees[slot.guarantee].Spec.Organisation != org {
+			continue
+		}
+		if d.c.locate(d.unusedUnits(slot), s) != nil {
+			out = append(out, slot)
+		}
+	}
+	return out
+}
+
+// unusedUnits returns the units of a slot that no run uses, by node.
+func (d *decision) unusedUnits(slot *slot) []int {
+	out := make([]int, len(d.c.nodes))
+	for _, n := range slot.nodes {
+		out[n] += slot.shape.accel
+	}
+	for n, units := range slot.used {
+		out[n] -= units
+	}
+	return out
+}
+
+// within limits units to the unused part of a slot.
+func (d *decision) within(slot *slot, units []int) []int {
+	out := d.unusedUnits(slot)
+	for n := range out {
+		out[n] = min(out[n], units[n])
+	}
+	return out
+}
+
+// reclaimFor asks the victims to stop and holds their place for the job.
+func (d *decision) reclaimFor(j *resource.Job, e *eviction, reason string) {
+	deadline := d.now.Add(seconds(d.policy.ReclaimSeconds))
+	for _, v := range e.victims {
+		d.c.yield(v)
+		d.plan.Reclaims = append(d.plan.Reclaims, Reclaim{Job: v.name, Deadline: deadline, For: j.Name, Reason: reason})
+	}
+	d.hold(j, e.nodes, d.now)
+	d.wait(j, ReasonReclaiming, "the stopped jobs leave their workers, at the latest at the deadline",
+		"the job starts when reclaimed accelerators are free, %d jobs are asked to stop now", len(e.victims))
+}
+
+// placeUrgent handles urgent jobs and returns the others. An urgent job may stop less urgent
+// reclaimable work of any organisation while its own organisation stays within its fair
+// share, and of its own organisation always. The limit keeps an organisation that marks all
+// of its jobs as urgent from taking the zone.
+func (d *decision) placeUrgent(queue []*resource.Job) []*resource.Job {
+	rest := queue[:0:0]
+	for _, j := range queue {
+		if !d.urgent(j) || !d.urgentStart(j) {
+			rest = append(rest, j)
+		}
+	}
+	return rest
+}
+
+func (d *decision) urgentStart(j *resource.Job) bool {
+	if d.overQuota(j) {
+		return true
+	}
+	s := jobShape(&j.Spec)
+	if nodes := d.c.locate(d.availableNow(d.claimed), s); nodes != nil && d.start(j, nodes, false) {
+		return true
+	}
+	org := j.Spec.Organisation
+	within := float64(d.held[org]+j.Spec.Accelerators()) <= d.fairShare(org)
+	may := func(r *run) bool {
+		return !r.placed && !r.reclaiming && !d.res.protected(r) && !d.urgent(r.job) &&
+			(within || r.job.Spec.Organisation == org)
+	}
+	if j.Spec.Restart == resource.RestartNever {
+		return false
+	}
+	e := d.c.evict(d.availableSoon(), s, may)
+	if e == nil {
+		return false
+	}
+	d.reclaimFor(j, e, "the job is urgent")
+	return true
+}
+
+// fairShare returns the accelerators that an organisation gets if all that have work want
+// more than their share.
+func (d *decision) fairShare(org string) float64 {
+	total := 0
+	for n := range d.c.nodes {
+		if d.c.nodes[n].usable {
+			total += d.c.nodes[n].accel
+		}
+	}
+	return float64(total) * d.weight(org) / max(d.weightSum, 1e-9)
+}
+
+// placeByShare handles the rest: the organisation with the smallest weighted use beyond its
+// guarantee is next, then the oldest job.
+func (d *decision) placeByShare(queue []*resource.Job) {
+	byOrg := make(map[string][]*resource.Job)
+	var orgs []string
+	for _, j := range queue {
+		org := j.Spec.Organisation
+		if byOrg[org] == nil {
+			orgs = append(orgs, org)
+		}
+		byOrg[org] = append(byOrg[org], j)
+	}
+	slices.Sort(orgs)
+	blocked := 0
+	for len(orgs) > 0 {
+		i := d.nextOrg(orgs, byOrg)
+		j := byOrg[orgs[i]][0]
+		if byOrg[orgs[i]] = byOrg[orgs[i]][1:]; len(byOrg[orgs[i]]) == 0 {
+			orgs = slices.Delete(orgs, i, i+1)
+		}
+		if d.overQuota(j) || d.backfill(j) {
+			continue
+		}
+		if blocked == 0 {
+			d.reserveHead(j)
+			blocked++
+			continue
+		}
+		d.explain(j)
+	}
+}
+
+func (d *decision) nextOrg(orgs []string, byOrg map[string][]*resource.Job) int {
+	best := 0
+	for i := 1; i < len(orgs); i++ {
+		a, b := orgs[i], orgs[best]
+		order := cmp.Or(
+			cmp.Compare(float64(d.beyond[a])/d.weight(a), float64(d.beyond[b])/d.weight(b)),
+			inOrder(byOrg[a][0], byOrg[b][0]))
+		if order < 0 {
+			best = i
+		}
+	}
+	return best
+}
+
+// backfill starts a job on free units. Units held for the head of the queue are used only if
+// the job very likely ends before the head's place is ready.
+func (d *decision) backfill(j *resource.Job) bool {
+	s := jobShape(&j.Spec)
+	if d.misfit[s] {
+		return d.backfillHeld(j, s)
+	}
+	nodes := d.c.locate(d.availableNow(d.claimed), s)
+	if nodes == nil {
+		d.misfit[s] = true
+		return d.backfillHeld(j, s)
+	}
+	return d.startBeside(j, nodes, s)
+}
+
+// startBeside starts a job and, if the reservation plan forbids the place of an unmovable job,
+// tries the room that the plan leaves.
+func (d *decision) startBeside(j *resource.Job, nodes []int, s shape) bool {
+	if d.start(j, nodes, false) {
+		return true
+	}
+	units := d.availableNow(d.claimed)
+	for n := range units {
+		units[n] = min(units[n], d.res.room[n])
+	}
+	nodes = d.c.locate(units, s)
+	return nodes != nil && d.start(j, nodes, false)
+}
+
+func (d *decision) backfillHeld(j *resource.Job, s shape) bool {
+	left, ok := d.p.learned.remaining(j, cautiousQuantile)
+	if !ok {
+		return false
+	}
+	held := slices.Clone(d.claimed)
+	lifted := false
+	for _, cl := range d.claims {
+		if cl.ready.Before(d.now.Add(left)) {
+			continue
+		}
+		lifted = true
+		for _, n := range cl.nodes {
+			held[n] -= d.c.nodes[n].units(cl.shape)
+		}
+	}
+	if !lifted {
+		return false
+	}
+	nodes := d.c.locate(d.availableNow(held), s)
+	return nodes != nil && d.start(j, nodes, false)
+}
+
+// reserveHead holds the place for the head of the queue that is expected to become free first.
+func (d *decision) reserveHead(j *resource.Job) {
+	s := jobShape(&j.Spec)
+	if d.now.Sub(j.Created) >= headReclaimAfter && j.Spec.Restart != resource.RestartNever {
+		may := func(r *run) bool {
+			return !r.placed && !r.reclaiming && !d.res.protected(r) && !d.urgent(r.job) &&
+				r.job.Created.After(j.Created)
+		}
+		if e := d.c.evict(d.availableSoon(), s, may); e != nil {
+			d.reclaimFor(j, e, "the job waits at the head of the queue")
+			return
+		}
+	}
+	nodes, ready := d.c.drain(d.availableSoon(), s, d.endOf)
+	if nodes == nil {
+		d.explain(j)
+		return
+	}
+	nodes, ready = d.keepPlace(j, s, nodes, ready)
+	d.places[j.Name] = d.c.ids(nodes)
+	d.hold(j, nodes, ready)
+	d.wait(j, ReasonReservation, "running jobs on the reserved workers end",
+		"the job is the head of the queue and holds a reservation that is expected to be free in %s",
+		ready.Sub(d.now).Round(time.Second))
+}
+
+func (d *decision) endOf(r *run) time.Time {
+	if r.reclaiming {
+		return d.now
+	}
+	return d.p.learned.end(d.now, r)
+}
+
+// keepPlace returns the place that was reserved before, unless the new one is clearly sooner.
+func (d *decision) keepPlace(j *resource.Job, s shape, nodes []int, ready time.Time) ([]int, time.Time) {
+	ids := d.p.places[j.Name]
+	if len(ids) != len(nodes) {
+		return nodes, ready
+	}
+	old := make([]int, len(ids))
+	for i, id := range ids {
+		n, ok := d.c.byID[id]
+		if !ok || !d.c.nodes[n].usable {
+			return nodes, ready
+		}
+		old[i] = n
+	}
+	oldReady, ok := d.c.readyAt(d.availableSoon(), s, old, d.endOf)
+	if !ok || ready.Add(moveMargin).Before(oldReady) {
+		return nodes, ready
+	}
+	return old, oldReady
+}
+
+// explain records why a job that is not the head of the queue waits.
+func (d *decision) explain(j *resource.Job) {
+	s := jobShape(&j.Spec)
+	free, claimed, out := 0, 0, 0
+	for n := range d.c.nodes {
+		free += max(d.c.free[n], 0)
+		claimed += min(max(d.c.free[n], 0), d.claimed[n])
+		if !d.c.nodes[n].usable {
+			out++
+		}
+	}
+	need := j.Spec.Accelerators()
+	switch {
+	case d.c.locate(d.c.free, s) != nil && j.Spec.Restart == resource.RestartNever:
+		d.wait(j, ReasonReservation, "jobs end, or the job may be restarted and so be reclaimed",
+			"the job may not be restarted, so it could not be reclaimed from guaranteed accelerators")
+	case d.c.locate(d.c.free, s) != nil:
+		d.wait(j, ReasonReservation, "the jobs that hold the reservations start",
+			"%d of %d free accelerators are held for jobs before this one", claimed, free)
+	case out > 0 && d.fitsWithAll(s):
+		d.wait(j, ReasonBadWorkers, "workers return",
+			"%d of %d workers are silent, leaving or quarantined", out, len(d.c.nodes))
+	case free >= need:
+		d.wait(j, ReasonAdjacency, "jobs end so that enough free accelerators are adjacent",
+			"%d accelerators are free, but not %s", free, describe(s))
+	default:
+		d.wait(j, ReasonCapacity, "running jobs end",
+			"%d accelerators are free, the job needs %d", free, need)
+	}
+}
+
+// fitsWithAll reports whether the gang would fit if the workers that are out were empty.
+func (d *decision) fitsWithAll(s shape) bool {
+	units := slices.Clone(d.c.free)
+	for n := range units {
+		if !d.c.nodes[n].usable {
+			units[n] = d.c.nodes[n].accel
+		}
+	}
+	return d.c.locate(units, s) != nil
+}
--- /dev/null
+++ b/internal/scheduler/schedule_test.go
@@ -0,0 +1,165 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+)
+
+var start = time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+
+// zone returns workers of 8 accelerators, 64 cores and 128 GB.
+func zone(racks, perRack int) Snapshot {
+	s := Snapshot{Zone: "z1"}
+	for r := range racks {
+		for w := range perRack {
+			s.Workers = append(s.Workers, Worker{
+				ID: fmt.Sprintf("w%d-%d", r, w), Rack: fmt.Sprintf("r%d", r),
+				Accelerators: 8, Cores: 64, MemoryMB: 128 << 10, Usable: true,
+			})
+		}
+	}
+	return s
+}
+
+func job(name, org string, members, accelerators int, adjacency resource.Adjacency) *resource.Job {
+	return &resource.Job{
+		Metadata: resource.Metadata{Name: name, Created: start},
+		Spec: resource.JobSpec{
+			Organisation: org, Members: members, AcceleratorsPerMember: accelerators,
+			Adjacency: adjacency, Urgency: 3, Checkpointable: true,
+		},
+	}
+}
+
+func guarantee(name, org string, gangs, members, accelerators int, adjacency resource.Adjacency) *resource.Guarantee {
+	return &resource.Guarantee{
+		Metadata: resource.Metadata{Name: name},
+		Spec: resource.GuaranteeSpec{
+			Organisation: org, Gangs: gangs, Members: members,
+			AcceleratorsPerMember: accelerators, Adjacency: adjacency,
+		},
+	}
+}
+
+// running puts a job on workers without a decision.
+func running(j *resource.Job, age time.Duration, workers ...string) Running {
+	return Running{Job: j, Workers: workers, StartedAt: start.Add(-age), CheckpointAge: age}
+}
+
+// decide makes a plan with a fresh scheduler and checks its invariants.
+func decide(t *testing.T, s Snapshot) Plan {
+	t.Helper()
+	plan := New(1).Schedule(start, s)
+	require.NoError(t, Validate(s, plan))
+	return plan
+}
+
+func placed(plan Plan, name string) *Placement {
+	for i := range plan.Placements {
+		if plan.Placements[i].Job.Name == name {
+			return &plan.Placements[i]
+		}
+	}
+	return nil
+}
+
+func waitingFor(plan Plan, name string) ReasonCode {
+	for _, w := range plan.Waiting {
+		if w.Job == name {
+			return w.Code
+		}
+	}
+	return ""
+}
+
+// Guards against a gang that is split over racks although its adjacency forbids it.
+func TestAdjacencyIsKept(t *testing.T) {
+	s := zone(2, 2)
+	s.Running = []Running{running(job("a", "x", 1, 8, ""), time.Hour, "w0-0")}
+	s.Queued = []*resource.Job{
+		job("rack", "x", 2, 8, resource.AdjacentRack),
+		job("rack2", "x", 2, 8, resource.AdjacentRack),
+	}
+	plan := decide(t, s)
+	require.Equal(t, []string{"w1-0", "w1-1"}, placed(plan, "rack").Workers)
+	require.Nil(t, placed(plan, "rack2"))
+}
+
+// Guards against small jobs that break up workers that are still whole.
+func TestSmallJobsFillPartlyUsedWorkers(t *testing.T) {
+	s := zone(2, 2)
+	s.Running = []Running{running(job("a", "x", 1, 4, ""), time.Hour, "w1-1")}
+	s.Queued = []*resource.Job{job("small", "x", 1, 2, "")}
+	require.Equal(t, []string{"w1-1"}, placed(decide(t, s), "small").Workers)
+}
+
+// Guards against a guaranteed job that waits behind work beyond other guarantees.
+func TestGuaranteedJobReclaimsLeastLoss(t *testing.T) {
+	s := zone(1, 2)
+	s.Guarantees = []*resource.Guarantee{guarantee("g", "x", 1, 1, 8, resource.AdjacentWorker)}
+	s.Running = []Running{
+		running(job("long", "y", 1, 8, ""), 5*time.Hour, "w0-0"),
+		running(job("short", "y", 1, 8, ""), time.Minute, "w0-1"),
+	}
+	s.Queued = []*resource.Job{job("mine", "x", 1, 8, resource.AdjacentWorker)}
+	plan := decide(t, s)
+	require.Len(t, plan.Reclaims, 1)
+	require.Equal(t, "short", plan.Reclaims[0].Job)
+	require.Equal(t, start.Add(5*time.Second), plan.Reclaims[0].Deadline)
+	require.Equal(t, ReasonReclaiming, waitingFor(plan, "mine"))
+}
+
+// Guards against a job that cannot be stopped on accelerators that a guarantee needs.
+func TestUnmovableJobLeavesGuarantees(t *testing.T) {
+	s := zone(1, 2)
+	s.Guarantees = []*resource.Guarantee{guarantee("g", "x", 1, 1, 8, resource.AdjacentWorker)}
+	first, second := job("first", "y", 1, 8, ""), job("second", "y", 1, 8, "")
+	first.Spec.Restart, second.Spec.Restart = resource.RestartNever, resource.RestartNever
+	s.Queued = []*resource.Job{first, second}
+	plan := decide(t, s)
+	require.NotNil(t, placed(plan, "first"))
+	require.False(t, placed(plan, "first").Reclaimable)
+	require.Equal(t, ReasonReservation, waitingFor(plan, "second"))
+}
+
+// Guards against a reclaim that counts accelerators only: the organisation's small job covers
+// a part of one gang of the guarantee, so that only the other gang is unused.
+func TestGuaranteeUseIsCountedByShape(t *testing.T) {
+	s := zone(1, 4)
+	s.Guarantees = []*resource.Guarantee{guarantee("g", "x", 2, 1, 8, resource.AdjacentWorker)}
+	s.Running = []Running{
+		running(job("own", "x", 1, 2, ""), time.Hour, "w0-0"),
+		running(job("a", "y", 1, 6, ""), time.Hour, "w0-0"),
+		running(job("b", "y", 3, 8, ""), time.Hour, "w0-1", "w0-2", "w0-3"),
+	}
+	big := job("big", "x", 1, 8, resource.AdjacentWorker)
+	s.Queued = []*resource.Job{big, job("big2", "x", 1, 8, resource.AdjacentWorker)}
+	plan := decide(t, s)
+	require.Len(t, plan.Reclaims, 1)
+	require.Equal(t, "b", plan.Reclaims[0].Job)
+	require.Equal(t, ReasonReclaiming, waitingFor(plan, "big"))
+}
+
+// Guards against an operator who is not told at once that a job can never run.
+func TestImpossibleJobIsReported(t *testing.T) {
+	s := zone(2, 2)
+	s.Queued = []*resource.Job{job("wide", "x", 3, 8, resource.AdjacentRack), job("fat", "x", 1, 9, "")}
+	plan := decide(t, s)
+	require.Equal(t, ReasonImpossible, waitingFor(plan, "wide"))
+	require.Equal(t, ReasonImpossible, waitingFor(plan, "fat"))
+}
+
+// Guards against two guarantees that fit alone but not together.
+func TestCheckGuaranteeCountsExisting(t *testing.T) {
+	s := zone(1, 2)
+	s.Guarantees = []*resource.Guarantee{guarantee("g", "x", 1, 1, 8, resource.AdjacentWorker)}
+	require.True(t, New(1).CheckGuarantee(s, guarantee("h", "y", 1, 1, 8, "")).Honourable)
+	result := New(1).CheckGuarantee(s, guarantee("h", "y", 1, 2, 8, resource.AdjacentRack))
+	require.False(t, result.Honourable)
+	require.NotEmpty(t, result.Reason)
+}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -17,6 +17,9 @@
 	MemoryMB     int
 	// Usable is false while the worker is silent, leaving or quarantined.
 	Usable bool
+	// Suspect is set for a usable worker on which starts have failed lately. It takes one new
+	// gang at a time, and only if other workers do not suffice.
+	Suspect bool
 }
 
 // Running is a job whose members hold leases.
@@ -43,6 +46,9 @@
 	Policy        resource.PlacementPolicy
 	// Held has accelerators that are in use by leases of no known job, by worker id.
 	Held map[string]int
+	// Avoid has the workers on which a queued job has failed, by job name. The job is not
+	// placed there again.
+	Avoid map[string][]string
 }
 
 // Placement starts a job.
--- /dev/null
+++ b/internal/scheduler/validate.go
@@ -0,0 +1,248 @@
+package scheduler
+
+import (
+	"errors"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+)
+
+// ErrInvalidPlan is wrapped by every error of Validate.
+var ErrInvalidPlan = errors.New("scheduler: invalid plan")
+
+func invalid(format string, args ...any) error { return eris.Wrapf(ErrInvalidPlan, format, args...) }
+
+// Validate checks a plan against the snapshot it is to be applied to, which may be newer than
+// the one it was made from. It returns an error that wraps ErrInvalidPlan unless
+//
+//   - each gang is placed whole, once, from the queue, on usable workers as close as its
+//     adjacency demands;
+//   - no worker's accelerators, declared cores or declared memory are oversubscribed by what
+//     is placed, where reclaimed jobs still count;
+//   - no organisation exceeds its quota by what is placed;
+//   - only running jobs that may restart and that no guarantee covers are reclaimed;
+//   - each guarantee that could be reclaimed before can be reclaimed after.
+func Validate(snapshot Snapshot, plan Plan) error {
+	v := newValidation(&snapshot)
+	for i := range plan.Placements {
+		if err := v.placement(&plan.Placements[i]); err != nil {
+			return err
+		}
+	}
+	if err := v.quotas(&plan); err != nil {
+		return err
+	}
+	if len(snapshot.Guarantees) == 0 {
+		return v.reclaims(&plan, nil)
+	}
+	c := newCluster(&snapshot)
+	before := c.reserve(snapshot.Guarantees)
+	if err := v.reclaims(&plan, before.coveredNames()); err != nil {
+		return err
+	}
+	return checkGuarantees(c, before, &snapshot, &plan)
+}
+
+// load is what jobs hold of one worker.
+type load struct{ accelerators, cores, memoryMB int }
+
+type validation struct {
+	snapshot *Snapshot
+	workers  map[string]*Worker
+	queued   map[string]*resource.Job
+	running  map[string]*Running
+	loads    map[string]*load
+	held     map[string]int
+	placed   map[string]bool
+}
+
+func newValidation(snapshot *Snapshot) *validation {
+	v := &validation{
+		snapshot: snapshot,
+		workers:  make(map[string]*Worker, len(snapshot.Workers)),
+		queued:   make(map[string]*resource.Job, len(snapshot.Queued)),
+		running:  make(map[string]*Running, len(snapshot.Running)),
+		loads:    make(map[string]*load, len(snapshot.Workers)),
+		held:     make(map[string]int),
+		placed:   make(map[string]bool),
+	}
+	for i := range snapshot.Workers {
+		w := &snapshot.Workers[i]
+		v.workers[w.ID] = w
+		v.loads[w.ID] = &load{accelerators: snapshot.Held[w.ID]}
+	}
+	for _, j := range snapshot.Queued {
+		v.queued[j.Name] = j
+	}
+	for i := range snapshot.Running {
+		r := &snapshot.Running[i]
+		v.running[r.Job.Name] = r
+		v.held[r.Job.Spec.Organisation] += r.Job.Spec.Accelerators()
+		for _, id := range r.Workers {
+			v.add(id, &r.Job.Spec)
+		}
+	}
+	return v
+}
+
+func (v *validation) add(worker string, s *resource.JobSpec) {
+	if l := v.loads[worker]; l != nil {
+		l.accelerators += s.AcceleratorsPerMember
+		l.cores += s.CoresPerMember
+		l.memoryMB += s.MemoryMBPerMember
+	}
+}
+
+func (v *validation) placement(p *Placement) error {
+	name := p.Job.Name
+	queued := v.queued[name]
+	switch {
+	case queued == nil:
+		return invalid("job %s is not queued", name)
+	case v.running[name] != nil:
+		return invalid("job %s is already running", name)
+	case v.placed[name]:
+		return invalid("job %s is placed twice", name)
+	case len(p.Workers) != queued.Spec.Members:
+		return invalid("job %s: %d of %d members are placed", name, len(p.Workers), queued.Spec.Members)
+	}
+	v.placed[name] = true
+	for _, id := range p.Workers {
+		w := v.workers[id]
+		if w == nil || !w.Usable {
+			return invalid("job %s: worker %s is not usable", name, id)
+		}
+		if slices.Contains(v.snapshot.Avoid[name], id) {
+			return invalid("job %s: worker %s is to be avoided", name, id)
+		}
+		first := v.workers[p.Workers[0]]
+		switch adjacencyOf(queued.Spec.Adjacency) {
+		case resource.AdjacentWorker:
+			if w.ID != first.ID {
+				return invalid("job %s: workers %s and %s are not the same", name, first.ID, id)
+			}
+		case resource.AdjacentRack:
+			if w.Rack != first.Rack {
+				return invalid("job %s: workers %s and %s are in different racks", name, first.ID, id)
+			}
+		}
+		v.add(id, &queued.Spec)
+	}
+	for _, id := range p.Workers {
+		w, l := v.workers[id], v.loads[id]
+		if l.accelerators > w.Accelerators || l.cores > w.Cores && queued.Spec.CoresPerMember > 0 ||
+			l.memoryMB > w.MemoryMB && queued.Spec.MemoryMBPerMember > 0 {
+			return invalid("job %s: worker %s is oversubscribed", name, id)
+		}
+	}
+	return nil
+}
+
+func (v *validation) quotas(plan *Plan) error {
+	for _, p := range plan.Placements {
+		org := p.Job.Spec.Organisation
+		v.held[org] += p.Job.Spec.Accelerators()
+		o := v.snapshot.Organisations[org]
+		if o != nil && o.Spec.AcceleratorQuota > 0 && v.held[org] > o.Spec.AcceleratorQuota {
+			return invalid("job %s takes organisation %s over its quota", p.Job.Name, org)
+		}
+	}
+	return nil
+}
+
+func (v *validation) reclaims(plan *Plan, covered map[string]bool) error {
+	seen := make(map[string]bool, len(plan.Reclaims))
+	for _, r := range plan.Reclaims {
+		running := v.running[r.Job]
+		switch {
+		case running == nil:
+			return invalid("reclaimed job %s is not running", r.Job)
+		case seen[r.Job] || running.Reclaiming:
+			return invalid("job %s is reclaimed twice", r.Job)
+		case running.Job.Spec.Restart == resource.RestartNever:
+			return invalid("reclaimed job %s may not be restarted", r.Job)
+		case covered[r.Job]:
+			return invalid("reclaimed job %s is within its organisation's guarantee", r.Job)
+		case r.Deadline.IsZero():
+			return invalid("reclaim of job %s has no deadline", r.Job)
+		}
+		seen[r.Job] = true
+	}
+	return nil
+}
+
+func (r *reservation) coveredNames() map[string]bool {
+	out := make(map[string]bool, len(r.covered))
+	for run := range r.covered {
+		out[run.name] = true
+	}
+	return out
+}
+
+// checkGuarantees recomputes the reservation plan with the placements.
+func checkGuarantees(c *cluster, before *reservation, snapshot *Snapshot, plan *Plan) error {
+	for i := range plan.Placements {
+		p := &plan.Placements[i]
+		nodes := make([]int, len(p.Workers))
+		for m, id := range p.Workers {
+			nodes[m] = c.byID[id]
+		}
+		c.occupy(&run{
+			job: p.Job, name: p.Job.Name, shape: jobShape(&p.Job.Spec), nodes: nodes,
+			movable: p.Job.Spec.Restart != resource.RestartNever && p.Reclaimable, placed: true,
+		})
+	}
+	after := c.reserve(snapshot.Guarantees)
+	for i, g := range snapshot.Guarantees {
+		if after.missing[i] > before.missing[i] {
+			return invalid("guarantee %s could not be reclaimed any more: %d of %d gangs have no place",
+				g.Name, after.missing[i], g.Spec.Gangs)
+		}
+	}
+	return after.check(c)
+}
+
+// check verifies the reservation independently of how it was found.
+func (r *reservation) check(c *cluster) error {
+	taken := make([]int, len(c.nodes))
+	reserved := make([]bool, len(c.nodes))
+	for _, s := range r.slots {
+		if err := s.check(c, taken, reserved); err != nil {
+			return err
+		}
+	}
+	for _, run := range c.runs {
+		if run.movable || r.covered[run] != nil {
+			continue
+		}
+		for _, n := range run.nodes {
+			if n >= 0 {
+				taken[n] += c.nodes[n].units(run.shape)
+			}
+		}
+	}
+	for n, units := range taken {
+		if reserved[n] && units > c.nodes[n].accel {
+			return invalid("reservation oversubscribes worker %s: %d of %d", c.nodes[n].id, units, c.nodes[n].accel)
+		}
+	}
+	return nil
+}
+
+// check verifies one slot and adds what it takes of each node.
+func (s *slot) check(c *cluster, taken []int, reserved []bool) error {
+	first := -1
+	for _, n := range s.nodes {
+		if !c.nodes[n].usable || !c.adjacent(s.shape.adjacency, &first, n) {
+			return invalid("reservation of guarantee %d: worker %s is not usable or not adjacent", s.guarantee, c.nodes[n].id)
+		}
+		taken[n] += s.shape.accel
+		reserved[n] = true
+	}
+	if s.nodes != nil && len(s.nodes) != s.shape.members {
+		return invalid("reservation of guarantee %d is not whole", s.guarantee)
+	}
+	return nil
+}
