Add the placement loop of a zone's leader

Cause: plans of the scheduler have to become leases at workers and results in the log. Change: a pure zone type that turns state, lists and answers into worker calls and one batched zone update; a runner with one open call for each worker and shared calls; a service with one loop for each led zone; adoption of running gangs by a new leader.

--- a/internal/leadership/core.go
+++ b/internal/leadership/core.go
@@ -147,6 +147,9 @@
 		delete(c.vacancies, zone.Name)
 		return c.failBack(zone, newest, in)
 	}
+	if now.Sub(c.started) < SettleTime {
+		return Action{}, false
+	}
 	seen, known := c.vacancies[zone.Name]
 	if !known || seen.epoch != newest {
 		seen = vacancy{epoch: newest, since: now}
@@ -236,9 +239,6 @@
 
 // myTurn reports whether this instance should claim a vacant zone now.
 func (c *core) myTurn(now time.Time, seen vacancy, zone Zone, newest platform.Epoch, in Input) bool {
-	if now.Sub(c.started) < SettleTime {
-		return false
-	}
 	if r, found := c.refused[zone.Name]; found && now.Sub(r.since) < refusalHoldOff && newest.Compare(r.epoch) <= 0 {
 		return false
 	}
--- a/internal/leadership/service.go
+++ b/internal/leadership/service.go
@@ -302,24 +302,30 @@
 	return s.changed
 }
 
-// Confirmed reports whether this instance leads a zone in the given epoch and may act: its
-// last confirmation is younger than ConfirmationAge on the monotonic clock.
+// Confirmed reports whether this instance leads a zone in the given epoch and may act now.
 func (s *Service) Confirmed(zone string, epoch platform.Epoch) bool {
+	return s.config.Now().Before(s.ConfirmedUntil(zone, epoch))
+}
+
+// ConfirmedUntil returns until when this instance may act as the leader of a zone in the given
+// epoch: ConfirmationAge after its last confirmation on the monotonic clock. It is zero if
+// the instance does not hold the epoch or knows a newer one.
+func (s *Service) ConfirmedUntil(zone string, epoch platform.Epoch) time.Time {
 	in := s.input()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	term, held := s.core.terms[zone]
 	if !held || term.Epoch != epoch || s.core.newest(zone, in) != epoch {
-		return false
+		return time.Time{}
 	}
 	if len(in.Members) <= 1 {
-		return true
+		return s.config.Now().Add(ConfirmationAge)
 	}
 	confirmed := s.config.Peers.AnsweredAt()
 	if in.Recorded[zone].Epoch == epoch {
 		confirmed = later(confirmed, s.config.Tail.ReadAt())
 	}
-	return s.config.Now().Sub(confirmed) < ConfirmationAge
+	return confirmed.Add(ConfirmationAge)
 }
 
 func later(a, b time.Time) time.Time {
@@ -422,8 +428,12 @@
 }
 
 func (s *Service) report(name, zone string, epoch platform.Epoch, reason string, err error) {
-	s.config.Log.Info().Str("event", name).Str("zone", zone).Uint64("epoch", epoch.Number).
-		Str("holder", epoch.Holder).Str("reason", reason).Err(err).Msg("")
+	entry := s.config.Log.Info().Str("event", name).Str("zone", zone).Uint64("epoch", epoch.Number).
+		Str("holder", epoch.Holder).Str("reason", reason)
+	if err != nil {
+		entry = entry.Str("error", err.Error())
+	}
+	entry.Msg("")
 	s.config.Timeline.Record(timeline.Event{Type: timeline.TypeLeadership, Name: name, Zone: zone, Reason: reason})
 }
 
--- /dev/null
+++ b/internal/placement/adopt.go
@@ -0,0 +1,133 @@
+package placement
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/gang"
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+)
+
+// finding is what the workers' lists say of one attempt.
+type finding struct {
+	key   attempt
+	job   string
+	task  platform.TaskSpec
+	found []gang.Found
+	sent  time.Time
+}
+
+// adopt takes over the gangs that a new leader finds at the workers: the newest attempt of
+// each job that has not ended. All other leases are stopped and released.
+func (z *zone) adopt(now time.Time) {
+	z.adopted = true
+	findings := z.findings()
+	silent := z.silentWorkers()
+	for _, name := range slices.Sorted(maps.Keys(z.view.Jobs)) {
+		job := z.view.Jobs[name]
+		if job.Status.Phase.Terminal() {
+			continue
+		}
+		if f, spec, found := z.adoptable(job, findings); found {
+			z.adoptRun(now, job, f, spec, silent)
+		}
+	}
+	for _, id := range z.workerIDs() {
+		if w := z.workers[id]; w.listed {
+			z.cleanOrphans(w)
+		}
+	}
+}
+
+// findings groups the listed leases by attempt.
+func (z *zone) findings() map[attempt]*finding {
+	findings := make(map[attempt]*finding)
+	for _, id := range z.workerIDs() {
+		w := z.workers[id]
+		for _, lease := range w.leases {
+			key := attempt{lease.ID.JobUID, lease.ID.Attempt}
+			f, known := findings[key]
+			if !known {
+				f = &finding{key: key, job: lease.Task.JobName, task: lease.Task, sent: w.listSent}
+				findings[key] = f
+			}
+			f.found = append(f.found, gang.Found{Worker: id, Lease: lease})
+			if w.listSent.Before(f.sent) {
+				f.sent = w.listSent
+			}
+		}
+	}
+	return findings
+}
+
+func (z *zone) silentWorkers() []string {
+	var silent []string
+	for _, id := range z.workerIDs() {
+		if !z.workers[id].listed {
+			silent = append(silent, id)
+		}
+	}
+	return silent
+}
+
+// adoptable returns the attempt of a job that may be running: the newest one found, unless
+// the log says that it has ended, or else the one that the log says is running.
+func (z *zone) adoptable(job *resource.Job, findings map[attempt]*finding) (finding, gang.Spec, bool) {
+	var newest *finding
+	for _, f := range findings {
+		if f.key.uid == job.UID && (newest == nil || f.key.number > newest.key.number) {
+			newest = f
+		}
+	}
+	running := job.Status.Phase == resource.PhaseRunning
+	recorded := gang.Spec{
+		Job: job.Name, UID: job.UID, Attempt: job.Status.Attempt, Workers: job.Status.Workers,
+		Task: z.task(job, false), Base: z.started,
+	}
+	switch {
+	case newest != nil && newest.key.number > job.Status.Attempt:
+		spec := recorded
+		spec.Attempt, spec.Task, spec.Workers = newest.key.number, newest.task, nil
+		return *newest, spec, true
+	case newest != nil && running && newest.key.number == job.Status.Attempt:
+		recorded.Task = newest.task
+		return *newest, recorded, true
+	case running:
+		return finding{key: attempt{job.UID, job.Status.Attempt}, job: job.Name}, recorded, true
+	default:
+		return finding{}, gang.Spec{}, false
+	}
+}
+
+func (z *zone) adoptRun(now time.Time, job *resource.Job, f finding, spec gang.Spec, silent []string) {
+	if len(spec.Workers) != spec.Task.Members {
+		spec.Workers = nil
+	}
+	slices.SortFunc(f.found, func(a, b gang.Found) int { return cmp.Compare(a.Lease.ID.Member, b.Lease.ID.Member) })
+	committed := job.Status.Phase == resource.PhaseRunning && job.Status.Attempt == spec.Attempt
+	r := &run{
+		Gang: gang.Adopt(now, f.sent, spec, f.found, committed, silent),
+		job:  job.Name, key: f.key, never: job.Spec.Restart == resource.RestartNever, committed: committed,
+	}
+	z.runs[r.key] = r
+	z.byJob[job.Name] = r
+	z.event(Event{Name: EventAdopted, Job: job.Name, Reason: string(r.Phase())})
+	if !committed && r.Started() {
+		z.recordAdopted(now, job, r)
+	}
+}
+
+// recordAdopted queues the record of an attempt that was committed in the memory of a leader
+// that is gone.
+func (z *zone) recordAdopted(now time.Time, job *resource.Job, r *run) {
+	status := job.Status
+	status.Phase, status.Attempt, status.Workers = resource.PhaseRunning, r.key.number, r.Spec().Workers
+	status.Starts++
+	status.StartedAt, status.Reason = now, ""
+	if z.setStatus(now, job, status, nil) {
+		r.commitAt = now
+	}
+}
--- /dev/null
+++ b/internal/placement/finish.go
@@ -0,0 +1,150 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/gang"
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+	"github.com/oleanderbend/oleanderbend/internal/scheduler"
+)
+
+// finishRuns takes over the outcomes of attempts that are settled and forgets those that are
+// done.
+func (z *zone) finishRuns(now time.Time) {
+	for _, key := range z.runOrder() {
+		r := z.runs[key]
+		if r.Settled() && !r.ended {
+			r.ended = z.end(now, r)
+		}
+		if !r.ended {
+			continue
+		}
+		if z.byJob[r.job] == r {
+			delete(z.byJob, r.job)
+			z.changed = true
+		}
+		if r.Phase() != gang.Done {
+			continue
+		}
+		if p, found := z.pending[r.job]; !found || !p.keeps(key.number) {
+			for worker, ids := range r.Leases() {
+				z.release(worker, ids)
+			}
+		}
+		delete(z.runs, key)
+	}
+}
+
+// end takes an outcome over into the job's status. It reports false if that has to wait.
+func (z *zone) end(now time.Time, r *run) bool {
+	outcome, reason := r.Outcome()
+	job, found := z.view.Jobs[r.job]
+	if !found || job.UID != r.key.uid || job.Status.Phase.Terminal() {
+		z.reportEnd(r, outcome, reason)
+		return true
+	}
+	if outcome == gang.NotStarted {
+		return z.endNotStarted(now, r, job, reason)
+	}
+	status := z.endStatus(now, r, job)
+	if !z.setStatus(now, job, status, r.Leases()) {
+		return false
+	}
+	if outcome == gang.Succeeded {
+		z.sched.Finished(job, r.Ran())
+	}
+	z.reportEnd(r, outcome, reason)
+	return true
+}
+
+func (z *zone) reportEnd(r *run, outcome gang.Outcome, reason string) {
+	countEnd(outcome)
+	z.event(Event{Name: EventEnded, Job: r.job, Worker: r.Culprit(), Reason: string(outcome) + ": " + reason})
+}
+
+// endStatus returns the status after an attempt that started.
+func (z *zone) endStatus(now time.Time, r *run, job *resource.Job) resource.JobStatus {
+	outcome, reason := r.Outcome()
+	status := z.effective(job)
+	status.Attempt, status.Workers, status.Reason = r.key.number, nil, reason
+	name, kept := r.Checkpoint()
+	status.Checkpoint = name
+	status.ConsumedSeconds += kept.Seconds()
+	if outcome == gang.Failed {
+		status.Failures++
+	}
+	switch {
+	case outcome == gang.Succeeded:
+		status.Phase = resource.PhaseSucceeded
+	case r.never:
+		status.Phase = resource.PhaseFailed
+		status.Reason = "the only attempt ended: " + reason
+	case outcome == gang.Failed && status.Failures >= z.view.Policy.MaxFailures:
+		status.Phase = resource.PhaseFailed
+	default:
+		status.Phase = resource.PhaseQueued
+	}
+	if status.Phase.Terminal() {
+		status.FinishedAt = now
+	}
+	return status
+}
+
+// endNotStarted puts a job back whose attempt never ran. A recorded attempt of a job that
+// must run at most once is not repeated, although it did not run.
+func (z *zone) endNotStarted(now time.Time, r *run, job *resource.Job, reason string) bool {
+	switch {
+	case r.commitAt.IsZero():
+	case !r.never:
+		status := z.effective(job)
+		status.Phase, status.Workers, status.Reason = resource.PhaseQueued, nil, reason
+		status.Starts--
+		if !z.setStatus(now, job, status, nil) {
+			return false
+		}
+	case r.committed:
+		status := z.effective(job)
+		status.Phase, status.Workers = resource.PhaseFailed, nil
+		status.Reason, status.FinishedAt = "the only attempt was recorded but could not start: "+reason, now
+		if !z.setStatus(now, job, status, nil) {
+			return false
+		}
+	case z.inWrite(r.job):
+		return false
+	default:
+		delete(z.pending, r.job)
+	}
+	z.delay(now, r.job)
+	if w, found := z.workers[r.Culprit()]; found {
+		// The worker has less room than the leader believes, so its leases are listed again.
+		w.nextList = now
+		w.listed = false
+	}
+	z.reportEnd(r, gang.NotStarted, reason)
+	return true
+}
+
+// delay pauses a job after a refused reservation, longer each time.
+func (z *zone) delay(now time.Time, job string) {
+	b := z.backoffs[job]
+	b.pause = min(max(2*b.pause, backoffFirst), backoffMost)
+	b.until = now.Add(b.pause)
+	z.backoffs[job] = b
+}
+
+// unplaceable moves a job that its zone can never hold to a zone that can, or ends it.
+func (z *zone) unplaceable(now time.Time, w scheduler.Waiting) {
+	job, found := z.view.Jobs[w.Job]
+	if !found || z.effective(job).Phase != resource.PhaseQueued {
+		return
+	}
+	if other, found := z.otherZone(job); found {
+		z.move(now, job, other, w.Message)
+		return
+	}
+	status := z.effective(job)
+	status.Phase, status.Reason, status.FinishedAt = resource.PhaseUnplaceable, w.Message, now
+	if z.setStatus(now, job, status, nil) {
+		z.event(Event{Name: EventUnplaceable, Job: w.Job, Reason: w.Message})
+	}
+}
--- /dev/null
+++ b/internal/placement/moves.go
@@ -0,0 +1,227 @@
+package placement
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+	"github.com/oleanderbend/oleanderbend/internal/scheduler"
+	"github.com/oleanderbend/oleanderbend/internal/state"
+	"github.com/oleanderbend/oleanderbend/internal/zoning"
+)
+
+// lost reports whether all workers of the zone have been silent for so long that no lease of
+// theirs can be active any more.
+func (z *zone) lost(now time.Time) bool {
+	if z.view.Instances == nil || now.Sub(z.started) < lapseTime {
+		return false
+	}
+	for _, w := range z.workers {
+		if w.present && w.silentFor(now) < lapseTime {
+			return false
+		}
+	}
+	return true
+}
+
+// moveLost moves the queued jobs and the guarantees of a lost zone to other zones. It reports
+// whether the zone is lost. Moves are records, so they wait while the log is down.
+func (z *zone) moveLost(now time.Time) bool {
+	if !z.lost(now) {
+		return false
+	}
+	if !z.view.LogUp {
+		return true
+	}
+	clear(z.waiting)
+	for _, name := range slices.Sorted(maps.Keys(z.view.Jobs)) {
+		job := z.view.Jobs[name]
+		if !z.queued(now, job) {
+			continue
+		}
+		if other, found := z.otherZone(job); found {
+			z.move(now, job, other, "zone "+z.name+" is lost")
+			continue
+		}
+		z.waiting[name] = scheduler.Waiting{
+			Job: name, Code: scheduler.ReasonCapacity,
+			Message: "all workers of zone " + z.name + " are silent and no other zone can hold the job",
+			Unblock: "workers of the zone answer again, or another zone gets capacity",
+		}
+	}
+	z.moveGuarantee(now)
+	return true
+}
+
+func (z *zone) move(now time.Time, job *resource.Job, other, reason string) {
+	status := z.effective(job)
+	status.Phase, status.Zone, status.Workers = resource.PhaseQueued, other, nil
+	status.Reason = fmt.Sprintf("moved from zone %s: %s", z.name, reason)
+	if z.setStatus(now, job, status, nil) {
+		z.event(Event{Name: EventMoved, Job: job.Name, Reason: status.Reason})
+	}
+}
+
+// otherLoads returns the load of the other zones as the log and the platform's list have it.
+func (z *zone) otherLoads() map[string]zoning.Load {
+	loads := zoning.Inventory(z.view.Instances, func(id string) bool { return z.view.Health[id].Quarantined })
+	delete(loads, z.name)
+	for zone, load := range loads {
+		load.Free = load.Total
+		loads[zone] = load
+	}
+	for _, job := range z.view.Others {
+		load, found := loads[job.Status.Zone]
+		if !found {
+			continue
+		}
+		if job.Status.Phase == resource.PhaseRunning {
+			load.Free -= job.Spec.Accelerators()
+		} else {
+			load.Queued += job.Spec.Accelerators()
+		}
+		loads[job.Status.Zone] = load
+	}
+	return loads
+}
+
+// otherZone returns the best other zone that could hold the job when it is empty.
+func (z *zone) otherZone(job *resource.Job) (string, bool) {
+	loads := z.otherLoads()
+	other := zoning.ChooseForJob(job, loads, z.view.AllGuarantees)
+	return other, other != "" && canEverHold(loads[other], job.Spec)
+}
+
+func canEverHold(load zoning.Load, spec resource.JobSpec) bool {
+	if spec.AcceleratorsPerMember > load.LargestWorker {
+		return false
+	}
+	switch spec.Adjacency {
+	case resource.AdjacentWorker:
+		return spec.Accelerators() <= load.LargestWorker
+	case resource.AdjacentRack:
+		return spec.Accelerators() <= load.LargestRack
+	default:
+		return spec.Accelerators() <= load.Total
+	}
+}
+
+// moveGuarantee moves one guarantee at a time, because each move changes the revision that
+// the next one is checked against.
+func (z *zone) moveGuarantee(now time.Time) {
+	if len(z.promises) > 0 || z.view.Version < z.write.seenAt {
+		return
+	}
+	loads := z.otherLoads()
+	for _, g := range z.view.Guarantees {
+		other, found := z.zoneForGuarantee(g, loads)
+		if !found {
+			z.setHonourable(now, g, false, "zone-lost", "all workers of zone "+z.name+" are silent and no other zone can honour the guarantee")
+			continue
+		}
+		condition := honourableCondition(now, true, "moved", "moved from zone "+z.name)
+		z.promises[g.Name] = state.GuaranteeUpdate{
+			Name: g.Name, Zone: other, Conditions: withCondition(g.Conditions, condition),
+			IfGuaranteeRevision: z.view.GuaranteeRevision[other],
+		}
+		z.event(Event{Name: EventMoved, Reason: "guarantee " + g.Name + " to zone " + other})
+		return
+	}
+}
+
+// zoneForGuarantee returns another zone whose plan can hold the guarantee. A pinned
+// guarantee stays.
+func (z *zone) zoneForGuarantee(g *resource.Guarantee, loads map[string]zoning.Load) (string, bool) {
+	if g.Spec.Zone != "" {
+		return "", false
+	}
+	for _, other := range zoning.OrderForGuarantee(g, loads, z.view.AllGuarantees) {
+		if z.sched.CheckGuarantee(z.elsewhere(other), g).Honourable {
+			return other, true
+		}
+	}
+	return "", false
+}
+
+// elsewhere builds a snapshot of another zone from the log and the platform's list.
+func (z *zone) elsewhere(name string) scheduler.Snapshot {
+	s := scheduler.Snapshot{Zone: name, Organisations: z.view.Organisations, Policy: z.view.Policy}
+	for _, row := range z.view.Instances {
+		if row.Kind != platform.KindWorker || row.Zone != name {
+			continue
+		}
+		usable := row.State == platform.StateLive && !z.view.Health[row.ID].Quarantined
+		s.Workers = append(s.Workers, scheduler.Worker{
+			ID: row.ID, Rack: row.Rack, Accelerators: row.Accelerators, Cores: row.Cores, MemoryMB: row.MemoryMB, Usable: usable,
+		})
+	}
+	for _, job := range z.view.Others {
+		if job.Status.Zone == name && job.Status.Phase == resource.PhaseRunning {
+			s.Running = append(s.Running, scheduler.Running{Job: job, Workers: job.Status.Workers, StartedAt: job.Status.StartedAt})
+		}
+	}
+	for _, g := range z.view.AllGuarantees {
+		if g.Status.Zone == name {
+			s.Guarantees = append(s.Guarantees, g)
+		}
+	}
+	sortByName(s.Guarantees)
+	return s
+}
+
+// takeGuarantees queues the conditions that the plan changes.
+func (z *zone) takeGuarantees(now time.Time, results []scheduler.GuaranteeResult) {
+	if z.view.Version < z.write.seenAt {
+		return
+	}
+	byName := make(map[string]*resource.Guarantee)
+	for _, g := range z.view.Guarantees {
+		byName[g.Name] = g
+	}
+	for _, result := range results {
+		g, found := byName[result.Guarantee]
+		if !found {
+			continue
+		}
+		reason := "planned"
+		if !result.Honourable {
+			reason = "no-capacity"
+		}
+		z.setHonourable(now, g, result.Honourable, reason, result.Reason)
+	}
+}
+
+func (z *zone) setHonourable(now time.Time, g *resource.Guarantee, honourable bool, reason, message string) {
+	condition := honourableCondition(now, honourable, reason, message)
+	conditions := g.Conditions
+	if p, found := z.promises[g.Name]; found {
+		conditions = p.Conditions
+	}
+	if hasCondition(conditions, condition) {
+		return
+	}
+	z.promises[g.Name] = state.GuaranteeUpdate{Name: g.Name, Zone: z.name, Conditions: withCondition(g.Conditions, condition)}
+	z.event(Event{Name: EventGuarantee, Reason: g.Name + ": " + string(condition.Status) + " " + message})
+}
+
+func honourableCondition(now time.Time, honourable bool, reason, message string) resource.Condition {
+	status := resource.ConditionTrue
+	if !honourable {
+		status = resource.ConditionFalse
+	}
+	return resource.Condition{Type: resource.ConditionHonourable, Status: status, Reason: reason, Message: message, Since: now}
+}
+
+func hasCondition(conditions []resource.Condition, c resource.Condition) bool {
+	return slices.ContainsFunc(conditions, func(old resource.Condition) bool {
+		return old.Type == c.Type && old.Status == c.Status && old.Message == c.Message
+	})
+}
+
+func sortByName(guarantees []*resource.Guarantee) {
+	slices.SortFunc(guarantees, func(a, b *resource.Guarantee) int { return strings.Compare(a.Name, b.Name) })
+}
--- /dev/null
+++ b/internal/placement/receiver.go
@@ -0,0 +1,60 @@
+package placement
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/oleanderbend/oleanderbend/internal/scheduler"
+)
+
+// receiverName is the name of the net/rpc receiver.
+const receiverName = "Placement"
+
+// MethodWaiting is the method that Explain calls at the leader.
+const MethodWaiting = receiverName + ".Waiting"
+
+// Receiver has the methods that peers call.
+type Receiver struct{ service *Service }
+
+// WaitingArgs asks why a job waits.
+type WaitingArgs struct{ Job string }
+
+// WaitingReply has the reason if Found is set.
+type WaitingReply struct {
+	Found   bool
+	Waiting scheduler.Waiting
+}
+
+// Waiting answers with the newest reason of a job in a zone that this instance leads.
+func (r *Receiver) Waiting(args *WaitingArgs, reply *WaitingReply) error {
+	reply.Waiting, reply.Found = r.service.Waiting(args.Job)
+	return nil
+}
+
+// Waiting returns why a job of a zone that this instance leads is not placed.
+func (s *Service) Waiting(job string) (scheduler.Waiting, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, zone := range s.waiting {
+		if w, found := zone[job]; found {
+			return w, true
+		}
+	}
+	return scheduler.Waiting{}, false
+}
+
+// Explain returns why a job of a zone is not placed, asking the zone's leader if that is
+// another instance.
+func (s *Service) Explain(ctx context.Context, zone, job string) (scheduler.Waiting, bool, error) {
+	leader := s.config.Leadership.Leader(zone).Holder
+	if leader == "" || leader == s.config.Self {
+		w, found := s.Waiting(job)
+		return w, found, nil
+	}
+	var reply WaitingReply
+	if err := s.config.Caller.Call(ctx, leader, MethodWaiting, &WaitingArgs{Job: job}, &reply); err != nil {
+		return scheduler.Waiting{}, false, eris.Wrap(err, "placement: ask the leader of zone "+zone)
+	}
+	return reply.Waiting, reply.Found, nil
+}
--- /dev/null
+++ b/internal/placement/service.go
@@ -0,0 +1,424 @@
+package placement
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/oleanderbend/oleanderbend/internal/kernel"
+	"github.com/oleanderbend/oleanderbend/internal/leadership"
+	"github.com/oleanderbend/oleanderbend/internal/membership"
+	"github.com/oleanderbend/oleanderbend/internal/peer"
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+	"github.com/oleanderbend/oleanderbend/internal/scheduler"
+	"github.com/oleanderbend/oleanderbend/internal/state"
+	"github.com/oleanderbend/oleanderbend/internal/timeline"
+)
+
+// ServiceName is the name of the service in the kernel.
+const ServiceName = "placement"
+
+// Timing of the service.
+const (
+	// stepInterval is how often a zone's loop looks at the time.
+	stepInterval = 50 * time.Millisecond
+	// stepPause lets events that come together be handled in one step.
+	stepPause = 5 * time.Millisecond
+	// writeTimeout bounds one write.
+	writeTimeout = 2 * time.Second
+	// logUpAge is the age of the last read of the log's tail up to which the log counts as up.
+	logUpAge = 3 * time.Second
+	// listInterval is how often the platform's list is asked for.
+	listInterval = 500 * time.Millisecond
+	// publishInterval is how often the load of a zone is told to the peers.
+	publishInterval = time.Second
+)
+
+// Leadership tells which zones this instance leads and whether it may act.
+type Leadership interface {
+	Terms() []leadership.Term
+	Changed() <-chan struct{}
+	// ConfirmedUntil returns until when the leader of a term may act, or zero.
+	ConfirmedUntil(zone string, epoch platform.Epoch) time.Time
+	// Refused tells that a worker or the log refused the epoch.
+	Refused(zone string, epoch platform.Epoch)
+	// Leader returns the newest known epoch of a zone.
+	Leader(zone string) platform.Epoch
+}
+
+// Publisher tells the peers about this instance.
+type Publisher interface {
+	Publish(change func(*membership.Info))
+}
+
+// Config holds the dependencies of the service.
+type Config struct {
+	Self       string
+	Leadership Leadership
+	Reader     state.Reader
+	Writer     state.Writer
+	Tail       state.Tail
+	Instances  platform.Instances
+	Workers    platform.Workers
+	Publisher  Publisher
+	Caller     peer.Caller
+	Registrar  peer.Registrar
+	// NewScheduler makes the scheduler of one term.
+	NewScheduler func() scheduler.Scheduler
+	Now          func() time.Time
+	Log          *log.Logger
+	Timeline     *timeline.Recorder
+}
+
+// Service runs the loops of the zones that this instance leads.
+type Service struct {
+	config Config
+	kernel *kernel.Kernel
+	cancel context.CancelFunc
+	done   chan struct{}
+
+	mu        sync.Mutex
+	instances []platform.Instance
+	waiting   map[string]map[string]scheduler.Waiting
+	loads     map[string]zoneLoad
+}
+
+// zoneLoad is the load of a zone that the peers are told.
+type zoneLoad struct{ free, queued int }
+
+// New returns the service.
+func New(config Config) *Service {
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	return &Service{
+		config: config, done: make(chan struct{}),
+		waiting: make(map[string]map[string]scheduler.Waiting),
+		loads:   make(map[string]zoneLoad),
+	}
+}
+
+// Provision implements kernel.Service.
+func (s *Service) Provision(k *kernel.Kernel) error {
+	s.kernel = k
+	return eris.Wrap(s.config.Registrar.Register(receiverName, &Receiver{service: s}), "placement: register")
+}
+
+// Start implements kernel.Service.
+func (s *Service) Start(ctx context.Context) error {
+	ctx, s.cancel = context.WithCancel(ctx)
+	s.kernel.Go(ServiceName, "instances", func(context.Context) error { return s.listInstances(ctx) })
+	s.kernel.Go(ServiceName, "publish", func(context.Context) error { return s.publishLoads(ctx) })
+	s.kernel.Go(ServiceName, "terms", func(context.Context) error {
+		defer close(s.done)
+		return s.followTerms(ctx)
+	})
+	return nil
+}
+
+// Stop implements kernel.Service. Running gangs are left to the next leader.
+func (s *Service) Stop(ctx context.Context) error {
+	s.cancel()
+	select {
+	case <-s.done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// followTerms runs one loop for each term.
+func (s *Service) followTerms(ctx context.Context) error {
+	loops := make(map[leadership.Term]context.CancelFunc)
+	var running sync.WaitGroup
+	defer running.Wait()
+	for {
+		changed := s.config.Leadership.Changed()
+		current := make(map[leadership.Term]bool)
+		for _, term := range s.config.Leadership.Terms() {
+			// A term goes on when its claim reaches the log.
+			term.Recorded = false
+			current[term] = true
+			if loops[term] == nil {
+				termCtx, cancel := context.WithCancel(ctx)
+				loops[term] = cancel
+				running.Go(func() { s.lead(termCtx, term) })
+			}
+		}
+		for term, cancel := range loops {
+			if !current[term] {
+				cancel()
+				delete(loops, term)
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			for _, cancel := range loops {
+				cancel()
+			}
+			return nil
+		}
+	}
+}
+
+// loop is the input and output of one zone's loop.
+type loop struct {
+	service *Service
+	term    leadership.Term
+	zone    *zone
+	runner  *runner
+	// until is when the confirmation of the leadership ends.
+	until   untilTime
+	cached  View
+	writes  chan writeResult
+	placed  bool
+	started time.Time
+}
+
+// untilTime is a time that the runner's goroutines read.
+type untilTime struct {
+	mu sync.Mutex
+	at time.Time
+}
+
+func (u *untilTime) set(at time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.at = at
+}
+
+func (u *untilTime) after(now time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return now.Before(u.at)
+}
+
+type writeResult struct {
+	verdict state.Verdict
+	err     error
+}
+
+// lead runs the loop of one zone until the term ends.
+func (s *Service) lead(ctx context.Context, term leadership.Term) {
+	now := s.config.Now()
+	l := &loop{
+		service: s, term: term, started: now,
+		zone:   newZone(now, term.Zone, term.Epoch, s.config.NewScheduler()),
+		writes: make(chan writeResult, 1),
+	}
+	l.runner = newRunner(s.config.Workers, term.Epoch, func() bool { return l.until.after(s.config.Now()) }, s.config.Now)
+	defer s.forget(term.Zone)
+	defer l.runner.calls.Wait()
+	ticker := time.NewTicker(stepInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		l.step(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(stepPause):
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-l.runner.wake:
+		case w := <-l.writes:
+			l.written(w)
+		}
+	}
+}
+
+func (l *loop) step(ctx context.Context) {
+	s := l.service
+	begin := s.config.Now()
+	l.takeAnswers()
+	l.until.set(s.config.Leadership.ConfirmedUntil(l.term.Zone, l.term.Epoch))
+	step := l.zone.step(s.config.Now(), l.view())
+	l.runner.submit(ctx, step.Ops)
+	if step.Update != nil {
+		l.runner.calls.Go(func() { l.write(ctx, step.Update, step.RecordID) })
+	}
+	if step.Exhausted {
+		s.config.Leadership.Refused(l.term.Zone, l.term.Epoch)
+	}
+	for _, e := range step.Events {
+		l.report(e)
+	}
+	s.keep(l.zone)
+	stepSeconds.Update(s.config.Now().Sub(begin).Seconds())
+}
+
+func (l *loop) takeAnswers() {
+	for {
+		result, found := l.runner.results.TryPop()
+		if !found {
+			return
+		}
+		if errors.Is(result.answer.Err, platform.ErrStaleEpoch) {
+			l.service.config.Leadership.Refused(l.term.Zone, l.term.Epoch)
+		}
+		l.zone.answer(l.service.config.Now(), result.op, result.answer)
+	}
+}
+
+func (l *loop) write(ctx context.Context, update *state.ZoneUpdate, id string) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	writesTotal.Inc()
+	verdict, err := l.service.config.Writer.Write(ctx, state.Record{ID: id, ZoneUpdate: update})
+	if err != nil {
+		writesFailed.Inc()
+	}
+	l.writes <- writeResult{verdict: verdict, err: err}
+}
+
+func (l *loop) written(w writeResult) {
+	if l.zone.written(l.service.config.Now(), w.verdict, w.err) {
+		l.service.config.Leadership.Refused(l.term.Zone, l.term.Epoch)
+	}
+}
+
+// view reads the state again only if it changed.
+func (l *loop) view() View {
+	s := l.service
+	s.config.Reader.Read(func(st *state.State) {
+		if l.cached.Jobs == nil || st.Applied != l.cached.Version {
+			l.cached = newView(st, l.term.Zone)
+		}
+	})
+	v := l.cached
+	now := s.config.Now()
+	v.May = l.until.after(now)
+	v.LogUp = now.Sub(s.config.Tail.ReadAt()) < logUpAge && l.recorded()
+	s.mu.Lock()
+	v.Instances = s.instances
+	s.mu.Unlock()
+	return v
+}
+
+func (l *loop) recorded() bool {
+	for _, term := range l.service.config.Leadership.Terms() {
+		if term.Zone == l.term.Zone && term.Epoch == l.term.Epoch {
+			return term.Recorded
+		}
+	}
+	return false
+}
+
+// newView copies what a zone's loop needs of the state.
+func newView(st *state.State, zone string) View {
+	v := View{
+		Jobs: make(map[string]*resource.Job), AllGuarantees: maps.Clone(st.Guarantees),
+		GuaranteeRevision: maps.Clone(st.GuaranteeRevision), Organisations: maps.Clone(st.Organisations),
+		Policy: st.Policy().Placement, Health: maps.Clone(st.Workers), Version: st.Applied,
+	}
+	for name, job := range st.Jobs {
+		switch {
+		case job.Status.Zone == zone:
+			v.Jobs[name] = job
+		case !job.Status.Phase.Terminal():
+			v.Others = append(v.Others, job)
+		}
+	}
+	for _, g := range st.Guarantees {
+		if g.Status.Zone == zone {
+			v.Guarantees = append(v.Guarantees, g)
+		}
+	}
+	sortByName(v.Guarantees)
+	return v
+}
+
+func (l *loop) report(e Event) {
+	s := l.service
+	countEvent(e.Name)
+	if e.Name == EventPlaced && !l.placed {
+		l.placed = true
+		takeoverSeconds.Update(s.config.Now().Sub(l.started).Seconds())
+	}
+	entry := s.config.Log.Info().Str("event", e.Name).Str("zone", l.term.Zone)
+	for _, field := range [][2]string{{"job", e.Job}, {"worker", e.Worker}, {"reason", e.Reason}} {
+		if field[1] != "" {
+			entry = entry.Str(field[0], field[1])
+		}
+	}
+	entry.Msg("")
+	s.config.Timeline.Record(timeline.Event{
+		Type: e.timelineType(), Name: e.Name, Job: e.Job, Zone: l.term.Zone, Worker: e.Worker, Reason: e.Reason,
+	})
+}
+
+func (e Event) timelineType() timeline.Type {
+	switch e.Name {
+	case EventCommitted, EventRunning, EventEnded, EventAdopted:
+		return timeline.TypeLease
+	case EventWorkerSilent, EventQuarantine:
+		return timeline.TypeFault
+	default:
+		return timeline.TypeDecision
+	}
+}
+
+// keep makes the newest reasons and loads of a zone readable.
+func (s *Service) keep(z *zone) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting[z.name] = maps.Clone(z.waiting)
+	s.loads[z.name] = z.load()
+}
+
+func (s *Service) forget(zone string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiting, zone)
+	delete(s.loads, zone)
+}
+
+// listInstances follows the platform's list.
+func (s *Service) listInstances(ctx context.Context) error {
+	for {
+		if list, err := s.config.Instances.List(ctx); err == nil {
+			s.mu.Lock()
+			s.instances = list
+			s.mu.Unlock()
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(listInterval):
+		}
+	}
+}
+
+// publishLoads tells the peers the load of the led zones.
+func (s *Service) publishLoads(ctx context.Context) error {
+	var told map[string]zoneLoad
+	for {
+		s.mu.Lock()
+		loads := maps.Clone(s.loads)
+		s.mu.Unlock()
+		if !maps.Equal(loads, told) {
+			told = loads
+			free, queued := make(map[string]int), make(map[string]int)
+			for zone, load := range loads {
+				free[zone], queued[zone] = load.free, load.queued
+			}
+			s.config.Publisher.Publish(func(info *membership.Info) {
+				info.FreeAccelerators, info.QueuedAccelerators = free, queued
+			})
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(publishInterval):
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/world_test.go
@@ -0,0 +1,449 @@
+package placement
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/hlc"
+	"github.com/oleanderbend/oleanderbend/internal/kernel"
+	"github.com/oleanderbend/oleanderbend/internal/leadership"
+	"github.com/oleanderbend/oleanderbend/internal/logging"
+	"github.com/oleanderbend/oleanderbend/internal/membership"
+	"github.com/oleanderbend/oleanderbend/internal/peer"
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+	"github.com/oleanderbend/oleanderbend/internal/scheduler"
+	"github.com/oleanderbend/oleanderbend/internal/standin"
+	"github.com/oleanderbend/oleanderbend/internal/state"
+	"github.com/oleanderbend/oleanderbend/internal/timeline"
+)
+
+// memoryReplica follows a log into a state. It stands in for package replica.
+type memoryReplica struct {
+	log platform.Log
+	id  string
+
+	mu      sync.Mutex
+	state   *state.State
+	changed chan struct{}
+	readAt  time.Time
+}
+
+func newMemoryReplica(log platform.Log, id string) *memoryReplica {
+	return &memoryReplica{log: log, id: id, state: state.New(), changed: make(chan struct{})}
+}
+
+func (r *memoryReplica) follow(ctx context.Context) {
+	const limit, wait, pause = 1000, 500 * time.Millisecond, 100 * time.Millisecond
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		from := r.state.Applied + 1
+		r.mu.Unlock()
+		sent := time.Now()
+		batch, err := r.log.Read(ctx, from, limit, wait)
+		if err != nil {
+			time.Sleep(pause)
+			continue
+		}
+		r.apply(batch, sent)
+	}
+}
+
+func (r *memoryReplica) apply(batch platform.Batch, sent time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readAt = sent
+	for _, entry := range batch.Entries {
+		record, err := state.DecodeRecord(entry.Data)
+		if err != nil {
+			r.state.Skip(entry.Offset)
+			continue
+		}
+		r.state.Apply(entry.Offset, record)
+	}
+	if len(batch.Entries) > 0 {
+		close(r.changed)
+		r.changed = make(chan struct{})
+	}
+}
+
+func (r *memoryReplica) Read(f func(*state.State)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(r.state)
+}
+
+func (r *memoryReplica) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+func (r *memoryReplica) ReadAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.readAt
+}
+
+func (r *memoryReplica) Write(ctx context.Context, record state.Record) (state.Verdict, error) {
+	record.Version, record.Writer, record.Time = state.RecordVersion, r.id, time.Now()
+	r.Read(func(s *state.State) { record.Base = s.Applied })
+	if record.ID == "" {
+		record.ID = uuid.NewString()
+	}
+	data, err := record.Encode()
+	if err != nil {
+		return state.Verdict{}, err
+	}
+	_, err = r.log.Append(ctx, data)
+	if errors.Is(err, platform.ErrUnavailable) {
+		return state.Verdict{}, state.ErrNotApplied
+	}
+	for {
+		var verdict state.Verdict
+		var found bool
+		changed := r.Changed()
+		r.Read(func(s *state.State) { verdict, found = s.Verdicts[record.ID] })
+		if found {
+			return verdict, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return state.Verdict{}, state.ErrUnknownOutcome
+		}
+	}
+}
+
+// network joins the instances of a world in memory.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]map[string]any
+	// cut has the ids that cannot be reached and cannot reach others.
+	cut map[string]bool
+}
+
+type networkEnd struct {
+	network *network
+	id      string
+}
+
+func (e networkEnd) Register(name string, receiver any) error {
+	e.network.mu.Lock()
+	defer e.network.mu.Unlock()
+	if e.network.nodes[e.id] == nil {
+		e.network.nodes[e.id] = make(map[string]any)
+	}
+	e.network.nodes[e.id][name] = receiver
+	return nil
+}
+
+func (e networkEnd) Call(ctx context.Context, instance, method string, args, reply any) error {
+	name, function, _ := strings.Cut(method, ".")
+	e.network.mu.Lock()
+	receiver := e.network.nodes[instance][name]
+	cut := e.network.cut[e.id] || e.network.cut[instance]
+	e.network.mu.Unlock()
+	if cut || receiver == nil {
+		<-ctx.Done()
+		return peer.ErrCallFailed
+	}
+	results := reflect.ValueOf(receiver).MethodByName(function).Call([]reflect.Value{reflect.ValueOf(args), reflect.ValueOf(reply)})
+	err, _ := results[0].Interface().(error)
+	return err
+}
+
+func (e networkEnd) Peers() []string {
+	e.network.mu.Lock()
+	defer e.network.mu.Unlock()
+	var ids []string
+	for id := range e.network.nodes {
+		if id != e.id {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// node is one instance of a world.
+type node struct {
+	id         string
+	replica    *memoryReplica
+	membership *membership.Service
+	leadership *leadership.Service
+	placement  *Service
+	stop       context.CancelFunc
+	done       chan struct{}
+}
+
+// world is a system with stand-ins for the platform, under virtual time.
+type world struct {
+	t         *testing.T
+	log       *standin.Log
+	instances *standin.Instances
+	fleet     *standin.Fleet
+	network   *network
+	rows      []platform.Instance
+	nodes     map[string]*node
+}
+
+type worldConfig struct {
+	workers, perRack int
+	// nodes are ids of instances, all in zone-a unless written as id@zone.
+	nodes []string
+	// workerZones spreads the workers over zones; zone-a if empty.
+	workerZones []string
+}
+
+func newWorld(t *testing.T, config worldConfig) *world {
+	w := &world{t: t, log: standin.NewLog(standin.LogConfig{}), nodes: make(map[string]*node)}
+	w.network = &network{nodes: make(map[string]map[string]any), cut: make(map[string]bool)}
+	if len(config.workerZones) == 0 {
+		config.workerZones = []string{"zone-a"}
+	}
+	for _, zone := range config.workerZones {
+		for i := range config.workers {
+			w.rows = append(w.rows, platform.Instance{
+				ID: fmt.Sprintf("%s-w%02d", zone, i), Kind: platform.KindWorker, State: platform.StateLive,
+				Zone: zone, Region: "region-1", Rack: fmt.Sprintf("%s-r%d", zone, i/config.perRack),
+				Cores: 64, MemoryMB: 128 << 10, Accelerators: 8,
+			})
+		}
+	}
+	w.fleet = standin.NewFleet(standin.FleetConfig{Workers: w.rows, UsageLag: time.Second})
+	w.instances = standin.NewInstances(nil, 0, w.rows)
+	var peers []membership.Peer
+	for _, name := range config.nodes {
+		id, zone, found := strings.Cut(name, "@")
+		if !found {
+			zone = "zone-a"
+		}
+		peers = append(peers, membership.Peer{ID: id, Zone: zone, Region: "region-1"})
+		w.network.nodes[id] = make(map[string]any)
+	}
+	for i := range peers {
+		w.start(peers[i], slices.Concat(peers[:i], peers[i+1:]))
+	}
+	t.Cleanup(w.close)
+	return w
+}
+
+// start runs the services of one instance.
+func (w *world) start(self membership.Peer, peers []membership.Peer) {
+	end := networkEnd{network: w.network, id: self.ID}
+	recorder := timeline.NewRecorder(self.ID, hlc.New(nil), 1000)
+	logger := logging.New(w.t.Output(), "info", self.ID)
+	n := &node{id: self.ID, replica: newMemoryReplica(w.log, self.ID), done: make(chan struct{})}
+	n.membership = membership.New(membership.Config{
+		Self: self, Peers: peers, Seed: 1, Caller: end, Registrar: end, Log: logger, Timeline: recorder,
+	})
+	n.leadership = leadership.New(leadership.Config{
+		Self: self.ID, Peers: n.membership, Reader: n.replica, Writer: n.replica, Tail: n.replica,
+		Instances: w.instances, Log: logger, Timeline: recorder,
+	})
+	n.placement = New(Config{
+		Self: self.ID, Leadership: n.leadership, Reader: n.replica, Writer: n.replica, Tail: n.replica,
+		Instances: w.instances, Workers: guardedWorkers{w.fleet, w.network, self.ID}, Publisher: n.membership,
+		Caller: end, Registrar: end, NewScheduler: func() scheduler.Scheduler { return scheduler.New(1) },
+		Log: logger, Timeline: recorder,
+	})
+	k := kernel.New()
+	require.NoError(w.t, k.Register(kernel.Registration{Name: membership.ServiceName, Service: n.membership}))
+	require.NoError(w.t, k.Register(kernel.Registration{Name: leadership.ServiceName, Service: n.leadership, Requires: []string{membership.ServiceName}}))
+	require.NoError(w.t, k.Register(kernel.Registration{Name: ServiceName, Service: n.placement, Requires: []string{leadership.ServiceName}}))
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	follow, endFollow := context.WithCancel(context.Background())
+	var following sync.WaitGroup
+	following.Go(func() { n.replica.follow(follow) })
+	n.membership.Publish(func(i *membership.Info) { i.Ready = true })
+	go func() {
+		defer close(n.done)
+		defer following.Wait()
+		defer endFollow()
+		_ = k.Run(ctx, func() (context.Context, context.CancelFunc) {
+			return context.WithTimeout(context.Background(), time.Minute)
+		})
+	}()
+	w.nodes[self.ID] = n
+}
+
+// kill cuts an instance off from everything, as SIGKILL or a pause without end would.
+func (w *world) kill(id string) {
+	w.network.mu.Lock()
+	defer w.network.mu.Unlock()
+	w.network.cut[id] = true
+}
+
+func (w *world) close() {
+	for _, n := range w.nodes {
+		n.stop()
+	}
+	for _, n := range w.nodes {
+		<-n.done
+	}
+}
+
+// guardedWorkers does not let a cut instance reach workers.
+type guardedWorkers struct {
+	platform.Workers
+	network *network
+	id      string
+}
+
+func (g guardedWorkers) dead() bool {
+	g.network.mu.Lock()
+	defer g.network.mu.Unlock()
+	return g.network.cut[g.id]
+}
+
+func (g guardedWorkers) Renew(ctx context.Context, worker platform.Instance, req platform.LeaseRequest) ([]platform.LeaseResult, error) {
+	if g.dead() {
+		return nil, platform.ErrUnavailable
+	}
+	return g.Workers.Renew(ctx, worker, req)
+}
+
+func (g guardedWorkers) Reserve(ctx context.Context, worker platform.Instance, req platform.ReserveRequest) error {
+	if g.dead() {
+		return platform.ErrUnavailable
+	}
+	return g.Workers.Reserve(ctx, worker, req)
+}
+
+func (g guardedWorkers) Start(ctx context.Context, worker platform.Instance, req platform.LeaseRequest) ([]platform.LeaseResult, error) {
+	if g.dead() {
+		return nil, platform.ErrUnavailable
+	}
+	return g.Workers.Start(ctx, worker, req)
+}
+
+// put writes a resource through any live instance.
+func (w *world) put(object resource.Object) {
+	w.t.Helper()
+	data, err := json.Marshal(object)
+	require.NoError(w.t, err)
+	w.write(state.Record{Put: &state.Put{Kind: object.Kind(), Object: data}})
+}
+
+func (w *world) write(record state.Record) {
+	w.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	verdict, err := w.any().replica.Write(ctx, record)
+	require.NoError(w.t, err)
+	require.Equal(w.t, state.Accepted, verdict.Code, verdict.Message)
+}
+
+func (w *world) any() *node {
+	for _, id := range slices.Sorted(keys(w.nodes)) {
+		w.network.mu.Lock()
+		cut := w.network.cut[id]
+		w.network.mu.Unlock()
+		if !cut {
+			return w.nodes[id]
+		}
+	}
+	return nil
+}
+
+func keys[V any](m map[string]V) func(func(string) bool) {
+	return func(yield func(string) bool) {
+		for k := range m {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
+
+func (w *world) organisation(name string) {
+	w.put(&resource.Organisation{Metadata: resource.Metadata{Name: name}, Spec: resource.OrganisationSpec{Weight: 1}})
+}
+
+func testJob(name string, members, accelerators int, payload string) *resource.Job {
+	return &resource.Job{
+		Metadata: resource.Metadata{Name: name},
+		Spec: resource.JobSpec{
+			Organisation: "org", Members: members, AcceleratorsPerMember: accelerators,
+			Adjacency: resource.AdjacentZone, Urgency: 3, Payload: payload,
+			Checkpointable: true, Restart: resource.RestartAlways,
+		},
+		Status: resource.JobStatus{Zone: "zone-a"},
+	}
+}
+
+func (w *world) job(name string) *resource.Job {
+	var job *resource.Job
+	w.any().replica.Read(func(s *state.State) { job = s.Jobs[name] })
+	return job
+}
+
+// leader returns the instance that leads a zone, or nil.
+func (w *world) leader(zone string) *node {
+	for _, id := range slices.Sorted(keys(w.nodes)) {
+		if w.network.isCut(id) {
+			continue
+		}
+		for _, term := range w.nodes[id].leadership.Terms() {
+			if term.Zone == zone {
+				return w.nodes[id]
+			}
+		}
+	}
+	return nil
+}
+
+func (n *network) isCut(id string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[id]
+}
+
+// eventually waits in virtual time until a condition holds and returns how long it took.
+func (w *world) eventually(limit time.Duration, what string, condition func() bool) time.Duration {
+	w.t.Helper()
+	begin := time.Now()
+	for time.Since(begin) < limit {
+		if condition() {
+			return time.Since(begin)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	w.t.Fatalf("after %s: %s", limit, what)
+	return limit
+}
+
+func (w *world) phase(name string, phase resource.Phase) func() bool {
+	return func() bool {
+		job := w.job(name)
+		return job != nil && job.Status.Phase == phase
+	}
+}
+
+// requireNoPartial checks the stand-ins' record of runs against the bound of a partial run.
+func (w *world) requireNoPartial(bound time.Duration) {
+	w.t.Helper()
+	for id, partial := range w.fleet.PartialTime() {
+		require.LessOrEqual(w.t, partial, bound, "attempt %v ran partially", id)
+	}
+}
+
+// inBubble runs a test under virtual time.
+func inBubble(t *testing.T, test func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, test)
+}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -81,6 +81,8 @@
 	ReasonBadWorkers  ReasonCode = "bad-workers"
 	ReasonReclaiming  ReasonCode = "reclaiming"
 	ReasonImpossible  ReasonCode = "impossible"
+	// ReasonLog is a job that runs at most once and waits for the log to be back.
+	ReasonLog ReasonCode = "log"
 )
 
 // Waiting says why a queued job is not placed and what would free it.
