Serve the stand-ins over HTTP and add the platform clients

Cause: instances reach the platform over HTTP only. Change: httpclient implements the interfaces of package platform with exact outcomes: a counter below net/http tells whether any byte was written, and empty bodies of repeatable requests are replaced so that net/http cannot send a request twice. standin.Start serves log, list, workers, targets and a control address; the standin command runs it. Conclusion: every fault keeps its outcome over HTTP in the tests, which pass ten times with -race.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -69,6 +69,7 @@
 		ShortUsage: "oleanderbend COMMAND [flags]",
 		FlagSet:    newFlagSet("oleanderbend", env),
 		Subcommands: []*ffcli.Command{
+			standinCommand(env),
 			versionCommand(env),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
--- /dev/null
+++ b/internal/platform/httpclient/client.go
@@ -0,0 +1,182 @@
+package httpclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+)
+
+// client makes calls with JSON answers.
+type client struct {
+	transport *http.Transport
+}
+
+// call makes one attempt and decodes a successful answer into out. Its errors are those of
+// the operation; refusal is set if the service refused it.
+func (c client) call(req *http.Request, out any) (refusal *Refusal, err error) {
+	resp, err := roundTrip(c.transport, req)
+	if err != nil {
+		return nil, err
+	}
+	defer drain(resp.Body)
+	if resp.StatusCode/100 != 2 {
+		return readRefusal(resp)
+	}
+	if out == nil || resp.StatusCode == http.StatusNoContent {
+		return nil, nil
+	}
+	if err := decodeBounded(resp.Body, MaxAnswerBytes, out); err != nil {
+		return nil, fmt.Errorf("%w: answer: %w", platform.ErrUnknownOutcome, err)
+	}
+	return nil, nil
+}
+
+func readRefusal(resp *http.Response) (*Refusal, error) {
+	var refusal Refusal
+	err := decodeBounded(resp.Body, maxProblemBytes, &refusal)
+	if err != nil || refusalError(refusal.Code) == nil {
+		return nil, fmt.Errorf("%w: HTTP status %d without a known code", platform.ErrUnknownOutcome, resp.StatusCode)
+	}
+	return &refusal, fmt.Errorf("%w: %s", refusalError(refusal.Code), refusal.Message)
+}
+
+var errAnswerTooLarge = errors.New("httpclient: answer too large")
+
+// decodeBounded decodes one JSON value of at most limit bytes.
+func decodeBounded(r io.Reader, limit int64, out any) error {
+	data, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return err
+	}
+	if int64(len(data)) > limit {
+		return fmt.Errorf("%w: more than %d bytes", errAnswerTooLarge, limit)
+	}
+	return json.Unmarshal(data, out)
+}
+
+// maxDrainBytes is how much of an unread answer is read so that its connection can be reused.
+const maxDrainBytes = 4 << 10
+
+func drain(body io.ReadCloser) {
+	_, _ = io.CopyN(io.Discard, body, maxDrainBytes)
+	_ = body.Close()
+}
+
+// readOnly turns an unknown outcome into ErrUnavailable, because a read has no effect.
+func readOnly(err error) error {
+	if errors.Is(err, platform.ErrUnknownOutcome) {
+		// The chain keeps the context's error, which tells a timeout from a cancellation.
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, withoutOutcome{err})
+	}
+	return err
+}
+
+// withoutOutcome hides ErrUnknownOutcome from errors.Is.
+type withoutOutcome struct{ err error }
+
+func (w withoutOutcome) Error() string { return w.err.Error() }
+
+func (w withoutOutcome) Is(target error) bool {
+	return target != platform.ErrUnknownOutcome && errors.Is(w.err, target)
+}
+
+func (w withoutOutcome) As(target any) bool { return errors.As(w.err, target) }
+
+// badRequest reports a request that could not be built, which therefore had no effect.
+func badRequest(err error) error { return fmt.Errorf("%w: %w", platform.ErrUnavailable, err) }
+
+// Log is the platform's log over HTTP. It is safe for concurrent use.
+type Log struct {
+	client
+	url string
+}
+
+var _ platform.Log = (*Log)(nil)
+
+// NewLog returns a client of the log at a base URL such as http://127.0.0.1:7101.
+func NewLog(baseURL string, o Options) *Log {
+	return &Log{client: client{newTransport(o)}, url: baseURL + LogPath}
+}
+
+// Append implements platform.Log.
+func (l *Log) Append(ctx context.Context, data []byte) (platform.Offset, error) {
+	if len(data) > platform.MaxEntryBytes {
+		return 0, fmt.Errorf("%w: %d bytes", platform.ErrTooLarge, len(data))
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, l.url, bytes.NewReader(data))
+	if err != nil {
+		return 0, badRequest(err)
+	}
+	req.Header.Set("Content-Type", "application/octet-stream")
+	var answer AppendAnswer
+	if _, err := l.call(req, &answer); err != nil {
+		return 0, err
+	}
+	if answer.Offset == 0 {
+		return 0, fmt.Errorf("%w: answer has no offset", platform.ErrUnknownOutcome)
+	}
+	return answer.Offset, nil
+}
+
+// Read implements platform.Log.
+func (l *Log) Read(ctx context.Context, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+	query := url.Values{
+		"from":   {strconv.FormatUint(uint64(from), 10)},
+		"limit":  {strconv.Itoa(limit)},
+		"waitMs": {strconv.FormatInt(max(wait, 0).Milliseconds(), 10)},
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, l.url+"?"+query.Encode(), nil)
+	if err != nil {
+		return platform.Batch{}, badRequest(err)
+	}
+	var batch platform.Batch
+	refusal, err := l.call(req, &batch)
+	switch {
+	case refusal != nil && refusal.Batch != nil:
+		return *refusal.Batch, err
+	case err != nil:
+		return platform.Batch{}, readOnly(err)
+	}
+	return batch, nil
+}
+
+// Close closes idle connections.
+func (l *Log) Close() { l.transport.CloseIdleConnections() }
+
+// Instances is the platform's instance list over HTTP. It is safe for concurrent use.
+type Instances struct {
+	client
+	url string
+}
+
+var _ platform.Instances = (*Instances)(nil)
+
+// NewInstances returns a client of the list at a base URL such as http://127.0.0.1:7102.
+func NewInstances(baseURL string, o Options) *Instances {
+	return &Instances{client: client{newTransport(o)}, url: baseURL + InstancesPath}
+}
+
+// List implements platform.Instances.
+func (i *Instances) List(ctx context.Context) ([]platform.Instance, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, i.url, nil)
+	if err != nil {
+		return nil, badRequest(err)
+	}
+	var answer InstancesAnswer
+	if _, err := i.call(req, &answer); err != nil {
+		return nil, readOnly(err)
+	}
+	return answer.Instances, nil
+}
+
+// Close closes idle connections.
+func (i *Instances) Close() { i.transport.CloseIdleConnections() }
--- /dev/null
+++ b/internal/platform/httpclient/workers.go
@@ -0,0 +1,114 @@
+package httpclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+)
+
+// Workers calls workers over HTTP. It is safe for concurrent use.
+type Workers struct {
+	client
+}
+
+var _ platform.Workers = (*Workers)(nil)
+
+// NewWorkers returns a client of workers.
+func NewWorkers(o Options) *Workers { return &Workers{client{newTransport(o)}} }
+
+// Close closes idle connections.
+func (w *Workers) Close() { w.transport.CloseIdleConnections() }
+
+func workerURL(worker platform.Instance, op string) string {
+	return "http://" + worker.Addr + WorkersPath + url.PathEscape(worker.ID) + "/" + op
+}
+
+func (w *Workers) post(ctx context.Context, worker platform.Instance, op string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return badRequest(err)
+	}
+	if len(body) > MaxRequestBytes {
+		return badRequest(fmt.Errorf("request of %d bytes, limit %d", len(body), MaxRequestBytes))
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, workerURL(worker, op), bytes.NewReader(body))
+	if err != nil {
+		return badRequest(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	_, err = w.call(req, out)
+	return err
+}
+
+// Leases implements platform.Workers.
+func (w *Workers) Leases(ctx context.Context, worker platform.Instance, epoch platform.Epoch) ([]platform.Lease, error) {
+	var answer LeasesAnswer
+	if err := w.post(ctx, worker, OpLeases, LeasesRequest{Epoch: epoch}, &answer); err != nil {
+		return nil, err
+	}
+	return answer.Leases, nil
+}
+
+// Reserve implements platform.Workers.
+func (w *Workers) Reserve(ctx context.Context, worker platform.Instance, req platform.ReserveRequest) error {
+	return w.post(ctx, worker, OpReserve, req, nil)
+}
+
+func (w *Workers) change(ctx context.Context, worker platform.Instance, op string, req platform.LeaseRequest) ([]platform.LeaseResult, error) {
+	var answer ResultsAnswer
+	if err := w.post(ctx, worker, op, req, &answer); err != nil {
+		return nil, err
+	}
+	if len(answer.Results) != len(req.Leases) {
+		return nil, fmt.Errorf("%w: %d results for %d leases", platform.ErrUnknownOutcome, len(answer.Results), len(req.Leases))
+	}
+	return answer.Results, nil
+}
+
+// Start implements platform.Workers.
+func (w *Workers) Start(ctx context.Context, worker platform.Instance, req platform.LeaseRequest) ([]platform.LeaseResult, error) {
+	return w.change(ctx, worker, OpStart, req)
+}
+
+// Renew implements platform.Workers.
+func (w *Workers) Renew(ctx context.Context, worker platform.Instance, req platform.LeaseRequest) ([]platform.LeaseResult, error) {
+	return w.change(ctx, worker, OpRenew, req)
+}
+
+// Checkpoint implements platform.Workers.
+func (w *Workers) Checkpoint(ctx context.Context, worker platform.Instance, req platform.LeaseRequest) ([]platform.LeaseResult, error) {
+	return w.change(ctx, worker, OpCheckpoint, req)
+}
+
+// Throttle implements platform.Workers.
+func (w *Workers) Throttle(ctx context.Context, worker platform.Instance, req platform.LeaseRequest) ([]platform.LeaseResult, error) {
+	return w.change(ctx, worker, OpThrottle, req)
+}
+
+// Stop implements platform.Workers.
+func (w *Workers) Stop(ctx context.Context, worker platform.Instance, req platform.LeaseRequest) ([]platform.LeaseResult, error) {
+	return w.change(ctx, worker, OpStop, req)
+}
+
+// Release implements platform.Workers.
+func (w *Workers) Release(ctx context.Context, worker platform.Instance, req platform.LeaseRequest) error {
+	return w.post(ctx, worker, OpRelease, req, nil)
+}
+
+// Usage implements platform.Workers.
+func (w *Workers) Usage(ctx context.Context, worker platform.Instance) ([]platform.Usage, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, workerURL(worker, OpUsage), nil)
+	if err != nil {
+		return nil, badRequest(err)
+	}
+	var answer UsageAnswer
+	if _, err := w.call(req, &answer); err != nil {
+		return nil, readOnly(err)
+	}
+	return answer.Usage, nil
+}
--- /dev/null
+++ b/internal/standin/answer.go
@@ -0,0 +1,36 @@
+package standin
+
+import (
+	"bytes"
+	"io"
+)
+
+// Answer is the body that a target sends for a request: the request's id and a line feed,
+// repeated up to the size. A caller can compute it and so check that an answer is whole and
+// its own.
+type Answer struct {
+	pattern []byte
+	at      int
+	left    int64
+}
+
+// answerBlock is the least size of the repeated block, so that large answers are copied in
+// few steps.
+const answerBlock = 4 << 10
+
+// NewAnswer returns a reader of the answer of size bytes to a request.
+func NewAnswer(id string, size int64) *Answer {
+	line := []byte(id + "\n")
+	return &Answer{pattern: bytes.Repeat(line, max(1, answerBlock/len(line))), left: size}
+}
+
+// Read implements io.Reader.
+func (a *Answer) Read(p []byte) (int, error) {
+	if a.left <= 0 {
+		return 0, io.EOF
+	}
+	n := copy(p[:min(int64(len(p)), a.left)], a.pattern[a.at:])
+	a.at = (a.at + n) % len(a.pattern)
+	a.left -= int64(n)
+	return n, nil
+}
--- /dev/null
+++ b/internal/standin/control.go
@@ -0,0 +1,268 @@
+package standin
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+)
+
+// Limits of requests to the control address.
+const (
+	maxControlBytes = 4 << 20
+	maxQueriedIDs   = 20_000
+)
+
+// faultTable remembers the faults that were set over HTTP, for display.
+type faultTable struct {
+	mu  sync.Mutex
+	set map[string]json.RawMessage
+}
+
+func newFaultTable() *faultTable { return &faultTable{set: make(map[string]json.RawMessage)} }
+
+func (t *faultTable) put(path string, faults json.RawMessage) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if faults == nil {
+		delete(t.set, path)
+		return
+	}
+	t.set[path] = faults
+}
+
+func (t *faultTable) encode() ([]byte, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return json.Marshal(t.set)
+}
+
+// ExecutedRequest asks how often requests were executed by all targets together.
+type ExecutedRequest struct {
+	IDs []string `json:"ids"`
+}
+
+// ExecutedAnswer has the counts of the executed ids; ids that never ran are left out.
+type ExecutedAnswer struct {
+	Counts map[string]int `json:"counts"`
+}
+
+// Paths of the control address.
+const (
+	FaultsPath   = "/faults/"
+	ExecutedPath = "/executed"
+	RunsPath     = "/runs"
+	PartialPath  = "/partial"
+	TargetsPath  = "/targets"
+	ChangePath   = "/instances/"
+)
+
+func (s *Server) controlHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+FaultsPath, func(rw http.ResponseWriter, _ *http.Request) {
+		data, err := s.faults.encode()
+		answerControl(rw, json.RawMessage(data), err)
+	})
+	for _, method := range []string{http.MethodPut, http.MethodDelete} {
+		mux.HandleFunc(method+" "+FaultsPath+"{service}", s.handleFaults)
+		mux.HandleFunc(method+" "+FaultsPath+"{service}/{selector}", s.handleFaults)
+	}
+	mux.HandleFunc("PUT "+ChangePath+"{id}", s.handleInstance)
+	mux.HandleFunc("DELETE "+ChangePath+"{id}", func(rw http.ResponseWriter, r *http.Request) {
+		s.Instances.Remove(r.PathValue("id"))
+		rw.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("POST "+ExecutedPath, s.handleExecuted)
+	mux.HandleFunc("GET "+RunsPath, func(rw http.ResponseWriter, _ *http.Request) {
+		writeJSON(rw, http.StatusOK, s.Fleet.Runs())
+	})
+	mux.HandleFunc("GET "+PartialPath, func(rw http.ResponseWriter, _ *http.Request) {
+		writeJSON(rw, http.StatusOK, partialRows(s.Fleet.PartialTime()))
+	})
+	mux.HandleFunc("GET "+TargetsPath, func(rw http.ResponseWriter, _ *http.Request) {
+		stats := make([]TargetStats, len(s.Targets))
+		for i, target := range s.Targets {
+			stats[i] = target.Stats()
+		}
+		writeJSON(rw, http.StatusOK, stats)
+	})
+	return mux
+}
+
+// PartialRow is the longest time without interruption for which an attempt was partial.
+type PartialRow struct {
+	JobUID  string  `json:"jobUID"`
+	Attempt uint64  `json:"attempt"`
+	Seconds float64 `json:"seconds"`
+}
+
+func answerControl(rw http.ResponseWriter, value any, err error) {
+	switch {
+	case err == nil:
+		writeJSON(rw, http.StatusOK, value)
+	case errors.Is(err, ErrNotFound):
+		http.Error(rw, err.Error(), http.StatusNotFound)
+	default:
+		http.Error(rw, err.Error(), http.StatusBadRequest)
+	}
+}
+
+func (s *Server) handleFaults(rw http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(rw, r.Body, maxControlBytes))
+	if err != nil {
+		answerControl(rw, nil, err)
+		return
+	}
+	kept := json.RawMessage(data)
+	if r.Method == http.MethodDelete {
+		data, kept = []byte("{}"), nil
+	}
+	service, selector := r.PathValue("service"), r.PathValue("selector")
+	if err := s.SetFaults(service, selector, data); err != nil {
+		answerControl(rw, nil, err)
+		return
+	}
+	s.faults.put(strings.TrimSuffix(service+"/"+selector, "/"), kept)
+	rw.WriteHeader(http.StatusNoContent)
+}
+
+// SetFaults replaces the faults of a service (log, instances, workers, targets) from JSON.
+// The selector chooses workers or targets: an id, "*", "zone:NAME" or "rack:NAME". It
+// returns ErrNotFound if nothing is selected.
+func (s *Server) SetFaults(service, selector string, data []byte) error {
+	switch service {
+	case "log":
+		return setOne(data, s.Log.SetFaults)
+	case "instances":
+		return setOne(data, s.Instances.SetFaults)
+	case "workers":
+		return setEach(data, s.selected(platform.KindWorker, selector), s.Fleet.SetFaults)
+	case "targets":
+		return setEach(data, s.selected(platform.KindTarget, selector), s.setTargetFaults)
+	default:
+		return fmt.Errorf("%w: %q", ErrNotFound, service)
+	}
+}
+
+func setOne[T any](data []byte, set func(T)) error {
+	faults, err := decodeFaults[T](data)
+	if err != nil {
+		return err
+	}
+	set(faults)
+	return nil
+}
+
+func setEach[T any](data []byte, ids []string, set func(string, T) error) error {
+	faults, err := decodeFaults[T](data)
+	if err != nil {
+		return err
+	}
+	if len(ids) == 0 {
+		return fmt.Errorf("%w: nothing selected", ErrNotFound)
+	}
+	var errs []error
+	for _, id := range ids {
+		errs = append(errs, set(id, faults))
+	}
+	return errors.Join(errs...)
+}
+
+// decodeFaults refuses unknown fields, so that a misspelt fault is not taken for none.
+func decodeFaults[T any](data []byte) (T, error) {
+	var faults T
+	decoder := json.NewDecoder(strings.NewReader(string(data)))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&faults); err != nil {
+		return faults, fmt.Errorf("standin: invalid faults: %w", err)
+	}
+	return faults, nil
+}
+
+func (s *Server) selected(kind platform.InstanceKind, selector string) []string {
+	key, value, _ := strings.Cut(selector, ":")
+	var ids []string
+	for _, row := range s.Instances.Current() {
+		matches := selector == "*" || selector == row.ID ||
+			key == "zone" && value == row.Zone || key == "rack" && value == row.Rack
+		if row.Kind == kind && matches {
+			ids = append(ids, row.ID)
+		}
+	}
+	return ids
+}
+
+// setTargetFaults also closes the port of a target in an outage.
+func (s *Server) setTargetFaults(id string, f TargetFaults) error {
+	for _, target := range s.Targets {
+		if target.config.ID != id {
+			continue
+		}
+		target.SetFaults(f)
+		if f.Outage {
+			s.targetsAt[id].down()
+			return nil
+		}
+		return s.targetsAt[id].up()
+	}
+	return fmt.Errorf("%w: target %q", ErrNotFound, id)
+}
+
+func (s *Server) handleInstance(rw http.ResponseWriter, r *http.Request) {
+	var change struct {
+		State platform.InstanceState `json:"state"`
+	}
+	if err := json.NewDecoder(http.MaxBytesReader(rw, r.Body, maxControlBytes)).Decode(&change); err != nil {
+		answerControl(rw, nil, err)
+		return
+	}
+	if change.State != platform.StateLive && change.State != platform.StateLeaving {
+		answerControl(rw, nil, fmt.Errorf("standin: unknown state %q", change.State))
+		return
+	}
+	if err := s.Instances.SetState(r.PathValue("id"), change.State); err != nil {
+		answerControl(rw, nil, err)
+		return
+	}
+	rw.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) handleExecuted(rw http.ResponseWriter, r *http.Request) {
+	var req ExecutedRequest
+	err := json.NewDecoder(http.MaxBytesReader(rw, r.Body, maxControlBytes)).Decode(&req)
+	if err == nil && len(req.IDs) > maxQueriedIDs {
+		err = fmt.Errorf("standin: more than %d ids", maxQueriedIDs)
+	}
+	if err != nil {
+		answerControl(rw, nil, err)
+		return
+	}
+	counts := make(map[string]int)
+	for _, target := range s.Targets {
+		for _, id := range req.IDs {
+			if n := target.Executed(id); n > 0 {
+				counts[id] += n
+			}
+		}
+	}
+	writeJSON(rw, http.StatusOK, ExecutedAnswer{Counts: counts})
+}
+
+func partialRows(times map[AttemptID]time.Duration) []PartialRow {
+	rows := make([]PartialRow, 0, len(times))
+	for id, d := range times {
+		rows = append(rows, PartialRow{JobUID: id.JobUID, Attempt: id.Attempt, Seconds: d.Seconds()})
+	}
+	slices.SortFunc(rows, func(a, b PartialRow) int {
+		return cmp.Or(strings.Compare(a.JobUID, b.JobUID), cmp.Compare(a.Attempt, b.Attempt))
+	})
+	return rows
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -48,6 +48,9 @@
 	return f
 }
 
+// Len returns the number of workers.
+func (f *Fleet) Len() int { return len(f.ids) }
+
 // SetFaults replaces the faults of one worker. It returns ErrNotFound for an unknown id.
 func (f *Fleet) SetFaults(id string, faults WorkerFaults) error {
 	f.mu.Lock()
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -15,8 +15,11 @@
 	DefaultAppendsPerSecond = 300
 )
 
-// maxReadEntries bounds one answer of Read.
-const maxReadEntries = 10_000
+// Bounds of one answer of Read.
+const (
+	maxReadEntries = 10_000
+	maxReadBytes   = 4 << 20
+)
 
 // LogConfig configures a Log.
 type LogConfig struct {
@@ -199,9 +202,13 @@
 	}
 	entries := l.entries[from-batch.Oldest:]
 	limit = min(max(limit, 1), maxReadEntries, len(entries))
-	batch.Entries = make([]platform.Entry, limit)
-	for i := range batch.Entries {
-		batch.Entries[i] = entries[i].Entry
+	size := 0
+	for _, entry := range entries[:limit] {
+		size += len(entry.Data)
+		if size > maxReadBytes && len(batch.Entries) > 0 {
+			break
+		}
+		batch.Entries = append(batch.Entries, entry.Entry)
 	}
 	return batch, l.appended, nil
 }
--- a/internal/standin/payload.go
+++ b/internal/standin/payload.go
@@ -1,7 +1,9 @@
 package standin
 
 import (
+	"errors"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -44,7 +46,7 @@
 			return program{}, fmt.Errorf("%w: %q is not key=value", ErrPayload, field)
 		}
 		if err := p.set(key, value); err != nil {
-			return program{}, fmt.Errorf("%w: %s: %v", ErrPayload, key, err)
+			return program{}, fmt.Errorf("%w: %s: %w", ErrPayload, key, err)
 		}
 	}
 	return p, nil
@@ -63,11 +65,23 @@
 		}
 		p.checkpointTime, err = time.ParseDuration(value)
 	case "cores":
-		p.cores, err = strconv.ParseFloat(value, 64)
+		p.cores, err = parseFinite(value)
 	case "memory":
-		p.memoryMB, err = strconv.ParseFloat(value, 64)
+		p.memoryMB, err = parseFinite(value)
 	default:
-		return fmt.Errorf("unknown key")
+		return errors.New("unknown key")
+	}
+	if err == nil && strings.HasPrefix(value, "-") {
+		return errors.New("must not be negative")
 	}
 	return err
 }
+
+// parseFinite refuses NaN and infinities, which JSON cannot carry.
+func parseFinite(value string) (float64, error) {
+	f, err := strconv.ParseFloat(value, 64)
+	if err == nil && (math.IsNaN(f) || math.IsInf(f, 0)) {
+		return 0, errors.New("must be finite")
+	}
+	return f, err
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,271 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+	"github.com/oleanderbend/oleanderbend/internal/settings"
+)
+
+// Server is a running set of stand-ins.
+type Server struct {
+	Log       *Log
+	Instances *Instances
+	Fleet     *Fleet
+	// Targets are in the order of their addresses.
+	Targets []*Target
+
+	// ControlURL, LogURL and InstancesURL are base URLs.
+	ControlURL   string
+	LogURL       string
+	InstancesURL string
+
+	faults    *faultTable
+	listeners []*listener
+	targetsAt map[string]*listener
+}
+
+// ErrListen means that a listener of the stand-ins could not be opened.
+var ErrListen = errors.New("standin: listen")
+
+// Start runs all stand-ins. It returns ErrListen if an address is taken. Close ends them.
+func Start(config settings.Standin) (server *Server, err error) {
+	s := &Server{targetsAt: make(map[string]*listener)}
+	defer func() {
+		if err != nil {
+			s.Close()
+		}
+	}()
+	s.Log = NewLog(LogConfig{
+		Retention:        time.Duration(config.Log.Retention),
+		AppendsPerSecond: config.Log.AppendsPerSecond,
+	})
+	logAddr, err := s.listen(config.LogAddr, logHandler(s.Log), nil)
+	if err != nil {
+		return nil, err
+	}
+	var fleetHandler handlerCell
+	workersAddr, err := s.listen(config.WorkersAddr, &fleetHandler, nil)
+	if err != nil {
+		return nil, err
+	}
+	workers := workerRows(config, workersAddr)
+	s.Fleet = NewFleet(FleetConfig{Workers: workers, UsageLag: time.Duration(config.UsageLag)})
+	fleetHandler.set(workersHandler(s.Fleet))
+	targets, err := s.startTargets(config)
+	if err != nil {
+		return nil, err
+	}
+	rows := append(append(entryRows(config), workers...), targets...)
+	s.Instances = NewInstances(nil, time.Duration(config.InstancesLag), rows)
+	instancesAddr, err := s.listen(config.InstancesAddr, instancesHandler(s.Instances), nil)
+	if err != nil {
+		return nil, err
+	}
+	s.faults = newFaultTable()
+	controlAddr, err := s.listen(config.ControlAddr, s.controlHandler(), nil)
+	if err != nil {
+		return nil, err
+	}
+	s.LogURL, s.InstancesURL, s.ControlURL = "http://"+logAddr, "http://"+instancesAddr, "http://"+controlAddr
+	return s, nil
+}
+
+// Close ends all stand-ins at once.
+func (s *Server) Close() {
+	for _, l := range s.listeners {
+		l.down()
+	}
+}
+
+func (s *Server) listen(addr string, handler http.Handler, configure func(*http.Server)) (string, error) {
+	l := &listener{addr: addr, handler: handler, configure: configure}
+	if err := l.up(); err != nil {
+		return "", err
+	}
+	s.listeners = append(s.listeners, l)
+	return l.addr, nil
+}
+
+func (s *Server) startTargets(config settings.Standin) ([]platform.Instance, error) {
+	var rows []platform.Instance
+	for _, zone := range config.Zones {
+		for n := range zone.Targets {
+			target := NewTarget(TargetConfig{
+				ID:          fmt.Sprintf("%s-t%02d", zone.Name, n+1),
+				Slots:       config.Target.Slots,
+				Connections: config.Target.Connections,
+			})
+			addr, err := s.listen(nthAddr(config.TargetsAddr, len(rows)), target, target.Configure)
+			if err != nil {
+				return nil, err
+			}
+			s.Targets = append(s.Targets, target)
+			s.targetsAt[target.config.ID] = s.listeners[len(s.listeners)-1]
+			rows = append(rows, platform.Instance{
+				ID:          target.config.ID,
+				Kind:        platform.KindTarget,
+				State:       platform.StateLive,
+				Addr:        addr,
+				Region:      zone.Region,
+				Zone:        zone.Name,
+				Slots:       config.Target.Slots,
+				Connections: config.Target.Connections,
+			})
+		}
+	}
+	return rows, nil
+}
+
+// nthAddr returns the address n ports after the first, or the first if its port is 0.
+func nthAddr(first string, n int) string {
+	addr, err := netip.ParseAddrPort(first)
+	if err != nil || addr.Port() == 0 {
+		return first
+	}
+	return netip.AddrPortFrom(addr.Addr(), addr.Port()+uint16(n)).String()
+}
+
+func workerRows(config settings.Standin, addr string) []platform.Instance {
+	var rows []platform.Instance
+	for _, zone := range config.Zones {
+		for n := range zone.Workers {
+			rows = append(rows, platform.Instance{
+				ID:           fmt.Sprintf("%s-w%02d", zone.Name, n+1),
+				Kind:         platform.KindWorker,
+				State:        platform.StateLive,
+				Addr:         addr,
+				Region:       zone.Region,
+				Zone:         zone.Name,
+				Rack:         fmt.Sprintf("%s-r%d", zone.Name, n/config.Worker.PerRack+1),
+				Cores:        config.Worker.Cores,
+				MemoryMB:     config.Worker.MemoryMB,
+				Accelerators: config.Worker.Accelerators,
+			})
+		}
+	}
+	return rows
+}
+
+func entryRows(config settings.Standin) []platform.Instance {
+	var rows []platform.Instance
+	for _, entry := range config.Entries {
+		rows = append(rows, platform.Instance{
+			ID:     entry.ID,
+			Kind:   platform.KindEntry,
+			State:  platform.StateLive,
+			Addr:   entry.Addr,
+			Region: entry.Region,
+			Zone:   entry.Zone,
+		})
+	}
+	return rows
+}
+
+// handlerCell is a handler that is set after its listener was opened.
+type handlerCell struct {
+	mu      sync.RWMutex
+	handler http.Handler
+}
+
+func (c *handlerCell) set(h http.Handler) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handler = h
+}
+
+// ServeHTTP implements http.Handler.
+func (c *handlerCell) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	c.mu.RLock()
+	handler := c.handler
+	c.mu.RUnlock()
+	if handler == nil {
+		panic(http.ErrAbortHandler)
+	}
+	handler.ServeHTTP(rw, r)
+}
+
+// Timeouts of the servers. The idle timeout is longer than that of the clients, so that the
+// clients close idle connections first.
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxServerHeader   = 64 << 10
+)
+
+// reopenTimeout bounds the wait for a port that another socket took during an outage.
+const reopenTimeout = 3 * time.Second
+
+// listener is an HTTP server that can go down, so that connections are refused, and come up
+// again on the same port.
+type listener struct {
+	handler   http.Handler
+	configure func(*http.Server)
+
+	mu sync.Mutex
+	// addr has the real port once the listener was up.
+	addr   string
+	server *http.Server
+	done   sync.WaitGroup
+}
+
+func (l *listener) up() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.server != nil {
+		return nil
+	}
+	ln, err := listenRetry(l.addr)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrListen, err)
+	}
+	l.addr = ln.Addr().String()
+	server := &http.Server{
+		Handler:           l.handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxServerHeader,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
+	}
+	if l.configure != nil {
+		l.configure(server)
+	}
+	l.server = server
+	l.done.Go(func() {
+		// Serve always ends with an error; after Close it is ErrServerClosed.
+		_ = server.Serve(ln)
+	})
+	return nil
+}
+
+func listenRetry(addr string) (net.Listener, error) {
+	deadline := time.Now().Add(reopenTimeout)
+	for {
+		ln, err := net.Listen("tcp", addr)
+		if err == nil || time.Now().After(deadline) {
+			return ln, err
+		}
+		time.Sleep(reopenTimeout / 30)
+	}
+}
+
+// down closes the port and all connections. Handlers run to their end without an answer.
+func (l *listener) down() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.server == nil {
+		return
+	}
+	_ = l.server.Close()
+	l.done.Wait()
+	l.server = nil
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -351,4 +351,9 @@
 	return s.work[checkpointKey{id.JobUID, id.Member, name}]
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// maxTTL bounds the TTLs of requests, so that sums of times cannot overflow.
+const maxTTL = 24 * time.Hour
+
+func seconds(s float64) time.Duration {
+	return time.Duration(min(max(s, 0), maxTTL.Seconds()) * float64(time.Second))
+}
