Test the outcomes of the platform clients and fuzz the parsers

Cause: ErrUnavailable must be certain, and net/http repeats some requests by itself. Change: tests with broken connections and strange answers; fuzz targets for answers, payloads, target requests, log reads and worker requests. Conclusion: no request is sent twice in the tested cases.

--- /dev/null
+++ b/internal/platform/httpclient/httpclient_test.go
@@ -0,0 +1,237 @@
+package httpclient
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+)
+
+// breakingServer answers the first request on each connection and closes the connection when
+// it has read the second one. It counts the requests that it has read.
+func breakingServer(t *testing.T) (addr string, requests *atomic.Int32) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	requests = new(atomic.Int32)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serveBreaking(conn, requests)
+		}
+	}()
+	return ln.Addr().String(), requests
+}
+
+func serveBreaking(conn net.Conn, requests *atomic.Int32) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for n := range 2 {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		requests.Add(1)
+		if n == 0 {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	}
+}
+
+// Guards against a request that net/http sends a second time after a reused connection broke.
+// A GET and an empty request with an Idempotency-Key are the cases that it repeats by default.
+func TestRequestIsSentOnce(t *testing.T) {
+	cases := map[string]struct {
+		method string
+		body   io.Reader
+		key    string
+	}{
+		"GET":                {method: http.MethodGet},
+		"empty POST and key": {method: http.MethodPost, key: "k"},
+		"POST and key":       {method: http.MethodPost, key: "k", body: bytes.NewReader([]byte("data"))},
+		"GET with body":      {method: http.MethodGet, body: bytes.NewReader([]byte("data"))},
+		"empty DELETE":       {method: http.MethodDelete},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			addr, requests := breakingServer(t)
+			targets := NewTargets(Options{})
+			defer targets.Close()
+			send := func(body io.Reader) error {
+				req, err := http.NewRequestWithContext(t.Context(), c.method, "http://ignored/path", body)
+				require.NoError(t, err)
+				if c.key != "" {
+					req.Header.Set(platform.HeaderIdempotencyKey, c.key)
+				}
+				resp, err := targets.RoundTrip(platform.Instance{Addr: addr}, req)
+				if err == nil {
+					_, _ = io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+				}
+				return err
+			}
+			require.NoError(t, send(nil))
+			require.ErrorIs(t, send(c.body), platform.ErrUnknownOutcome)
+			require.EqualValues(t, 2, requests.Load())
+		})
+	}
+}
+
+// Guards against ErrUnavailable for a request that may have been sent, and the reverse for a
+// connection that was never made.
+func TestOutcomeOfFailedConnections(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := ln.Addr().String()
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, 1))
+		conn.Close()
+	}()
+	log := NewLog("http://"+addr, Options{})
+	defer log.Close()
+	_, err = log.Append(t.Context(), []byte("x"))
+	require.ErrorIs(t, err, platform.ErrUnknownOutcome)
+	require.NotErrorIs(t, err, platform.ErrUnavailable)
+	ln.Close()
+	_, err = log.Append(t.Context(), []byte("x"))
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+
+	cancelled, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = log.Append(cancelled, []byte("x"))
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, context.Canceled)
+}
+
+// Guards against answers that are taken for certain although they do not say what happened.
+func TestOutcomeOfAnswers(t *testing.T) {
+	cases := map[string]struct {
+		status int
+		body   string
+		want   error
+	}{
+		"no code":        {500, "oops", platform.ErrUnknownOutcome},
+		"unknown code":   {503, `{"code":"tired"}`, platform.ErrUnknownOutcome},
+		"unavailable":    {503, `{"code":"unavailable"}`, platform.ErrUnavailable},
+		"stale epoch":    {409, `{"code":"stale-epoch"}`, platform.ErrStaleEpoch},
+		"no capacity":    {507, `{"code":"no-capacity"}`, platform.ErrNoCapacity},
+		"no lease":       {404, `{"code":"no-lease"}`, platform.ErrNoLease},
+		"not JSON":       {200, "<html>", platform.ErrUnknownOutcome},
+		"result missing": {200, `{"results":[]}`, platform.ErrUnknownOutcome},
+		"too large":      {200, `{"results":"` + strings.Repeat("x", MaxAnswerBytes) + `"}`, errAnswerTooLarge},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+				rw.WriteHeader(c.status)
+				_, _ = io.WriteString(rw, c.body)
+			}))
+			defer server.Close()
+			workers := NewWorkers(Options{})
+			defer workers.Close()
+			row := platform.Instance{ID: "w", Addr: server.Listener.Addr().String()}
+			_, err := workers.Stop(t.Context(), row, platform.LeaseRequest{Leases: make([]platform.LeaseID, 1)})
+			require.ErrorIs(t, err, c.want)
+		})
+	}
+}
+
+// Guards against a read that reports an unknown outcome, and an expired read without its batch.
+func TestReadsHaveNoUnknownOutcome(t *testing.T) {
+	answer := `{"code":"expired","batch":{"oldest":7,"next":9}}`
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+		rw.WriteHeader(http.StatusGone)
+		_, _ = io.WriteString(rw, answer)
+	}))
+	defer server.Close()
+	log := NewLog(server.URL, Options{})
+	defer log.Close()
+	batch, err := log.Read(t.Context(), 1, 1, 0)
+	require.ErrorIs(t, err, platform.ErrExpired)
+	require.Equal(t, platform.Offset(7), batch.Oldest)
+	answer = "oops"
+	_, err = log.Read(t.Context(), 1, 1, 0)
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.NotErrorIs(t, err, platform.ErrUnknownOutcome)
+}
+
+// Guards against a client whose callers cannot follow a request with net/http/httptrace, or
+// that changes the header or hides the answer's encoding.
+func TestTraceAndHeader(t *testing.T) {
+	var got http.Header
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { got = r.Header }))
+	defer server.Close()
+	targets := NewTargets(Options{})
+	defer targets.Close()
+	wrote := false
+	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{WroteHeaders: func() { wrote = true }})
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "/path", nil)
+	require.NoError(t, err)
+	req.Header.Set(platform.HeaderRequestID, "r1")
+	resp, err := targets.RoundTrip(platform.Instance{Addr: server.Listener.Addr().String()}, req)
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.True(t, wrote)
+	require.Equal(t, http.Header{platform.HeaderRequestID: {"r1"}, "User-Agent": {"Go-http-client/1.1"}}, got)
+	require.Len(t, req.Header, 1)
+}
+
+// Guards against a request that waits without limit for a silent service.
+func TestContextBoundsCall(t *testing.T) {
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	defer server.Close()
+	defer close(release)
+	log := NewLog(server.URL, Options{})
+	defer log.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err := log.Append(ctx, []byte("x"))
+	require.ErrorIs(t, err, platform.ErrUnknownOutcome)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+}
+
+// FuzzAnswer guards against answers of the platform that crash the client or that turn into
+// certainty without a known code.
+func FuzzAnswer(f *testing.F) {
+	for _, seed := range []string{``, `{}`, `{"code":"unavailable"}`, `{"code":7}`, `{"offset":-1}`, `{"code":"expired","batch":null}`, "\x00", `[[[[`} {
+		f.Add(200, []byte(seed))
+		f.Add(503, []byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, status int, body []byte) {
+		raw := fmt.Sprintf("HTTP/1.1 %d x\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+		resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(raw)), nil)
+		if err != nil {
+			return
+		}
+		refusal, err := readRefusal(resp)
+		require.Error(t, err)
+		if refusal == nil {
+			require.ErrorIs(t, err, platform.ErrUnknownOutcome)
+		}
+		var batch platform.Batch
+		_ = decodeBounded(bytes.NewReader(body), MaxAnswerBytes, &batch)
+	})
+}
--- a/internal/platform/httpclient/targets.go
+++ b/internal/platform/httpclient/targets.go
@@ -20,7 +20,8 @@
 
 // RoundTrip implements platform.Targets. Hooks of net/http/httptrace in the request's context
 // are called. An error wraps ErrUnavailable if no byte of the request was written, and
-// ErrUnknownOutcome otherwise. The request's header is sent as it is.
+// ErrUnknownOutcome otherwise. The request's header is sent as it is, with the User-Agent of
+// net/http if it has none.
 func (t *Targets) RoundTrip(target platform.Instance, req *http.Request) (*http.Response, error) {
 	out := new(http.Request)
 	*out = *req
--- /dev/null
+++ b/internal/standin/fuzz_test.go
@@ -0,0 +1,111 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+)
+
+// FuzzPayload guards against payloads that crash a worker or give values that JSON cannot carry.
+func FuzzPayload(f *testing.F) {
+	for _, seed := range []string{"", "duration=30s checkpoint=1s fail=2s cores=200", "checkpoint=never", "cores=NaN", "duration=-1s", "=", "duration=9223372036s"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, payload string) {
+		p, err := parsePayload(payload)
+		if err != nil {
+			require.ErrorIs(t, err, ErrPayload)
+			return
+		}
+		require.GreaterOrEqual(t, p.duration, time.Duration(0))
+		_, err = json.Marshal(platform.Usage{Cores: p.cores, MemoryMB: p.memoryMB})
+		require.NoError(t, err)
+	})
+}
+
+// FuzzTargetRequest guards against requests that crash a target or exceed its bounds.
+func FuzzTargetRequest(f *testing.F) {
+	f.Add("r1", "service=50ms&size=1024")
+	f.Add("", "service=-1s")
+	f.Add("\x00", "size=9223372036854775807&service=%zz")
+	f.Fuzz(func(t *testing.T, id, rawQuery string) {
+		query, _ := url.ParseQuery(rawQuery)
+		w, err := parseWork(http.Header{platform.HeaderRequestID: {id}}, query)
+		if err != nil {
+			require.ErrorIs(t, err, errBadRequest)
+			return
+		}
+		require.True(t, w.service >= 0 && w.service <= maxServiceTime)
+		require.True(t, w.size >= 0 && w.size <= maxAnswerSize)
+	})
+}
+
+// FuzzLogRead guards against read queries that crash the log or wait without limit.
+func FuzzLogRead(f *testing.F) {
+	f.Add("1", "10", "0")
+	f.Add("18446744073709551615", "9223372036854775807", "9223372036854775807")
+	f.Add("-1", "0", "x")
+	l := NewLog(LogConfig{})
+	_, err := l.Append(f.Context(), []byte("x"))
+	require.NoError(f, err)
+	f.Fuzz(func(t *testing.T, from, limit, waitMs string) {
+		read, err := parseRead(url.Values{"from": {from}, "limit": {limit}, "waitMs": {waitMs}}.Get)
+		if err != nil {
+			return
+		}
+		require.LessOrEqual(t, read.wait, maxLongPoll)
+		batch, err := l.Read(t.Context(), read.from, read.limit, 0)
+		if err == nil {
+			require.LessOrEqual(t, len(batch.Entries), read.limit)
+		}
+	})
+}
+
+// FuzzWorkerRequest guards against bodies that crash a worker, take more accelerators than
+// it has, or give answers that are not JSON.
+func FuzzWorkerRequest(f *testing.F) {
+	f.Add("reserve", `{"epoch":{"number":1},"leases":[{"jobUID":"j","attempt":1}],"task":{"accelerators":4},"ttlSeconds":5}`)
+	f.Add("reserve", `{"leases":[{"jobUID":"a"},{"jobUID":"b"}],"task":{"accelerators":-9223372036854775808},"ttlSeconds":1e308}`)
+	f.Add("start", `{"epoch":{"number":1},"leases":[{"jobUID":"held"}],"ttlSeconds":-5}`)
+	f.Add("throttle", `{"leases":[{"jobUID":"held"}],"throttle":-1}`)
+	f.Add("leases", `{"epoch":{"number":18446744073709551615}}`)
+	f.Add("../x", `[]`)
+	f.Fuzz(func(t *testing.T, op, body string) {
+		synctest.Test(t, func(t *testing.T) {
+			fleet := NewFleet(FleetConfig{Workers: testRows(1)})
+			handler := workersHandler(fleet)
+			call := func(op, body string) *httptest.ResponseRecorder {
+				rec := httptest.NewRecorder()
+				path := &url.URL{Path: "/v1/workers/a/" + op}
+				req := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(body))
+				req.URL = path
+				handler.ServeHTTP(rec, req)
+				return rec
+			}
+			held := `{"leases":[{"jobUID":"held"}],"task":{"accelerators":1},"ttlSeconds":5}`
+			require.Equal(t, http.StatusNoContent, call("reserve", held).Code)
+			require.Equal(t, http.StatusOK, call("start", held).Code)
+			answer := call(op, body)
+			if answer.Header().Get("Content-Type") == "application/json" {
+				require.True(t, json.Valid(answer.Body.Bytes()))
+			}
+			time.Sleep(time.Second)
+			used := 0
+			for _, lease := range fleet.Snapshot("a") {
+				if lease.State.Active() {
+					used += lease.Task.Accelerators
+				}
+			}
+			require.LessOrEqual(t, used, 8)
+		})
+	})
+}
