Add the request path: admission, dispatch and gateway

Requests are queued by organisation, kind and caller, get a slot of a target and are streamed both ways. A cut answer aborts the caller's connection, and a request is sent again only if no target can have started it or if it is idempotent.

--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,306 @@
+// Package admission decides which queued request is dispatched next and which are refused.
+// Requests are queued in a tree: organisation, kind of work, caller. Each level shares the
+// slots in progress by weighted start-time fair queueing, and the charge is the time that
+// requests held a slot. The package is pure: callers pass the time and hold their own lock.
+package admission
+
+import (
+	"errors"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+)
+
+// ErrQueueFull means that the queue of the caller or of the instance is full.
+var ErrQueueFull = errors.New("admission: queue full")
+
+// ErrDeadline means that the request cannot be answered before its deadline.
+var ErrDeadline = errors.New("admission: deadline cannot be met")
+
+const (
+	// urgencyStep is how much later a request counts as arrived for each step of urgency. It
+	// bounds how long urgent requests of a caller can delay its others to 7 steps.
+	urgencyStep = 2 * time.Second
+	// activeWindow is how long a class keeps its reserve after its last request. It covers
+	// the gaps between requests of a caller that sends a few a minute.
+	activeWindow = 20 * time.Second
+	// reserveDivisor is the inverse of the share of slots that is kept free for classes below
+	// their share. With 64 slots it keeps 4, which absorb a burst while longer work drains.
+	reserveDivisor = 16
+	// defaultService is the assumed time in a slot of a class without finished requests.
+	defaultService = 100 * time.Millisecond
+	// serviceGain is the weight of the newest sample in the learned time in a slot.
+	serviceGain = 0.1
+	// maxServiceClasses bounds the table of learned times.
+	maxServiceClasses = 1024
+	// maxKinds bounds the kinds of one organisation that are told apart; the others share
+	// the queue otherKind, so that made-up kinds cannot grow the state or a caller's share.
+	maxKinds  = 16
+	otherKind = "other"
+	// maxRetryAfter and minRetryAfter bound the advice in a refusal.
+	maxRetryAfter = 30 * time.Second
+	minRetryAfter = time.Second
+)
+
+// Flow identifies a leaf of the tree.
+type Flow struct {
+	Organisation string
+	Kind         string
+	Caller       string
+}
+
+// Request is a request that waits for dispatch or is in progress.
+type Request struct {
+	ID   string
+	Flow Flow
+	// Urgency is 0 (most urgent) to 7.
+	Urgency int
+	// Deadline is the time until which an answer is useful.
+	Deadline time.Time
+	// Context is kept for the caller of this package.
+	Context any
+
+	arrived  time.Time
+	rank     time.Time
+	sequence uint64
+	leaf     *node
+	index    int
+	charged  float64
+}
+
+// Refusal is a decision not to run a request.
+type Refusal struct {
+	Request *Request
+	// Reason is ErrQueueFull or ErrDeadline.
+	Reason error
+	// RetryAfter is the advised wait, with jitter.
+	RetryAfter time.Duration
+}
+
+// Queue holds the requests of one instance. It is not safe for concurrent use.
+type Queue struct {
+	policy     resource.AdmissionPolicy
+	orgWeights map[string]float64
+	spread     map[Flow]float64
+	root       *node
+	random     *rand.Rand
+	sequence   uint64
+	total      int
+	service    map[Flow]float64
+	classes    []Flow
+}
+
+// New returns an empty queue with the default policy.
+func New(seed uint64) *Queue {
+	return &Queue{
+		policy:  resource.PolicySpec{}.WithDefaults().Admission,
+		root:    &node{weight: 1},
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		service: make(map[Flow]float64),
+	}
+}
+
+// SetPolicy puts a policy in force. Queued requests stay queued.
+func (q *Queue) SetPolicy(p resource.AdmissionPolicy) {
+	q.policy = resource.PolicySpec{Admission: p}.WithDefaults().Admission
+	q.reweigh()
+}
+
+// SetOrganisationWeights sets the shares of organisations; those not named have weight 1.
+func (q *Queue) SetOrganisationWeights(weights map[string]float64) {
+	q.orgWeights = weights
+	q.reweigh()
+}
+
+// SetSpread sets the part of each flow's demand over all instances that is queued here. A
+// flow that is not named counts as whole. Shares are scaled by it, so that a caller gains
+// nothing by spreading over instances.
+func (q *Queue) SetSpread(spread map[Flow]float64) {
+	q.spread = spread
+	q.reweigh()
+}
+
+// Queued returns the number of queued requests.
+func (q *Queue) Queued() int { return q.root.queued }
+
+// Running returns the number of requests in progress.
+func (q *Queue) Running() int { return q.root.running }
+
+// Flows returns the number of flows with state.
+func (q *Queue) Flows() int {
+	flows := 0
+	q.root.eachLeaf(func(*node) { flows++ })
+	return flows
+}
+
+// Demand returns the requests queued and in progress of each flow.
+func (q *Queue) Demand() map[Flow]int {
+	demand := make(map[Flow]int)
+	q.root.eachLeaf(func(n *node) {
+		if n.queued+n.running > 0 {
+			demand[n.flow] = n.queued + n.running
+		}
+	})
+	return demand
+}
+
+// Arrive queues a request. It returns the requests that are refused because of it, which may
+// be the request itself. total is the number of slots that this instance may use.
+func (q *Queue) Arrive(now time.Time, r *Request, total int) []Refusal {
+	q.total = total
+	r.arrived = now
+	r.rank = now.Add(time.Duration(r.Urgency) * urgencyStep)
+	q.sequence++
+	r.sequence = q.sequence
+	if r.Deadline.IsZero() {
+		r.Deadline = now.Add(time.Duration(q.policy.DefaultDeadlineMs) * time.Millisecond)
+	}
+	leaf := q.leaf(now, r.Flow)
+	wait := q.expectedWait(now, leaf, total)
+	if leaf.queued >= q.policy.CallerQueueLimit {
+		return []Refusal{q.refuse(r, ErrQueueFull, wait)}
+	}
+	if now.Add(wait + q.serviceTime(leaf.flow)).After(r.Deadline) {
+		return []Refusal{q.refuse(r, ErrDeadline, wait)}
+	}
+	var refused []Refusal
+	if q.root.queued >= q.policy.QueueLimit {
+		longest := q.longestLeaf()
+		if longest == nil || longest.pressure() <= leaf.pressure() {
+			return []Refusal{q.refuse(r, ErrQueueFull, wait)}
+		}
+		evicted := longest.worst()
+		q.Cancel(evicted)
+		refused = append(refused, q.refuse(evicted, ErrQueueFull, q.expectedWait(now, longest, total)))
+	}
+	q.push(leaf, r)
+	return refused
+}
+
+// Requeue queues a request again after a failed attempt that may be repeated. It keeps its
+// place by arrival and is not refused for lack of room, since it was admitted before.
+func (q *Queue) Requeue(now time.Time, r *Request) {
+	q.push(q.leaf(now, r.Flow), r)
+}
+
+// Next removes the request to dispatch next, or returns nil if none may take a slot. free is
+// the number of free slots out of total. Requests whose deadline has passed are refused.
+func (q *Queue) Next(now time.Time, free, total int) (*Request, []Refusal) {
+	q.total = total
+	var refused []Refusal
+	for free > 0 && q.root.queued > 0 {
+		leaf := q.choose(now, free, total)
+		if leaf == nil {
+			break
+		}
+		r := leaf.pop()
+		if now.Add(q.shortestService(leaf.flow)).After(r.Deadline) {
+			q.collect(now, leaf)
+			refused = append(refused, q.refuse(r, ErrDeadline, minRetryAfter))
+			continue
+		}
+		r.charged = q.serviceTime(leaf.flow).Seconds()
+		leaf.start(now, r.charged)
+		return r, refused
+	}
+	return nil, refused
+}
+
+// Expire refuses queued requests whose deadline has passed and forgets idle callers.
+func (q *Queue) Expire(now time.Time) []Refusal {
+	var refused []Refusal
+	var leaves []*node
+	q.root.eachLeaf(func(n *node) { leaves = append(leaves, n) })
+	for _, leaf := range leaves {
+		for _, r := range leaf.expired(now) {
+			q.Cancel(r)
+			refused = append(refused, q.refuse(r, ErrDeadline, minRetryAfter))
+		}
+		q.collect(now, leaf)
+	}
+	return refused
+}
+
+// Finish ends a request in progress that held a slot for the given time. The flow's charge
+// is corrected from the expected to the real time. Only answered requests teach the expected
+// time, since failures can be far shorter.
+func (q *Queue) Finish(now time.Time, r *Request, held time.Duration, answered bool) {
+	leaf := r.leaf
+	leaf.finish(now, held.Seconds()-r.charged)
+	r.charged = 0
+	if answered {
+		q.learn(leaf.flow, held)
+	}
+}
+
+// Cancel removes a queued request, for example because its caller left.
+func (q *Queue) Cancel(r *Request) {
+	r.leaf.remove(r)
+}
+
+// Share returns the number of slots out of total that a flow is entitled to now.
+func (q *Queue) Share(now time.Time, f Flow, total int) float64 {
+	leaf := q.leaf(now, f)
+	return leaf.share(now) * float64(total)
+}
+
+// ServiceTime returns the learned mean time in a slot of a flow's class.
+func (q *Queue) ServiceTime(f Flow) time.Duration { return q.serviceTime(f) }
+
+func (q *Queue) refuse(r *Request, reason error, wait time.Duration) Refusal {
+	// Jitter between half and one and a half keeps refused callers from returning together.
+	wait = time.Duration(float64(max(wait, minRetryAfter)) * (0.5 + q.random.Float64()))
+	return Refusal{Request: r, Reason: reason, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter)}
+}
+
+// expectedWait estimates the wait at the end of a leaf's queue from the slots it can count on.
+func (q *Queue) expectedWait(now time.Time, leaf *node, total int) time.Duration {
+	slots := max(leaf.share(now)*float64(total), float64(leaf.running), 1)
+	rounds := float64(leaf.queued) / slots
+	return time.Duration(rounds * float64(q.serviceTime(leaf.flow)))
+}
+
+func class(f Flow) Flow { return Flow{Organisation: f.Organisation, Kind: f.Kind} }
+
+func (q *Queue) serviceTime(f Flow) time.Duration {
+	if seconds, known := q.service[class(f)]; known {
+		return time.Duration(seconds * float64(time.Second))
+	}
+	return defaultService
+}
+
+// shortestService is the least time that an answer takes, used to refuse requests that are
+// certainly late. A quarter of the mean leaves room for requests shorter than most.
+func (q *Queue) shortestService(f Flow) time.Duration {
+	const part = 4
+	if _, known := q.service[class(f)]; !known {
+		return 0
+	}
+	return q.serviceTime(f) / part
+}
+
+func (q *Queue) learn(f Flow, held time.Duration) {
+	key := class(f)
+	mean, known := q.service[key]
+	if !known {
+		if len(q.classes) == maxServiceClasses {
+			delete(q.service, q.classes[0])
+			q.classes = q.classes[1:]
+		}
+		q.classes = append(q.classes, key)
+		q.service[key] = held.Seconds()
+		return
+	}
+	q.service[key] = mean + serviceGain*(held.Seconds()-mean)
+}
+
+// choose returns the leaf whose request takes the next slot.
+func (q *Queue) choose(now time.Time, free, total int) *node {
+	reserve := int(math.Ceil(float64(total) / reserveDivisor))
+	if free > reserve {
+		return q.root.choose()
+	}
+	return q.root.chooseWithin(now, float64(total))
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,410 @@
+// Package dispatch chooses the target of each request. It keeps per-target limits, lowers
+// the concurrency of targets that slow down, takes out targets that fail, and decides which
+// failed attempts are repeated. The package is pure: callers pass the time and hold their
+// own lock.
+package dispatch
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+)
+
+const (
+	// slowdownGain is the weight of the newest sample in a target's slowdown.
+	slowdownGain = 0.1
+	// slowAt is the slowdown relative to the median target at which the limit is lowered.
+	// Service times of one class vary by a factor of about 2 between requests, and the mean
+	// over 1/slowdownGain samples by much less.
+	slowAt = 2.0
+	// limitDecrease and limitIncrease change the concurrency limit for each answer.
+	limitDecrease = 0.9
+	limitIncrease = 0.1
+	// minSlowdownSamples is the number of answers before a target's slowdown counts.
+	minSlowdownSamples = 5
+	// maxEjectFactor bounds the growth of the time out over repeated ejections.
+	maxEjectFactor = 12
+	// ejectJitter spreads the return of targets that were taken out together.
+	ejectJitter = 0.2
+	// retryBurst is the most retries that the budget saves up.
+	retryBurst = 10.0
+	// backoffBase and backoffMax bound the wait before a retry; the wait is uniform between
+	// zero and the bound, so that retries of one fault do not form waves.
+	backoffBase = 20 * time.Millisecond
+	backoffMax  = time.Second
+	// failurePenalty is the slowdown counted for a failed attempt, so that a target that
+	// fails fast never looks faster than a healthy one.
+	failurePenalty = 4.0
+	// defaultSlots and defaultConnections apply to targets that do not state their limits.
+	defaultSlots       = 8
+	defaultConnections = 64
+)
+
+// Verdict classifies how an attempt ended, as far as the target's health is concerned.
+type Verdict int
+
+// Verdicts of attempts.
+const (
+	// Answered is a whole answer.
+	Answered Verdict = iota
+	// Failed is a transport failure, a wrong or short answer.
+	Failed
+	// ErrorAnswer is a whole answer with a server error status, which may be the request's fault.
+	ErrorAnswer
+	// Refused means that the target itself refused to start.
+	Refused
+	// Abandoned means that the attempt ended for a reason that says nothing about the target.
+	Abandoned
+)
+
+// Result describes the end of an attempt.
+type Result struct {
+	Verdict Verdict
+	// Held is how long the attempt held its slot, Expected the learned mean of its class.
+	Held     time.Duration
+	Expected time.Duration
+	// Caller identifies the caller, to tell failing targets from a caller whose requests fail.
+	Caller uint64
+}
+
+// target is the state of one target.
+type target struct {
+	instance platform.Instance
+	// leaving is set once and never cleared: a target does not come back under its id.
+	leaving bool
+	gone    bool
+	// allowance is the number of slots that this instance may use.
+	allowance int
+	inUse     int
+	limit     float64
+	slowdown  float64
+	samples   int
+	failures  int
+	caller    uint64
+	distinct  bool
+	ejections int
+	outUntil  time.Time
+	// trial is set from an ejection until the next answer.
+	trial bool
+}
+
+// Table holds the targets as seen by one instance. It is not safe for concurrent use.
+type Table struct {
+	policy  resource.DispatchPolicy
+	targets map[string]*target
+	order   []*target
+	random  *rand.Rand
+	tokens  float64
+	// allow returns the number of slots of a target that this instance may use now.
+	allow func(t platform.Instance) int
+}
+
+// New returns an empty table. allow returns how many slots of a target this instance may
+// use; nil allows all.
+func New(seed uint64, allow func(platform.Instance) int) *Table {
+	if allow == nil {
+		allow = Slots
+	}
+	return &Table{
+		policy:  resource.PolicySpec{}.WithDefaults().Dispatch,
+		targets: make(map[string]*target),
+		random:  rand.New(rand.NewPCG(seed, 2)),
+		allow:   allow,
+	}
+}
+
+// Slots returns the number of requests that a target takes at a time: its slots, and never
+// more than its connections.
+func Slots(t platform.Instance) int {
+	slots, connections := t.Slots, t.Connections
+	if slots == 0 {
+		slots = defaultSlots
+	}
+	if connections == 0 {
+		connections = defaultConnections
+	}
+	return min(slots, connections)
+}
+
+// SetPolicy puts a policy in force.
+func (t *Table) SetPolicy(p resource.DispatchPolicy) {
+	t.policy = resource.PolicySpec{Dispatch: p}.WithDefaults().Dispatch
+}
+
+// Update takes the platform's list. It returns the ids of targets that newly leave.
+func (t *Table) Update(list []platform.Instance) []string {
+	listed := make(map[string]bool)
+	var leaving []string
+	for _, row := range list {
+		if row.Kind != platform.KindTarget {
+			continue
+		}
+		listed[row.ID] = true
+		entry := t.entry(row)
+		if row.State == platform.StateLeaving && t.MarkLeaving(row.ID) {
+			leaving = append(leaving, row.ID)
+		}
+		entry.instance = row
+		entry.gone = false
+	}
+	for _, entry := range t.order {
+		entry.gone = !listed[entry.instance.ID]
+	}
+	t.forget()
+	t.Refresh()
+	return leaving
+}
+
+func (t *Table) entry(row platform.Instance) *target {
+	entry, known := t.targets[row.ID]
+	if !known {
+		entry = &target{instance: row, limit: float64(Slots(row)), slowdown: 1}
+		t.targets[row.ID] = entry
+		t.order = append(t.order, entry)
+		slices.SortFunc(t.order, func(a, b *target) int { return cmp.Compare(a.instance.ID, b.instance.ID) })
+	}
+	return entry
+}
+
+// forget drops targets that are off the list and hold no request.
+func (t *Table) forget() {
+	t.order = slices.DeleteFunc(t.order, func(e *target) bool {
+		drop := e.gone && e.inUse == 0
+		if drop {
+			delete(t.targets, e.instance.ID)
+		}
+		return drop
+	})
+}
+
+// Refresh reads the allowance of each target again.
+func (t *Table) Refresh() {
+	for _, e := range t.order {
+		e.allowance = t.allow(e.instance)
+	}
+}
+
+// MarkLeaving stops new requests to a target. It reports whether this is news.
+func (t *Table) MarkLeaving(id string) bool {
+	e, known := t.targets[id]
+	if !known || e.leaving {
+		return false
+	}
+	e.leaving = true
+	return true
+}
+
+// Targets returns the rows of the targets that may take requests, by id.
+func (t *Table) Targets() []platform.Instance {
+	var rows []platform.Instance
+	for _, e := range t.order {
+		if !e.leaving && !e.gone {
+			rows = append(rows, e.instance)
+		}
+	}
+	return rows
+}
+
+// InUse returns the number of requests in progress at each target with any.
+func (t *Table) InUse() map[string]int {
+	used := make(map[string]int)
+	for _, e := range t.order {
+		if e.inUse > 0 {
+			used[e.instance.ID] = e.inUse
+		}
+	}
+	return used
+}
+
+// Capacity returns the free and the total slots that this instance may use now.
+func (t *Table) Capacity(now time.Time) (free, total int) {
+	for _, e := range t.order {
+		slots := e.slots(now)
+		total += slots
+		free += max(slots-e.inUse, 0)
+	}
+	return free, total
+}
+
+// slots returns the number of slots that may be used now. A target that was taken out
+// returns with one request at a time until one is answered.
+func (e *target) slots(now time.Time) int {
+	switch {
+	case e.leaving || e.gone || now.Before(e.outUntil):
+		return 0
+	case e.trial:
+		return min(e.allowance, 1)
+	default:
+		return min(e.allowance, max(1, int(math.Round(e.limit))))
+	}
+}
+
+// Pick takes a slot of the target with the least load relative to its limit and speed. It
+// passes over the target named avoid if there is another one, and keeps requests that may
+// not be repeated from targets on trial likewise. It returns false if there is no free slot.
+func (t *Table) Pick(now time.Time, avoid string, repeatable bool) (platform.Instance, bool) {
+	var best *target
+	bestScore := math.Inf(1)
+	ties := 0
+	for _, e := range t.order {
+		if e.inUse >= e.slots(now) {
+			continue
+		}
+		score := e.score()
+		if e.instance.ID == avoid || (e.trial && !repeatable) {
+			score += avoidPenalty
+		}
+		switch {
+		case score < bestScore:
+			best, bestScore, ties = e, score, 1
+		case score == bestScore:
+			// Equal targets are chosen at random, so that instances do not all pick the first.
+			ties++
+			if t.random.IntN(ties) == 0 {
+				best = e
+			}
+		}
+	}
+	if best == nil {
+		return platform.Instance{}, false
+	}
+	best.inUse++
+	return best.instance, true
+}
+
+// avoidPenalty exceeds all scores of loaded targets.
+const avoidPenalty = 1e6
+
+func (e *target) score() float64 {
+	return float64(e.inUse+1) / float64(Slots(e.instance)) * e.slowdown
+}
+
+// Finish gives the slot of an attempt back and learns from the result. It reports whether
+// the target was taken out because of it.
+func (t *Table) Finish(now time.Time, id string, r Result) (ejected bool) {
+	e, known := t.targets[id]
+	if !known {
+		return false
+	}
+	e.inUse--
+	switch r.Verdict {
+	case Answered:
+		t.answered(e, r)
+	case Failed, ErrorAnswer:
+		ejected = t.failed(now, e, r)
+	case Refused:
+		e.limit = max(1, e.limit*limitDecrease)
+	case Abandoned:
+	}
+	return ejected
+}
+
+func (t *Table) answered(e *target, r Result) {
+	e.failures, e.distinct, e.caller = 0, false, 0
+	if e.trial {
+		e.trial = false
+		e.ejections = max(0, e.ejections-1)
+		// A returned target starts small, since it may have lost its caches.
+		e.limit = max(1, float64(Slots(e.instance))/2)
+	}
+	if r.Expected > 0 {
+		e.observe(r.Held.Seconds() / r.Expected.Seconds())
+	}
+	if e.samples >= minSlowdownSamples && e.slowdown > slowAt*t.medianSlowdown() {
+		e.limit = max(1, e.limit*limitDecrease)
+		return
+	}
+	e.limit = min(float64(Slots(e.instance)), e.limit+limitIncrease)
+}
+
+func (e *target) observe(slowdown float64) {
+	e.samples++
+	e.slowdown += slowdownGain * (slowdown - e.slowdown)
+}
+
+func (t *Table) medianSlowdown() float64 {
+	values := make([]float64, 0, len(t.order))
+	for _, e := range t.order {
+		if e.samples >= minSlowdownSamples {
+			values = append(values, e.slowdown)
+		}
+	}
+	if len(values) == 0 {
+		return 1
+	}
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
+// failed counts a failure. Error answers count only when they hit more than one caller, so
+// that a caller whose requests always fail cannot take targets out.
+func (t *Table) failed(now time.Time, e *target, r Result) (ejected bool) {
+	e.observe(failurePenalty)
+	if e.caller != 0 && e.caller != r.Caller {
+		e.distinct = true
+	}
+	e.caller = r.Caller
+	e.failures++
+	if r.Verdict == ErrorAnswer && !e.distinct {
+		return false
+	}
+	if now.Before(e.outUntil) || (!e.trial && e.failures < t.policy.EjectAfterFailures) {
+		return false
+	}
+	factor := min(math.Pow(2, float64(e.ejections)), maxEjectFactor)
+	jitter := 1 + ejectJitter*(2*t.random.Float64()-1)
+	out := time.Duration(t.policy.EjectSeconds * factor * jitter * float64(time.Second))
+	e.ejections++
+	e.outUntil = now.Add(out)
+	e.trial = true
+	e.failures = 0
+	return true
+}
+
+// FirstAttempt adds the share of one first attempt to the retry budget.
+func (t *Table) FirstAttempt() {
+	t.tokens = min(t.tokens+t.policy.RetryBudget, retryBurst)
+}
+
+// TakeRetry takes one retry from the budget and reports whether there was one. The budget
+// starts empty, so retries never exceed the policy's share of first attempts.
+func (t *Table) TakeRetry() bool {
+	if t.tokens < 1 {
+		return false
+	}
+	t.tokens--
+	return true
+}
+
+// Backoff returns the wait before the given retry, counted from 1.
+func (t *Table) Backoff(retry int) time.Duration {
+	bound := min(backoffBase<<min(retry, 10), backoffMax)
+	return time.Duration(t.random.Int64N(int64(bound)))
+}
+
+// TargetState describes a target for metrics and for operators.
+type TargetState struct {
+	ID       string
+	InUse    int
+	Slots    int
+	Slowdown float64
+	Out      bool
+	Leaving  bool
+}
+
+// States returns the state of each target, by id.
+func (t *Table) States(now time.Time) []TargetState {
+	states := make([]TargetState, len(t.order))
+	for i, e := range t.order {
+		states[i] = TargetState{
+			ID: e.instance.ID, InUse: e.inUse, Slots: e.slots(now),
+			Slowdown: e.slowdown, Out: now.Before(e.outUntil), Leaving: e.leaving,
+		}
+	}
+	return states
+}
--- /dev/null
+++ b/internal/gateway/follow.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/membership"
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+	"github.com/oleanderbend/oleanderbend/internal/state"
+	"github.com/oleanderbend/oleanderbend/internal/timeline"
+)
+
+// follow keeps the target list, the policy and the news of peers current.
+func (g *Gateway) follow(ctx context.Context) error {
+	poll := time.NewTicker(listPeriod)
+	defer poll.Stop()
+	for {
+		members, changed := g.cfg.View.Changed(), g.cfg.State.Changed()
+		g.readState()
+		g.readMembers()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-poll.C:
+			g.pollInstances(ctx)
+		case <-members:
+		case <-changed:
+		}
+	}
+}
+
+func (g *Gateway) tick(ctx context.Context) error {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			g.core.pump()
+		}
+	}
+}
+
+// pollInstances reads the platform's list. On an error the last list stays in force.
+func (g *Gateway) pollInstances(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, 4*listPeriod)
+	defer cancel()
+	list, err := g.cfg.Instances.List(ctx)
+	if err != nil {
+		g.log.Warn().Err(err).Msg("instance-list-failed")
+		return
+	}
+	g.core.mu.Lock()
+	leaving := g.core.table.Update(list)
+	g.core.pumpLocked(g.now())
+	g.core.mu.Unlock()
+	for _, id := range leaving {
+		g.targetLeaves(id, "platform-list")
+	}
+}
+
+// noticeLeaving handles a target's own announcement that it leaves.
+func (g *Gateway) noticeLeaving(id string) {
+	g.core.mu.Lock()
+	news := g.core.table.MarkLeaving(id)
+	g.core.mu.Unlock()
+	if news {
+		g.targetLeaves(id, "target-header")
+	}
+}
+
+// targetLeaves tells the other instances.
+func (g *Gateway) targetLeaves(id, source string) {
+	g.event(timeline.TypeDecision, "target-leaving", "", id+" "+source)
+	g.log.Info().Str("target", id).Str("source", source).Msg("target-leaving")
+	g.cfg.View.Publish(func(info *membership.Info) {
+		if slices.Contains(info.LeavingTargets, id) {
+			return
+		}
+		ids := append(slices.Clone(info.LeavingTargets), id)
+		info.LeavingTargets = ids[max(0, len(ids)-maxPublishedLeaving):]
+	})
+}
+
+func (g *Gateway) readMembers() {
+	g.core.mu.Lock()
+	defer g.core.mu.Unlock()
+	for _, m := range g.cfg.View.Members() {
+		for _, id := range m.Info.LeavingTargets {
+			g.core.table.MarkLeaving(id)
+		}
+	}
+}
+
+// readState puts the policy and the weights of organisations in force.
+func (g *Gateway) readState() {
+	policy := resource.PolicySpec{}
+	weights := make(map[string]float64)
+	g.cfg.State.Read(func(s *state.State) {
+		if p, found := s.Policies[resource.DefaultPolicyName]; found {
+			policy = p.Spec
+		}
+		for name, org := range s.Organisations {
+			weights[name] = org.Spec.Weight
+		}
+	})
+	g.core.mu.Lock()
+	defer g.core.mu.Unlock()
+	g.core.queue.SetPolicy(policy.Admission)
+	g.core.queue.SetOrganisationWeights(weights)
+	g.core.table.SetPolicy(policy.Dispatch)
+}
--- /dev/null
+++ b/internal/gateway/forward.go
@@ -0,0 +1,282 @@
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/dispatch"
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+	"github.com/oleanderbend/oleanderbend/internal/timeline"
+)
+
+// attemptResult is the end of one attempt.
+type attemptResult struct {
+	verdict dispatch.Verdict
+	// sent is true if the target may have started the request.
+	sent bool
+	// leaving is true if the target announced that it leaves.
+	leaving bool
+	// done is true if the exchange is over: the answer was forwarded or the caller is gone.
+	done bool
+	// problem is the answer if the attempt failed and is not repeated.
+	problem problem
+}
+
+const copyBufferBytes = 32 << 10
+
+var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
+
+// attempt sends the request to a target once and forwards the answer.
+func (x *exchange) attempt(d decision) attemptResult {
+	x.attempts++
+	x.g.metrics.attempts.Inc()
+	if x.attempts == 1 {
+		x.g.core.mu.Lock()
+		x.g.core.table.FirstAttempt()
+		x.g.core.mu.Unlock()
+	}
+	ctx, cancel := context.WithCancelCause(x.r.Context())
+	defer cancel(nil)
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	// The deadline covers the wait for the head of the answer; a long answer may stream on.
+	late := time.AfterFunc(x.ticket.request.Deadline.Sub(x.g.now()), func() { cancel(errAnswerLate) })
+	defer late.Stop()
+	wireID := x.info.id + "." + attemptSuffix()
+	req := x.outgoing(ctx, d.target, wireID)
+	defer req.Body.Close()
+	resp, err := x.g.cfg.Targets.RoundTrip(d.target, req)
+	if err != nil {
+		return x.roundTripFailed(ctx, err, connected.Load())
+	}
+	defer resp.Body.Close()
+	if !late.Stop() {
+		return attemptResult{verdict: dispatch.Failed, sent: true, problem: lateProblem()}
+	}
+	return x.answer(resp, wireID)
+}
+
+var errAnswerLate = errors.New("gateway: no answer before the deadline")
+
+// attemptSuffix makes the request id on the wire unique to one attempt, so that the answer
+// to an earlier attempt, or to another request with the same id, is never taken for its own.
+func attemptSuffix() string {
+	var random [6]byte
+	_, _ = rand.Read(random[:])
+	return hex.EncodeToString(random[:])
+}
+
+func (x *exchange) outgoing(ctx context.Context, target platform.Instance, wireID string) *http.Request {
+	in := x.r
+	req := (&http.Request{
+		Method:        in.Method,
+		URL:           &url.URL{Scheme: "http", Host: target.Addr, Path: in.URL.Path, RawPath: in.URL.RawPath, RawQuery: in.URL.RawQuery},
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        in.Header.Clone(),
+		Host:          in.Host,
+		ContentLength: in.ContentLength,
+		Body:          x.body.view(),
+	}).WithContext(ctx)
+	removeHopHeaders(req.Header)
+	req.Header.Del("Expect")
+	req.Header.Set(platform.HeaderRequestID, wireID)
+	if host, _, err := net.SplitHostPort(in.RemoteAddr); err == nil {
+		req.Header.Set("X-Forwarded-For", host)
+	}
+	if _, given := req.Header["Accept-Encoding"]; !given {
+		// Without this, net/http asks for gzip and decodes it, which changes the answer.
+		req.Header.Set("Accept-Encoding", "identity")
+	}
+	if _, given := req.Header["User-Agent"]; !given {
+		req.Header["User-Agent"] = nil
+	}
+	return req
+}
+
+func lateProblem() problem {
+	return problem{
+		outcome: outcomeUnknown, status: http.StatusGatewayTimeout,
+		reason: reasonLate, detail: "the target did not answer before the deadline",
+	}
+}
+
+// roundTripFailed classifies an attempt without an answer. It counts as not sent only if no
+// connection was obtained and the error says that there was none.
+func (x *exchange) roundTripFailed(ctx context.Context, err error, connected bool) attemptResult {
+	sent := connected || !certainlyUnsent(err)
+	if x.r.Context().Err() != nil {
+		reason := outcomeUnknown
+		if !sent && !x.sent {
+			reason = outcomeNotRun
+			x.releaseKey()
+		}
+		return attemptResult{verdict: dispatch.Abandoned, sent: sent, done: true, problem: problem{outcome: reason, reason: reasonCallerLeft}}
+	}
+	if x.body.failed.Load() {
+		return attemptResult{verdict: dispatch.Abandoned, sent: sent, problem: x.bodyProblem()}
+	}
+	if errors.Is(context.Cause(ctx), errAnswerLate) {
+		return attemptResult{verdict: dispatch.Failed, sent: sent, problem: lateProblem()}
+	}
+	p := problem{outcome: outcomeUnknown, status: http.StatusBadGateway, reason: reasonFailed, detail: "the target failed before it answered"}
+	if !sent {
+		p = problem{outcome: outcomeNotRun, status: http.StatusServiceUnavailable, reason: reasonUnreachable, detail: "no target could be reached"}
+	}
+	return attemptResult{verdict: dispatch.Failed, sent: sent, problem: p}
+}
+
+func (x *exchange) bodyProblem() problem {
+	x.body.mu.Lock()
+	tooLarge := errors.Is(x.body.err, errBodyTooLarge)
+	x.body.mu.Unlock()
+	p := problem{outcome: outcomeUnknown, status: http.StatusBadGateway, reason: reasonFailed, detail: "the request body could not be read"}
+	if tooLarge {
+		p.reason, p.detail = reasonBodyTooLarge, "the request body exceeds the limit"
+	}
+	return p
+}
+
+func certainlyUnsent(err error) bool {
+	var op *net.OpError
+	return errors.Is(err, platform.ErrUnavailable) || (errors.As(err, &op) && op.Op == "dial")
+}
+
+// answer checks the head of an answer and forwards it.
+func (x *exchange) answer(resp *http.Response, wireID string) attemptResult {
+	result := attemptResult{sent: true, leaving: resp.Header.Get(platform.HeaderLeaving) == "true"}
+	if resp.Header.Get(platform.HeaderRequestID) != wireID {
+		result.verdict = dispatch.Failed
+		result.problem = problem{
+			outcome: outcomeUnknown, status: http.StatusBadGateway,
+			reason: reasonWrongAnswer, detail: "the target answered another request",
+		}
+		return result
+	}
+	if resp.Header.Get(platform.HeaderNotStarted) == "true" {
+		result.sent = false
+		result.verdict = dispatch.Refused
+		result.problem = problem{reason: reasonNotStarted, detail: "the target did not start the request", status: http.StatusServiceUnavailable}
+		return result
+	}
+	if !lengthKnown(resp) {
+		result.verdict = dispatch.Failed
+		result.problem = problem{
+			outcome: outcomeUnknown, status: http.StatusBadGateway,
+			reason: reasonNoLength, detail: "the answer does not state where it ends",
+		}
+		return result
+	}
+	result.done = true
+	x.forward(resp, &result)
+	return result
+}
+
+// lengthKnown reports whether a cut of the answer can be noticed. An answer that ends with
+// its connection looks whole when it is cut.
+func lengthKnown(resp *http.Response) bool {
+	if resp.ContentLength >= 0 || resp.Request != nil && resp.Request.Method == http.MethodHead {
+		return true
+	}
+	for _, coding := range resp.TransferEncoding {
+		if coding == "chunked" {
+			return true
+		}
+	}
+	return resp.ProtoMajor >= 2
+}
+
+// forward streams an answer to the caller. An answer that is cut aborts the caller's
+// connection, which is done by abortExchange after the accounts are settled.
+func (x *exchange) forward(resp *http.Response, result *attemptResult) {
+	h := x.w.Header()
+	for name, values := range resp.Header {
+		h[name] = values
+	}
+	removeHopHeaders(h)
+	h.Del(platform.HeaderLeaving)
+	h.Set(platform.HeaderRequestID, x.info.id)
+	h.Set(platform.HeaderOutcome, string(outcomeAnswer))
+	if x.g.draining.Load() {
+		h.Set("Connection", "close")
+	}
+	announceTrailers(h, resp)
+	if !x.body.complete.Load() {
+		// Without this, the server reads the rest of the request before it sends the answer.
+		_ = x.control.EnableFullDuplex()
+	}
+	x.w.WriteHeader(resp.StatusCode)
+	readErr, writeErr := x.copyBody(resp)
+	switch {
+	case writeErr != nil:
+		result.verdict = dispatch.Abandoned
+		result.problem = problem{outcome: outcomeUnknown, reason: reasonCallerLeft}
+	case readErr != nil && x.r.Context().Err() != nil:
+		result.verdict = dispatch.Abandoned
+		result.problem = problem{outcome: outcomeUnknown, reason: reasonCallerLeft}
+	case readErr != nil:
+		result.verdict = dispatch.Failed
+		result.problem = problem{outcome: outcomeUnknown, reason: reasonCut}
+		x.g.event(timeline.TypeFault, "answer-cut", x.info.id, readErr.Error())
+	default:
+		copyTrailers(h, resp)
+		result.problem = problem{outcome: outcomeAnswer}
+		result.verdict = dispatch.Answered
+		if resp.StatusCode >= http.StatusInternalServerError {
+			result.verdict = dispatch.ErrorAnswer
+		}
+	}
+}
+
+func announceTrailers(h http.Header, resp *http.Response) {
+	for name := range resp.Trailer {
+		h.Add("Trailer", name)
+	}
+}
+
+func copyTrailers(h http.Header, resp *http.Response) {
+	for name, values := range resp.Trailer {
+		h[name] = values
+	}
+}
+
+// copyBody streams the body and flushes each part that is not the last.
+func (x *exchange) copyBody(resp *http.Response) (readErr, writeErr error) {
+	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
+	defer copyBuffers.Put(buffer)
+	left := resp.ContentLength
+	for {
+		n, err := resp.Body.Read(buffer[:])
+		if n > 0 {
+			left -= int64(n)
+			_ = x.control.SetWriteDeadline(time.Now().Add(x.g.limits.WriteIdle))
+			if _, writeErr := x.w.Write(buffer[:n]); writeErr != nil {
+				return nil, writeErr
+			}
+			if left != 0 {
+				if writeErr := x.control.Flush(); writeErr != nil {
+					return nil, writeErr
+				}
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil, nil
+		}
+		if err != nil {
+			return err, nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,203 @@
+// Package gateway forwards the requests of callers to targets. It admits, dispatches,
+// streams both ways and accounts for each request with exactly one outcome.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/oleanderbend/oleanderbend/internal/admission"
+	"github.com/oleanderbend/oleanderbend/internal/dispatch"
+	"github.com/oleanderbend/oleanderbend/internal/kernel"
+	"github.com/oleanderbend/oleanderbend/internal/membership"
+	"github.com/oleanderbend/oleanderbend/internal/timeline"
+)
+
+// Name is the kernel name of the service.
+const Name = "gateway"
+
+const (
+	// listPeriod is the period of polls of the platform's instance list. With the spread by
+	// probes it keeps new work from a leaving target within 2 s.
+	listPeriod = 500 * time.Millisecond
+	// tickPeriod is the period of expiry of queued requests and of the return of targets.
+	tickPeriod = 100 * time.Millisecond
+	// drainGrace is the time between the first answers with "Connection: close" and the
+	// closing of idle connections, so that callers open their next connection elsewhere.
+	drainGrace = 200 * time.Millisecond
+	// maxPublishedLeaving bounds the ids of leaving targets in probes.
+	maxPublishedLeaving = 64
+)
+
+// Gateway is the request path of one instance.
+type Gateway struct {
+	cfg      Config
+	limits   Limits
+	now      func() time.Time
+	core     *core
+	metrics  *gatewayMetrics
+	log      *log.Logger
+	kernel   *kernel.Kernel
+	server   *http.Server
+	listener net.Listener
+	draining atomic.Bool
+}
+
+// New returns a gateway. Its settings are checked by Provision.
+func New(cfg Config) *Gateway {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Seed == 0 {
+		cfg.Seed = rand.Uint64()
+	}
+	if cfg.Logger == nil {
+		cfg.Logger = &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: discard{}}}
+	}
+	g := &Gateway{cfg: cfg, limits: cfg.Limits.withDefaults(), now: cfg.Now, metrics: newMetrics(), log: cfg.Logger}
+	g.core = &core{
+		now:   cfg.Now,
+		queue: admission.New(cfg.Seed),
+		table: dispatch.New(cfg.Seed, nil),
+	}
+	g.metrics.gauges(g.core)
+	return g
+}
+
+type discard struct{}
+
+// Write implements io.Writer.
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// Metrics returns the metrics of the gateway.
+func (g *Gateway) Metrics() *metrics.Set { return g.metrics.set }
+
+// Addr returns the address of the caller listener after Start.
+func (g *Gateway) Addr() string { return g.listener.Addr().String() }
+
+// Provision implements kernel.Service. It returns ErrConfig for a missing dependency.
+func (g *Gateway) Provision(k *kernel.Kernel) error {
+	g.kernel = k
+	return g.cfg.check()
+}
+
+// Start implements kernel.Service. It listens for callers.
+func (g *Gateway) Start(ctx context.Context) error {
+	listener, err := net.Listen("tcp", g.cfg.Addr)
+	if err != nil {
+		return eris.Wrap(err, "listen for callers")
+	}
+	g.listener = newLimitedListener(listener, g.limits, g.metrics.refused.Inc)
+	g.server = &http.Server{
+		Handler:           g,
+		TLSConfig:         g.cfg.TLS,
+		ReadHeaderTimeout: g.limits.HeaderTimeout,
+		IdleTimeout:       g.limits.KeepAliveIdle,
+		MaxHeaderBytes:    g.limits.HeaderBytes,
+		ErrorLog:          nil,
+	}
+	g.readState()
+	g.pollInstances(ctx)
+	g.kernel.Go(Name, "serve", g.serve)
+	g.kernel.Go(Name, "follow", g.follow)
+	g.kernel.Go(Name, "tick", g.tick)
+	g.log.Info().Str("addr", g.Addr()).Msg("gateway-started")
+	return nil
+}
+
+func (g *Gateway) serve(context.Context) error {
+	var err error
+	if g.cfg.TLS != nil {
+		err = g.server.ServeTLS(g.listener, "", "")
+	} else {
+		err = g.server.Serve(g.listener)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return eris.Wrap(err, "serve callers")
+}
+
+// Stop implements kernel.Service. It stops accepting and waits for all requests in progress.
+// It returns the context's error if they did not end in time; they are then cut.
+func (g *Gateway) Stop(ctx context.Context) error {
+	g.draining.Store(true)
+	g.event(timeline.TypeShutdown, "gateway-draining", "", "")
+	g.cfg.View.Publish(func(info *membership.Info) { info.Draining = true })
+	sleep(ctx, drainGrace)
+	err := g.server.Shutdown(ctx)
+	if err != nil {
+		_ = g.server.Close()
+		return eris.Wrap(err, "requests in progress were cut")
+	}
+	g.event(timeline.TypeShutdown, "gateway-stopped", "", "")
+	return nil
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	started := g.now()
+	g.metrics.received.Inc()
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	o, reason := g.serveExchange(w, r)
+	g.metrics.ended(o, reason)
+	g.metrics.duration.Update(g.now().Sub(started).Seconds())
+	if reason == reasonCut || reason == reasonCallerLeft {
+		// A cut answer must not look whole to the caller.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (g *Gateway) serveExchange(w http.ResponseWriter, r *http.Request) (outcome, string) {
+	if p := g.checkRequest(r); p != nil {
+		p.write(w, "")
+		return p.outcome, p.reason
+	}
+	info, err := parseInfo(r.Method, r.Header)
+	if err != nil {
+		p := problem{outcome: outcomeNotRun, status: http.StatusBadRequest, reason: reasonInvalid, detail: err.Error()}
+		p.write(w, "")
+		return p.outcome, p.reason
+	}
+	x := newExchange(g, w, r, info)
+	o, reason := x.run()
+	if o != outcomeAnswer {
+		g.log.Info().Str("request", info.id).Str("organisation", info.flow.Organisation).Str("caller", info.flow.Caller).
+			Str("kind", info.flow.Kind).Str("outcome", string(o)).Str("reason", reason).Int("attempts", x.attempts).Msg("request-ended")
+	}
+	return o, reason
+}
+
+func (g *Gateway) checkRequest(r *http.Request) *problem {
+	switch {
+	case strings.HasPrefix(r.URL.Path, "/-/") || r.Method == http.MethodConnect:
+		return &problem{outcome: outcomeNotRun, status: http.StatusNotFound, reason: reasonNotFound, detail: "this path is not forwarded"}
+	case r.ContentLength > g.limits.BodyBytes:
+		return &problem{outcome: outcomeNotRun, status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge, detail: "the request body exceeds the limit"}
+	default:
+		return nil
+	}
+}
+
+// event records an event of the timeline.
+func (g *Gateway) event(kind timeline.Type, name, request, reason string) {
+	g.cfg.Recorder.Record(timeline.Event{Type: kind, Name: name, Request: request, Reason: reason})
+}
+
+// claimKey is the place of the claim of an idempotency key.
+func (g *Gateway) claimKey(context.Context, requestInfo) *problem { return nil }
+
+// releaseKey gives a claim back.
+func (g *Gateway) releaseKey(requestInfo) {}
--- /dev/null
+++ b/internal/gateway/listener.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"net"
+	"sync"
+)
+
+// limitedListener closes connections beyond the limits as soon as they are accepted, so that
+// waiting connections do not hold back those of other callers.
+type limitedListener struct {
+	net.Listener
+	limits Limits
+	refuse func()
+
+	mu        sync.Mutex
+	open      int
+	byAddress map[string]int
+}
+
+func newLimitedListener(inner net.Listener, limits Limits, refuse func()) *limitedListener {
+	return &limitedListener{Listener: inner, limits: limits, refuse: refuse, byAddress: make(map[string]int)}
+}
+
+// Accept implements net.Listener.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		address := remoteIP(conn)
+		if l.take(address) {
+			return &limitedConn{Conn: conn, release: sync.OnceFunc(func() { l.give(address) })}, nil
+		}
+		l.refuse()
+		_ = conn.Close()
+	}
+}
+
+func remoteIP(conn net.Conn) string {
+	host, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+	if err != nil {
+		return ""
+	}
+	return host
+}
+
+func (l *limitedListener) take(address string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open >= l.limits.Connections || l.byAddress[address] >= l.limits.ConnectionsPerAddress {
+		return false
+	}
+	l.open++
+	l.byAddress[address]++
+	return true
+}
+
+func (l *limitedListener) give(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open--
+	l.byAddress[address]--
+	if l.byAddress[address] == 0 {
+		delete(l.byAddress, address)
+	}
+}
+
+type limitedConn struct {
+	net.Conn
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.release()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/gateway/problem.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+)
+
+// outcome is the value of the outcome header.
+type outcome string
+
+// The three outcomes of a request.
+const (
+	outcomeAnswer  outcome = "answer"
+	outcomeNotRun  outcome = "not-run"
+	outcomeUnknown outcome = "unknown"
+)
+
+// problem is an answer made by the gateway itself, in the form of RFC 9457.
+type problem struct {
+	outcome    outcome
+	status     int
+	reason     string
+	detail     string
+	retryAfter time.Duration
+}
+
+type problemBody struct {
+	Type      string `json:"type"`
+	Title     string `json:"title"`
+	Status    int    `json:"status"`
+	Detail    string `json:"detail,omitempty"`
+	Reason    string `json:"reason"`
+	Outcome   string `json:"outcome"`
+	RequestID string `json:"requestId,omitempty"`
+}
+
+// Reasons of problems, used in problem bodies, log lines and the timeline.
+const (
+	reasonInvalid      = "invalid-request"
+	reasonBodyTooLarge = "body-too-large"
+	reasonQueueFull    = "queue-full"
+	reasonDeadline     = "deadline"
+	reasonNoTarget     = "no-target"
+	reasonUnreachable  = "target-unreachable"
+	reasonNotStarted   = "target-refused"
+	reasonFailed       = "target-failed"
+	reasonWrongAnswer  = "wrong-request-id"
+	reasonNoLength     = "answer-without-length"
+	reasonLate         = "answer-late"
+	reasonKeyUsed      = "key-used"
+	reasonKeyUnknown   = "key-not-vouched"
+	reasonCallerLeft   = "caller-left"
+	reasonCut          = "answer-cut"
+	reasonNotFound     = "not-found"
+)
+
+func (p problem) write(w http.ResponseWriter, requestID string) {
+	h := w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	h.Set(platform.HeaderOutcome, string(p.outcome))
+	if requestID != "" {
+		h.Set(platform.HeaderRequestID, requestID)
+	}
+	if p.retryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(p.retryAfter.Seconds()))))
+	}
+	body, err := json.Marshal(problemBody{
+		Type: "about:blank", Title: http.StatusText(p.status), Status: p.status,
+		Detail: p.detail, Reason: p.reason, Outcome: string(p.outcome), RequestID: requestID,
+	})
+	if err != nil {
+		body = nil
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(p.status)
+	_, _ = w.Write(body)
+}
