Divide slots of targets among instances by owners' grants

Each target has one owner by rendezvous hash over the settings, which lends slots by demand. Without the owner's reply an instance uses a base share; base shares sum to the target's slots, so no agreed view is needed for the limit.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -114,8 +114,8 @@
 	q.reweigh()
 }
 
-// SetSpread sets the part of each flow's demand over all instances that is queued here. A
-// flow that is not named counts as whole. Shares are scaled by it, so that a caller gains
+// SetSpread sets the part of the demand over all instances that is at this one, by flow and,
+// with empty caller or kind, by kind and by organisation. What is not named counts as whole. Shares are scaled by it, so that a caller gains
 // nothing by spreading over instances.
 func (q *Queue) SetSpread(spread map[Flow]float64) {
 	q.spread = spread
--- a/internal/admission/node.go
+++ b/internal/admission/node.go
@@ -80,13 +80,10 @@
 func (q *Queue) weigh(n *node) {
 	switch {
 	case n.parent == q.root:
-		n.weight = weightOr1(q.orgWeights, n.key)
+		n.weight = weightOr1(q.orgWeights, n.key) * weightOr1(q.spread, Flow{Organisation: n.key})
 	case n.parent.parent == q.root:
-		n.weight = weightOr1(q.policy.KindWeights, n.key)
+		n.weight = weightOr1(q.policy.KindWeights, n.key) * weightOr1(q.spread, Flow{Organisation: n.parent.key, Kind: n.key})
 	default:
-		n.weight = 1
-	}
-	if n.isLeaf() {
 		n.weight = weightOr1(q.spread, n.flow)
 	}
 }
--- /dev/null
+++ b/internal/dispatch/fair.go
@@ -0,0 +1,154 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/admission"
+)
+
+// fairSlots returns how many of all slots the live instances should have so that each flow
+// gets its fair share over all instances. Demand of flows that were not reported counts as
+// flows of their instance.
+func (l *Lender) fairSlots(now time.Time, live []string) map[string]float64 {
+	demand := l.demandByFlow(live)
+	flows := make([]admission.Flow, 0, len(demand))
+	for f := range demand {
+		flows = append(flows, f)
+	}
+	slices.SortFunc(flows, compareFlows)
+	shares := make(map[admission.Flow]float64, len(flows))
+	l.fill(flows, demand, float64(l.allSlots), levelOrganisation, shares)
+	result := make(map[string]float64, len(live))
+	for _, f := range flows {
+		total := demand[f].total
+		for _, id := range live {
+			if d := demand[f].at[id]; d > 0 {
+				result[id] += shares[f] * d / total
+			}
+		}
+	}
+	return result
+}
+
+type flowDemands struct {
+	total float64
+	at    map[string]float64
+}
+
+func (l *Lender) demandByFlow(live []string) map[admission.Flow]*flowDemands {
+	demand := make(map[admission.Flow]*flowDemands)
+	add := func(f admission.Flow, id string, amount float64) {
+		d := demand[f]
+		if d == nil {
+			d = &flowDemands{at: make(map[string]float64)}
+			demand[f] = d
+		}
+		d.total += amount
+		d.at[id] += amount
+	}
+	for _, id := range live {
+		report := l.borrowers[id].report
+		rest := report.Demand
+		for _, f := range report.Flows {
+			add(f.Flow, id, float64(f.Demand))
+			rest -= f.Demand
+		}
+		if rest > 0 {
+			add(admission.Flow{Caller: id}, id, float64(rest))
+		}
+	}
+	return demand
+}
+
+// Levels of the tree of flows.
+const (
+	levelOrganisation = iota
+	levelKind
+	levelCaller
+	levelFlow
+)
+
+func levelKey(f admission.Flow, level int) string {
+	switch level {
+	case levelOrganisation:
+		return f.Organisation
+	case levelKind:
+		return f.Kind
+	default:
+		return f.Caller
+	}
+}
+
+type group struct {
+	flows  []admission.Flow
+	demand float64
+	weight float64
+}
+
+// fill divides slots among sorted flows by weighted max-min fairness, level by level.
+func (l *Lender) fill(flows []admission.Flow, demand map[admission.Flow]*flowDemands, slots float64, level int, shares map[admission.Flow]float64) {
+	if level == levelFlow {
+		shares[flows[0]] = min(slots, demand[flows[0]].total)
+		return
+	}
+	var groups []group
+	for _, f := range flows {
+		last := len(groups) - 1
+		if last < 0 || levelKey(groups[last].flows[0], level) != levelKey(f, level) {
+			groups = append(groups, group{weight: l.weight(f, level)})
+			last++
+		}
+		groups[last].flows = append(groups[last].flows, f)
+		groups[last].demand += demand[f].total
+	}
+	// Groups with the least demand for their weight are satisfied first.
+	slices.SortStableFunc(groups, func(a, b group) int { return cmp.Compare(a.demand/a.weight, b.demand/b.weight) })
+	weights := 0.0
+	for _, g := range groups {
+		weights += g.weight
+	}
+	for _, g := range groups {
+		given := min(g.demand, slots*g.weight/weights)
+		l.fill(g.flows, demand, given, level+1, shares)
+		slots -= given
+		weights -= g.weight
+	}
+}
+
+func (l *Lender) weight(f admission.Flow, level int) float64 {
+	if w := l.weights[f.Organisation]; level == levelOrganisation && w > 0 {
+		return w
+	}
+	return 1
+}
+
+// spread returns the part of the demand of each reported flow, and of its organisation and
+// kind, that is at the reporting instance. Whole parts are left out.
+func (l *Lender) spread(now time.Time, report SlotReport) []FlowSpread {
+	here := make(map[admission.Flow]int)
+	addLevels(here, report.Flows)
+	all := make(map[admission.Flow]int)
+	for _, id := range l.instances {
+		if l.live(now, id) {
+			addLevels(all, l.borrowers[id].report.Flows)
+		}
+	}
+	var result []FlowSpread
+	for f, d := range here {
+		if all[f] > d {
+			result = append(result, FlowSpread{Flow: f, Part: float64(d) / float64(all[f])})
+		}
+	}
+	slices.SortFunc(result, func(a, b FlowSpread) int { return compareFlows(a.Flow, b.Flow) })
+	return result
+}
+
+func addLevels(sums map[admission.Flow]int, flows []FlowDemand) {
+	for _, f := range flows {
+		sums[f.Flow] += f.Demand
+		sums[admission.Flow{Organisation: f.Flow.Organisation, Kind: f.Flow.Kind}] += f.Demand
+		sums[admission.Flow{Organisation: f.Flow.Organisation}] += f.Demand
+	}
+}
--- /dev/null
+++ b/internal/dispatch/slots.go
@@ -0,0 +1,393 @@
+package dispatch
+
+import (
+	"cmp"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/oleanderbend/oleanderbend/internal/admission"
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+)
+
+// Each target has one owner among the instances in the settings. The owner lends the slots of
+// its targets to the instances by demand. Without a reply of the owner, an instance uses its
+// base share, which sums to the target's slots over all instances, so that no limit is
+// exceeded while the owner is silent and no view needs to be agreed on.
+const (
+	// GrantTTL is how long slots beyond the base share may be used, from the sending of the
+	// report that they answer.
+	GrantTTL = 1500 * time.Millisecond
+	// yieldTTL is how long an instance keeps to a grant below its base share, from the receipt
+	// of the reply. Slots of a yielded base share are lent only while yieldTTL-GrantTTL has
+	// not passed, so the borrower's right ends before the lender's returns.
+	yieldTTL = 3500 * time.Millisecond
+	// BusyReportPeriod and IdleReportPeriod are the periods of reports to owners.
+	BusyReportPeriod = 250 * time.Millisecond
+	IdleReportPeriod = time.Second
+	// floorShare is the part of its equal share that each live instance keeps without demand,
+	// so that the first requests of a small caller need not wait for a grant.
+	floorShare = 0.25
+	// maxReportedFlows bounds the size of a report.
+	maxReportedFlows = 64
+	// maxUnconfirmed bounds the replies that the owner remembers for one instance.
+	maxUnconfirmed = 8
+)
+
+// ErrOwnerStarting means that the owner does not know yet what its predecessor lent.
+var ErrOwnerStarting = errors.New("dispatch: owner is starting")
+
+// FlowDemand is the number of requests, queued and in progress, of one flow at one instance.
+type FlowDemand struct {
+	Flow   admission.Flow
+	Demand int
+}
+
+// SlotReport tells the owner what an instance uses and wants.
+type SlotReport struct {
+	Instance string
+	// Confirmed is the sequence number of the last reply that the instance applies.
+	Confirmed uint64
+	// InUse has the requests in progress at the owner's targets.
+	InUse map[string]int
+	// Demand is the number of requests queued and in progress at the instance.
+	Demand int
+	// Flows has the flows with the highest demand. It is empty without a queue.
+	Flows []FlowDemand
+}
+
+// SlotReply grants slots until GrantTTL has passed from the sending of the report.
+type SlotReply struct {
+	Sequence uint64
+	Slots    map[string]int
+	// Spread is the part of each reported flow's demand that is at the reporting instance.
+	// Entries without caller, or without kind and caller, are for the levels above.
+	Spread []FlowSpread
+}
+
+// FlowSpread is the part of a flow's demand over all instances that is at one of them.
+type FlowSpread struct {
+	Flow admission.Flow
+	Part float64
+}
+
+func rendezvous(key, instance string) uint64 {
+	return xxhash.Sum64String(key + "\x00" + instance)
+}
+
+// Ranked returns the instances by rendezvous hash of a key, highest first.
+func Ranked(key string, instances []string) []string {
+	ranked := slices.Clone(instances)
+	slices.SortFunc(ranked, func(a, b string) int {
+		return cmp.Or(cmp.Compare(rendezvous(key, b), rendezvous(key, a)), cmp.Compare(a, b))
+	})
+	return ranked
+}
+
+// Owner returns the instance that lends the slots of a target.
+func Owner(target string, instances []string) string { return Ranked(target, instances)[0] }
+
+// BaseShare returns the slots of a target that an instance may use without a grant. It sums
+// to the target's slots over all instances.
+func BaseShare(target platform.Instance, instance string, instances []string) int {
+	slots, n := Slots(target), len(instances)
+	share := slots / n
+	if slices.Index(Ranked(target.ID, instances), instance) < slots%n {
+		share++
+	}
+	return share
+}
+
+// Holder keeps the grants of one instance.
+type Holder struct {
+	instance  string
+	instances []string
+	base      map[string]int
+	owner     map[string]string
+	grants    map[string]grant
+}
+
+type grant struct {
+	reply SlotReply
+	// until ends the use beyond the base share, yields the duty to keep to less.
+	until  time.Time
+	yields time.Time
+}
+
+// NewHolder returns a holder without grants. instances are all instances in the settings.
+func NewHolder(instance string, instances []string) *Holder {
+	return &Holder{
+		instance: instance, instances: instances,
+		base: make(map[string]int), owner: make(map[string]string), grants: make(map[string]grant),
+	}
+}
+
+// Track computes base shares and owners of the given targets.
+func (h *Holder) Track(targets []platform.Instance) {
+	clear(h.base)
+	clear(h.owner)
+	for _, t := range targets {
+		h.base[t.ID] = BaseShare(t, h.instance, h.instances)
+		h.owner[t.ID] = Owner(t.ID, h.instances)
+	}
+}
+
+// OwnerOf returns the owner of a tracked target.
+func (h *Holder) OwnerOf(target string) string { return h.owner[target] }
+
+// Confirmed returns the sequence number of the last reply of an owner.
+func (h *Holder) Confirmed(owner string) uint64 { return h.grants[owner].reply.Sequence }
+
+// Apply takes a reply to the report sent at the given time.
+func (h *Holder) Apply(owner string, reply SlotReply, sent, now time.Time) {
+	if reply.Sequence <= h.grants[owner].reply.Sequence && now.Before(h.grants[owner].yields) {
+		return
+	}
+	h.grants[owner] = grant{reply: reply, until: sent.Add(GrantTTL), yields: now.Add(yieldTTL)}
+}
+
+// Allowance returns the slots of a target that the instance may use now.
+func (h *Holder) Allowance(now time.Time, target string) int {
+	base := h.base[target]
+	g, known := h.grants[h.owner[target]]
+	granted, listed := g.reply.Slots[target]
+	switch {
+	case !known || !listed || !now.Before(g.yields):
+		return base
+	case now.Before(g.until):
+		return granted
+	default:
+		return min(granted, base)
+	}
+}
+
+// Spreads merges the spreads of all valid replies.
+func (h *Holder) Spreads(now time.Time) map[admission.Flow]float64 {
+	merged := make(map[admission.Flow]float64)
+	for _, owner := range slices.Sorted(maps.Keys(h.grants)) {
+		g := h.grants[owner]
+		if !now.Before(g.yields) {
+			continue
+		}
+		for _, s := range g.reply.Spread {
+			if part, known := merged[s.Flow]; !known || s.Part < part {
+				merged[s.Flow] = s.Part
+			}
+		}
+	}
+	return merged
+}
+
+// TopFlows returns the flows with the highest demand, at most maxReportedFlows.
+func TopFlows(demand map[admission.Flow]int) []FlowDemand {
+	flows := make([]FlowDemand, 0, len(demand))
+	for f, d := range demand {
+		flows = append(flows, FlowDemand{f, d})
+	}
+	slices.SortFunc(flows, func(a, b FlowDemand) int {
+		return cmp.Or(cmp.Compare(b.Demand, a.Demand), compareFlows(a.Flow, b.Flow))
+	})
+	return flows[:min(len(flows), maxReportedFlows)]
+}
+
+func compareFlows(a, b admission.Flow) int {
+	return cmp.Or(cmp.Compare(a.Organisation, b.Organisation), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Caller, b.Caller))
+}
+
+// Lender is the owner's side: it divides the slots of its targets.
+type Lender struct {
+	id        string
+	instances []string
+	started   time.Time
+	weights   map[string]float64
+	targets   []platform.Instance
+	allSlots  int
+	sequence  uint64
+	borrowers map[string]*borrower
+}
+
+type borrower struct {
+	reported time.Time
+	report   SlotReport
+	// replies are the last confirmed reply and those after it, any of which may be in use.
+	replies []sentReply
+}
+
+type sentReply struct {
+	reply SlotReply
+	at    time.Time
+}
+
+// NewLender returns the lender of an instance that starts now.
+func NewLender(id string, instances []string, now time.Time) *Lender {
+	return &Lender{
+		id: id, instances: slices.Sorted(slices.Values(instances)), started: now,
+		// The sequence begins at the start time, so that replies of a restarted owner are newer.
+		sequence:  uint64(max(now.UnixNano(), 0)),
+		borrowers: make(map[string]*borrower),
+	}
+}
+
+// SetWeights sets the weights of organisations; those not named have weight 1.
+func (l *Lender) SetWeights(weights map[string]float64) { l.weights = weights }
+
+// SetTargets takes the current targets and keeps those that this instance owns.
+func (l *Lender) SetTargets(targets []platform.Instance) {
+	l.targets = l.targets[:0]
+	l.allSlots = 0
+	for _, t := range targets {
+		l.allSlots += Slots(t)
+		if Owner(t.ID, l.instances) == l.id {
+			l.targets = append(l.targets, t)
+		}
+	}
+}
+
+// Report answers the report of an instance. It returns ErrOwnerStarting until grants of an
+// earlier run of this owner have expired.
+func (l *Lender) Report(now time.Time, report SlotReport) (SlotReply, error) {
+	if now.Sub(l.started) < GrantTTL {
+		return SlotReply{}, ErrOwnerStarting
+	}
+	b := l.borrowers[report.Instance]
+	if b == nil {
+		b = &borrower{}
+		l.borrowers[report.Instance] = b
+	}
+	b.reported, b.report = now, report
+	b.confirm(report.Confirmed)
+	if last := len(b.replies) - 1; last+1 >= maxUnconfirmed {
+		b.replies[last].at = now
+		return b.replies[last].reply, nil
+	}
+	l.sequence++
+	reply := SlotReply{Sequence: l.sequence, Slots: l.divide(now, report.Instance), Spread: l.spread(now, report)}
+	b.replies = append(b.replies, sentReply{reply, now})
+	return reply, nil
+}
+
+func (b *borrower) confirm(sequence uint64) {
+	for len(b.replies) > 1 && b.replies[0].reply.Sequence < sequence {
+		b.replies = b.replies[1:]
+	}
+}
+
+// committed returns the slots of a target that an instance may be using.
+func (l *Lender) committed(now time.Time, target platform.Instance, instance string) int {
+	base := BaseShare(target, instance, l.instances)
+	b := l.borrowers[instance]
+	if b == nil {
+		return base
+	}
+	used := b.report.InUse[target.ID]
+	most, listed := 0, false
+	for _, s := range b.replies {
+		slots, has := s.reply.Slots[target.ID]
+		if !has {
+			slots = base
+		}
+		if now.Sub(s.at) > GrantTTL {
+			slots = min(slots, base)
+		}
+		most, listed = max(most, slots), true
+	}
+	if !listed || !b.bound(now) {
+		return max(base, most, used)
+	}
+	return max(most, used)
+}
+
+// bound reports whether the instance certainly keeps to its replies: it has confirmed one
+// that it received less than yieldTTL-GrantTTL ago.
+func (b *borrower) bound(now time.Time) bool {
+	if len(b.replies) == 0 || b.replies[0].reply.Sequence != b.report.Confirmed {
+		return false
+	}
+	return now.Sub(b.replies[0].at) <= yieldTTL-GrantTTL
+}
+
+// live reports whether an instance reports lately.
+func (l *Lender) live(now time.Time, instance string) bool {
+	b := l.borrowers[instance]
+	return b != nil && now.Sub(b.reported) <= yieldTTL-GrantTTL
+}
+
+// divide returns the slots of each owned target for one instance: the wanted division, as
+// far as others have given back what they hold.
+func (l *Lender) divide(now time.Time, instance string) map[string]int {
+	wanted := l.wanted(now)
+	slots := make(map[string]int, len(l.targets))
+	for i, t := range l.targets {
+		free := Slots(t)
+		for _, other := range l.instances {
+			if other != instance {
+				free -= l.committed(now, t, other)
+			}
+		}
+		slots[t.ID] = max(0, min(wanted[i][instance], free))
+	}
+	return slots
+}
+
+// wanted divides the slots of each target among live instances in the parts given by demand.
+// Rounding errors are carried from target to target, so that they do not add up.
+func (l *Lender) wanted(now time.Time) []map[string]int {
+	parts := l.parts(now)
+	owed := make(map[string]float64)
+	result := make([]map[string]int, len(l.targets))
+	for i, t := range l.targets {
+		result[i] = make(map[string]int)
+		free := Slots(t)
+		for _, id := range l.instances {
+			if !l.live(now, id) {
+				free -= l.committed(now, t, id)
+			}
+		}
+		for id, part := range parts {
+			owed[id] += part * float64(max(free, 0))
+		}
+		for range max(free, 0) {
+			best := ""
+			for _, id := range l.instances {
+				if _, has := parts[id]; has && (best == "" || owed[id] > owed[best]) {
+					best = id
+				}
+			}
+			if best == "" {
+				break
+			}
+			owed[best]--
+			result[i][best]++
+		}
+	}
+	return result
+}
+
+// parts returns the part of all slots that each live instance should have.
+func (l *Lender) parts(now time.Time) map[string]float64 {
+	var live []string
+	for _, id := range l.instances {
+		if l.live(now, id) {
+			live = append(live, id)
+		}
+	}
+	if len(live) == 0 {
+		return nil
+	}
+	floor := floorShare / float64(len(live))
+	fair := l.fairSlots(now, live)
+	total := 0.0
+	for _, id := range live {
+		total += fair[id]
+	}
+	parts := make(map[string]float64, len(live))
+	spare := max(0, float64(l.allSlots)-total) / float64(len(live))
+	for _, id := range live {
+		share := (fair[id] + spare) / (total + spare*float64(len(live)))
+		parts[id] = floor + (1-floorShare)*share
+	}
+	return parts
+}
--- /dev/null
+++ b/internal/dispatch/slots_test.go
@@ -0,0 +1,199 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/oleanderbend/oleanderbend/internal/admission"
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func targetRows(n int) []platform.Instance {
+	rows := make([]platform.Instance, n)
+	for i := range rows {
+		rows[i] = platform.Instance{ID: fmt.Sprintf("t%02d", i), Kind: platform.KindTarget, State: platform.StateLive, Slots: 8, Connections: 64}
+	}
+	return rows
+}
+
+func instanceIDs(n int) []string {
+	ids := make([]string, n)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("e%d", i)
+	}
+	return ids
+}
+
+// slotNet delivers reports and replies late, twice removed in time, or not at all.
+type slotNet struct {
+	now      time.Time
+	ids      []string
+	targets  []platform.Instance
+	lenders  map[string]*Lender
+	holders  map[string]*Holder
+	inFlight []func()
+}
+
+func newSlotNet(instances, targets int) *slotNet {
+	n := &slotNet{now: epoch, ids: instanceIDs(instances), targets: targetRows(targets), lenders: map[string]*Lender{}, holders: map[string]*Holder{}}
+	for _, id := range n.ids {
+		n.startLender(id)
+		n.startHolder(id)
+	}
+	return n
+}
+
+func (n *slotNet) startLender(id string) {
+	n.lenders[id] = NewLender(id, n.ids, n.now)
+	n.lenders[id].SetTargets(n.targets)
+}
+
+func (n *slotNet) startHolder(id string) {
+	n.holders[id] = NewHolder(id, n.ids)
+	n.holders[id].Track(n.targets)
+}
+
+// report sends a report whose request and reply each wait in inFlight.
+func (n *slotNet) report(from, to string, demand int) {
+	holder, sent := n.holders[from], n.now
+	r := SlotReport{Instance: from, Confirmed: holder.Confirmed(to), Demand: demand}
+	n.inFlight = append(n.inFlight, func() {
+		reply, err := n.lenders[to].Report(n.now, r)
+		if err != nil {
+			return
+		}
+		n.inFlight = append(n.inFlight, func() { holder.Apply(to, reply, sent, n.now) })
+	})
+}
+
+func (n *slotNet) check() error {
+	for _, t := range n.targets {
+		sum := 0
+		for _, id := range n.ids {
+			sum += n.holders[id].Allowance(n.now, t.ID)
+		}
+		if sum > Slots(t) {
+			return fmt.Errorf("%s: %d slots allowed of %d at %s", t.ID, sum, Slots(t), n.now.Sub(epoch))
+		}
+	}
+	return nil
+}
+
+// Guards against more slots in use than a target has, while reports and replies are late,
+// lost or out of order and owners restart.
+func TestAllowancesNeverExceedSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := newSlotNet(rapid.IntRange(1, 10).Draw(t, "instances"), 3)
+		id := rapid.SampledFrom(n.ids)
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				if err := n.check(); err != nil {
+					t.Fatal(err)
+				}
+			},
+			"wait": func(t *rapid.T) {
+				n.now = n.now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"report": func(t *rapid.T) {
+				n.report(id.Draw(t, "from"), id.Draw(t, "to"), rapid.IntRange(0, 100).Draw(t, "demand"))
+			},
+			"deliver": func(t *rapid.T) {
+				if len(n.inFlight) == 0 {
+					t.Skip()
+				}
+				i := rapid.IntRange(0, len(n.inFlight)-1).Draw(t, "message")
+				message := n.inFlight[i]
+				n.inFlight = append(n.inFlight[:i], n.inFlight[i+1:]...)
+				message()
+			},
+			"exchange": func(t *rapid.T) {
+				for _, from := range n.ids {
+					for _, to := range n.ids {
+						holder, lender := n.holders[from], n.lenders[to]
+						reply, err := lender.Report(n.now, SlotReport{Instance: from, Confirmed: holder.Confirmed(to), Demand: rapid.IntRange(0, 100).Draw(t, "demand")})
+						if err == nil {
+							holder.Apply(to, reply, n.now, n.now)
+						}
+					}
+				}
+			},
+			"lose":         func(*rapid.T) { n.inFlight = nil },
+			"restartOwner": func(t *rapid.T) { n.startLender(id.Draw(t, "owner")) },
+		})
+	})
+}
+
+// Guards against slots that stay with idle instances while another one has a queue.
+func TestSlotsFollowDemand(t *testing.T) {
+	n := newSlotNet(6, 48)
+	for range 20 {
+		n.now = n.now.Add(BusyReportPeriod)
+		for i, from := range n.ids {
+			for _, to := range n.ids {
+				demand := 0
+				if i == 0 {
+					demand = 1000
+				}
+				n.report(from, to, demand)
+			}
+		}
+		for len(n.inFlight) > 0 {
+			message := n.inFlight[0]
+			n.inFlight = n.inFlight[1:]
+			message()
+		}
+		require.NoError(t, n.check())
+	}
+	sum := 0
+	for _, target := range n.targets {
+		sum += n.holders["e0"].Allowance(n.now, target.ID)
+	}
+	require.GreaterOrEqual(t, sum, 48*8*3/4)
+}
+
+// Guards against a caller that gains a larger share by spreading over instances.
+func TestSpreadFlowGetsOneShare(t *testing.T) {
+	l := NewLender("e0", instanceIDs(2), epoch)
+	l.SetTargets(targetRows(10))
+	big := admission.Flow{Organisation: "o", Kind: "k", Caller: "big"}
+	small := admission.Flow{Organisation: "o", Kind: "k", Caller: "small"}
+	now := epoch.Add(GrantTTL)
+	_, err := l.Report(now, SlotReport{Instance: "e0", Demand: 600, Flows: []FlowDemand{{big, 300}, {small, 300}}})
+	require.NoError(t, err)
+	reply, err := l.Report(now, SlotReport{Instance: "e1", Demand: 300, Flows: []FlowDemand{{big, 300}}})
+	require.NoError(t, err)
+	fair := l.fairSlots(now, l.instances)
+	require.InDelta(t, 60, fair["e0"], 0.01)
+	require.InDelta(t, 20, fair["e1"], 0.01)
+	require.Contains(t, reply.Spread, FlowSpread{Flow: big, Part: 0.5})
+}
+
+// Guards against lending the base share of an instance whose reports arrive while the
+// replies to it are lost: it falls back to its base share although the owner hears from it.
+func TestUnconfirmedYieldIsNotLent(t *testing.T) {
+	n := newSlotNet(2, 6)
+	reports := func(loseFrom time.Duration) {
+		for _, from := range n.ids {
+			for _, to := range n.ids {
+				holder := n.holders[from]
+				demand := 1000 * int(from[1]-'0')
+				reply, err := n.lenders[to].Report(n.now, SlotReport{Instance: from, Confirmed: holder.Confirmed(to), Demand: demand})
+				lost := from == "e0" && n.now.Sub(epoch) > loseFrom
+				if err == nil && !lost {
+					holder.Apply(to, reply, n.now, n.now)
+				}
+			}
+		}
+	}
+	for n.now.Sub(epoch) < 15*time.Second {
+		n.now = n.now.Add(BusyReportPeriod)
+		reports(5 * time.Second)
+		require.NoError(t, n.check())
+	}
+}
