--- /dev/null
+++ b/internal/api/codec.go
@@ -0,0 +1,130 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+)
+
+// List is the answer to a list request.
+type List struct {
+	Kind resource.Kind `json:"kind"`
+	// ResourceVersion is the offset of the state that the list shows. A watch from it misses
+	// nothing.
+	ResourceVersion uint64            `json:"resourceVersion"`
+	Items           []json.RawMessage `json:"items"`
+	// Continue is the token of the next page, empty on the last one.
+	Continue string `json:"continue,omitempty"`
+}
+
+// EncodeObject returns the JSON form of a resource with its kind as the first member.
+func EncodeObject(object resource.Object) (json.RawMessage, error) {
+	data, err := json.Marshal(object)
+	if err != nil {
+		return nil, err
+	}
+	head := append([]byte(`{"kind":`), strconv.Quote(string(object.Kind()))...)
+	return append(append(head, ','), data[1:]...), nil
+}
+
+// DecodeObject parses the JSON form of a resource of the kind strictly. An error is a *Problem.
+func DecodeObject(kind resource.Kind, data []byte) (resource.Object, error) {
+	object, err := resource.New(kind)
+	if err != nil {
+		return nil, unknownKind(string(kind))
+	}
+	members := map[string]json.RawMessage{}
+	if err := json.Unmarshal(data, &members); err != nil {
+		return nil, syntaxProblem(data, err)
+	}
+	if given, found := members["kind"]; found {
+		var name resource.Kind
+		if json.Unmarshal(given, &name) != nil || name != kind {
+			return nil, fieldProblem("kind", string(given), "equal to the kind in the path, "+string(kind))
+		}
+		delete(members, "kind")
+		if data, err = json.Marshal(members); err != nil {
+			return nil, err
+		}
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(object); err != nil {
+		return nil, syntaxProblem(data, err)
+	}
+	return object, nil
+}
+
+// syntaxProblem names the place of malformed JSON, or the field with a value of a wrong type.
+func syntaxProblem(data []byte, err error) *Problem {
+	var syntax *json.SyntaxError
+	var typed *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &syntax):
+		line, column := position(data, syntax.Offset)
+		return problem(http.StatusBadRequest, "malformed JSON at line %d column %d: %v", line, column, err)
+	case errors.As(err, &typed):
+		field := typed.Field
+		if field == "" {
+			field = "body"
+		}
+		return fieldProblem(field, typed.Value, "of type "+typed.Type.String())
+	default:
+		return problem(http.StatusBadRequest, "%v", err)
+	}
+}
+
+func position(data []byte, offset int64) (line, column int) {
+	before := data[:min(int(offset), len(data))]
+	line = 1 + bytes.Count(before, []byte("\n"))
+	return line, len(before) - bytes.LastIndexByte(before, '\n')
+}
+
+func fieldProblem(field, value, rule string) *Problem {
+	errs := resource.FieldErrors{{Field: field, Value: value, Rule: rule}}
+	return fieldsProblem(errs)
+}
+
+func fieldsProblem(errs resource.FieldErrors) *Problem {
+	p := problem(http.StatusUnprocessableEntity, "%s", errs.Error())
+	p.Outcome, p.Fields = OutcomeRefused, errs
+	return p
+}
+
+func unknownKind(kind string) *Problem {
+	return problem(http.StatusNotFound, "there is no kind %q; the kinds are organisations, guarantees, policies and jobs", kind)
+}
+
+// readBody reads a request body of up to maxBodyBytes.
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, problem(http.StatusRequestEntityTooLarge, "the body exceeds %d bytes", maxBodyBytes)
+	case err != nil:
+		return nil, problem(http.StatusBadRequest, "the body could not be read: %v", err)
+	}
+	return data, nil
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) error {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	return json.NewEncoder(w).Encode(value)
+}
+
+// writeObject answers with a resource and its version as the entity tag.
+func writeObject(w http.ResponseWriter, status int, object resource.Object) error {
+	data, err := EncodeObject(object)
+	if err != nil {
+		return err
+	}
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(object.Meta().ResourceVersion, 10)))
+	return writeJSON(w, status, data)
+}
--- /dev/null
+++ b/internal/api/problem.go
@@ -0,0 +1,97 @@
+package api
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+	"github.com/oleanderbend/oleanderbend/internal/state"
+)
+
+// Outcomes of a write that did not succeed.
+const (
+	// OutcomeRefused means that the write had no effect and will have none.
+	OutcomeRefused = "refused"
+	// OutcomeUnknown means that the write may have taken effect or may still do so.
+	OutcomeUnknown = "unknown"
+)
+
+// Problem is the body of an error answer, as RFC 9457 defines it.
+type Problem struct {
+	// Type is "about:blank"; Title says what the status means.
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail"`
+	// Outcome and RequestID are set for writes.
+	Outcome   string `json:"outcome,omitempty"`
+	RequestID string `json:"requestId,omitempty"`
+	// CurrentVersion is the version that a conflicting write met.
+	CurrentVersion uint64 `json:"currentVersion,omitempty"`
+	// Fields names each field that breaks a rule.
+	Fields []resource.FieldError `json:"fields,omitempty"`
+}
+
+// Error implements error.
+func (p *Problem) Error() string { return fmt.Sprintf("%d %s: %s", p.Status, p.Title, p.Detail) }
+
+func problem(status int, format string, args ...any) *Problem {
+	return &Problem{Type: "about:blank", Title: http.StatusText(status), Status: status, Detail: fmt.Sprintf(format, args...)}
+}
+
+// retryAfterSeconds is what a caller is asked to wait when the log or this instance is not
+// available.
+const retryAfterSeconds = "1"
+
+func writeProblem(w http.ResponseWriter, p *Problem) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	switch p.Status {
+	case http.StatusUnauthorized:
+		w.Header().Set("WWW-Authenticate", `Bearer realm="oleanderbend"`)
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		w.Header().Set("Retry-After", retryAfterSeconds)
+	}
+	if p.RequestID != "" {
+		w.Header().Set(platform.HeaderRequestID, p.RequestID)
+	}
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p)
+}
+
+// writeError returns the problem of a write without a verdict.
+func writeError(id string, err error) *Problem {
+	if errors.Is(err, state.ErrNotApplied) {
+		p := problem(http.StatusServiceUnavailable, "not applied: %v; try again", err)
+		p.Outcome, p.RequestID = OutcomeRefused, id
+		return p
+	}
+	p := problem(http.StatusGatewayTimeout, "the outcome is not known: %v; ask /v1/requests/%s or repeat the request with the same id", err, id)
+	p.Outcome, p.RequestID = OutcomeUnknown, id
+	return p
+}
+
+// verdictProblem returns the problem of a verdict, or nil if the record took effect.
+func verdictProblem(id string, v state.Verdict, conditional bool) *Problem {
+	status := http.StatusConflict
+	switch v.Code {
+	case state.Accepted:
+		return nil
+	case state.RevisionConflict:
+	case state.Conflict:
+		if conditional {
+			status = http.StatusPreconditionFailed
+		}
+	case state.NotFound:
+		status = http.StatusNotFound
+	case state.Invalid, state.Limit:
+		status = http.StatusUnprocessableEntity
+	case state.Stale:
+		status = http.StatusServiceUnavailable
+	}
+	p := problem(status, "%s", v.Message)
+	p.Outcome, p.RequestID, p.CurrentVersion = OutcomeRefused, id, v.Version
+	return p
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -12,6 +12,9 @@
 	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
+	"github.com/oleanderbend/oleanderbend/internal/settings"
 )
 
 // Exit codes of the command.
@@ -31,6 +34,7 @@
 
 // Env has the streams of one run of the command.
 type Env struct {
+	Stdin  io.Reader
 	Stdout io.Writer
 	Stderr io.Writer
 }
@@ -39,7 +43,7 @@
 func Main(args []string, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	env := Env{Stdout: stdout, Stderr: stderr}
+	env := Env{Stdin: os.Stdin, Stdout: stdout, Stderr: stderr}
 	return Run(ctx, args, env)
 }
 
@@ -57,10 +61,14 @@
 }
 
 func exitCode(err error) int {
-	if errors.Is(err, errUsage) {
+	switch {
+	case errors.Is(err, errUsage), errors.Is(err, settings.ErrInvalid):
 		return ExitUsage
+	case isUnknown(err):
+		return ExitUnknown
+	default:
+		return ExitFailure
 	}
-	return ExitFailure
 }
 
 func root(env Env) *ffcli.Command {
@@ -69,6 +77,10 @@
 		ShortUsage: "oleanderbend COMMAND [flags]",
 		FlagSet:    newFlagSet("oleanderbend", env),
 		Subcommands: []*ffcli.Command{
+			applyCommand(env),
+			getCommand(env),
+			deleteCommand(env),
+			watchCommand(env),
 			versionCommand(env),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
@@ -80,3 +92,24 @@
 	fs.SetOutput(env.Stderr)
 	return fs
 }
+
+// parseInterleaved parses flags that follow arguments, as in "get jobs -o json", and returns
+// the arguments.
+func parseInterleaved(fs *flag.FlagSet, args []string) ([]string, error) {
+	var positional []string
+	for len(args) > 0 {
+		if len(args[0]) < 2 || args[0][0] != '-' {
+			positional = append(positional, args[0])
+			args = args[1:]
+			continue
+		}
+		if err := fs.Parse(args); err != nil {
+			if errors.Is(err, flag.ErrHelp) {
+				return nil, err
+			}
+			return nil, eris.Wrap(errUsage, err.Error())
+		}
+		args = fs.Args()
+	}
+	return positional, nil
+}
--- /dev/null
+++ b/internal/cli/client.go
@@ -0,0 +1,284 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"github.com/oleanderbend/oleanderbend/internal/api"
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+)
+
+// errUnknownOutcome is wrapped by the errors of writes that may have taken effect.
+var errUnknownOutcome = errors.New("outcome unknown")
+
+// errNoServer means that no server answered.
+var errNoServer = errors.New("no server answered")
+
+const (
+	// defaultServer is the operator address of the first instance of `oleanderbend demo`.
+	defaultServer = "127.0.0.1:7100"
+	// rounds is how often the list of servers is tried.
+	rounds = 3
+	// roundPause is the pause between two rounds.
+	roundPause = 500 * time.Millisecond
+	// maxAnswerBytes bounds one answer.
+	maxAnswerBytes = 64 << 20
+)
+
+// clientFlags are the flags of all commands that talk to a server.
+type clientFlags struct {
+	servers   string
+	tokenFile string
+	caFile    string
+	timeout   time.Duration
+	output    string
+}
+
+func (f *clientFlags) register(fs *flag.FlagSet) {
+	fs.StringVar(&f.servers, "server", defaultServer, "operator addresses to try in turn, separated by commas; a prefix https:// uses TLS")
+	fs.StringVar(&f.tokenFile, "token-file", "", "file with the bearer token")
+	fs.StringVar(&f.caFile, "ca-file", "", "PEM file with the certificates to trust, for https:// servers")
+	fs.DurationVar(&f.timeout, "timeout", 15*time.Second, "time limit for each server's answer")
+	fs.StringVar(&f.output, "o", "text", "output format: text or json")
+}
+
+// client sends requests to the first server that answers.
+type client struct {
+	servers []string
+	token   string
+	timeout time.Duration
+	json    bool
+	http    *http.Client
+}
+
+// newClient checks the flags. Its errors wrap errUsage.
+func (f *clientFlags) newClient() (*client, error) {
+	if f.output != "text" && f.output != "json" {
+		return nil, eris.Wrapf(errUsage, "-o %q must be text or json", f.output)
+	}
+	c := &client{timeout: f.timeout, json: f.output == "json"}
+	for server := range strings.SplitSeq(f.servers, ",") {
+		server = strings.TrimSuffix(strings.TrimSpace(server), "/")
+		if server == "" {
+			continue
+		}
+		if !strings.Contains(server, "://") {
+			server = "http://" + server
+		}
+		c.servers = append(c.servers, server)
+	}
+	if len(c.servers) == 0 {
+		return nil, eris.Wrap(errUsage, "--server names no address")
+	}
+	if f.tokenFile != "" {
+		data, err := os.ReadFile(f.tokenFile)
+		if err != nil {
+			return nil, eris.Wrapf(errUsage, "--token-file: %v", err)
+		}
+		c.token = strings.TrimSpace(string(data))
+	}
+	transport := &http.Transport{TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS12}}
+	if f.caFile != "" {
+		pem, err := os.ReadFile(f.caFile)
+		if err != nil {
+			return nil, eris.Wrapf(errUsage, "--ca-file: %v", err)
+		}
+		pool := x509.NewCertPool()
+		if !pool.AppendCertsFromPEM(pem) {
+			return nil, eris.Wrapf(errUsage, "--ca-file %s has no certificate", f.caFile)
+		}
+		transport.TLSClientConfig.RootCAs = pool
+	}
+	c.http = &http.Client{Transport: transport}
+	return c, nil
+}
+
+// call is one request to the API.
+type call struct {
+	method string
+	path   string
+	query  url.Values
+	header http.Header
+	body   []byte
+}
+
+// answer is a whole answer of a server.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+	server string
+}
+
+// do sends the call to one server after another, with the same request id, until one gives an
+// answer that another could not improve. A write that a server may have carried out stays
+// unknown if no later answer settles it. The answer may be an error: see answer.err.
+func (c *client) do(ctx context.Context, call call) (answer, error) {
+	if call.header == nil {
+		call.header = http.Header{}
+	}
+	write := call.method != http.MethodGet
+	if write && call.header.Get(platform.HeaderIdempotencyKey) == "" {
+		call.header.Set(platform.HeaderIdempotencyKey, uuid.NewString())
+	}
+	var last answer
+	var lastErr error
+	unknown := false
+	for round := range rounds {
+		if round > 0 && !pause(ctx, roundPause) {
+			break
+		}
+		for _, server := range c.servers {
+			got, err := c.send(ctx, server, call)
+			if err == nil && settled(got.status) {
+				return got, nil
+			}
+			if err != nil {
+				lastErr = err
+				unknown = unknown || mayHaveArrived(err)
+			} else {
+				last, lastErr = got, nil
+				unknown = unknown || got.status == http.StatusGatewayTimeout
+			}
+			if ctx.Err() != nil {
+				break
+			}
+		}
+	}
+	if write && unknown {
+		id := call.header.Get(platform.HeaderIdempotencyKey)
+		return last, eris.Wrapf(errUnknownOutcome, "request %s may have taken effect; ask with `oleanderbend get request %s` or repeat the command with --request-id %s", id, id, id)
+	}
+	if lastErr != nil {
+		return last, eris.Wrapf(errNoServer, "%s: %v; check --server and that the instance runs", strings.Join(c.servers, ", "), lastErr)
+	}
+	return last, nil
+}
+
+// settled reports whether another server would give the same answer.
+func settled(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusGatewayTimeout, http.StatusBadGateway, http.StatusTooManyRequests:
+		return false
+	default:
+		return true
+	}
+}
+
+// mayHaveArrived reports whether a failed request may have reached the server. One whose
+// connection was never made has not.
+func mayHaveArrived(err error) bool {
+	var dial *dialError
+	return !errors.As(err, &dial)
+}
+
+// dialError means that no connection was made.
+type dialError struct{ cause error }
+
+// Error implements error.
+func (e *dialError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *dialError) Unwrap() error { return e.cause }
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// send sends the call to one server and reads the whole answer.
+func (c *client) send(ctx context.Context, server string, call call) (answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	response, err := c.open(ctx, server, call)
+	if err != nil {
+		return answer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return answer{}, eris.Wrapf(err, "answer of %s", server)
+	}
+	return answer{status: response.StatusCode, header: response.Header, body: body, server: server}, nil
+}
+
+// open sends the call and returns the answer's head.
+func (c *client) open(ctx context.Context, server string, call call) (*http.Response, error) {
+	target := server + call.path
+	if len(call.query) > 0 {
+		target += "?" + call.query.Encode()
+	}
+	request, err := http.NewRequestWithContext(ctx, call.method, target, bytes.NewReader(call.body))
+	if err != nil {
+		return nil, &dialError{cause: err}
+	}
+	for key, values := range call.header {
+		request.Header[key] = values
+	}
+	if c.token != "" {
+		request.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, classifyDial(err)
+	}
+	return response, nil
+}
+
+// err returns the problem of an answer, or nil for a success.
+func (a answer) err() error {
+	if a.status < http.StatusBadRequest {
+		return nil
+	}
+	var p api.Problem
+	if json.Unmarshal(a.body, &p) != nil || p.Status == 0 {
+		return eris.Errorf("%s answered %d", a.server, a.status)
+	}
+	return &p
+}
+
+// getJSON reads a path into value.
+func (c *client) getJSON(ctx context.Context, path string, query url.Values, value any) (answer, error) {
+	got, err := c.do(ctx, call{method: http.MethodGet, path: path, query: query})
+	if err != nil {
+		return got, err
+	}
+	if err := got.err(); err != nil {
+		return got, err
+	}
+	if err := json.Unmarshal(got.body, value); err != nil {
+		return got, eris.Wrapf(err, "answer of %s", got.server)
+	}
+	return got, nil
+}
+
+// writeJSONLine prints a value as JSON.
+func writeJSONLine(w io.Writer, value any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+func printf(w io.Writer, format string, args ...any) error {
+	_, err := fmt.Fprintf(w, format, args...)
+	return err
+}
--- /dev/null
+++ b/internal/replica/apply.go
@@ -0,0 +1,122 @@
+package replica
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/oleanderbend/oleanderbend/internal/membership"
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+	"github.com/oleanderbend/oleanderbend/internal/state"
+	"github.com/oleanderbend/oleanderbend/internal/timeline"
+)
+
+// applyEntries applies the entries that are not applied yet. Entries come from the log or from
+// a peer, and both may bring the same ones. It returns ErrGap if they begin too late and
+// ErrNewerVersion if one must not be applied by this version of the program.
+func (r *Replica) applyEntries(entries []platform.Entry) error {
+	if len(entries) == 0 {
+		return nil
+	}
+	r.mu.Lock()
+	before := r.state.Applied
+	policyBefore := r.state.PolicyVersion
+	err := r.applyLocked(entries)
+	if r.state.Applied == before {
+		r.mu.Unlock()
+		return err
+	}
+	close(r.changed)
+	r.changed = make(chan struct{})
+	applied, policy := r.state.Applied, r.state.PolicyVersion
+	r.mu.Unlock()
+	r.announce(applied, policyBefore, policy)
+	return err
+}
+
+func (r *Replica) applyLocked(entries []platform.Entry) error {
+	if r.failure != nil {
+		return r.failure
+	}
+	for _, entry := range entries {
+		if entry.Offset <= r.state.Applied {
+			continue
+		}
+		if entry.Offset != r.state.Applied+1 {
+			return eris.Wrapf(ErrGap, "offset %d after %d", entry.Offset, r.state.Applied)
+		}
+		if err := r.applyEntry(entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Replica) applyEntry(entry platform.Entry) error {
+	record, err := state.DecodeRecord(entry.Data)
+	switch {
+	case errors.Is(err, state.ErrRecordVersion):
+		r.failure = eris.Wrapf(ErrNewerVersion, "offset %d: %v; upgrade this instance", entry.Offset, err)
+		r.deps.Logger.Error().Str("event", "newer-record").Uint64("offset", uint64(entry.Offset)).Err(err).Msg("")
+		return r.failure
+	case err != nil:
+		r.metrics.undecodable.Inc()
+		r.state.Skip(entry.Offset)
+		r.deps.Logger.Warn().Str("event", "entry-skipped").Uint64("offset", uint64(entry.Offset)).Err(err).Msg("")
+	default:
+		verdict := r.state.Apply(entry.Offset, record)
+		r.deliver(record.ID, verdict)
+		if r.firstRecordAt.IsZero() {
+			r.firstRecordAt = record.Time
+		}
+		if record.SnapshotPart != nil {
+			r.parts.add(*record.SnapshotPart, record.Time, r.deps.Now())
+		}
+	}
+	r.metrics.applied.Inc()
+	r.tail.add(entry)
+	return nil
+}
+
+// install replaces the state by a newer one. An older one is ignored, so that the
+// configuration in force never goes back. It reports whether the state was replaced.
+func (r *Replica) install(s *state.State, source string) bool {
+	r.mu.Lock()
+	if r.recovered && s.Applied <= r.state.Applied {
+		r.mu.Unlock()
+		return false
+	}
+	policyBefore := r.state.PolicyVersion
+	r.state = s
+	r.recovered = true
+	r.jumps++
+	r.tail.reset()
+	if errors.Is(r.failure, ErrHistoryLost) {
+		r.failure = nil
+	}
+	r.deliverFromState()
+	close(r.changed)
+	r.changed = make(chan struct{})
+	applied, policy := s.Applied, s.PolicyVersion
+	r.mu.Unlock()
+	r.deps.Logger.Info().Str("event", "state-installed").Str("source", source).Uint64("applied", uint64(applied)).Msg("")
+	r.announce(applied, policyBefore, policy)
+	return true
+}
+
+// announce tells the members and the timeline how far the state has come.
+func (r *Replica) announce(applied, policyBefore, policy platform.Offset) {
+	if policy != policyBefore {
+		r.deps.Events.Record(timeline.Event{
+			Type: timeline.TypeConfiguration, Name: "policy-in-force", Reason: fmt.Sprintf("version %d", policy),
+		})
+	}
+	if r.deps.View == nil {
+		return
+	}
+	r.deps.View.Publish(func(info *membership.Info) {
+		info.Applied = max(info.Applied, applied)
+		info.PolicyVersion = max(info.PolicyVersion, policy)
+	})
+}
--- /dev/null
+++ b/internal/replica/follow.go
@@ -0,0 +1,239 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/oleanderbend/oleanderbend/internal/membership"
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+	"github.com/oleanderbend/oleanderbend/internal/state"
+)
+
+const (
+	// readLimit is the most entries of one read.
+	readLimit = 256
+	// readWait is how long a long poll waits for an entry. It is well below the 2 s for which a
+	// leader's confirmation holds, so that an idle log confirms the leaders too.
+	readWait = time.Second
+	// readMargin is added to a long poll's wait before the log counts as hanging.
+	readMargin = 2 * time.Second
+)
+
+// sourceState is what the replica knows of the log.
+type sourceState struct {
+	mu sync.Mutex
+	// failing is set while reads of the log fail.
+	failing bool
+	// lastAnswer is when the log last answered a read.
+	lastAnswer time.Time
+	// tailAt is when the newest read was sent that brought the state to the log's tail.
+	tailAt    time.Time
+	retention time.Duration
+}
+
+func (s *sourceState) reachedTail(sent time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tailAt = sent
+}
+
+func (s *sourceState) answered(now time.Time, batch platform.Batch) (cameBack bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cameBack = s.failing
+	s.failing = false
+	s.lastAnswer = now
+	if batch.RetentionSeconds > 0 {
+		s.retention = time.Duration(batch.RetentionSeconds * float64(time.Second))
+	}
+	return cameBack
+}
+
+func (s *sourceState) failed() (first bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first = !s.failing
+	s.failing = true
+	return first
+}
+
+func (s *sourceState) isFailing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failing
+}
+
+func (s *sourceState) retentionTime() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.retention
+}
+
+// follow reads the log until ctx is done.
+func (r *Replica) follow(ctx context.Context) {
+	pause := r.newBackoff()
+	for ctx.Err() == nil {
+		err := r.followOnce(ctx)
+		if err == nil {
+			pause.reset()
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if r.source.failed() {
+			r.deps.Logger.Warn().Str("event", "log-failing").Err(err).Msg("")
+		}
+		r.metrics.readFailures.Inc()
+		sleep(ctx, pause.next())
+	}
+}
+
+// followOnce recovers the state if necessary, reads once and applies what came.
+func (r *Replica) followOnce(ctx context.Context) error {
+	applied, recovered, failure := r.progress()
+	if errors.Is(failure, ErrNewerVersion) {
+		return failure
+	}
+	if !recovered {
+		return r.recoverFromLog(ctx)
+	}
+	sent := r.deps.Now()
+	batch, err := r.readLog(ctx, applied+1, readWait)
+	if errors.Is(err, platform.ErrExpired) {
+		return r.recoverFromLog(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	return r.accept(batch, applied, sent)
+}
+
+// accept applies a batch that was read from applied+1 on by a read that was sent at the time.
+func (r *Replica) accept(batch platform.Batch, applied platform.Offset, sent time.Time) error {
+	if batch.Next < applied+1 {
+		return eris.Errorf("replica: the log ends at %d, before the applied offset %d", batch.Next, applied)
+	}
+	if err := r.applyEntries(batch.Entries); err != nil {
+		return err
+	}
+	now := r.Applied()
+	if now+1 < batch.Next {
+		return nil
+	}
+	r.source.reachedTail(sent)
+	if now >= r.highestLivePeer() {
+		r.markReady()
+	}
+	return nil
+}
+
+// ReadAt implements state.Tail.
+func (r *Replica) ReadAt() time.Time {
+	r.source.mu.Lock()
+	defer r.source.mu.Unlock()
+	return r.source.tailAt
+}
+
+func (r *Replica) progress() (applied platform.Offset, recovered bool, failure error) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.state.Applied, r.recovered, r.failure
+}
+
+// readLog reads once and notes whether the log answers.
+func (r *Replica) readLog(ctx context.Context, from platform.Offset, wait time.Duration) (platform.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+readMargin)
+	defer cancel()
+	batch, err := r.deps.Log.Read(ctx, from, readLimit, wait)
+	if err != nil && !errors.Is(err, platform.ErrExpired) {
+		return batch, eris.Wrap(err, "read the log")
+	}
+	if r.source.answered(r.deps.Now(), batch) {
+		r.deps.Logger.Info().Str("event", "log-answers").Uint64("next", uint64(batch.Next)).Msg("")
+	}
+	return batch, err
+}
+
+// highestLivePeer returns the highest applied offset that a live member reports.
+func (r *Replica) highestLivePeer() platform.Offset {
+	var highest platform.Offset
+	if r.deps.View == nil {
+		return 0
+	}
+	for _, m := range r.deps.View.Members() {
+		if m.Info.ID != r.deps.ID && m.Status == membership.Alive {
+			highest = max(highest, m.Info.Applied)
+		}
+	}
+	return highest
+}
+
+// recoverFromLog finds the newest complete snapshot in the log and installs it. The records
+// after it are applied by later reads.
+func (r *Replica) recoverFromLog(ctx context.Context) error {
+	found, oldest, err := r.scan(ctx)
+	if err != nil {
+		return err
+	}
+	applied, recovered, _ := r.progress()
+	if found != nil && found.Applied+1 >= oldest && (!recovered || found.Applied > applied) {
+		r.install(found, "log")
+		return nil
+	}
+	if !recovered && oldest <= 1 {
+		r.install(state.New(), "empty log")
+		return nil
+	}
+	if recovered && applied+1 >= oldest {
+		return nil
+	}
+	return r.historyLost(applied, oldest)
+}
+
+// historyLost records that the log alone cannot bring this replica up to date. A peer still
+// can, so the replica goes on asking.
+func (r *Replica) historyLost(applied, oldest platform.Offset) error {
+	err := eris.Wrapf(ErrHistoryLost, "records %d to %d; no complete snapshot follows them", applied+1, oldest-1)
+	r.mu.Lock()
+	first := r.failure == nil
+	if first {
+		r.failure = err
+	}
+	r.mu.Unlock()
+	if first {
+		r.deps.Logger.Error().Str("event", "history-lost").Err(err).Msg("")
+	}
+	return err
+}
+
+// scan reads the whole retained log and returns the newest complete snapshot, or nil, and the
+// oldest retained offset.
+func (r *Replica) scan(ctx context.Context) (*state.State, platform.Offset, error) {
+	var found collector
+	from := platform.Offset(1)
+	for {
+		batch, err := r.readLog(ctx, from, 0)
+		switch {
+		case errors.Is(err, platform.ErrExpired) && batch.Oldest > from:
+			from = batch.Oldest
+			continue
+		case err != nil:
+			return nil, 0, err
+		}
+		for _, entry := range batch.Entries {
+			if err := found.addEntry(entry); err != nil {
+				return nil, 0, err
+			}
+			from = entry.Offset + 1
+		}
+		if len(batch.Entries) == 0 || from >= batch.Next {
+			s, err := found.newest()
+			return s, batch.Oldest, err
+		}
+	}
+}
--- a/internal/state/access.go
+++ b/internal/state/access.go
@@ -26,7 +26,7 @@
 // Writer appends records to the log.
 type Writer interface {
 	// Write appends a record with exactly one payload and waits for its verdict. It sets
-	// Version, Base, Writer and Time, and ID if that is empty. It returns ErrNotApplied or
+	// Version, Writer and Time, and Base and ID if they are zero. It returns ErrNotApplied or
 	// ErrUnknownOutcome if there is no verdict; after ErrUnknownOutcome the same record with
 	// the same ID may be written again.
 	Write(ctx context.Context, r Record) (Verdict, error)
--- a/internal/state/record.go
+++ b/internal/state/record.go
@@ -16,6 +16,9 @@
 // RecordVersion is the version of the record encoding that this package writes.
 const RecordVersion = 1
 
+// MaxIDBytes bounds the id of a record.
+const MaxIDBytes = 128
+
 // AppendWindow bounds, in offsets, how long after its base a record still takes effect and
 // how long its id is remembered. Both use the same bound, so a repeated append is always
 // recognised.
@@ -143,17 +146,49 @@
 	return data, nil
 }
 
-// DecodeRecord parses a log entry. It returns ErrRecordFormat or ErrRecordVersion.
+// resource names what a put or a delete is about.
+func (r Record) resource() string {
+	switch {
+	case r.Put != nil:
+		var object struct {
+			Metadata struct {
+				Name string `json:"name"`
+			} `json:"metadata"`
+		}
+		if json.Unmarshal(r.Put.Object, &object) != nil {
+			return ""
+		}
+		return string(r.Put.Kind) + "/" + object.Metadata.Name
+	case r.Delete != nil:
+		return string(r.Delete.Kind) + "/" + r.Delete.Name
+	default:
+		return ""
+	}
+}
+
+// DecodeRecord parses a log entry. It returns ErrRecordFormat for an entry that no version of
+// the program gives a meaning to; such an entry is skipped. It returns ErrRecordVersion for a
+// record of a newer version; it must not be skipped, because a newer process applies it.
 func DecodeRecord(data []byte) (Record, error) {
 	var r Record
 	if err := json.Unmarshal(data, &r); err != nil {
+		// A newer version may give a field another type, so the version is read alone.
+		var envelope struct {
+			Version int `json:"v"`
+		}
+		if json.Unmarshal(data, &envelope) == nil && envelope.Version > RecordVersion {
+			return Record{}, eris.Wrapf(ErrRecordVersion, "version %d", envelope.Version)
+		}
 		return Record{}, eris.Wrap(ErrRecordFormat, err.Error())
 	}
-	if r.Version != RecordVersion {
+	if r.Version > RecordVersion {
 		return Record{}, eris.Wrapf(ErrRecordVersion, "version %d", r.Version)
 	}
-	if r.ID == "" || r.payloads() != 1 {
-		return Record{}, eris.Wrapf(ErrRecordFormat, "id %q with %d payloads", r.ID, r.payloads())
+	if r.Version < 1 {
+		return Record{}, eris.Wrapf(ErrRecordFormat, "version %d", r.Version)
+	}
+	if r.ID == "" || len(r.ID) > MaxIDBytes || r.payloads() != 1 {
+		return Record{}, eris.Wrapf(ErrRecordFormat, "id of %d bytes with %d payloads", len(r.ID), r.payloads())
 	}
 	return r, nil
 }
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -9,6 +9,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
+
+	"github.com/oleanderbend/oleanderbend/internal/resource"
 )
 
 // SnapshotPartBytes is the most snapshot data in one record. Base64 and the envelope keep
@@ -37,7 +39,8 @@
 	return buf.Bytes(), nil
 }
 
-// DecodeSnapshot parses what EncodeSnapshot returned.
+// DecodeSnapshot parses what EncodeSnapshot returned. It returns ErrSnapshotFormat, or
+// ErrRecordVersion for a snapshot of a newer version.
 func DecodeSnapshot(data []byte) (*State, error) {
 	r, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
@@ -47,10 +50,48 @@
 	if err := json.NewDecoder(io.LimitReader(r, maxSnapshotBytes)).Decode(s); err != nil {
 		return nil, eris.Wrap(ErrSnapshotFormat, err.Error())
 	}
+	if s.Format > RecordVersion {
+		return nil, eris.Wrapf(ErrRecordVersion, "snapshot of version %d", s.Format)
+	}
+	if err := s.checkDecoded(); err != nil {
+		return nil, err
+	}
+	s.Format = RecordVersion
 	s.init()
 	return s, nil
 }
 
+// checkDecoded refuses content that would make later records fail.
+func (s *State) checkDecoded() error {
+	ok := checkObjects(s.Jobs) && checkObjects(s.Guarantees) &&
+		checkObjects(s.Organisations) && checkObjects(s.Policies)
+	if !ok {
+		return eris.Wrap(ErrSnapshotFormat, "a resource is missing or has another name")
+	}
+	if len(s.Verdicts) != len(s.VerdictOrder) {
+		return eris.Wrap(ErrSnapshotFormat, "verdicts and their order differ")
+	}
+	for _, id := range s.VerdictOrder {
+		if _, found := s.Verdicts[id]; !found {
+			return eris.Wrap(ErrSnapshotFormat, "verdicts and their order differ")
+		}
+	}
+	return nil
+}
+
+func checkObjects[T interface {
+	comparable
+	resource.Object
+}](objects map[string]T) bool {
+	var missing T
+	for name, object := range objects {
+		if object == missing || object.Meta().Name != name {
+			return false
+		}
+	}
+	return true
+}
+
 // SplitSnapshot cuts an encoded snapshot of the state at s.Applied into parts for the log.
 func (s *State) SplitSnapshot(id string, data []byte) []SnapshotPart {
 	parts := max(1, (len(data)+SnapshotPartBytes-1)/SnapshotPartBytes)
@@ -82,5 +123,12 @@
 	if xxhash.Sum64(data) != parts[0].Digest {
 		return nil, eris.Wrap(ErrSnapshotIncomplete, "digest differs")
 	}
-	return DecodeSnapshot(data)
+	s, err := DecodeSnapshot(data)
+	if err != nil {
+		return nil, err
+	}
+	if s.Applied != parts[0].Offset {
+		return nil, eris.Wrapf(ErrSnapshotFormat, "state at %d in parts at %d", s.Applied, parts[0].Offset)
+	}
+	return s, nil
 }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -1,16 +1,37 @@
 package state
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/oleanderbend/oleanderbend/internal/platform"
 	"github.com/oleanderbend/oleanderbend/internal/resource"
 )
 
-// maxEndedJobs is how many ended jobs stay readable; older ones are forgotten.
-const maxEndedJobs = 2000
+// Limits of the state. They are part of the meaning of a record: changing one raises
+// RecordVersion.
+const (
+	// maxEndedJobs is how many ended jobs stay readable; older ones are forgotten.
+	maxEndedJobs = 2000
+	// MaxLiveJobs is the most jobs that have not ended, about a week's at the design size.
+	MaxLiveJobs = 20_000
+	// MaxPayloadBytes bounds the payloads of all live jobs together.
+	MaxPayloadBytes = 8 << 20
+	// MaxOrganisations, MaxGuarantees and MaxPolicies bound the other kinds.
+	MaxOrganisations = 1000
+	MaxGuarantees    = 4000
+	MaxPolicies      = 100
+	// maxZones and maxQuarantined bound what claims and zone updates can add.
+	maxZones       = 256
+	maxQuarantined = 4000
+	// maxMessageBytes bounds the message of a remembered verdict.
+	maxMessageBytes = 512
+)
 
 // Code classifies the effect of a record.
 type Code string
@@ -19,14 +40,19 @@
 const (
 	// Accepted means that the record took effect.
 	Accepted Code = "accepted"
-	// Conflict means that an expected version, revision or epoch was not the current one.
+	// Conflict means that an expected version or epoch was not the current one.
 	Conflict Code = "conflict"
+	// RevisionConflict means that the guarantees of the zone changed after a guarantee was
+	// checked against them, so the check must be made again.
+	RevisionConflict Code = "revision-conflict"
 	// NotFound means that the resource does not exist.
 	NotFound Code = "not-found"
 	// Invalid means that the content breaks a rule.
 	Invalid Code = "invalid"
 	// Stale means that the record landed more than AppendWindow offsets after its base.
 	Stale Code = "stale"
+	// Limit means that a limit of the state is reached.
+	Limit Code = "limit"
 )
 
 // Verdict is the effect of a record on the state.
@@ -35,6 +61,8 @@
 	// Version is the resource version after the record, set if a resource exists.
 	Version uint64 `json:"version,omitempty"`
 	Message string `json:"message,omitempty"`
+	// Resource is the kind and name that a put or a delete was about, for example "jobs/a".
+	Resource string `json:"resource,omitempty"`
 	// Offset is where the record took its effect.
 	Offset platform.Offset `json:"offset"`
 }
@@ -50,6 +78,8 @@
 // State is the durable state at one offset. It is not safe for concurrent use. Objects in
 // its maps are replaced, never modified, so a reader may keep them.
 type State struct {
+	// Format is the RecordVersion of the process that wrote the snapshot of this state.
+	Format        int                               `json:"format"`
 	Applied       platform.Offset                   `json:"applied"`
 	Jobs          map[string]*resource.Job          `json:"jobs"`
 	Guarantees    map[string]*resource.Guarantee    `json:"guarantees"`
@@ -65,18 +95,47 @@
 	Verdicts map[string]Verdict `json:"verdicts"`
 	// VerdictOrder has the ids of Verdicts, oldest first.
 	VerdictOrder []string `json:"verdictOrder"`
-	// EndedJobs has the names of ended jobs, oldest first.
-	EndedJobs []string `json:"endedJobs"`
+	// EndedJobs has the ended jobs, oldest first.
+	EndedJobs []EndedJob `json:"endedJobs"`
+
+	// history has the newest changes for watchers. It is not part of a snapshot.
+	history history
+	// liveJobs and payloadBytes count the jobs that have not ended. They follow from Jobs.
+	liveJobs     int
+	payloadBytes int
+}
+
+// EndedJob names one ended job. The uid tells it from a later job of the same name.
+type EndedJob struct {
+	Name string `json:"name"`
+	UID  string `json:"uid"`
 }
 
 // New returns the state before the first record.
 func New() *State {
-	s := &State{}
+	s := &State{Format: RecordVersion}
 	s.init()
 	return s
 }
 
-// init makes the maps that a decoded snapshot may lack.
+// Clone returns a copy that shares only the objects, which are never modified.
+func (s *State) Clone() *State {
+	c := *s
+	c.Jobs = maps.Clone(s.Jobs)
+	c.Guarantees = maps.Clone(s.Guarantees)
+	c.Organisations = maps.Clone(s.Organisations)
+	c.Policies = maps.Clone(s.Policies)
+	c.Zones = maps.Clone(s.Zones)
+	c.Workers = maps.Clone(s.Workers)
+	c.GuaranteeRevision = maps.Clone(s.GuaranteeRevision)
+	c.Verdicts = maps.Clone(s.Verdicts)
+	c.VerdictOrder = slices.Clone(s.VerdictOrder)
+	c.EndedJobs = slices.Clone(s.EndedJobs)
+	c.history = history{start: s.Applied}
+	return &c
+}
+
+// init makes the maps that a decoded snapshot may lack and the values that follow from them.
 func (s *State) init() {
 	initMap(&s.Jobs)
 	initMap(&s.Guarantees)
@@ -86,6 +145,10 @@
 	initMap(&s.Workers)
 	initMap(&s.GuaranteeRevision)
 	initMap(&s.Verdicts)
+	s.history.start = s.Applied
+	for _, job := range s.Jobs {
+		s.countJob(job, +1)
+	}
 }
 
 func initMap[K comparable, V any](m *map[K]V) {
@@ -110,6 +173,26 @@
 	}
 }
 
+// Each calls f with each resource of a kind, in no fixed order.
+func (s *State) Each(kind resource.Kind, f func(resource.Object)) {
+	switch kind {
+	case resource.KindJob:
+		each(s.Jobs, f)
+	case resource.KindGuarantee:
+		each(s.Guarantees, f)
+	case resource.KindOrganisation:
+		each(s.Organisations, f)
+	case resource.KindPolicy:
+		each(s.Policies, f)
+	}
+}
+
+func each[T resource.Object](m map[string]T, f func(resource.Object)) {
+	for _, object := range m {
+		f(object)
+	}
+}
+
 func lookup[T resource.Object](m map[string]T, name string) (resource.Object, bool) {
 	object, found := m[name]
 	if !found {
@@ -127,10 +210,19 @@
 	}
 	v := s.apply(offset, r)
 	v.Offset = offset
+	v.Message = truncate(v.Message)
+	v.Resource = truncate(r.resource())
 	s.remember(r, v)
 	return v
 }
 
+func truncate(message string) string {
+	if len(message) <= maxMessageBytes {
+		return message
+	}
+	return strings.ToValidUTF8(message[:maxMessageBytes], "") + "..."
+}
+
 // Skip advances the state past an entry without effect.
 func (s *State) Skip(offset platform.Offset) { s.advance(offset) }
 
@@ -143,7 +235,10 @@
 }
 
 func (s *State) apply(offset platform.Offset, r Record) Verdict {
-	if offset > r.Base+AppendWindow {
+	if r.Base >= offset {
+		return Verdict{Code: Invalid, Message: "the base is not before the record"}
+	}
+	if offset-r.Base > AppendWindow {
 		return Verdict{Code: Stale, Message: "the record reached the log too late"}
 	}
 	switch {
@@ -194,13 +289,21 @@
 	}
 	meta := object.Meta()
 	current, exists := s.Lookup(put.Kind, meta.Name)
+	if exists && current.Meta().UID == r.ID {
+		// The create that made this resource, repeated after its verdict was forgotten.
+		return Verdict{Code: Accepted, Version: current.Meta().ResourceVersion}
+	}
 	if v, ok := checkVersion(current, exists, put.IfVersion); !ok {
 		return v
 	}
+	if message, ok := s.checkLimit(object, exists); !ok {
+		return Verdict{Code: Limit, Message: message}
+	}
 	inherit(object, current, exists, offset, r)
 	if v, ok := s.store(object, current, exists, put); !ok {
 		return v
 	}
+	s.changed(put.Kind, meta.Name, false)
 	return Verdict{Code: Accepted, Version: uint64(offset)}
 }
 
@@ -230,15 +333,64 @@
 	old := current.Meta()
 	meta.UID = old.UID
 	meta.Created = old.Created
-	meta.Generation = old.Generation + 1
+	meta.Generation = old.Generation
+	if !sameSpec(object, current) {
+		meta.Generation++
+	}
 	meta.ObservedGeneration = old.ObservedGeneration
+	if job, ok := object.(*resource.Job); ok {
+		old := current.(*resource.Job)
+		job.Status, job.Conditions = old.Status, old.Conditions
+	}
+}
+
+// sameSpec compares encoded specs, because an empty map becomes nil in a snapshot.
+func sameSpec(a, b resource.Object) bool {
+	return bytes.Equal(encodedSpec(a), encodedSpec(b))
+}
+
+func encodedSpec(object resource.Object) []byte {
+	var spec any
 	switch o := object.(type) {
 	case *resource.Job:
-		job := current.(*resource.Job)
-		o.Status, o.Conditions = job.Status, job.Conditions
+		spec = o.Spec
 	case *resource.Guarantee:
-		o.Conditions = current.(*resource.Guarantee).Conditions
+		spec = o.Spec
+	case *resource.Organisation:
+		spec = o.Spec
+	case *resource.Policy:
+		spec = o.Spec
 	}
+	data, err := json.Marshal(spec)
+	if err != nil {
+		panic(fmt.Sprintf("state: encode spec of %s: %v", object.Kind(), err))
+	}
+	return data
+}
+
+// checkLimit reports whether a new or changed object fits the limits of the state.
+func (s *State) checkLimit(object resource.Object, exists bool) (string, bool) {
+	if exists {
+		return "", true
+	}
+	count, limit := 0, 0
+	switch o := object.(type) {
+	case *resource.Job:
+		if s.payloadBytes+len(o.Spec.Payload) > MaxPayloadBytes {
+			return fmt.Sprintf("payloads of all jobs together exceed %d bytes", MaxPayloadBytes), false
+		}
+		count, limit = s.liveJobs, MaxLiveJobs
+	case *resource.Guarantee:
+		count, limit = len(s.Guarantees), MaxGuarantees
+	case *resource.Organisation:
+		count, limit = len(s.Organisations), MaxOrganisations
+	case *resource.Policy:
+		count, limit = len(s.Policies), MaxPolicies
+	}
+	if count < limit {
+		return "", true
+	}
+	return fmt.Sprintf("there are %d %s, the limit is %d", count, object.Kind(), limit), false
 }
 
 func (s *State) store(object, current resource.Object, exists bool, put Put) (Verdict, bool) {
@@ -263,7 +415,7 @@
 	if !exists {
 		job.Status = resource.JobStatus{Phase: resource.PhaseQueued, Zone: job.Status.Zone}
 		job.Conditions = nil
-		s.Jobs[job.Name] = job
+		s.setJob(job)
 		return Verdict{}, true
 	}
 	old := current.(*resource.Job)
@@ -273,10 +425,31 @@
 	if !sameShape(job.Spec, old.Spec) {
 		return Verdict{Code: Invalid, Message: "only urgency and declaredSeconds of a job can change"}, false
 	}
-	s.Jobs[job.Name] = job
+	s.setJob(job)
 	return Verdict{}, true
 }
 
+// setJob stores a job and keeps the counts of live jobs.
+func (s *State) setJob(job *resource.Job) {
+	s.countJob(s.Jobs[job.Name], -1)
+	s.Jobs[job.Name] = job
+	s.countJob(job, +1)
+}
+
+func (s *State) removeJob(name string) {
+	s.countJob(s.Jobs[name], -1)
+	delete(s.Jobs, name)
+	s.changed(resource.KindJob, name, true)
+}
+
+func (s *State) countJob(job *resource.Job, sign int) {
+	if job == nil || job.Status.Phase.Terminal() {
+		return
+	}
+	s.liveJobs += sign
+	s.payloadBytes += sign * len(job.Spec.Payload)
+}
+
 // sameShape reports whether two specs differ only in fields that may change.
 func sameShape(a, b resource.JobSpec) bool {
 	a.Urgency, a.DeclaredSeconds = b.Urgency, b.DeclaredSeconds
@@ -290,7 +463,7 @@
 	zone := g.Status.Zone
 	if revision := s.GuaranteeRevision[zone]; revision != put.IfGuaranteeRevision {
 		message := fmt.Sprintf("guarantees of zone %s changed: revision %d, checked at %d", zone, revision, put.IfGuaranteeRevision)
-		return Verdict{Code: Conflict, Message: message}, false
+		return Verdict{Code: RevisionConflict, Message: message}, false
 	}
 	if exists {
 		s.bumpGuarantees(current.(*resource.Guarantee).Status.Zone)
@@ -313,6 +486,7 @@
 	switch o := current.(type) {
 	case *resource.Job:
 		s.cancelJob(o, offset, r.Time)
+		return Verdict{Code: Accepted, Version: uint64(offset)}
 	case *resource.Guarantee:
 		delete(s.Guarantees, o.Name)
 		s.bumpGuarantees(o.Status.Zone)
@@ -325,28 +499,36 @@
 		delete(s.Policies, o.Name)
 		s.PolicyVersion = offset
 	}
+	s.changed(del.Kind, del.Name, true)
 	return Verdict{Code: Accepted, Version: uint64(offset)}
 }
 
-// organisationUser names a resource that refers to the organisation.
+// organisationUser names a resource that refers to the organisation. It returns the first by
+// name, because the message of a verdict must be the same in every process.
 func (s *State) organisationUser(org string) (string, bool) {
+	user := ""
+	add := func(name string) {
+		if user == "" || name < user {
+			user = name
+		}
+	}
 	for name, g := range s.Guarantees {
 		if g.Spec.Organisation == org {
-			return "guarantee " + name, true
+			add("guarantee " + name)
 		}
 	}
 	for name, j := range s.Jobs {
 		if j.Spec.Organisation == org && !j.Status.Phase.Terminal() {
-			return "job " + name, true
+			add("job " + name)
 		}
 	}
-	return "", false
+	return user, user != ""
 }
 
 // cancelJob ends a job, or forgets one that has ended already.
 func (s *State) cancelJob(job *resource.Job, offset platform.Offset, at time.Time) {
 	if job.Status.Phase.Terminal() {
-		delete(s.Jobs, job.Name)
+		s.removeJob(job.Name)
 		return
 	}
 	cancelled := *job
@@ -354,23 +536,33 @@
 	cancelled.Status.Phase = resource.PhaseCancelled
 	cancelled.Status.Reason = "cancelled by an operator"
 	cancelled.Status.FinishedAt = at
-	s.Jobs[job.Name] = &cancelled
-	s.retireJob(job.Name)
+	s.retireJob(&cancelled)
 }
 
-func (s *State) retireJob(name string) {
-	s.EndedJobs = append(s.EndedJobs, name)
+// retireJob stores an ended job without its payload, which no worker needs any more, and
+// forgets the oldest ended jobs beyond maxEndedJobs.
+func (s *State) retireJob(job *resource.Job) {
+	job.Spec.Payload = ""
+	s.setJob(job)
+	s.changed(resource.KindJob, job.Name, false)
+	s.EndedJobs = append(s.EndedJobs, EndedJob{Name: job.Name, UID: job.UID})
 	for len(s.EndedJobs) > maxEndedJobs {
 		oldest := s.EndedJobs[0]
 		s.EndedJobs = s.EndedJobs[1:]
-		if job, found := s.Jobs[oldest]; found && job.Status.Phase.Terminal() {
-			delete(s.Jobs, oldest)
+		if job, found := s.Jobs[oldest.Name]; found && job.UID == oldest.UID {
+			s.removeJob(oldest.Name)
 		}
 	}
 }
 
 func (s *State) applyClaim(claim Claim) Verdict {
-	current := s.Zones[claim.Zone]
+	if len(claim.Zone) > MaxIDBytes || len(claim.Epoch.Holder) > MaxIDBytes {
+		return Verdict{Code: Invalid, Message: "the zone or the holder is too long"}
+	}
+	current, known := s.Zones[claim.Zone]
+	if !known && len(s.Zones) >= maxZones {
+		return Verdict{Code: Limit, Message: fmt.Sprintf("there are %d zones", maxZones)}
+	}
 	allowed := claim.Epoch.Compare(current.Epoch) > 0
 	if !claim.Provisional {
 		allowed = allowed && claim.Expected == current.Epoch
@@ -384,8 +576,8 @@
 }
 
 func (s *State) applyRelease(release Release) Verdict {
-	current := s.Zones[release.Zone]
-	if current.Epoch != release.Epoch {
+	current, known := s.Zones[release.Zone]
+	if !known || current.Epoch != release.Epoch {
 		return Verdict{Code: Conflict, Message: "the zone has another leader"}
 	}
 	s.Zones[release.Zone] = ZoneLeader{Epoch: current.Epoch, Released: true, Successor: release.Successor}
@@ -393,7 +585,7 @@
 }
 
 func (s *State) applyZoneUpdate(offset platform.Offset, r Record, update ZoneUpdate) Verdict {
-	if s.Zones[update.Zone].Epoch != update.Epoch {
+	if leader, known := s.Zones[update.Zone]; !known || leader.Epoch != update.Epoch {
 		return Verdict{Code: Conflict, Message: "the epoch is not the zone's current one"}
 	}
 	for _, u := range update.Jobs {
@@ -403,15 +595,23 @@
 		s.updateGuarantee(offset, update.Zone, u)
 	}
 	for _, w := range update.Workers {
-		if w.Quarantined {
-			s.Workers[w.Worker] = w
-		} else {
-			delete(s.Workers, w.Worker)
-		}
+		s.updateWorker(w)
 	}
 	return Verdict{Code: Accepted, Version: uint64(offset)}
 }
 
+func (s *State) updateWorker(w WorkerHealth) {
+	_, known := s.Workers[w.Worker]
+	w.Reason = truncate(w.Reason)
+	switch {
+	case len(w.Worker) > MaxIDBytes:
+	case !w.Quarantined:
+		delete(s.Workers, w.Worker)
+	case known || len(s.Workers) < maxQuarantined:
+		s.Workers[w.Worker] = w
+	}
+}
+
 // updateJob replaces a status. An ended job keeps its phase: a cancellation that reached the
 // log first wins over a late result.
 func (s *State) updateJob(offset platform.Offset, zone string, u JobUpdate) {
@@ -419,15 +619,31 @@
 	if !found || job.UID != u.UID || job.Status.Zone != zone || job.Status.Phase.Terminal() {
 		return
 	}
+	if !attemptAllowed(job, u.Status.Attempt) {
+		return
+	}
 	updated := *job
 	updated.Status = u.Status
 	updated.Conditions = u.Conditions
 	updated.ObservedGeneration = job.Generation
 	updated.ResourceVersion = uint64(offset)
-	s.Jobs[u.Name] = &updated
 	if updated.Status.Phase.Terminal() {
-		s.retireJob(u.Name)
+		s.retireJob(&updated)
+		return
+	}
+	s.setJob(&updated)
+	s.changed(resource.KindJob, u.Name, false)
+}
+
+// attemptAllowed reports whether a status with this attempt may replace the job's. Attempts
+// never go back, so an update that was appended late cannot undo a newer one. A job that must
+// not run twice never gets a second attempt.
+func attemptAllowed(job *resource.Job, attempt uint64) bool {
+	committed := job.Status.Attempt
+	if job.Spec.Restart == resource.RestartNever && committed != 0 {
+		return attempt == committed
 	}
+	return attempt >= committed
 }
 
 func (s *State) updateGuarantee(offset platform.Offset, zone string, u GuaranteeUpdate) {
@@ -445,6 +661,7 @@
 	updated.ObservedGeneration = g.Generation
 	updated.ResourceVersion = uint64(offset)
 	s.Guarantees[u.Name] = &updated
+	s.changed(resource.KindGuarantee, u.Name, false)
 	if moves {
 		s.bumpGuarantees(zone)
 		s.bumpGuarantees(u.Zone)
