--- a/internal/standin/fuzz_test.go
+++ b/internal/standin/fuzz_test.go
@@ -75,6 +75,7 @@
 func FuzzWorkerRequest(f *testing.F) {
 	f.Add("reserve", `{"epoch":{"number":1},"leases":[{"jobUID":"j","attempt":1}],"task":{"accelerators":4},"ttlSeconds":5}`)
 	f.Add("reserve", `{"leases":[{"jobUID":"a"},{"jobUID":"b"}],"task":{"accelerators":-9223372036854775808},"ttlSeconds":1e308}`)
+	f.Add("reserve", `{"leases":[{"jobUID":"a"},{"jobUID":"b"}],"task":{"accelerators":9223372036854775807},"ttlSeconds":5}`)
 	f.Add("start", `{"epoch":{"number":1},"leases":[{"jobUID":"held"}],"ttlSeconds":-5}`)
 	f.Add("throttle", `{"leases":[{"jobUID":"held"}],"throttle":-1}`)
 	f.Add("leases", `{"epoch":{"number":18446744073709551615}}`)
@@ -102,6 +103,8 @@
 			used := 0
 			for _, lease := range fleet.Snapshot("a") {
 				if lease.State.Active() {
+					require.GreaterOrEqual(t, lease.Task.Accelerators, 0)
+					require.LessOrEqual(t, lease.Task.Accelerators, 8)
 					used += lease.Task.Accelerators
 				}
 			}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -144,8 +144,10 @@
 			return fmt.Errorf("%w: member %d has ended", platform.ErrNoCapacity, id.Member)
 		}
 	}
-	if need, free := len(added)*req.Task.Accelerators, w.free(); need > free || req.Task.Accelerators < 0 {
-		return fmt.Errorf("%w: %s has %d free accelerators, need %d", platform.ErrNoCapacity, w.row.ID, free, need)
+	each, free := req.Task.Accelerators, w.free()
+	// The first two conditions also keep the product from overflowing.
+	if each < 0 || each > w.row.Accelerators || len(added)*each > free {
+		return fmt.Errorf("%w: %s has %d free accelerators, need %d times %d", platform.ErrNoCapacity, w.row.ID, free, len(added), each)
 	}
 	for _, id := range added {
 		w.tasks[id] = &task{lease: platform.Lease{ID: id, State: platform.LeaseReserved, Task: req.Task}, writing: -1, speed: 1}
