--- a/internal/cli/path_test.go
+++ b/internal/cli/path_test.go
@@ -42,13 +42,13 @@
 }
 
 // instance is one replica with its API over a log.
-type instance struct {
+type testInstance struct {
 	replica *replica.Replica
 	server  *httptest.Server
 	events  *timeline.Recorder
 }
 
-func newInstance(t *testing.T, id string, log *standin.Log) *instance {
+func newInstance(t *testing.T, id string, log *standin.Log) *testInstance {
 	t.Helper()
 	events := timeline.NewRecorder(id, hlc.New(nil), 100)
 	r := replica.New(replica.Dependencies{ID: id, Log: log, Now: time.Now, Logger: logging.Discard(), Events: events})
@@ -63,7 +63,7 @@
 	})
 	server := httptest.NewServer(a.Handler())
 	t.Cleanup(server.Close)
-	return &instance{replica: r, server: server, events: events}
+	return &testInstance{replica: r, server: server, events: events}
 }
 
 // run runs the command line against the instances and returns the exit code and the output.
--- /dev/null
+++ b/internal/instance/adapters.go
@@ -0,0 +1,155 @@
+package instance
+
+import (
+	"context"
+	"crypto/tls"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/oleanderbend/oleanderbend/internal/inventory"
+	"github.com/oleanderbend/oleanderbend/internal/membership"
+	"github.com/oleanderbend/oleanderbend/internal/placement"
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+	"github.com/oleanderbend/oleanderbend/internal/scheduler"
+	"github.com/oleanderbend/oleanderbend/internal/settings"
+	"github.com/oleanderbend/oleanderbend/internal/state"
+	"github.com/oleanderbend/oleanderbend/internal/zoning"
+)
+
+// seed makes the random choices of an instance differ from those of the others.
+func seed(id string) uint64 { return xxhash.Sum64String(id) }
+
+func newScheduler(id string) scheduler.Scheduler { return scheduler.New(int64(seed(id) >> 1)) }
+
+// zoneAdapter gives the API its choice of zones, from the list of instances, the state and
+// what the zones' leaders tell.
+type zoneAdapter struct {
+	instances *inventory.Cache
+	reader    state.Reader
+	view      membership.View
+	now       func() time.Time
+	scheduler scheduler.Scheduler
+}
+
+// ChooseZone implements api.ZoneChooser.
+func (z *zoneAdapter) ChooseZone(ctx context.Context, job *resource.Job) (zone, refusal string, err error) {
+	list, err := z.instances.List(ctx)
+	if err != nil {
+		return "", "", err
+	}
+	z.reader.Read(func(s *state.State) {
+		loads := zoning.Inventory(list, quarantined(s))
+		z.addReports(s, loads)
+		zone = zoning.ChooseForJob(job, loads, s.Guarantees)
+		// Quarantined workers return, so they count for what can ever run.
+		refusal = zoning.Refusal(job, zoning.Inventory(list, func(string) bool { return false }))
+	})
+	return zone, refusal, nil
+}
+
+// CheckGuarantee implements api.GuaranteeChecker. It tries the zones in order and returns the
+// first that can honour the guarantee, or the verdict of the last.
+func (z *zoneAdapter) CheckGuarantee(ctx context.Context, g *resource.Guarantee) (string, scheduler.GuaranteeResult, error) {
+	list, err := z.instances.List(ctx)
+	if err != nil {
+		return "", scheduler.GuaranteeResult{}, err
+	}
+	zone := ""
+	result := scheduler.GuaranteeResult{Guarantee: g.Name, Reason: "there is no zone with workers"}
+	z.reader.Read(func(s *state.State) {
+		loads := zoning.Inventory(list, quarantined(s))
+		for _, candidate := range zoning.OrderForGuarantee(g, loads, s.Guarantees) {
+			zone = candidate
+			result = z.scheduler.CheckGuarantee(guaranteeSnapshot(s, list, candidate, g.Name), g)
+			if result.Honourable {
+				return
+			}
+		}
+	})
+	return zone, result, nil
+}
+
+// addReports fills in what the leaders of the zones tell of free and queued accelerators. A
+// zone without a report counts as empty.
+func (z *zoneAdapter) addReports(s *state.State, loads map[string]zoning.Load) {
+	reports := make(map[string]membership.Info)
+	for _, m := range z.view.Members() {
+		reports[m.Info.ID] = m.Info
+	}
+	for zone, load := range loads {
+		load.Free = load.Total
+		if info, found := reports[s.Zones[zone].Epoch.Holder]; found {
+			if free, reported := info.FreeAccelerators[zone]; reported {
+				load.Free = free
+				load.Queued = info.QueuedAccelerators[zone]
+			}
+		}
+		loads[zone] = load
+	}
+}
+
+func quarantined(s *state.State) func(string) bool {
+	return func(worker string) bool { return s.Workers[worker].Quarantined }
+}
+
+// guaranteeSnapshot has the workers and the guarantees of a zone, without the guarantee that
+// is being replaced. Running jobs do not matter, because all work beyond the guarantees can
+// be reclaimed.
+func guaranteeSnapshot(s *state.State, list []platform.Instance, zone, replaced string) scheduler.Snapshot {
+	snapshot := scheduler.Snapshot{
+		Zone:          zone,
+		Organisations: s.Organisations,
+		Policy:        s.Policy().Placement,
+	}
+	for _, in := range list {
+		if in.Kind != platform.KindWorker || in.Zone != zone {
+			continue
+		}
+		snapshot.Workers = append(snapshot.Workers, scheduler.Worker{
+			ID: in.ID, Rack: in.Rack, Accelerators: in.Accelerators, Cores: in.Cores, MemoryMB: in.MemoryMB,
+			Usable: in.State == platform.StateLive && !s.Workers[in.ID].Quarantined,
+		})
+	}
+	for _, g := range s.Guarantees {
+		if g.Status.Zone == zone && g.Name != replaced {
+			snapshot.Guarantees = append(snapshot.Guarantees, g)
+		}
+	}
+	return snapshot
+}
+
+// explainer asks the leader of a job's zone why the job waits.
+type explainer struct {
+	reader    state.Reader
+	placement *placement.Service
+}
+
+// Waiting implements api.Explainer.
+func (e *explainer) Waiting(ctx context.Context, job string) (scheduler.Waiting, bool, error) {
+	zone := ""
+	e.reader.Read(func(s *state.State) {
+		if found, ok := s.Jobs[job]; ok && found.Status.Phase == resource.PhaseQueued {
+			zone = found.Status.Zone
+		}
+	})
+	if zone == "" {
+		return scheduler.Waiting{}, false, nil
+	}
+	return e.placement.Explain(ctx, zone, job)
+}
+
+// callerTLS returns the configuration of the caller listener, or nil for plain HTTP.
+func callerTLS(files settings.TLS, _ func() time.Time) *tls.Config {
+	if files.CertFile == "" {
+		return nil
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			pair, err := tls.LoadX509KeyPair(files.CertFile, files.KeyFile)
+			return &pair, err
+		},
+	}
+}
--- a/internal/zoning/zoning.go
+++ b/internal/zoning/zoning.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"github.com/oleanderbend/oleanderbend/internal/platform"
@@ -138,3 +139,18 @@
 		return 1
 	}
 }
+
+// Refusal returns why no zone can ever hold a job, or "" if one can. An empty inventory
+// refuses nothing, because the list of instances may not be known yet.
+func Refusal(job *resource.Job, loads map[string]Load) string {
+	if len(loads) == 0 {
+		return ""
+	}
+	for _, load := range loads {
+		if load.canHold(job) {
+			return ""
+		}
+	}
+	return fmt.Sprintf("no availability zone can hold %d members of %d accelerators with adjacency %q",
+		job.Spec.Members, job.Spec.AcceleratorsPerMember, job.Spec.Adjacency)
+}
