Add the demo: stand-ins, six instances and checks in one process

It runs reclaimable work over the whole fleet, calls a guarantee, kills the leader of the guarantee's zone and calls it again, changes the policy and stops an instance gracefully. An aborted stop no longer announces itself to the peers, so the kill is detected by probes as a crash is.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -77,6 +77,7 @@
 		ShortUsage: "oleanderbend COMMAND [flags]",
 		FlagSet:    newFlagSet("oleanderbend", env),
 		Subcommands: []*ffcli.Command{
+			demoCommand(env),
 			serveCommand(env),
 			standinCommand(env),
 			applyCommand(env),
--- /dev/null
+++ b/internal/demo/callers.go
@@ -0,0 +1,103 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+	"github.com/oleanderbend/oleanderbend/internal/standin"
+)
+
+const (
+	requestPeriod = 10 * time.Millisecond
+	serviceTime   = "20ms"
+	answerBytes   = 2000
+)
+
+// tally counts the outcomes of requests.
+type tally struct {
+	mu sync.Mutex
+	// answers, notRun and unknown count the three outcomes; cut counts connections that broke
+	// without one, which only the killed instance may cause.
+	answers, notRun, unknown, cut int
+	// wrong lists answers that are short or another request's.
+	wrong []string
+	// refused has the ids whose outcome was not-run, once has those marked non-idempotent.
+	refused, once []string
+}
+
+// sendRequests sends requests to all live instances in turn until ctx is done.
+func (c *cluster) sendRequests(ctx context.Context) *tally {
+	t := &tally{}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	var wg sync.WaitGroup
+	ticker := time.NewTicker(requestPeriod)
+	defer ticker.Stop()
+	for n := 0; ctx.Err() == nil; n++ {
+		live := c.liveNodes()
+		addr := live[n%len(live)].settings.CallerAddr
+		wg.Go(func() { t.send(client, addr, n) })
+		<-ticker.C
+	}
+	wg.Wait()
+	return t
+}
+
+// send makes one request. Every fourth one is not idempotent.
+func (t *tally) send(client *http.Client, addr string, n int) {
+	id := fmt.Sprintf("demo-%d", n)
+	url := fmt.Sprintf("http://%s/plan?%s=%s&%s=%d", addr, standin.ParamService, serviceTime, standin.ParamSize, answerBytes)
+	req, err := http.NewRequest(http.MethodPost, url, nil)
+	if err != nil {
+		t.add(func() { t.wrong = append(t.wrong, err.Error()) })
+		return
+	}
+	idempotent := n%4 != 0
+	req.Header.Set(platform.HeaderOrganisation, "hamnverket")
+	req.Header.Set(platform.HeaderCaller, fmt.Sprintf("caller-%d", n%7))
+	req.Header.Set(platform.HeaderKind, "tide-check")
+	req.Header.Set(platform.HeaderRequestID, id)
+	req.Header.Set(platform.HeaderIdempotent, strconv.FormatBool(idempotent))
+	if !idempotent {
+		req.Header.Set(platform.HeaderIdempotencyKey, id)
+		t.add(func() { t.once = append(t.once, id) })
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		t.add(func() { t.cut++ })
+		return
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	t.add(func() { t.count(id, res, len(body), err) })
+}
+
+func (t *tally) count(id string, res *http.Response, size int, err error) {
+	switch outcome := res.Header.Get(platform.HeaderOutcome); {
+	case err != nil:
+		t.cut++
+	case outcome == "answer" && res.StatusCode == http.StatusOK:
+		t.answers++
+		if size != answerBytes || res.Header.Get(platform.HeaderRequestID) != id {
+			t.wrong = append(t.wrong, fmt.Sprintf("%s: %d bytes for request %s", id, size, res.Header.Get(platform.HeaderRequestID)))
+		}
+	case outcome == "not-run":
+		t.notRun++
+		t.refused = append(t.refused, id)
+	case outcome == "unknown":
+		t.unknown++
+	default:
+		t.wrong = append(t.wrong, fmt.Sprintf("%s: status %s outcome %q", id, res.Status, outcome))
+	}
+}
+
+func (t *tally) add(change func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	change()
+}
--- /dev/null
+++ b/internal/demo/cluster.go
@@ -0,0 +1,205 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/instance"
+	"github.com/oleanderbend/oleanderbend/internal/settings"
+	"github.com/oleanderbend/oleanderbend/internal/standin"
+	"github.com/oleanderbend/oleanderbend/internal/timeline"
+)
+
+const (
+	instances       = 6
+	workersPerZone  = 8
+	targetsPerZone  = 4
+	peerKey         = "demo shared key of six instances"
+	stopTimeout     = 10 * time.Second
+	logRetention    = time.Hour
+	appendsPerSec   = 300
+	instancesLag    = 500 * time.Millisecond
+	workersPerRack  = 4
+	acceleratorsPer = 8
+)
+
+var zones = []string{"nb-1", "nb-2", "nb-3"}
+
+// cluster is the stand-ins and the instances of one demonstration.
+type cluster struct {
+	platform *standin.Server
+	nodes    []*node
+}
+
+// node is one instance that runs in this process.
+type node struct {
+	settings settings.Serve
+	instance *instance.Instance
+	// stop begins a graceful stop, abort cuts it short.
+	stop  context.CancelFunc
+	abort context.CancelFunc
+	done  chan error
+
+	mu      sync.Mutex
+	stopped bool
+}
+
+// startCluster starts the stand-ins and all instances.
+func startCluster(logs io.Writer) (*cluster, error) {
+	platform, err := standin.Start(platformSettings())
+	if err != nil {
+		return nil, err
+	}
+	c := &cluster{platform: platform}
+	all, err := instanceSettings(platform)
+	if err != nil {
+		c.close()
+		return nil, err
+	}
+	for _, s := range all {
+		n, err := startNode(s, logs)
+		if err != nil {
+			c.close()
+			return nil, err
+		}
+		c.nodes = append(c.nodes, n)
+	}
+	return c, nil
+}
+
+func startNode(s settings.Serve, logs io.Writer) (*node, error) {
+	i, err := instance.New(s, logs, instance.WithNoEarlierKeys())
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	abortCtx, abort := context.WithCancel(context.Background())
+	n := &node{settings: s, instance: i, stop: stop, abort: abort, done: make(chan error, 1)}
+	go func() { n.done <- i.Run(ctx, abortCtx) }()
+	return n, nil
+}
+
+// kill ends an instance without a graceful stop.
+func (n *node) kill() error {
+	n.abort()
+	return n.shutdown()
+}
+
+// shutdown stops an instance gracefully and waits for its end.
+func (n *node) shutdown() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.stopped {
+		return nil
+	}
+	n.stopped = true
+	n.stop()
+	return <-n.done
+}
+
+func (n *node) live() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.stopped
+}
+
+func (c *cluster) liveNodes() []*node {
+	var live []*node
+	for _, n := range c.nodes {
+		if n.live() {
+			live = append(live, n)
+		}
+	}
+	return live
+}
+
+// leader returns the live instance that leads a zone, or nil.
+func (c *cluster) leader(zone string) *node {
+	for _, n := range c.liveNodes() {
+		if n.instance.Leads(zone) {
+			return n
+		}
+	}
+	return nil
+}
+
+func (c *cluster) timeline() []timeline.Event {
+	var lanes [][]timeline.Event
+	for _, n := range c.nodes {
+		lanes = append(lanes, n.instance.Events())
+	}
+	return timeline.Merge(lanes...)
+}
+
+// close ends everything.
+func (c *cluster) close() {
+	for _, n := range c.nodes {
+		_ = n.kill()
+	}
+	c.platform.Close()
+}
+
+func platformSettings() settings.Standin {
+	const anyPort = "127.0.0.1:0"
+	s := settings.Standin{
+		Name: "demo", ControlAddr: anyPort, LogAddr: anyPort, InstancesAddr: anyPort,
+		WorkersAddr: anyPort, TargetsAddr: anyPort,
+		InstancesLag: settings.Duration(instancesLag), UsageLag: settings.Duration(time.Second),
+		Log:    settings.StandinLog{Retention: settings.Duration(logRetention), AppendsPerSecond: appendsPerSec},
+		Worker: settings.StandinWorker{Cores: 64, MemoryMB: 128 << 10, Accelerators: acceleratorsPer, PerRack: workersPerRack},
+		Target: settings.StandinTarget{Slots: 8, Connections: 64},
+	}
+	for _, zone := range zones {
+		s.Zones = append(s.Zones, settings.StandinZone{
+			Name: zone, Region: "norrbotten", Workers: workersPerZone, Targets: targetsPerZone,
+		})
+	}
+	return s
+}
+
+func instanceSettings(platform *standin.Server) ([]settings.Serve, error) {
+	addrs, err := freeAddrs(3 * instances)
+	if err != nil {
+		return nil, err
+	}
+	all := make([]settings.Serve, instances)
+	for i := range all {
+		all[i] = settings.Serve{
+			ID: fmt.Sprintf("n%d", i+1), Region: "norrbotten", Zone: zones[i%len(zones)],
+			CallerAddr: addrs[3*i], OperatorAddr: addrs[3*i+1], PeerAddr: addrs[3*i+2],
+			PeerKey:     peerKey,
+			Platform:    settings.Platform{LogURL: platform.LogURL, InstancesURL: platform.InstancesURL},
+			StopTimeout: settings.Duration(stopTimeout), LogLevel: "info",
+		}
+	}
+	for i := range all {
+		for j, other := range all {
+			if i == j {
+				continue
+			}
+			all[i].Peers = append(all[i].Peers, settings.Peer{
+				ID: other.ID, Addr: other.PeerAddr, OperatorAddr: other.OperatorAddr, Zone: other.Zone, Region: other.Region,
+			})
+		}
+	}
+	return all, nil
+}
+
+// freeAddrs returns loopback addresses with ports that are free now.
+func freeAddrs(n int) ([]string, error) {
+	var addrs []string
+	for range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		// All listeners stay open until the end, so that no port is returned twice.
+		defer listener.Close()
+		addrs = append(addrs, listener.Addr().String())
+	}
+	return addrs, nil
+}
--- /dev/null
+++ b/internal/demo/operator.go
@@ -0,0 +1,91 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+)
+
+// errRefused is wrapped by answers of the resource API that are not successful.
+var errRefused = errors.New("demo: refused by the resource API")
+
+// put creates or replaces a resource through any live instance.
+func (c *cluster) put(ctx context.Context, object resource.Object) error {
+	body, err := json.Marshal(object)
+	if err != nil {
+		return err
+	}
+	path := fmt.Sprintf("/v1/%s/%s", object.Kind(), object.Meta().Name)
+	return c.call(ctx, http.MethodPut, path, bytes.NewReader(body), nil)
+}
+
+// job reads a job.
+func (c *cluster) job(ctx context.Context, name string) (*resource.Job, error) {
+	job := &resource.Job{}
+	return job, c.call(ctx, http.MethodGet, "/v1/jobs/"+name, nil, job)
+}
+
+// cancel cancels a job.
+func (c *cluster) cancel(ctx context.Context, name string) error {
+	return c.call(ctx, http.MethodDelete, "/v1/jobs/"+name, nil, nil)
+}
+
+func (c *cluster) call(ctx context.Context, method, path string, body io.Reader, into any) error {
+	n := c.liveNodes()[0]
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.settings.OperatorAddr+path, body)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		return err
+	}
+	if res.StatusCode >= http.StatusBadRequest {
+		return eris.Wrapf(errRefused, "%s %s: %s: %s", method, path, res.Status, bytes.TrimSpace(data))
+	}
+	if into == nil {
+		return nil
+	}
+	return json.Unmarshal(data, into)
+}
+
+func organisation(name string, weight float64) *resource.Organisation {
+	return &resource.Organisation{
+		Metadata: resource.Metadata{Name: name},
+		Spec:     resource.OrganisationSpec{Weight: weight},
+	}
+}
+
+// rackGuarantee promises one gang of 16 accelerators in one rack.
+func rackGuarantee(name, org string) *resource.Guarantee {
+	return &resource.Guarantee{
+		Metadata: resource.Metadata{Name: name},
+		Spec: resource.GuaranteeSpec{
+			Organisation: org, Gangs: 1, Members: 2, AcceleratorsPerMember: 8, Adjacency: resource.AdjacentRack,
+		},
+	}
+}
+
+func gang(name, org string, members int, adjacency resource.Adjacency, payload string) *resource.Job {
+	return &resource.Job{
+		Metadata: resource.Metadata{Name: name},
+		Spec: resource.JobSpec{
+			Organisation: org, Members: members, AcceleratorsPerMember: acceleratorsPer, Adjacency: adjacency,
+			Urgency: 3, Checkpointable: true, Payload: payload,
+		},
+	}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -23,8 +23,10 @@
 	"github.com/oleanderbend/oleanderbend/internal/placement"
 	"github.com/oleanderbend/oleanderbend/internal/platform/httpclient"
 	"github.com/oleanderbend/oleanderbend/internal/replica"
+	"github.com/oleanderbend/oleanderbend/internal/resource"
 	"github.com/oleanderbend/oleanderbend/internal/scheduler"
 	"github.com/oleanderbend/oleanderbend/internal/settings"
+	"github.com/oleanderbend/oleanderbend/internal/state"
 	"github.com/oleanderbend/oleanderbend/internal/timeline"
 )
 
@@ -103,6 +105,13 @@
 // IsReady reports whether the instance has recovered its state and does not stop.
 func (i *Instance) IsReady() bool { return i.replica.IsReady() && !i.members.Self().Info.Draining }
 
+// Policy returns the policy in force at this instance.
+func (i *Instance) Policy() resource.PolicySpec {
+	var policy resource.PolicySpec
+	i.replica.Read(func(s *state.State) { policy = s.Policy() })
+	return policy
+}
+
 // Events returns the process's part of the time line.
 func (i *Instance) Events() []timeline.Event { return i.recorder.Events(timeline.Filter{}) }
 
@@ -193,11 +202,16 @@
 	})
 }
 
+// publishReady lets the others count on this instance, for example as a leader.
+func (i *Instance) publishReady() {
+	i.members.Publish(func(info *membership.Info) { info.Ready = !info.Draining })
+}
+
 // register fixes the order of start and, reversed, of stop. On a graceful stop the instance
 // first announces it, then hands over its zones, then finishes the requests in progress, and
 // answers operators until the end.
 func (i *Instance) register() error {
-	gated := &gatedService{name: gateway.Name, inner: i.gateway, ready: i.replica.Ready()}
+	gated := &gatedService{name: gateway.Name, inner: i.gateway, ready: i.replica.Ready(), onReady: i.publishReady}
 	drain := &drainService{members: i.members, recorder: i.recorder, logger: i.logger}
 	services := []kernel.Registration{
 		{Name: peer.ServiceName, Service: i.peers},
--- a/internal/instance/services.go
+++ b/internal/instance/services.go
@@ -17,6 +17,8 @@
 	name  string
 	inner kernel.Service
 	ready <-chan struct{}
+	// onReady is called once ready is closed, unless the service has stopped before.
+	onReady func()
 
 	kernel *kernel.Kernel
 	mu     sync.Mutex
@@ -51,7 +53,11 @@
 		return nil
 	}
 	g.started = true
-	return g.inner.Start(ctx)
+	if err := g.inner.Start(ctx); err != nil {
+		return err
+	}
+	g.onReady()
+	return nil
 }
 
 // Stop implements kernel.Service.
--- a/internal/leadership/service.go
+++ b/internal/leadership/service.go
@@ -109,6 +109,9 @@
 	clear(s.core.terms)
 	s.notify()
 	s.mu.Unlock()
+	if ctx.Err() != nil {
+		return nil
+	}
 	var handovers sync.WaitGroup
 	for _, term := range terms {
 		handovers.Go(func() { s.release(ctx, term, in) })
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -98,6 +98,10 @@
 
 // Stop implements kernel.Service. It announces to some peers that this instance left.
 func (s *Service) Stop(ctx context.Context) error {
+	if ctx.Err() != nil {
+		// An aborted stop is like a crash: the others have to detect it.
+		return nil
+	}
 	s.mu.Lock()
 	s.core.leave(s.config.Now())
 	targets := s.core.helpers("", announceTo)
