--- /dev/null
+++ b/internal/measure/jobsmetrics.go
@@ -0,0 +1,141 @@
+package measure
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// jobsFigures are the metrics of a run of PolicyJobs.
+type jobsFigures struct {
+	jctMeanRatio, jctP95Ratio float64
+	largeGangWaitP95          float64
+	fragmentation             float64
+	utilisation               float64
+	partialGangs              int
+	guaranteeMisses           int
+	unfinished                int
+}
+
+// figures computes the metrics over the jobs that can run and are not cancelled.
+//
+// The lower bound of the mean completion time is the greater of two bounds. First, no job
+// completes before its own run time, so the mean run time is a bound. Second, if every job
+// could use all accelerators at once, the zone would be one machine with the speed of its
+// capacity, and on one machine shortest remaining work first gives the smallest mean
+// completion time; that mean is a bound for any policy with the same work. The lower bound of
+// the 95th percentile is that of the run times.
+func (s *jobsSim) figures() jobsFigures {
+	var jct, runTime, wait []float64
+	var tasks []*jobsTask
+	out := jobsFigures{partialGangs: s.result.partial, guaranteeMisses: s.result.misses}
+	horizon := jobsEpoch.Add(s.load.horizon)
+	for _, t := range s.load.tasks {
+		if t.impossible || t.faulty || !t.cancelAt.IsZero() {
+			continue
+		}
+		end, started := t.finished, t.started
+		if end.IsZero() {
+			out.unfinished++
+			end = horizon
+		}
+		if started.IsZero() {
+			started = horizon
+		}
+		tasks = append(tasks, t)
+		jct = append(jct, end.Sub(t.job.Created).Seconds())
+		runTime = append(runTime, t.real.Seconds())
+		if s.large(t) {
+			wait = append(wait, started.Sub(t.job.Created).Seconds())
+		}
+	}
+	capacity := 0
+	for _, w := range s.load.workers {
+		capacity += w.Accelerators
+	}
+	bound := max(mean(runTime), jobsSRPT(tasks, float64(capacity)))
+	out.jctMeanRatio = mean(jct) / bound
+	out.jctP95Ratio = jobsPercentile(jct, 0.95) / jobsPercentile(runTime, 0.95)
+	out.largeGangWaitP95 = jobsPercentile(wait, 0.95)
+	if s.result.windowTime > 0 {
+		out.fragmentation = s.result.fragmentArea / s.result.windowTime
+		out.utilisation = s.result.busyArea / s.result.windowTime / float64(capacity)
+	}
+	return out
+}
+
+// large reports whether a job counts as a large adjacent gang: one that needs at least half
+// the workers of a rack entirely, or 16 members.
+func (s *jobsSim) large(t *jobsTask) bool {
+	w := s.load.workers[0]
+	perRack := 0
+	for _, other := range s.load.workers {
+		if other.Rack == w.Rack {
+			perRack++
+		}
+	}
+	return t.job.Spec.Accelerators() >= perRack*w.Accelerators/2 || t.job.Spec.Members >= 16
+}
+
+func mean(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / float64(len(values))
+}
+
+// jobsPercentile returns the smallest value that at least the share p does not exceed.
+func jobsPercentile(values []float64, p float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	i := int(p*float64(len(sorted)) + 0.999999)
+	return sorted[min(max(i-1, 0), len(sorted)-1)]
+}
+
+type floatHeap []float64
+
+func (h floatHeap) Len() int           { return len(h) }
+func (h floatHeap) Less(i, j int) bool { return h[i] < h[j] }
+func (h floatHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *floatHeap) Push(x any)        { *h = append(*h, x.(float64)) }
+func (h *floatHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+// jobsSRPT returns the mean completion time in seconds under shortest remaining work first on
+// one machine with the given speed. The sum of completion times is the integral of the number
+// of jobs in the system.
+func jobsSRPT(tasks []*jobsTask, speed float64) float64 {
+	byArrival := slices.Clone(tasks)
+	slices.SortStableFunc(byArrival, func(a, b *jobsTask) int { return a.job.Created.Compare(b.job.Created) })
+	var left floatHeap
+	now, sum := 0.0, 0.0
+	run := func(until float64) {
+		for len(left) > 0 && now < until {
+			d := min(left[0]/speed, until-now)
+			sum += d * float64(len(left))
+			now += d
+			if left[0] -= d * speed; left[0] <= 1e-6 {
+				heap.Pop(&left)
+			}
+		}
+		now = max(now, until)
+	}
+	for _, t := range byArrival {
+		run(t.job.Created.Sub(jobsEpoch).Seconds())
+		heap.Push(&left, t.real.Seconds()*float64(t.job.Spec.Accelerators()))
+	}
+	for len(left) > 0 {
+		run(now + (24 * time.Hour).Seconds())
+	}
+	return sum / float64(max(len(tasks), 1))
+}
--- /dev/null
+++ b/internal/measure/jobsworkload.go
@@ -0,0 +1,268 @@
+package measure
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+	"github.com/oleanderbend/oleanderbend/internal/scheduler"
+)
+
+// jobsSite is the size of a deployment. All of its workers are one zone here, so that gangs of
+// 64 members fit at the design size.
+type jobsSite struct {
+	name          string
+	racks         int
+	perRack       int
+	accelerators  int
+	cores         int
+	memoryMB      int
+	organisations int
+	jobsPerDay    int
+	// load is the work offered in a day over the capacity of a day.
+	load float64
+}
+
+// The sites of section 1.5 of the design. At the design size a worker has 16 accelerators,
+// because 8,400 tasks of at least one accelerator do not fit on 800 workers with 8. It is
+// offered more work than the deployments, because queues hardly form below.
+var (
+	jobsTumaini    = jobsSite{"tumaini", 8, 6, 8, 128, 256 << 10, 4, 600, 0.95}
+	jobsHamnverket = jobsSite{"hamnverket", 6, 8, 8, 64, 128 << 10, 4, 600, 0.95}
+	jobsDesign     = jobsSite{"design", 100, 8, 16, 128, 512 << 10, 130, 2900, 1.2}
+)
+
+func (s jobsSite) capacity() int { return s.racks * s.perRack * s.accelerators }
+
+func (s jobsSite) workers() []scheduler.Worker {
+	var out []scheduler.Worker
+	for r := range s.racks {
+		for w := range s.perRack {
+			out = append(out, scheduler.Worker{
+				ID: fmt.Sprintf("w%03d-%02d", r, w), Rack: fmt.Sprintf("r%03d", r),
+				Accelerators: s.accelerators, Cores: s.cores, MemoryMB: s.memoryMB, Usable: true,
+			})
+		}
+	}
+	return out
+}
+
+func (s jobsSite) organisation(i int) string { return fmt.Sprintf("org-%03d", i) }
+
+// jobsGenerator draws a workload from a seed.
+type jobsGenerator struct {
+	site jobsSite
+	rng  *rand.Rand
+	// bias is how far each organisation's declared run times are off, as a factor.
+	bias []float64
+	// share is the cumulative share of the jobs of each organisation; the first are large.
+	share []float64
+	next  int
+}
+
+func newJobsGenerator(site jobsSite, seed uint64) *jobsGenerator {
+	g := &jobsGenerator{site: site, rng: jobsRand(seed)}
+	total := 0.0
+	for i := range site.organisations {
+		g.bias = append(g.bias, math.Exp(g.rng.NormFloat64()*0.7))
+		total += 1 / float64(i+2)
+		g.share = append(g.share, total)
+	}
+	for i := range g.share {
+		g.share[i] /= total
+	}
+	return g
+}
+
+func (g *jobsGenerator) pickOrganisation() int {
+	x := g.rng.Float64()
+	i, _ := slices.BinarySearch(g.share, x)
+	return min(i, len(g.share)-1)
+}
+
+func (g *jobsGenerator) lognormal(median time.Duration, sigma float64) time.Duration {
+	return time.Duration(float64(median) * math.Exp(g.rng.NormFloat64()*sigma))
+}
+
+// jobsClass is a size class with its share of all jobs.
+type jobsClass struct {
+	share     float64
+	members   [2]int
+	accel     [2]int
+	adjacency resource.Adjacency
+	median    time.Duration
+}
+
+// classes returns the mix: many small and short jobs, few large gangs with most of the work.
+func (s jobsSite) classes() []jobsClass {
+	whole := s.accelerators
+	return []jobsClass{
+		{0.45, [2]int{1, 1}, [2]int{1, 2}, resource.AdjacentWorker, 8 * time.Minute},
+		{0.30, [2]int{1, 2}, [2]int{2, whole / 2}, resource.AdjacentWorker, 40 * time.Minute},
+		{0.13, [2]int{2, 8}, [2]int{1, whole / 2}, resource.AdjacentZone, 90 * time.Minute},
+		{0.08, [2]int{2, s.perRack}, [2]int{whole / 2, whole}, resource.AdjacentRack, 2 * time.Hour},
+		{0.04, [2]int{8, min(64, s.racks*s.perRack/4)}, [2]int{whole / 2, whole / 2}, resource.AdjacentZone, 2 * time.Hour},
+	}
+}
+
+func (g *jobsGenerator) between(r [2]int) int { return r[0] + g.rng.IntN(r[1]-r[0]+1) }
+
+// task draws one job.
+func (g *jobsGenerator) task(at time.Duration, org int) *jobsTask {
+	classes := g.site.classes()
+	x := g.rng.Float64()
+	class := classes[len(classes)-1]
+	for _, c := range classes {
+		if x < c.share {
+			class = c
+			break
+		}
+		x -= c.share
+	}
+	members, accel := g.between(class.members), g.between(class.accel)
+	if class.adjacency == resource.AdjacentWorker {
+		accel = min(accel, g.site.accelerators/members)
+	}
+	t := g.newTask(at, org, members, accel, class.adjacency, g.lognormal(class.median, 1.0))
+	t.job.Spec.Urgency = 2 + g.rng.IntN(6)
+	return t
+}
+
+// newTask makes a job whose declared size and time are wrong to the extent that is usual for
+// its organisation.
+func (g *jobsGenerator) newTask(at time.Duration, org, members, accel int, adjacency resource.Adjacency, runTime time.Duration) *jobsTask {
+	g.next++
+	site := g.site
+	spec := resource.JobSpec{
+		Organisation: site.organisation(org), Members: members, AcceleratorsPerMember: accel, Adjacency: adjacency,
+		Urgency: 4, Checkpointable: g.rng.Float64() < 0.8, Restart: resource.RestartAlways,
+	}
+	// A fifth of the jobs declares up to twice the cores that go with its accelerators.
+	spec.CoresPerMember = accel * site.cores / site.accelerators
+	if g.rng.Float64() < 0.2 {
+		spec.CoresPerMember = min(int(float64(spec.CoresPerMember)*(1+g.rng.Float64())), site.cores/max(1, members*btoi(adjacency == resource.AdjacentWorker)))
+	}
+	if g.rng.Float64() < 0.9 {
+		declared := runTime.Seconds() / (g.bias[org] * math.Exp(g.rng.NormFloat64()*0.5))
+		spec.DeclaredSeconds = min(declared, resource.MaxDeclaredSeconds)
+	}
+	if g.rng.Float64() < 0.02 {
+		spec.Restart = resource.RestartNever
+	}
+	return &jobsTask{
+		job: &resource.Job{
+			Metadata: resource.Metadata{Name: fmt.Sprintf("job-%05d", g.next), Created: jobsEpoch.Add(at)},
+			Spec:     spec,
+		},
+		real:           runTime,
+		checkpointTime: time.Duration((0.5 + 3.5*g.rng.Float64()) * float64(time.Second)),
+	}
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// jobsDay is a day of work with bursts, wrong sizes and times, failing workers, impossible
+// jobs and a wave of cancellations.
+func jobsDay(site jobsSite, seed uint64) *jobsWorkload {
+	g := newJobsGenerator(site, seed)
+	const day = 24 * time.Hour
+	load := &jobsWorkload{
+		workers: site.workers(), organisations: make(map[string]*resource.Organisation),
+		window: day, horizon: 14 * day,
+	}
+	for i := range site.organisations {
+		name := site.organisation(i)
+		load.organisations[name] = &resource.Organisation{Metadata: resource.Metadata{Name: name}}
+	}
+	// A third of the jobs arrives in bursts of one organisation within two minutes.
+	for len(load.tasks) < site.jobsPerDay {
+		at := time.Duration(g.rng.Float64() * float64(day))
+		org := g.pickOrganisation()
+		count := 1
+		if g.rng.Float64() < 0.03 {
+			count = 10 + g.rng.IntN(20)
+		}
+		for range min(count, site.jobsPerDay-len(load.tasks)) {
+			load.tasks = append(load.tasks, g.task(at+time.Duration(g.rng.Float64()*float64(2*time.Minute)), org))
+		}
+	}
+	g.guaranteed(load, day)
+	g.scale(load, day)
+	g.disturb(load, day)
+	slices.SortStableFunc(load.tasks, func(a, b *jobsTask) int { return a.job.Created.Compare(b.job.Created) })
+	return load
+}
+
+// guaranteed adds guarantees and jobs of exactly their shapes.
+func (g *jobsGenerator) guaranteed(load *jobsWorkload, day time.Duration) {
+	site := g.site
+	count := min(site.organisations, max(3, site.organisations/4))
+	for i := range count {
+		org := site.organisations - 1 - i
+		members := 1 + i%3
+		adjacency := resource.AdjacentRack
+		if i%3 == 0 {
+			adjacency = resource.AdjacentWorker
+		}
+		name := site.organisation(org)
+		load.guarantees = append(load.guarantees, &resource.Guarantee{
+			Metadata: resource.Metadata{Name: "guarantee-" + name},
+			Spec: resource.GuaranteeSpec{
+				Organisation: name, Gangs: 1 + i%2, Members: members,
+				AcceleratorsPerMember: site.accelerators, Adjacency: adjacency,
+			},
+		})
+		for range 12 {
+			at := time.Duration(g.rng.Float64() * float64(day))
+			t := g.newTask(at, org, members, site.accelerators, adjacency, g.lognormal(30*time.Minute, 0.8))
+			t.job.Spec.Restart = resource.RestartAlways
+			load.tasks = append(load.tasks, t)
+		}
+	}
+}
+
+// scale sets the run times so that the work is the stated share of the capacity.
+func (g *jobsGenerator) scale(load *jobsWorkload, day time.Duration) {
+	work := 0.0
+	for _, t := range load.tasks {
+		t.real = min(t.real, 10*time.Hour)
+		work += t.real.Seconds() * float64(t.job.Spec.Accelerators())
+	}
+	factor := g.site.load * float64(g.site.capacity()) * day.Seconds() / work
+	for _, t := range load.tasks {
+		t.real = max(time.Duration(float64(t.real)*factor), 10*time.Second)
+		t.job.Spec.DeclaredSeconds *= factor
+	}
+}
+
+// disturb adds what goes wrong in a day.
+func (g *jobsGenerator) disturb(load *jobsWorkload, day time.Duration) {
+	for range 3 {
+		t := g.newTask(time.Duration(g.rng.Float64()*float64(day)), 0, g.site.perRack+1, g.site.accelerators,
+			resource.AdjacentRack, time.Hour)
+		t.impossible = true
+		load.tasks = append(load.tasks, t)
+	}
+	wave := jobsEpoch.Add(time.Duration((0.4 + 0.2*g.rng.Float64()) * float64(day)))
+	for _, t := range load.tasks {
+		if t.job.Spec.Organisation == g.site.organisation(0) && t.job.Created.Before(wave) &&
+			wave.Sub(t.job.Created) < 2*time.Hour && g.rng.Float64() < 0.3 {
+			t.cancelAt = wave
+		}
+	}
+	for range max(1, len(load.workers)/48) {
+		load.outages = append(load.outages, jobsOutage{
+			worker: load.workers[g.rng.IntN(len(load.workers))].ID,
+			at:     jobsEpoch.Add(time.Duration(g.rng.Float64() * float64(day))),
+			length: 30 * time.Minute,
+		})
+	}
+}
--- a/internal/scheduler/cluster.go
+++ b/internal/scheduler/cluster.go
@@ -107,6 +107,8 @@
 	free []int
 	// soon has the units that are free or held by jobs that were asked to stop.
 	soon []int
+	// suspects is set if a node is suspect.
+	suspects bool
 	// on lists the runs that have a member on the node.
 	on [][]*run
 }
@@ -157,6 +159,7 @@
 		}
 		c.byID[w.ID] = len(c.nodes)
 		c.racks[rack] = append(c.racks[rack], len(c.nodes))
+		c.suspects = c.suspects || w.Suspect
 		c.nodes = append(c.nodes, node{
 			id: w.ID, rack: rack, accel: w.Accelerators, cores: w.Cores, memoryMB: w.MemoryMB,
 			usable: w.Usable, suspect: w.Suspect,
@@ -204,6 +207,30 @@
 	}
 }
 
+const (
+	// provingTime is how long a start counts as unproven on a worker with nothing older. A
+	// worker that fails everything shows it within this time.
+	provingTime = 10 * time.Second
+	// provingStarts is how many unproven gangs such a worker takes. It bounds how many starts a
+	// bad worker can waste before its first failure is reported.
+	provingStarts = 2
+)
+
+// mayStart reports whether a node takes another gang now: a suspect node takes one gang at a
+// time, and a node that has nothing running for longer takes a few.
+func (c *cluster) mayStart(n int, now time.Time, suspects bool) bool {
+	young := 0
+	for _, r := range c.on[n] {
+		if now.Sub(r.startedAt) < provingTime {
+			young++
+		}
+	}
+	if c.nodes[n].suspect {
+		return suspects && young == 0
+	}
+	return young < provingStarts || young < len(c.on[n])
+}
+
 // yield marks a run as asked to stop: its units become free soon.
 func (c *cluster) yield(r *run) {
 	r.reclaiming = true
--- /dev/null
+++ b/internal/scheduler/health.go
@@ -0,0 +1,334 @@
+package scheduler
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+)
+
+const (
+	// failureWindow is how long a failure counts.
+	failureWindow = time.Hour
+	// firstProbe is the wait before the first probe of a quarantined worker. Each failed probe
+	// doubles it up to lastProbe.
+	firstProbe = 30 * time.Second
+	lastProbe  = 30 * time.Minute
+	// probesToReturn is how many probes in a row must succeed before a worker returns.
+	probesToReturn = 2
+	// probeTimeout is after how long a probe without a result counts as failed.
+	probeTimeout = 30 * time.Second
+	// badJobWorkers is on how many other workers, which failed nothing else, a job must have
+	// failed before its failures no longer count against a worker.
+	badJobWorkers = 2
+	// maxHealthJobs bounds the jobs whose failures are remembered.
+	maxHealthJobs = 4096
+)
+
+// HealthActionKind says what to do with a worker.
+type HealthActionKind string
+
+// Kinds of health action.
+const (
+	// HealthProbe asks for a small task of the system itself to be run on the worker. Its
+	// result is reported by Health.Probed.
+	HealthProbe HealthActionKind = "probe"
+	// HealthQuarantine takes the worker out: nothing is placed there.
+	HealthQuarantine HealthActionKind = "quarantine"
+	// HealthReturn puts the worker back into use.
+	HealthReturn HealthActionKind = "return"
+)
+
+// HealthAction is one action for a worker.
+type HealthAction struct {
+	Kind   HealthActionKind
+	Worker string
+	Reason string
+}
+
+// Health tells workers that fail everything from jobs that fail everywhere. Distinct jobs that
+// fail on one worker speak against the worker, distinct workers that fail one job speak
+// against the job. It is pure: time comes in, actions come out.
+//
+// Jobs of one organisation may share a fault, so their failures alone do not quarantine a
+// worker: it is held, which keeps new work away, and a probe decides.
+type Health struct {
+	quarantineAfter int
+	maxFailures     int
+	workers         map[string]*workerHealth
+	// failed has the time of each job's last failure on each worker.
+	failed map[string]map[string]time.Time
+	// newest has each job's last failure.
+	newest  map[string]time.Time
+	pending []HealthAction
+}
+
+type healthState int
+
+const (
+	healthy healthState = iota
+	// held workers take no work until a probe has decided.
+	held
+	quarantined
+)
+
+type workerHealth struct {
+	state healthState
+	// suspects has the organisation of each job that failed since the last success.
+	suspects map[string]suspicion
+	// probation is set after a return until the first success.
+	probation bool
+	backoff   time.Duration
+	nextProbe time.Time
+	probing   time.Time
+	passed    int
+	reason    string
+}
+
+type suspicion struct {
+	org string
+	at  time.Time
+}
+
+// NewHealth returns a Health with the thresholds of a policy.
+func NewHealth(policy resource.PlacementPolicy) *Health {
+	h := &Health{
+		workers: make(map[string]*workerHealth),
+		failed:  make(map[string]map[string]time.Time),
+		newest:  make(map[string]time.Time),
+	}
+	h.SetPolicy(policy)
+	return h
+}
+
+// SetPolicy changes the thresholds.
+func (h *Health) SetPolicy(policy resource.PlacementPolicy) {
+	policy = resource.PolicySpec{Placement: policy}.WithDefaults().Placement
+	h.quarantineAfter = policy.QuarantineAfterJobs
+	h.maxFailures = policy.MaxFailures
+}
+
+func (h *Health) worker(id string) *workerHealth {
+	w := h.workers[id]
+	if w == nil {
+		w = &workerHealth{suspects: make(map[string]suspicion)}
+		h.workers[id] = w
+	}
+	return w
+}
+
+// Restore sets a worker as quarantined, from the recorded state of an earlier leader.
+func (h *Health) Restore(now time.Time, worker, reason string) {
+	w := h.worker(worker)
+	w.state, w.reason = quarantined, reason
+	w.backoff = firstProbe
+	w.nextProbe = now.Add(firstProbe)
+}
+
+// Failed reports that a member of a job failed on a worker. Only the worker of the member that
+// failed first is reported, not those whose members were stopped because of it.
+func (h *Health) Failed(now time.Time, worker string, job *resource.Job) {
+	if h.failed[job.Name] == nil {
+		h.makeRoom()
+		h.failed[job.Name] = make(map[string]time.Time)
+	}
+	h.failed[job.Name][worker] = now
+	h.newest[job.Name] = now
+	w := h.worker(worker)
+	w.suspects[job.Name] = suspicion{org: job.Spec.Organisation, at: now}
+	h.judge(now, worker, w)
+}
+
+// makeRoom forgets the job with the oldest failure.
+func (h *Health) makeRoom() {
+	if len(h.failed) < maxHealthJobs {
+		return
+	}
+	oldest := ""
+	for name, at := range h.newest {
+		if oldest == "" || cmp.Or(at.Compare(h.newest[oldest]), cmp.Compare(name, oldest)) < 0 {
+			oldest = name
+		}
+	}
+	h.Forget(oldest)
+}
+
+// Succeeded reports that a member of a job ended well on a worker, which clears the worker.
+func (h *Health) Succeeded(worker string) {
+	w := h.workers[worker]
+	if w == nil || w.state != healthy {
+		return
+	}
+	clear(w.suspects)
+	w.probation = false
+	w.backoff = 0
+}
+
+// Forget drops a job that has ended. Its failures still count against workers for the rest of
+// the window, unless the job itself was at fault.
+func (h *Health) Forget(job string) {
+	if _, bad := h.JobFails(job); bad {
+		for id := range h.failed[job] {
+			if w := h.workers[id]; w != nil {
+				delete(w.suspects, job)
+			}
+		}
+	}
+	delete(h.failed, job)
+	delete(h.newest, job)
+}
+
+// judge decides on a healthy worker after a failure.
+func (h *Health) judge(now time.Time, id string, w *workerHealth) {
+	if w.state != healthy {
+		return
+	}
+	count := 0
+	orgs := make(map[string]bool)
+	for job, s := range w.suspects {
+		if now.Sub(s.at) > failureWindow {
+			delete(w.suspects, job)
+			continue
+		}
+		if h.failsElsewhere(now, job, id) < badJobWorkers {
+			count++
+			orgs[s.org] = true
+		}
+	}
+	switch {
+	case w.probation && count > 0:
+		h.quarantine(now, id, w, "a job failed on the worker before any succeeded after its return")
+	case count >= h.quarantineAfter && len(orgs) > 1:
+		h.quarantine(now, id, w, fmt.Sprintf("%d jobs of %d organisations failed on the worker and none succeeded", count, len(orgs)))
+	case count >= h.quarantineAfter:
+		w.state = held
+		w.nextProbe = now
+		w.reason = fmt.Sprintf("%d jobs of one organisation failed on the worker and none succeeded", count)
+	}
+}
+
+// failsElsewhere counts the other workers on which a job failed and nothing else did.
+func (h *Health) failsElsewhere(now time.Time, job, worker string) int {
+	count := 0
+	for id, at := range h.failed[job] {
+		if id != worker && now.Sub(at) <= failureWindow && h.clean(id, job) {
+			count++
+		}
+	}
+	return count
+}
+
+// clean reports whether a worker is in use and has failed no other job since its last success.
+func (h *Health) clean(id, job string) bool {
+	w := h.workers[id]
+	if w == nil {
+		return true
+	}
+	if w.state == quarantined {
+		return false
+	}
+	others := len(w.suspects)
+	if _, ok := w.suspects[job]; ok {
+		others--
+	}
+	return others == 0
+}
+
+func (h *Health) quarantine(now time.Time, id string, w *workerHealth, reason string) {
+	w.state, w.reason = quarantined, reason
+	w.backoff = min(max(2*w.backoff, firstProbe), lastProbe)
+	w.nextProbe = now.Add(w.backoff)
+	w.passed = 0
+	w.probing = time.Time{}
+	h.pending = append(h.pending, HealthAction{Kind: HealthQuarantine, Worker: id, Reason: reason})
+}
+
+// Actions returns what is due: decisions made since the last call, and probes.
+func (h *Health) Actions(now time.Time) []HealthAction {
+	for _, id := range slices.Sorted(maps.Keys(h.workers)) {
+		w := h.workers[id]
+		if !w.probing.IsZero() && now.Sub(w.probing) >= probeTimeout {
+			h.Probed(now, id, false)
+		}
+		if w.state == healthy || !w.probing.IsZero() || now.Before(w.nextProbe) {
+			continue
+		}
+		w.probing = now
+		h.pending = append(h.pending, HealthAction{Kind: HealthProbe, Worker: id, Reason: w.reason})
+	}
+	out := h.pending
+	h.pending = nil
+	return out
+}
+
+// Probed reports the result of a probe.
+func (h *Health) Probed(now time.Time, worker string, ok bool) {
+	w := h.workers[worker]
+	if w == nil || w.probing.IsZero() {
+		return
+	}
+	w.probing = time.Time{}
+	switch {
+	case !ok && w.state == held:
+		h.quarantine(now, worker, w, w.reason+", and a probe failed")
+	case !ok:
+		w.passed = 0
+		w.backoff = min(2*w.backoff, lastProbe)
+		w.nextProbe = now.Add(w.backoff)
+	case w.state == held:
+		w.state = healthy
+		clear(w.suspects)
+	default:
+		w.passed++
+		w.nextProbe = now.Add(firstProbe)
+		if w.passed >= probesToReturn {
+			w.state, w.probation = healthy, true
+			clear(w.suspects)
+			h.pending = append(h.pending, HealthAction{Kind: HealthReturn, Worker: worker, Reason: "probes succeeded"})
+		}
+	}
+}
+
+// Usable reports whether work may be placed on a worker.
+func (h *Health) Usable(worker string) bool {
+	w := h.workers[worker]
+	return w == nil || w.state == healthy
+}
+
+// Quarantined reports whether a worker is taken out, with the reason.
+func (h *Health) Quarantined(worker string) (string, bool) {
+	w := h.workers[worker]
+	if w == nil || w.state != quarantined {
+		return "", false
+	}
+	return w.reason, true
+}
+
+// Suspect reports whether a usable worker should be given one gang at a time only.
+func (h *Health) Suspect(worker string) bool {
+	w := h.workers[worker]
+	return w != nil && w.state == healthy && (w.probation || len(w.suspects) > 0)
+}
+
+// Avoid returns the workers on which a job has failed, sorted.
+func (h *Health) Avoid(job string) []string {
+	return slices.Sorted(maps.Keys(h.failed[job]))
+}
+
+// JobFails reports whether the job itself is at fault: it failed on as many distinct workers
+// as the policy allows. Workers that are quarantined do not count.
+func (h *Health) JobFails(job string) (string, bool) {
+	count := 0
+	for id := range h.failed[job] {
+		if w := h.workers[id]; w == nil || w.state != quarantined {
+			count++
+		}
+	}
+	if count < h.maxFailures {
+		return "", false
+	}
+	return fmt.Sprintf("the job failed on %d distinct workers", count), true
+}
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -245,25 +245,53 @@
 	return true
 }
 
-// availableNow returns the units of each node that a job can start on now.
-func (d *decision) availableNow(held []int) []int {
+// unavailable marks a node in a vector of units that a job must not use.
+const unavailable = -1 << 20
+
+// availableNow returns the units of each node that a job can start on now beside the held
+// units. Suspect nodes are left out unless suspects is set.
+func (d *decision) availableNow(j *resource.Job, held []int, suspects bool) []int {
 	out := make([]int, len(d.c.free))
 	for n := range out {
 		out[n] = min(d.c.free[n], d.c.soon[n]-held[n])
+		if out[n] > 0 && !d.c.mayStart(n, d.now, suspects) {
+			out[n] = 0
+		}
 	}
+	d.maskAvoided(j, out)
 	return out
 }
 
 // availableSoon returns the units of each node that are free or will be when the jobs that
 // were asked to stop have stopped.
-func (d *decision) availableSoon() []int {
+func (d *decision) availableSoon(j *resource.Job) []int {
 	out := make([]int, len(d.c.soon))
 	for n := range out {
 		out[n] = d.c.soon[n] - d.claimed[n]
+		if d.c.nodes[n].suspect {
+			out[n] = unavailable
+		}
 	}
+	d.maskAvoided(j, out)
 	return out
 }
 
+func (d *decision) maskAvoided(j *resource.Job, units []int) {
+	for _, id := range d.snapshot.Avoid[j.Name] {
+		if n, ok := d.c.byID[id]; ok {
+			units[n] = unavailable
+		}
+	}
+}
+
+// findNow finds a place to start on now, on suspect workers only if the others do not suffice.
+func (d *decision) findNow(j *resource.Job, held []int, s shape) []int {
+	if nodes := d.c.locate(d.availableNow(j, held, false), s); nodes != nil || !d.c.suspects {
+		return nodes
+	}
+	return d.c.locate(d.availableNow(j, held, true), s)
+}
+
 func (d *decision) hold(j *resource.Job, nodes []int, ready time.Time) {
 	s := jobShape(&j.Spec)
 	d.claims = append(d.claims, claim{job: j.Name, nodes: nodes, shape: s, ready: ready})
@@ -355,10 +383,10 @@
 	if d.overQuota(j) {
 		return true
 	}
-	now := d.availableNow(d.claimed)
-	if nodes := d.c.locate(now, s); nodes != nil && d.start(j, nodes, true) {
+	if nodes := d.findNow(j, d.claimed, s); nodes != nil && d.start(j, nodes, true) {
 		return true
 	}
+	now := d.availableNow(j, d.claimed, false)
 	for _, slot := range unused {
 		if nodes := d.c.locate(d.within(slot, now), s); nodes != nil && d.start(j, nodes, true) {
 			return true
@@ -376,7 +404,7 @@
 // the job is covered. If the plan does not hold there, it falls back to the organisation's own
 // slots, where it holds.
 func (d *decision) evictGuaranteed(j *resource.Job, s shape, unused []*slot) *eviction {
-	soon := d.availableSoon()
+	soon := d.availableSoon(j)
 	may := func(r *run) bool { return !r.placed && !r.reclaiming && !d.res.protected(r) }
 	limit := slices.Clone(d.res.room)
 	for _, slot := range unused {
@@ -463,7 +491,7 @@
 		return true
 	}
 	s := jobShape(&j.Spec)
-	if nodes := d.c.locate(d.availableNow(d.claimed), s); nodes != nil && d.start(j, nodes, false) {
+	if nodes := d.findNow(j, d.claimed, s); nodes != nil && d.start(j, nodes, false) {
 		return true
 	}
 	org := j.Spec.Organisation
@@ -475,7 +503,7 @@
 	if j.Spec.Restart == resource.RestartNever {
 		return false
 	}
-	e := d.c.evict(d.availableSoon(), s, may)
+	e := d.c.evict(d.availableSoon(j), s, may)
 	if e == nil {
 		return false
 	}
@@ -545,12 +573,12 @@
 // the job very likely ends before the head's place is ready.
 func (d *decision) backfill(j *resource.Job) bool {
 	s := jobShape(&j.Spec)
-	if d.misfit[s] {
+	if d.misfit[s] && len(d.snapshot.Avoid[j.Name]) == 0 {
 		return d.backfillHeld(j, s)
 	}
-	nodes := d.c.locate(d.availableNow(d.claimed), s)
+	nodes := d.findNow(j, d.claimed, s)
 	if nodes == nil {
-		d.misfit[s] = true
+		d.misfit[s] = d.misfit[s] || len(d.snapshot.Avoid[j.Name]) == 0
 		return d.backfillHeld(j, s)
 	}
 	return d.startBeside(j, nodes, s)
@@ -562,7 +590,7 @@
 	if d.start(j, nodes, false) {
 		return true
 	}
-	units := d.availableNow(d.claimed)
+	units := d.availableNow(j, d.claimed, false)
 	for n := range units {
 		units[n] = min(units[n], d.res.room[n])
 	}
@@ -589,7 +617,7 @@
 	if !lifted {
 		return false
 	}
-	nodes := d.c.locate(d.availableNow(held), s)
+	nodes := d.findNow(j, held, s)
 	return nodes != nil && d.start(j, nodes, false)
 }
 
@@ -601,12 +629,12 @@
 			return !r.placed && !r.reclaiming && !d.res.protected(r) && !d.urgent(r.job) &&
 				r.job.Created.After(j.Created)
 		}
-		if e := d.c.evict(d.availableSoon(), s, may); e != nil {
+		if e := d.c.evict(d.availableSoon(j), s, may); e != nil {
 			d.reclaimFor(j, e, "the job waits at the head of the queue")
 			return
 		}
 	}
-	nodes, ready := d.c.drain(d.availableSoon(), s, d.endOf)
+	nodes, ready := d.c.drain(d.availableSoon(j), s, d.endOf)
 	if nodes == nil {
 		d.explain(j)
 		return
@@ -640,7 +668,7 @@
 		}
 		old[i] = n
 	}
-	oldReady, ok := d.c.readyAt(d.availableSoon(), s, old, d.endOf)
+	oldReady, ok := d.c.readyAt(d.availableSoon(j), s, old, d.endOf)
 	if !ok || ready.Add(moveMargin).Before(oldReady) {
 		return nodes, ready
 	}
@@ -660,6 +688,9 @@
 	}
 	need := j.Spec.Accelerators()
 	switch {
+	case len(d.snapshot.Avoid[j.Name]) > 0 && d.c.locate(d.c.free, s) != nil:
+		d.wait(j, ReasonBadWorkers, "other workers become free",
+			"the job failed on %d workers and is not placed there again", len(d.snapshot.Avoid[j.Name]))
 	case d.c.locate(d.c.free, s) != nil && j.Spec.Restart == resource.RestartNever:
 		d.wait(j, ReasonReservation, "jobs end, or the job may be restarted and so be reclaimed",
 			"the job may not be restarted, so it could not be reclaimed from guaranteed accelerators")
