Count the use of a guarantee by its shape

Cause: smaller jobs of an organisation used gangs of its guarantee, so the guaranteed shape could not be reclaimed while they ran, and two jobs of one decision reclaimed for the same gang. Change: a run of exactly the guaranteed shape uses one gang; smaller runs are covered only beside it and give way. A job that waits for its reclaim uses the guarantee from the decision on.

--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -29,6 +29,8 @@
 	missing []int
 	// room has the units of each node that neither slots nor unmovable runs take.
 	room []int
+	// added is the run that the plan was made for, if any.
+	added *run
 }
 
 // broken returns how many slots have no place.
@@ -45,22 +47,37 @@
 	return !run.movable || r.covered[run] != nil
 }
 
+// coverMode says which runs count as a use of their organisation's guarantee. A run of exactly
+// the guaranteed shape always does, except in coverNone.
+type coverMode int
+
+const (
+	// coverMovable adds the smaller runs that can be reclaimed. Runs that cannot are placed
+	// beside the guarantee, so that the guaranteed shape stays whole.
+	coverMovable coverMode = iota
+	// coverAll adds the smaller runs that cannot be reclaimed.
+	coverAll
+	// coverExact adds nothing.
+	coverExact
+	// coverNone covers nothing. It applies after the loss of workers only.
+	coverNone
+)
+
 // reserve computes the reservation plan for the runs of the index. Runs keep the cover of
 // their organisation's guarantee in the order of their start, so that a later start cannot
-// take it away. If the plan does not hold that way, it is computed again with the covered
-// runs treated as reclaimable where they are in the way: a run can be restarted elsewhere,
-// a broken guarantee cannot be explained.
+// take it away. If the plan does not hold that way, it is computed again with fewer runs
+// protected: a run can be restarted elsewhere, a broken guarantee cannot.
 func (c *cluster) reserve(guarantees []*resource.Guarantee) *reservation {
-	best := c.reserveOnce(guarantees, true, bySpread)
-	if best.broken() == 0 {
-		return best
-	}
+	var best *reservation
 	for _, try := range []struct {
-		cover bool
+		mode  coverMode
 		order slotOrder
-	}{{true, bySize}, {false, bySpread}, {false, bySize}} {
-		next := c.reserveOnce(guarantees, try.cover, try.order)
-		if next.broken() < best.broken() {
+	}{
+		{coverMovable, bySpread}, {coverAll, bySpread}, {coverMovable, bySize},
+		{coverExact, bySpread}, {coverExact, bySize}, {coverNone, bySpread},
+	} {
+		next := c.reserveOnce(guarantees, try.mode, try.order)
+		if best == nil || next.broken() < best.broken() {
 			best = next
 		}
 		if best.broken() == 0 {
@@ -70,7 +87,7 @@
 	return best
 }
 
-func (c *cluster) reserveOnce(guarantees []*resource.Guarantee, cover bool, order slotOrder) *reservation {
+func (c *cluster) reserveOnce(guarantees []*resource.Guarantee, mode coverMode, order slotOrder) *reservation {
 	r := &reservation{
 		covered: make(map[*run]*slot),
 		missing: make([]int, len(guarantees)),
@@ -82,7 +99,7 @@
 		}
 	}
 	byOrg := r.addSlots(guarantees)
-	c.coverRuns(r, byOrg, cover)
+	c.coverRuns(r, byOrg, mode)
 	c.completeSlots(r)
 	c.placeSlots(r, order)
 	return r
@@ -100,34 +117,58 @@
 	return byOrg
 }
 
-// coverRuns gives runs their cover. Unmovable runs come first, because no plan can move them,
-// and they take room whether or not they are covered.
-func (c *cluster) coverRuns(r *reservation, byOrg map[string][]*slot, cover bool) {
-	var movable []*run
-	var unmovable []*run
+// coverRuns gives runs their cover: first runs of exactly a guaranteed shape, then unmovable
+// ones, which take room whether or not they are covered, then the others.
+func (c *cluster) coverRuns(r *reservation, byOrg map[string][]*slot, mode coverMode) {
+	var exact, fixed, smaller []*run
 	for _, run := range c.runs {
+		slots := byOrg[run.job.Spec.Organisation]
 		switch {
+		case mode != coverNone && !run.reclaiming && hasShape(slots, run.shape):
+			exact = append(exact, run)
 		case !run.movable:
-			unmovable = append(unmovable, run)
-		case !run.reclaiming && byOrg[run.job.Spec.Organisation] != nil:
-			movable = append(movable, run)
+			fixed = append(fixed, run)
+		case !run.reclaiming && slots != nil && (mode == coverMovable || mode == coverAll):
+			smaller = append(smaller, run)
 		}
 	}
-	slices.SortStableFunc(unmovable, olderRun)
-	for _, run := range unmovable {
-		if !c.cover(r, byOrg[run.job.Spec.Organisation], run) {
-			c.takeRoom(r, run)
+	for _, run := range exact {
+		if !run.movable {
+			fixed = append(fixed, run)
 		}
 	}
-	if !cover {
-		return
+	slices.SortStableFunc(exact, olderRun)
+	slices.SortStableFunc(smaller, olderRun)
+	for _, run := range exact {
+		c.cover(r, byOrg[run.job.Spec.Organisation], run)
+	}
+	for _, run := range fixed {
+		slots := byOrg[run.job.Spec.Organisation]
+		if r.covered[run] == nil && (mode != coverAll || !c.cover(r, slots, run)) {
+			c.takeRoom(r, run)
+		}
 	}
-	slices.SortStableFunc(movable, olderRun)
-	for _, run := range movable {
+	for _, run := range smaller {
 		c.cover(r, byOrg[run.job.Spec.Organisation], run)
 	}
 }
 
+// hasShape reports whether one of the slots promises the shape.
+func hasShape(slots []*slot, s shape) bool {
+	return slices.ContainsFunc(slots, func(slot *slot) bool { return slot.exact(s) })
+}
+
+// exact reports whether a gang has the shape of the slot.
+func (s *slot) exact(other shape) bool {
+	return s.shape.members == other.members && s.shape.accel == other.accel && s.shape.adjacency == other.adjacency
+}
+
+// taken reports whether the slot is used by a run of its own shape or by one that cannot be
+// moved.
+func (s *slot) taken() bool {
+	return slices.ContainsFunc(s.runs, func(r *run) bool { return !r.movable || s.exact(r.shape) })
+}
+
 func olderRun(a, b *run) int {
 	return cmp.Or(a.startedAt.Compare(b.startedAt), cmp.Compare(a.name, b.name))
 }
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -318,9 +318,10 @@
 	d.c.runs = append(d.c.runs, r)
 	next := d.c.reserve(d.snapshot.Guarantees)
 	d.c.runs = d.c.runs[:len(d.c.runs)-1]
-	if !d.keepsPlan(next) || useGuarantee && next.covered[r] == nil {
+	if !d.keepsPlan(next, r) || useGuarantee && next.covered[r] == nil {
 		return nil
 	}
+	next.added = r
 	return next
 }
 
@@ -341,22 +342,28 @@
 	return true
 }
 
-// keepsPlan reports whether a new plan gives each guarantee at least the places it has now
-// and takes no running job's cover away.
-func (d *decision) keepsPlan(next *reservation) bool {
+// keepsPlan reports whether a plan with a new run gives each guarantee at least the places it
+// has now and takes no other run's cover away. Smaller runs of the same organisation give way
+// to a run of the guaranteed shape.
+func (d *decision) keepsPlan(next *reservation, added *run) bool {
 	for i := range next.missing {
 		if next.missing[i] > d.res.missing[i] {
 			return false
 		}
 	}
-	for r := range d.res.covered {
-		if next.covered[r] == nil {
+	for r, slot := range d.res.covered {
+		if next.covered[r] == nil && !givesWay(r, slot, added.job.Spec.Organisation) {
 			return false
 		}
 	}
 	return true
 }
 
+// givesWay reports whether a covered run can lose its cover to a run of the guaranteed shape.
+func givesWay(r *run, slot *slot, org string) bool {
+	return r.movable && r.job.Spec.Organisation == org && !slot.exact(r.shape)
+}
+
 // placeGuaranteed handles the jobs that fit into an unused part of their organisation's
 // guarantee and returns the others.
 func (d *decision) placeGuaranteed(queue []*resource.Job) []*resource.Job {
@@ -388,14 +395,18 @@
 	}
 	now := d.availableNow(j, d.claimed, false)
 	for _, slot := range unused {
-		if nodes := d.c.locate(d.within(slot, now), s); nodes != nil && d.start(j, nodes, true) {
+		if nodes := d.c.locate(d.within(slot, s, now), s); nodes != nil && d.start(j, nodes, true) {
 			return true
 		}
 	}
-	best := d.evictGuaranteed(j, s, unused)
+	best, next := d.evictGuaranteed(j, s, unused)
 	if best == nil {
 		return false
 	}
+	// The waiting job uses the guarantee from now on, so that no other job reclaims for the
+	// same part of it.
+	d.c.runs = append(d.c.runs, next.added)
+	d.res = next
 	d.reclaimFor(j, best, "the job is within its organisation's guarantee")
 	return true
 }
@@ -403,26 +414,41 @@
 // evictGuaranteed finds the cheapest place outside the slots of other organisations at which
 // the job is covered. If the plan does not hold there, it falls back to the organisation's own
 // slots, where it holds.
-func (d *decision) evictGuaranteed(j *resource.Job, s shape, unused []*slot) *eviction {
+func (d *decision) evictGuaranteed(j *resource.Job, s shape, unused []*slot) (*eviction, *reservation) {
 	soon := d.availableSoon(j)
-	may := func(r *run) bool { return !r.placed && !r.reclaiming && !d.res.protected(r) }
+	may := func(r *run) bool {
+		if r.placed || r.reclaiming {
+			return false
+		}
+		slot := d.res.covered[r]
+		return !d.res.protected(r) || slot != nil && slot.exact(s) && givesWay(r, slot, j.Spec.Organisation)
+	}
 	limit := slices.Clone(d.res.room)
 	for _, slot := range unused {
-		for n, units := range d.unusedUnits(slot) {
+		for n, units := range d.unusedUnits(slot, s) {
 			limit[n] += units
 		}
 	}
-	if e := d.c.evictWithin(soon, s, may, limit); e != nil && d.tryStart(d.newRun(j, e.nodes), true) != nil {
-		return e
+	if e := d.c.evictWithin(soon, s, may, limit); e != nil {
+		if next := d.tryStart(d.newRun(j, e.nodes), true); next != nil {
+			return e, next
+		}
 	}
 	var best *eviction
 	for _, slot := range unused {
-		e := d.c.evictWithin(soon, s, may, d.unusedUnits(slot))
+		e := d.c.evictWithin(soon, s, may, d.unusedUnits(slot, s))
 		if e != nil && (best == nil || e.loss < best.loss) {
 			best = e
 		}
 	}
-	return best
+	if best == nil {
+		return nil, nil
+	}
+	next := d.tryStart(d.newRun(j, best.nodes), true)
+	if next == nil {
+		return nil, nil
+	}
+	return best, next
 }
 
 // unusedSlots returns the slots of an organisation with a place that could hold a gang.
@@ -432,19 +458,26 @@
 		if slot.nodes == nil || d.snapshot.Guarantees[slot.guarantee].Spec.Organisation != org {
 			continue
 		}
-		if d.c.locate(d.unusedUnits(slot), s) != nil {
+		if d.c.locate(d.unusedUnits(slot, s), s) != nil {
 			out = append(out, slot)
 		}
 	}
 	return out
 }
 
-// unusedUnits returns the units of a slot that no run uses, by node.
-func (d *decision) unusedUnits(slot *slot) []int {
+// unusedUnits returns the units of a slot that a gang can use, by node. A gang of the slot's own
+// shape can use all of it, because smaller runs give way.
+func (d *decision) unusedUnits(slot *slot, s shape) []int {
 	out := make([]int, len(d.c.nodes))
+	if slot.exact(s) && slot.taken() {
+		return out
+	}
 	for _, n := range slot.nodes {
 		out[n] += slot.shape.accel
 	}
+	if slot.exact(s) {
+		return out
+	}
 	for n, units := range slot.used {
 		out[n] -= units
 	}
@@ -452,8 +485,8 @@
 }
 
 // within limits units to the unused part of a slot.
-func (d *decision) within(slot *slot, units []int) []int {
-	out := d.unusedUnits(slot)
+func (d *decision) within(slot *slot, s shape, units []int) []int {
+	out := d.unusedUnits(slot, s)
 	for n := range out {
 		out[n] = min(out[n], units[n])
 	}
--- a/internal/scheduler/validate.go
+++ b/internal/scheduler/validate.go
@@ -22,7 +22,8 @@
 //   - no worker's accelerators, declared cores or declared memory are oversubscribed by what
 //     is placed, where reclaimed jobs still count;
 //   - no organisation exceeds its quota by what is placed;
-//   - only running jobs that may restart and that no guarantee covers are reclaimed;
+//   - only running jobs that may restart and that no guarantee covers are reclaimed, except that
+//     a covered job gives way to one of its organisation that has the guaranteed shape;
 //   - each guarantee that could be reclaimed before can be reclaimed after.
 func Validate(snapshot Snapshot, plan Plan) error {
 	v := newValidation(&snapshot)
@@ -39,7 +40,7 @@
 	}
 	c := newCluster(&snapshot)
 	before := c.reserve(snapshot.Guarantees)
-	if err := v.reclaims(&plan, before.coveredNames()); err != nil {
+	if err := v.reclaims(&plan, before.coveredByName()); err != nil {
 		return err
 	}
 	return checkGuarantees(c, before, &snapshot, &plan)
@@ -152,7 +153,7 @@
 	return nil
 }
 
-func (v *validation) reclaims(plan *Plan, covered map[string]bool) error {
+func (v *validation) reclaims(plan *Plan, covered map[string]*slot) error {
 	seen := make(map[string]bool, len(plan.Reclaims))
 	for _, r := range plan.Reclaims {
 		running := v.running[r.Job]
@@ -163,7 +164,7 @@
 			return invalid("job %s is reclaimed twice", r.Job)
 		case running.Job.Spec.Restart == resource.RestartNever:
 			return invalid("reclaimed job %s may not be restarted", r.Job)
-		case covered[r.Job]:
+		case covered[r.Job] != nil && !v.givesWay(running.Job, covered[r.Job], r.For):
 			return invalid("reclaimed job %s is within its organisation's guarantee", r.Job)
 		case r.Deadline.IsZero():
 			return invalid("reclaim of job %s has no deadline", r.Job)
@@ -173,10 +174,17 @@
 	return nil
 }
 
-func (r *reservation) coveredNames() map[string]bool {
-	out := make(map[string]bool, len(r.covered))
-	for run := range r.covered {
-		out[run.name] = true
+// givesWay reports whether a covered job may be stopped for another of its organisation.
+func (v *validation) givesWay(victim *resource.Job, s *slot, beneficiary string) bool {
+	j := v.queued[beneficiary]
+	return j != nil && j.Spec.Organisation == victim.Spec.Organisation &&
+		s.exact(jobShape(&j.Spec)) && !s.exact(jobShape(&victim.Spec))
+}
+
+func (r *reservation) coveredByName() map[string]*slot {
+	out := make(map[string]*slot, len(r.covered))
+	for run, s := range r.covered {
+		out[run.name] = s
 	}
 	return out
 }
