Add the load generator and the load command

Cause: outcomes, latency and fairness of the gateway need a caller that does not slow down with the system and that checks every outcome. Conclusion: each rule is found broken in a test that breaks it.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -69,6 +69,7 @@
 		ShortUsage: "oleanderbend COMMAND [flags]",
 		FlagSet:    newFlagSet("oleanderbend", env),
 		Subcommands: []*ffcli.Command{
+			loadCommand(env),
 			standinCommand(env),
 			versionCommand(env),
 		},
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,269 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+	"github.com/oleanderbend/oleanderbend/internal/settings"
+	"github.com/oleanderbend/oleanderbend/internal/standin"
+)
+
+// handlerTargets calls a handler in process, so that runs take place in virtual time.
+type handlerTargets struct {
+	handler http.Handler
+	mu      sync.Mutex
+	calls   int
+	// fail returns the error of a call, by its number from 1; nil for no error.
+	fail func(call int) error
+}
+
+func (h *handlerTargets) RoundTrip(_ platform.Instance, req *http.Request) (*http.Response, error) {
+	h.mu.Lock()
+	h.calls++
+	call := h.calls
+	h.mu.Unlock()
+	if h.fail != nil {
+		if err := h.fail(call); err != nil {
+			return nil, err
+		}
+	}
+	rec := httptest.NewRecorder()
+	h.handler.ServeHTTP(rec, req)
+	return rec.Result(), nil
+}
+
+func testSettings(flow settings.LoadFlow) settings.Load {
+	flow.Organisation, flow.Caller, flow.Kind = "clinics", "batch", "approve"
+	flow.Urgency = new(int)
+	if flow.Stop == 0 {
+		flow.Stop = settings.Duration(time.Second)
+	}
+	if flow.Rate == 0 {
+		flow.Rate = 10
+	}
+	return settings.Load{
+		Name: "test", Seed: 1, Duration: settings.Duration(time.Second), MaxRequests: 1000, MaxInFlight: 100,
+		Timeout: settings.Duration(time.Minute), URLs: []string{"http://127.0.0.1:1", "http://127.0.0.1:2"},
+		Direct: true, Flows: []settings.LoadFlow{flow},
+	}
+}
+
+func executedBy(target *standin.Target) Executed {
+	return func(_ context.Context, ids []string) (map[string]int, error) {
+		counts := make(map[string]int)
+		for _, id := range ids {
+			if n := target.Executed(id); n > 0 {
+				counts[id] = n
+			}
+		}
+		return counts, nil
+	}
+}
+
+// runWith runs a load against a stand-in target behind a handler, in virtual time.
+func runWith(t *testing.T, config settings.Load, wrap func(http.Handler) http.Handler) Result {
+	t.Helper()
+	var result Result
+	synctest.Test(t, func(t *testing.T) {
+		target := standin.NewTarget(standin.TargetConfig{Slots: 1000, Connections: 1000})
+		handler := http.Handler(target)
+		if wrap != nil {
+			handler = wrap(handler)
+		}
+		var err error
+		result, err = Run(t.Context(), Config{Settings: config, Targets: &handlerTargets{handler: handler}, Executed: executedBy(target)})
+		require.NoError(t, err)
+	})
+	return result
+}
+
+// Guards against a healthy run that is reported as wrong, and against wrong figures.
+func TestHealthyRun(t *testing.T) {
+	flow := settings.LoadFlow{Rate: 100, Service: settings.Duration(20 * time.Millisecond), AnswerBytes: 50_000, BodyBytes: 100}
+	result := runWith(t, testSettings(flow), nil)
+	require.True(t, result.OK(), "%v", result.Examples)
+	require.True(t, result.Verified)
+	got := result.Flows[0]
+	require.InDelta(t, 100, got.Scheduled, 40)
+	require.Equal(t, got.Scheduled, got.Answers)
+	require.InDelta(t, 20, got.Latency.P50, 0.5)
+	require.InDelta(t, 20, got.Latency.Max, 0.5)
+}
+
+// Guards against coordinated omission: requests that wait behind a stalled one must show the
+// wait as latency.
+func TestLatencyIncludesWaiting(t *testing.T) {
+	config := testSettings(settings.LoadFlow{Even: true, Rate: 10, Service: settings.Duration(time.Second)})
+	config.MaxInFlight = 1
+	result := runWith(t, config, nil)
+	// Nine arrivals 100 ms apart are served one after the other in 1 s each.
+	require.Equal(t, 9, result.Flows[0].Answers)
+	require.InDelta(t, 9000-800, result.Flows[0].Latency.Max, 100)
+	require.InDelta(t, 5000-400, result.Flows[0].Latency.P50, 100)
+}
+
+// answerWith answers every request with a fixed answer after passing it on or not.
+func answerWith(pass bool, status int, header http.Header, body func(id string) string) func(http.Handler) http.Handler {
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			rec := httptest.NewRecorder()
+			if pass {
+				next.ServeHTTP(rec, r)
+			}
+			for key, values := range rec.Header() {
+				rw.Header()[key] = values
+			}
+			for key, values := range header {
+				rw.Header()[key] = values
+			}
+			rw.WriteHeader(status)
+			_, _ = io.WriteString(rw, body(r.Header.Get(platform.HeaderRequestID)))
+		})
+	}
+}
+
+// Guards against each kind of wrong outcome that a load run must find.
+func TestViolationsAreFound(t *testing.T) {
+	whole := func(id string) string { return (id + "\n" + id)[:10] }
+	twice := func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			next.ServeHTTP(httptest.NewRecorder(), r.Clone(r.Context()))
+			next.ServeHTTP(rw, r)
+		})
+	}
+	outcome := func(value string) http.Header { return http.Header{platform.HeaderOutcome: {value}} }
+	cases := map[string]struct {
+		wrap func(http.Handler) http.Handler
+		want Rule
+	}{
+		"lying not-run":   {answerWith(true, 503, outcome("not-run"), whole), RuleNotRun},
+		"status misfit":   {answerWith(true, 200, outcome("unknown"), whole), RuleOutcome},
+		"no such outcome": {answerWith(true, 200, outcome("maybe"), whole), RuleOutcome},
+		"short":           {answerWith(true, 200, nil, func(id string) string { return whole(id)[:9] }), RuleBody},
+		"long":            {answerWith(true, 200, nil, func(id string) string { return whole(id) + "x" }), RuleBody},
+		"other's answer":  {answerWith(true, 200, http.Header{platform.HeaderRequestID: {"other"}}, whole), RuleRequestID},
+		"other's body":    {answerWith(true, 200, nil, func(string) string { return "0123456789" }), RuleBody},
+		"changed request": {answerWith(true, 200, http.Header{standin.HeaderBodyDigest: {"0"}}, whole), RuleDigest},
+		"never ran":       {answerWith(false, 200, nil, whole), RuleRan},
+		"ran twice":       {twice, RuleOnce},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			config := testSettings(settings.LoadFlow{Even: true, AnswerBytes: 10})
+			result := runWith(t, config, c.wrap)
+			require.Equal(t, result.Flows[0].Scheduled, result.Violations[c.want], "%v", result.Examples)
+			require.False(t, result.OK())
+		})
+	}
+}
+
+// Guards against an answer without an outcome header that is accepted from an instance.
+func TestInstanceMustGiveOutcome(t *testing.T) {
+	config := testSettings(settings.LoadFlow{Even: true})
+	config.Direct = false
+	require.NotZero(t, runWith(t, config, nil).Violations[RuleOutcome])
+}
+
+// brokenBody ends with an error in the middle of an answer.
+type brokenBody struct{ io.Reader }
+
+func (b brokenBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// Guards against a cut answer that counts as whole.
+func TestCutAnswerIsUnknown(t *testing.T) {
+	c := newCall(settings.LoadFlow{AnswerBytes: 10}, "r1")
+	c.direct = true
+	resp := &http.Response{StatusCode: 200, Body: io.NopCloser(brokenBody{strings.NewReader("r1\nr1")})}
+	require.Equal(t, reply{outcome: Unknown}, c.check(resp))
+}
+
+// Guards against a resend that counts as a second run, and against not-run claims that are
+// held against a request whose other send ran.
+func TestResend(t *testing.T) {
+	for _, resend := range []string{settings.ResendUnknown, settings.ResendAlways} {
+		t.Run(resend, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				config := testSettings(settings.LoadFlow{Even: true, Idempotent: true, Key: true, Resend: resend})
+				target := standin.NewTarget(standin.TargetConfig{Slots: 1000, Connections: 1000})
+				targets := &handlerTargets{handler: target, fail: func(call int) error {
+					if call%2 == 1 {
+						return platform.ErrUnknownOutcome
+					}
+					return nil
+				}}
+				result, err := Run(t.Context(), Config{Settings: config, Targets: targets, Executed: executedBy(target)})
+				require.NoError(t, err)
+				require.True(t, result.OK(), "%v", result.Examples)
+				require.Equal(t, 9, result.Flows[0].Answers)
+				require.Equal(t, 18, targets.calls)
+			})
+		})
+	}
+}
+
+// Guards against arrivals that depend on anything but the settings.
+func TestArrivalsAreSeeded(t *testing.T) {
+	config := testSettings(settings.LoadFlow{Rate: 500})
+	first := arrivals(config, config.Flows[0], 1000)
+	require.Equal(t, first, arrivals(config, config.Flows[0], 1000))
+	for _, a := range first {
+		require.NotEqual(t, a.url, a.other)
+		require.Less(t, a.at, time.Second)
+	}
+	require.Len(t, arrivals(config, config.Flows[0], 7), 7)
+	config.Seed++
+	require.NotEqual(t, first, arrivals(config, config.Flows[0], 1000))
+}
+
+// Guards against an interrupted or overloaded run that hides the requests it did not send.
+func TestUnsentIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		config := testSettings(settings.LoadFlow{Even: true, Service: settings.Duration(time.Minute)})
+		config.MaxInFlight, config.Timeout = 1, settings.Duration(time.Second)
+		target := standin.NewTarget(standin.TargetConfig{Slots: 1, Connections: 1})
+		result, err := Run(t.Context(), Config{Settings: config, Targets: &handlerTargets{handler: target}})
+		require.NoError(t, err)
+		require.Equal(t, 8, result.Flows[0].Unsent)
+		require.Equal(t, 8, result.Violations[RuleUnsent])
+		require.False(t, result.Verified)
+	})
+}
+
+// Guards against results that are written incompletely.
+func TestReports(t *testing.T) {
+	result := runWith(t, testSettings(settings.LoadFlow{Rate: 100, Service: settings.Duration(time.Millisecond)}), nil)
+	result.Violations = map[Rule]int{RuleBody: 2}
+	var table, jsonOut bytes.Buffer
+	require.NoError(t, result.WriteTable(&table))
+	require.Contains(t, table.String(), "broken: wrong-body 2 times")
+	require.NoError(t, result.WriteJSON(&jsonOut))
+	require.Contains(t, jsonOut.String(), `"wrong-body": 2`)
+	for _, name := range []string{"plot.svg", "plot.png"} {
+		file := filepath.Join(t.TempDir(), name)
+		require.NoError(t, result.WritePlot(file))
+		info, err := os.Stat(file)
+		require.NoError(t, err)
+		require.NotZero(t, info.Size())
+	}
+	require.ErrorIs(t, result.WritePlot("plot.txt"), ErrPlot)
+}
--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,176 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"time"
+)
+
+// Load holds the settings of one load run.
+type Load struct {
+	Name string `toml:"name"`
+	// Seed determines the arrivals and the instance that each request is sent to.
+	Seed uint64 `toml:"seed"`
+	// Duration is how long requests arrive; at most one hour.
+	Duration Duration `toml:"duration"`
+	// MaxRequests bounds the run; the settings are refused if the flows exceed it on average.
+	MaxRequests int `toml:"max_requests"`
+	// MaxInFlight bounds the requests in progress of one flow; default 1000. Arrivals beyond
+	// it wait, and their waiting time counts as latency.
+	MaxInFlight int `toml:"max_in_flight"`
+	// Timeout bounds each request; default 30s.
+	Timeout Duration `toml:"timeout"`
+	// Settle is the time between the last outcome and the check of what ran; default 1s.
+	Settle Duration `toml:"settle"`
+	// URLs are the base URLs of the instances, http:// with an IP and a port.
+	URLs []string `toml:"urls"`
+	// Direct is set if URLs are targets, whose answers have no outcome header.
+	Direct bool `toml:"direct"`
+	// ControlURL is the control address of the stand-ins, asked for what ran.
+	ControlURL string `toml:"control_url"`
+	// Unverified allows a run without ControlURL, in which nothing is known of what ran.
+	Unverified bool       `toml:"unverified"`
+	Flows      []LoadFlow `toml:"flows"`
+}
+
+// LoadFlow is the requests of one caller of one kind.
+type LoadFlow struct {
+	Organisation string `toml:"organisation"`
+	Caller       string `toml:"caller"`
+	Kind         string `toml:"kind"`
+	// Rate is the mean number of arrivals a second.
+	Rate float64 `toml:"rate"`
+	// Even spaces arrivals evenly; otherwise they form a Poisson process.
+	Even bool `toml:"even"`
+	// Start and Stop limit the flow to a part of the run; Stop defaults to its end.
+	Start Duration `toml:"start"`
+	Stop  Duration `toml:"stop"`
+	// Service and AnswerBytes are what the stand-in target does for a request.
+	Service     Duration `toml:"service"`
+	AnswerBytes int64    `toml:"answer_bytes"`
+	BodyBytes   int      `toml:"body_bytes"`
+	// Urgency is 0 (most urgent) to 7, as in RFC 9218; default 3.
+	Urgency *int `toml:"urgency"`
+	// Deadline is sent with each request; 0 sends none.
+	Deadline   Duration `toml:"deadline"`
+	Idempotent bool     `toml:"idempotent"`
+	// Key sends an Idempotency-Key with each request.
+	Key bool `toml:"key"`
+	// Resend is "never" (default), "unknown" to send a request of unknown outcome once more
+	// to another instance, or "always" to send each request to two instances at once.
+	Resend string `toml:"resend"`
+}
+
+// Values of LoadFlow.Resend.
+const (
+	ResendNever   = "never"
+	ResendUnknown = "unknown"
+	ResendAlways  = "always"
+)
+
+// Defaults and bounds of a load run.
+const (
+	defaultMaxInFlight = 1000
+	defaultTimeout     = 30 * time.Second
+	defaultSettle      = time.Second
+	defaultUrgency     = 3
+	maxUrgency         = 7
+	maxLoadDuration    = time.Hour
+	maxLoadRequests    = 1_000_000
+	maxLoadInFlight    = 20_000
+	maxLoadBodyBytes   = 16 << 20
+)
+
+// ReadLoad reads and checks the settings of a load run. Other than loopback addresses are
+// refused unless allowRemote is set.
+func ReadLoad(file string, allowRemote bool) (Load, error) {
+	var l Load
+	if err := readStrict(file, &l); err != nil {
+		return Load{}, err
+	}
+	l.setDefaults()
+	if problems := l.check(allowRemote); len(problems) > 0 {
+		return Load{}, &Error{File: file, Problems: problems}
+	}
+	return l, nil
+}
+
+func (l *Load) setDefaults() {
+	setDefault(&l.MaxInFlight, defaultMaxInFlight)
+	setDefault(&l.Timeout, Duration(defaultTimeout))
+	setDefault(&l.Settle, Duration(defaultSettle))
+	for i := range l.Flows {
+		flow := &l.Flows[i]
+		setDefault(&flow.Stop, l.Duration)
+		setDefault(&flow.Resend, ResendNever)
+		if flow.Urgency == nil {
+			flow.Urgency = new(int)
+			*flow.Urgency = defaultUrgency
+		}
+	}
+}
+
+func (l Load) check(allowRemote bool) []Problem {
+	var p problems
+	p.require(l.Name != "", "name", "must be set")
+	p.between("duration", time.Duration(l.Duration), time.Millisecond, maxLoadDuration)
+	p.require(l.MaxRequests > 0 && l.MaxRequests <= maxLoadRequests, "max_requests", fmt.Sprintf("must be between 1 and %d", maxLoadRequests))
+	p.require(l.MaxInFlight > 0 && l.MaxInFlight <= maxLoadInFlight, "max_in_flight", fmt.Sprintf("must be between 1 and %d", maxLoadInFlight))
+	p.between("timeout", time.Duration(l.Timeout), time.Millisecond, maxLoadDuration)
+	p.between("settle", time.Duration(l.Settle), 0, time.Minute)
+	p.require(len(l.URLs) > 0, "urls", "must not be empty")
+	for i, u := range l.URLs {
+		p.loadURL(fmt.Sprintf("urls[%d]", i), u, allowRemote)
+	}
+	if l.ControlURL != "" || !l.Unverified {
+		p.loadURL("control_url", l.ControlURL, allowRemote)
+	}
+	p.require(len(l.Flows) > 0, "flows", "must not be empty")
+	total := 0.0
+	for i, flow := range l.Flows {
+		p.flow(fmt.Sprintf("flows[%d]", i), flow, l)
+		total += flow.Rate * time.Duration(flow.Stop-flow.Start).Seconds()
+	}
+	p.require(total <= float64(l.MaxRequests), "flows", fmt.Sprintf("have %.0f requests on average, more than max_requests", total))
+	return p
+}
+
+func (p *problems) flow(key string, f LoadFlow, l Load) {
+	p.require(f.Organisation != "", key+".organisation", "must be set")
+	p.require(f.Caller != "", key+".caller", "must be set")
+	p.require(f.Kind != "", key+".kind", "must be set")
+	p.require(f.Rate > 0, key+".rate", "must be positive")
+	p.require(f.Start >= 0 && f.Start < f.Stop, key+".start", "must not be negative and must be before stop")
+	p.require(f.Stop <= l.Duration, key+".stop", "must not be after duration")
+	p.between(key+".service", time.Duration(f.Service), 0, maxLoadDuration)
+	p.require(f.AnswerBytes >= 0, key+".answer_bytes", "must not be negative")
+	p.require(f.BodyBytes >= 0 && f.BodyBytes <= maxLoadBodyBytes, key+".body_bytes", fmt.Sprintf("must be between 0 and %d", maxLoadBodyBytes))
+	p.require(*f.Urgency >= 0 && *f.Urgency <= maxUrgency, key+".urgency", "must be between 0 and 7")
+	p.between(key+".deadline", time.Duration(f.Deadline), 0, maxLoadDuration)
+	switch f.Resend {
+	case ResendNever, ResendUnknown, ResendAlways:
+	default:
+		p.require(false, key+".resend", "must be never, unknown or always")
+	}
+	p.require(f.Resend == ResendNever || f.Idempotent || f.Key, key+".key", "must be set to resend a request that is not idempotent")
+}
+
+func (p *problems) between(key string, d, low, high time.Duration) {
+	p.require(d >= low && d <= high, key, fmt.Sprintf("must be between %v and %v", low, high))
+}
+
+func (p *problems) loadURL(key, value string, allowRemote bool) {
+	u, err := url.Parse(value)
+	if err != nil || u.Scheme != "http" || u.Path != "" || u.RawQuery != "" {
+		p.require(false, key, "must be http://IP:port")
+		return
+	}
+	addr, err := netip.ParseAddrPort(u.Host)
+	switch {
+	case err != nil:
+		p.require(false, key, "must be http://IP:port")
+	case !allowRemote:
+		p.require(addr.Addr().IsLoopback(), key, "must be a loopback address unless others are allowed")
+	}
+}
