--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -78,6 +78,7 @@
 		FlagSet:    newFlagSet("oleanderbend", env),
 		Subcommands: []*ffcli.Command{
 			demoCommand(env),
+			loadCommand(env),
 			serveCommand(env),
 			standinCommand(env),
 			applyCommand(env),
