--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -15,10 +15,13 @@
 // target it gets.
 type core struct {
 	now func() time.Time
+	// starved is signalled when requests begin to wait for slots.
+	starved chan struct{}
 
-	mu    sync.Mutex
-	queue *admission.Queue
-	table *dispatch.Table
+	mu      sync.Mutex
+	queue   *admission.Queue
+	table   *dispatch.Table
+	waiting bool
 }
 
 // ticket is one request's place in the decisions.
@@ -114,7 +117,26 @@
 	c.pumpLocked(now)
 }
 
+// busy reports whether requests wait.
+func (c *core) busy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.queue.Queued() > 0
+}
+
 func (c *core) pumpLocked(now time.Time) {
+	c.dispatchLocked(now)
+	begins := c.queue.Queued() > 0 && !c.waiting
+	c.waiting = c.queue.Queued() > 0
+	if begins {
+		select {
+		case c.starved <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (c *core) dispatchLocked(now time.Time) {
 	free, total := c.table.Capacity(now)
 	for free > 0 {
 		next, refused := c.queue.Next(now, free, total)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -26,8 +26,8 @@
 	// sent is true once a byte may have reached a target that has not said that it did not
 	// start the request.
 	sent bool
-	// claimed is true once the request's key is granted to this exchange.
-	claimed bool
+	// key is set while the request's idempotency key is granted to this exchange.
+	key *keyClaim
 }
 
 func newExchange(g *Gateway, w http.ResponseWriter, r *http.Request, info requestInfo) *exchange {
@@ -71,16 +71,23 @@
 // claim takes the key of a request that must run at most once. On failure it gives the slot
 // back and returns the problem to answer.
 func (x *exchange) claim(d decision) *problem {
-	if x.info.key == "" || x.claimed {
+	if x.info.key == "" {
 		return nil
 	}
-	p := x.g.claimKey(x.r.Context(), x.info)
+	var p *problem
+	switch {
+	case x.key == nil:
+		x.key, p = x.g.claimKey(x.r.Context(), x.info)
+	case x.key.expired(x.g.now()):
+		p = &problem{
+			outcome: outcomeNotRun, status: http.StatusServiceUnavailable, retryAfter: time.Second,
+			reason: reasonDeadline, detail: "no target started the request while its idempotency key was protected",
+		}
+	}
 	if p != nil {
 		x.g.core.release(x.ticket, d, dispatch.Abandoned, 0)
-		return p
 	}
-	x.claimed = true
-	return nil
+	return p
 }
 
 func (x *exchange) account(d decision, result attemptResult) {
@@ -184,8 +191,8 @@
 // releaseKey forgets the claim of a request that certainly did not run, so that the caller
 // may send it again with the same key.
 func (x *exchange) releaseKey() {
-	if x.claimed {
-		x.claimed = false
-		x.g.releaseKey(x.info)
+	if x.key != nil {
+		x.g.keys.Release(x.key.key, x.key.id)
+		x.key = nil
 	}
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -54,6 +54,8 @@
 	}
 	g.core.mu.Lock()
 	leaving := g.core.table.Update(list)
+	g.slots.setTargets(g.core.table.Targets())
+	g.core.table.Refresh()
 	g.core.pumpLocked(g.now())
 	g.core.mu.Unlock()
 	for _, id := range leaving {
@@ -106,6 +108,7 @@
 			weights[name] = org.Spec.Weight
 		}
 	})
+	g.slots.setWeights(weights)
 	g.core.mu.Lock()
 	defer g.core.mu.Unlock()
 	g.core.queue.SetPolicy(policy.Admission)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,8 +18,10 @@
 
 	"github.com/oleanderbend/oleanderbend/internal/admission"
 	"github.com/oleanderbend/oleanderbend/internal/dispatch"
+	"github.com/oleanderbend/oleanderbend/internal/idempotency"
 	"github.com/oleanderbend/oleanderbend/internal/kernel"
 	"github.com/oleanderbend/oleanderbend/internal/membership"
+	"github.com/oleanderbend/oleanderbend/internal/platform"
 	"github.com/oleanderbend/oleanderbend/internal/timeline"
 )
 
@@ -51,6 +53,8 @@
 	server   *http.Server
 	listener net.Listener
 	draining atomic.Bool
+	slots    *slotSharing
+	keys     *idempotency.Service
 }
 
 // New returns a gateway. Its settings are checked by Provision.
@@ -65,12 +69,7 @@
 		cfg.Logger = &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: discard{}}}
 	}
 	g := &Gateway{cfg: cfg, limits: cfg.Limits.withDefaults(), now: cfg.Now, metrics: newMetrics(), log: cfg.Logger}
-	g.core = &core{
-		now:   cfg.Now,
-		queue: admission.New(cfg.Seed),
-		table: dispatch.New(cfg.Seed, nil),
-	}
-	g.metrics.gauges(g.core)
+	g.core = &core{now: cfg.Now, queue: admission.New(cfg.Seed), starved: make(chan struct{}, 1)}
 	return g
 }
 
@@ -88,7 +87,20 @@
 // Provision implements kernel.Service. It returns ErrConfig for a missing dependency.
 func (g *Gateway) Provision(k *kernel.Kernel) error {
 	g.kernel = k
-	return g.cfg.check()
+	if err := g.cfg.check(); err != nil {
+		return err
+	}
+	g.slots = newSlotSharing(g)
+	g.core.table = dispatch.New(g.cfg.Seed, func(t platform.Instance) int {
+		return g.slots.holder.Allowance(g.now(), t.ID)
+	})
+	g.metrics.gauges(g.core)
+	if err := g.slots.register(); err != nil {
+		return err
+	}
+	var err error
+	g.keys, err = idempotency.New(g.cfg.ID, g.cfg.Caller, g.cfg.Registrar, g.now, g.cfg.NoEarlierKeys)
+	return err
 }
 
 // Start implements kernel.Service. It listens for callers.
@@ -111,6 +123,8 @@
 	g.kernel.Go(Name, "serve", g.serve)
 	g.kernel.Go(Name, "follow", g.follow)
 	g.kernel.Go(Name, "tick", g.tick)
+	g.kernel.Go(Name, "slots", g.slots.run)
+	g.kernel.Go(Name, "keys", g.keys.Recover)
 	g.log.Info().Str("addr", g.Addr()).Msg("gateway-started")
 	return nil
 }
@@ -195,9 +209,3 @@
 func (g *Gateway) event(kind timeline.Type, name, request, reason string) {
 	g.cfg.Recorder.Record(timeline.Event{Type: kind, Name: name, Request: request, Reason: reason})
 }
-
-// claimKey is the place of the claim of an idempotency key.
-func (g *Gateway) claimKey(context.Context, requestInfo) *problem { return nil }
-
-// releaseKey gives a claim back.
-func (g *Gateway) releaseKey(requestInfo) {}
--- /dev/null
+++ b/internal/gateway/keys.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/idempotency"
+)
+
+// keyClaim is a claim of a request's idempotency key that was granted.
+type keyClaim struct {
+	key idempotency.Key
+	id  idempotency.ClaimID
+	at  time.Time
+}
+
+// claimKey claims the key of a request. It returns the problem to answer if the claim is
+// not granted: the outcome is unknown, since an earlier request with the key may have run.
+func (g *Gateway) claimKey(ctx context.Context, info requestInfo) (*keyClaim, *problem) {
+	claim := &keyClaim{key: idempotency.KeyOf(info.flow, info.key), at: g.now()}
+	id, answer := g.keys.Claim(ctx, claim.key)
+	claim.id = id
+	switch answer {
+	case idempotency.Granted:
+		return claim, nil
+	case idempotency.Held:
+		return nil, &problem{
+			outcome: outcomeUnknown, status: http.StatusBadGateway, reason: reasonKeyUsed,
+			detail: "an earlier request with this idempotency key may have run",
+		}
+	default:
+		return nil, &problem{
+			outcome: outcomeUnknown, status: http.StatusBadGateway, reason: reasonKeyUnknown,
+			detail: "it is not known whether an earlier request with this idempotency key has run; this one was not sent",
+		}
+	}
+}
+
+// expired reports whether the claim is too old for a dispatch.
+func (c *keyClaim) expired(now time.Time) bool {
+	return now.Sub(c.at) >= idempotency.UseLimit
+}
--- /dev/null
+++ b/internal/gateway/peers_test.go
@@ -0,0 +1,196 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/rpc"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/dispatch"
+	"github.com/oleanderbend/oleanderbend/internal/peer"
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+)
+
+// peerNet connects instances by net/rpc in memory. Silent instances cannot be reached.
+type peerNet struct {
+	mu      sync.Mutex
+	ids     []string
+	servers map[string]*rpc.Server
+	silent  map[string]bool
+}
+
+func newPeerNet(ids ...string) *peerNet {
+	return &peerNet{ids: ids, servers: make(map[string]*rpc.Server), silent: make(map[string]bool)}
+}
+
+func (n *peerNet) setSilent(id string, silent bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silent[id] = silent
+}
+
+// node is one instance's access to a peerNet.
+type node struct {
+	net    *peerNet
+	id     string
+	server *rpc.Server
+}
+
+func (n *peerNet) node(id string) *node {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.servers[id] = rpc.NewServer()
+	return &node{net: n, id: id, server: n.servers[id]}
+}
+
+func (n *node) Register(name string, receiver any) error {
+	return n.server.RegisterName(name, receiver)
+}
+
+func (n *node) Peers() []string {
+	return slices.DeleteFunc(slices.Clone(n.net.ids), func(id string) bool { return id == n.id })
+}
+
+func (n *node) Call(ctx context.Context, instance, method string, args, reply any) error {
+	n.net.mu.Lock()
+	server, silent := n.net.servers[instance], n.net.silent[instance] || n.net.silent[n.id]
+	n.net.mu.Unlock()
+	if server == nil || silent {
+		return peer.ErrUnreachable
+	}
+	ours, theirs := net.Pipe()
+	go server.ServeConn(theirs)
+	client := rpc.NewClient(ours)
+	defer client.Close()
+	select {
+	case call := <-client.Go(method, args, reply, make(chan *rpc.Call, 1)).Done:
+		return call.Error
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func newCluster(t testing.TB, n *peerNet, fresh bool, targets ...platform.Instance) []*harness {
+	var cluster []*harness
+	for _, id := range n.ids {
+		node := n.node(id)
+		cluster = append(cluster, newHarness(t, func(cfg *Config) {
+			cfg.ID, cfg.Caller, cfg.Registrar, cfg.NoEarlierKeys = id, node, node, fresh
+		}, targets...))
+	}
+	return cluster
+}
+
+func keyed(h *harness, key string) (*http.Response, error) {
+	resp, _, err := h.send(http.MethodPost, "work", platform.HeaderIdempotent, "false", platform.HeaderIdempotencyKey, key)
+	return resp, err
+}
+
+// Guards against two dispatches of one key that is sent to several instances at once, and
+// against a resend that runs again.
+func TestKeyRunsOnceOverInstances(t *testing.T) {
+	var calls atomic.Int64
+	cluster := newCluster(t, newPeerNet("a", "b", "c"), true, startTarget(t, "t1", counted(&calls, echo)))
+	for range 5 {
+		calls.Store(0)
+		key := uuid.NewString()
+		var wait sync.WaitGroup
+		for _, h := range cluster {
+			wait.Go(func() {
+				resp, err := keyed(h, key)
+				if err != nil || resp.Header.Get(platform.HeaderOutcome) == string(outcomeNotRun) {
+					t.Errorf("keyed request: %v", err)
+				}
+			})
+		}
+		wait.Wait()
+		ran := calls.Load()
+		resp, err := keyed(cluster[0], key)
+		require.NoError(t, err)
+		require.LessOrEqual(t, calls.Load(), int64(1))
+		if ran == 1 {
+			cluster[0].requireOutcome(resp, outcomeUnknown, http.StatusBadGateway)
+		}
+	}
+}
+
+// Guards against a dispatch while the homes of the key cannot vouch for it: after a restart
+// of all of them, and with two of three silent.
+func TestUnvouchedKeyIsNotDispatched(t *testing.T) {
+	var calls atomic.Int64
+	target := startTarget(t, "t1", counted(&calls, echo))
+	for _, fresh := range []bool{false, true} {
+		peers := newPeerNet("a", "b", "c")
+		cluster := newCluster(t, peers, fresh, target)
+		if fresh {
+			peers.setSilent("b", true)
+			peers.setSilent("c", true)
+		}
+		resp, err := keyed(cluster[0], "k1")
+		require.NoError(t, err)
+		cluster[0].requireOutcome(resp, outcomeUnknown, http.StatusBadGateway)
+		require.Zero(t, calls.Load())
+	}
+}
+
+// Guards against a key that stays used although its request certainly did not run.
+func TestKeyOfRequestThatDidNotRunIsFree(t *testing.T) {
+	var refuse atomic.Bool
+	refuse.Store(true)
+	target := startTarget(t, "t1", func(w http.ResponseWriter, r *http.Request) {
+		if refuse.Load() {
+			w.Header().Set(platform.HeaderNotStarted, "true")
+		}
+		echo(w, r)
+	})
+	h := newCluster(t, newPeerNet("a"), true, target)[0]
+	resp, err := keyed(h, "k1")
+	require.NoError(t, err)
+	h.requireOutcome(resp, outcomeNotRun, http.StatusServiceUnavailable)
+	refuse.Store(false)
+	resp, err = keyed(h, "k1")
+	require.NoError(t, err)
+	h.requireOutcome(resp, outcomeAnswer, http.StatusOK)
+}
+
+// Guards against more requests at a target than it has slots when several instances use it
+// at once, and against slots that stay unused while one instance has the whole load.
+func TestSlotsHoldOverInstances(t *testing.T) {
+	var running, most atomic.Int64
+	target := startTarget(t, "t1", func(w http.ResponseWriter, r *http.Request) {
+		now := running.Add(1)
+		defer running.Add(-1)
+		for old := most.Load(); now > old && !most.CompareAndSwap(old, now); old = most.Load() {
+		}
+		time.Sleep(20 * time.Millisecond)
+		echo(w, r)
+	})
+	cluster := newCluster(t, newPeerNet("a", "b", "c", "d"), true, target)
+	time.Sleep(dispatch.GrantTTL)
+	load := func(instances []*harness) {
+		most.Store(0)
+		var wait sync.WaitGroup
+		for i := range 24 {
+			wait.Go(func() {
+				for range 25 {
+					if _, _, err := instances[i%len(instances)].send(http.MethodPost, "x"); err != nil {
+						t.Error(err)
+					}
+				}
+			})
+		}
+		wait.Wait()
+		require.LessOrEqual(t, most.Load(), int64(8))
+	}
+	load(cluster)
+	load(cluster[:1])
+	require.Greater(t, most.Load(), int64(2))
+}
