--- a/internal/state/record.go
+++ b/internal/state/record.go
@@ -146,26 +146,6 @@
 	return data, nil
 }
 
-// resource names what a put or a delete is about.
-func (r Record) resource() string {
-	switch {
-	case r.Put != nil:
-		var object struct {
-			Metadata struct {
-				Name string `json:"name"`
-			} `json:"metadata"`
-		}
-		if json.Unmarshal(r.Put.Object, &object) != nil {
-			return ""
-		}
-		return string(r.Put.Kind) + "/" + object.Metadata.Name
-	case r.Delete != nil:
-		return string(r.Delete.Kind) + "/" + r.Delete.Name
-	default:
-		return ""
-	}
-}
-
 // DecodeRecord parses a log entry. It returns ErrRecordFormat for an entry that no version of
 // the program gives a meaning to; such an entry is skipped. It returns ErrRecordVersion for a
 // record of a newer version; it must not be skipped, because a newer process applies it.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -211,7 +211,6 @@
 	v := s.apply(offset, r)
 	v.Offset = offset
 	v.Message = truncate(v.Message)
-	v.Resource = truncate(r.resource())
 	s.remember(r, v)
 	return v
 }
@@ -243,9 +242,13 @@
 	}
 	switch {
 	case r.Put != nil:
-		return s.applyPut(offset, r, *r.Put)
+		v, name := s.applyPut(offset, r, *r.Put)
+		v.Resource = truncate(string(r.Put.Kind) + "/" + name)
+		return v
 	case r.Delete != nil:
-		return s.applyDelete(offset, r, *r.Delete)
+		v := s.applyDelete(offset, r, *r.Delete)
+		v.Resource = truncate(string(r.Delete.Kind) + "/" + r.Delete.Name)
+		return v
 	case r.Claim != nil:
 		return s.applyClaim(*r.Claim)
 	case r.Release != nil:
@@ -276,18 +279,24 @@
 	}
 }
 
-func (s *State) applyPut(offset platform.Offset, r Record, put Put) Verdict {
+// applyPut also returns the name of the object.
+func (s *State) applyPut(offset platform.Offset, r Record, put Put) (Verdict, string) {
 	object, err := resource.New(put.Kind)
 	if err != nil {
-		return Verdict{Code: Invalid, Message: err.Error()}
+		return Verdict{Code: Invalid, Message: err.Error()}, ""
 	}
 	if err := json.Unmarshal(put.Object, object); err != nil {
-		return Verdict{Code: Invalid, Message: err.Error()}
+		return Verdict{Code: Invalid, Message: err.Error()}, ""
 	}
+	name := object.Meta().Name
 	if errs := object.Validate(); len(errs) > 0 {
-		return Verdict{Code: Invalid, Message: errs.Error()}
+		return Verdict{Code: Invalid, Message: errs.Error()}, name
 	}
-	meta := object.Meta()
+	return s.putObject(offset, r, object), name
+}
+
+func (s *State) putObject(offset platform.Offset, r Record, object resource.Object) Verdict {
+	put, meta := *r.Put, object.Meta()
 	current, exists := s.Lookup(put.Kind, meta.Name)
 	if exists && current.Meta().UID == r.ID {
 		// The create that made this resource, repeated after its verdict was forgotten.
--- /dev/null
+++ b/internal/state/state_test.go
@@ -0,0 +1,295 @@
+package state
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+)
+
+// driver applies records one after another.
+type driver struct {
+	t *testing.T
+	s *State
+}
+
+func newDriver(t *testing.T) *driver {
+	d := &driver{t: t, s: New()}
+	d.put(&resource.Organisation{Metadata: resource.Metadata{Name: "org"}})
+	d.apply(Record{ID: "claim", Claim: &Claim{Zone: "z1", Epoch: epoch1}})
+	return d
+}
+
+var epoch1 = platform.Epoch{Number: 1, Holder: "i"}
+
+func (d *driver) apply(r Record) Verdict {
+	d.t.Helper()
+	offset := d.s.Applied + 1
+	if r.ID == "" {
+		r.ID = fmt.Sprintf("id-%d", offset)
+	}
+	if r.Base == 0 {
+		r.Base = offset - 1
+	}
+	r.Version, r.Time = RecordVersion, testTime
+	return d.s.Apply(offset, r)
+}
+
+func putRecord(t *testing.T, object resource.Object) Record {
+	t.Helper()
+	data, err := json.Marshal(object)
+	require.NoError(t, err)
+	return Record{Put: &Put{Kind: object.Kind(), Object: data}}
+}
+
+func (d *driver) put(object resource.Object) Verdict {
+	d.t.Helper()
+	return d.apply(putRecord(d.t, object))
+}
+
+func testJob(name string) *resource.Job {
+	return &resource.Job{
+		Metadata: resource.Metadata{Name: name}, Status: resource.JobStatus{Zone: "z1"},
+		Spec: resource.JobSpec{Organisation: "org", Members: 1, AcceleratorsPerMember: 1, Payload: "p"},
+	}
+}
+
+func (d *driver) update(job string, status resource.JobStatus) Verdict {
+	d.t.Helper()
+	status.Zone = "z1"
+	update := JobUpdate{Name: job, UID: d.s.Jobs[job].UID, Status: status}
+	return d.apply(Record{ZoneUpdate: &ZoneUpdate{Zone: "z1", Epoch: epoch1, Jobs: []JobUpdate{update}}})
+}
+
+// TestBaseMustBeBeforeTheRecord guards against a base from the future, which would keep a
+// record alive beyond the window in which its id is remembered.
+func TestBaseMustBeBeforeTheRecord(t *testing.T) {
+	d := newDriver(t)
+	r := putRecord(t, testJob("a"))
+	r.Base = ^platform.Offset(0)
+	require.Equal(t, Invalid, d.apply(r).Code)
+}
+
+// TestLateRecordIsStale guards against a second application after the id was forgotten.
+func TestLateRecordIsStale(t *testing.T) {
+	d := newDriver(t)
+	r := putRecord(t, testJob("a"))
+	r.ID, r.Base = "late", d.s.Applied
+	require.Equal(t, Accepted, d.apply(r).Code)
+	require.Equal(t, Accepted, d.apply(Record{Delete: &Delete{Kind: resource.KindJob, Name: "a"}}).Code)
+	require.Equal(t, Accepted, d.apply(Record{Delete: &Delete{Kind: resource.KindJob, Name: "a"}}).Code)
+	for range AppendWindow + 1 {
+		d.s.Skip(d.s.Applied + 1)
+	}
+	require.NotContains(t, d.s.Verdicts, "late")
+	require.Equal(t, Stale, d.apply(r).Code)
+	require.Empty(t, d.s.Jobs)
+}
+
+// TestRepeatedCreateAfterTheWindow guards against a create that is answered with a conflict
+// because its own first append succeeded long ago.
+func TestRepeatedCreateAfterTheWindow(t *testing.T) {
+	d := newDriver(t)
+	r := putRecord(t, testJob("a"))
+	r.ID, r.Put.IfVersion = "create", new(uint64)
+	first := d.apply(r)
+	for range AppendWindow + 1 {
+		d.s.Skip(d.s.Applied + 1)
+	}
+	again := d.apply(r)
+	require.Equal(t, Accepted, again.Code)
+	require.Equal(t, first.Version, again.Version)
+}
+
+// TestAttemptsNeverGoBack guards against a status that was appended late and undoes a newer
+// one, and against a second attempt of a job that must not run twice.
+func TestAttemptsNeverGoBack(t *testing.T) {
+	d := newDriver(t)
+	d.put(testJob("a"))
+	d.update("a", resource.JobStatus{Phase: resource.PhaseRunning, Attempt: 2})
+	d.update("a", resource.JobStatus{Phase: resource.PhaseRunning, Attempt: 1})
+	require.Equal(t, uint64(2), d.s.Jobs["a"].Status.Attempt)
+
+	once := testJob("once")
+	once.Spec.Restart = resource.RestartNever
+	d.put(once)
+	d.update("once", resource.JobStatus{Phase: resource.PhaseRunning, Attempt: 2})
+	d.update("once", resource.JobStatus{Phase: resource.PhaseRunning, Attempt: 3})
+	require.Equal(t, uint64(2), d.s.Jobs["once"].Status.Attempt)
+	d.update("once", resource.JobStatus{Phase: resource.PhaseSucceeded, Attempt: 2})
+	require.Equal(t, resource.PhaseSucceeded, d.s.Jobs["once"].Status.Phase)
+}
+
+// TestEndedJobsAreBoundedAndKeepTheirSuccessors guards against memory that grows with every
+// job ever run, and against forgetting a new job for an old one of the same name.
+func TestEndedJobsAreBoundedAndKeepTheirSuccessors(t *testing.T) {
+	d := newDriver(t)
+	cancel := func(name string) { d.apply(Record{Delete: &Delete{Kind: resource.KindJob, Name: name}}) }
+	d.put(testJob("again"))
+	cancel("again")
+	cancel("again")
+	d.put(testJob("again"))
+	for i := range maxEndedJobs {
+		name := fmt.Sprintf("job-%d", i)
+		d.put(testJob(name))
+		cancel(name)
+	}
+	require.Contains(t, d.s.Jobs, "again")
+	require.Equal(t, resource.PhaseQueued, d.s.Jobs["again"].Status.Phase)
+	d.put(testJob("last"))
+	cancel("last")
+	require.NotContains(t, d.s.Jobs, "job-0")
+	require.Len(t, d.s.Jobs, maxEndedJobs+1)
+	require.Len(t, d.s.EndedJobs, maxEndedJobs)
+	require.Equal(t, 1, d.s.liveJobs)
+	require.Equal(t, len("p"), d.s.payloadBytes)
+}
+
+// TestLimitsOfTheState guards against operators that exhaust the memory of every instance.
+func TestLimitsOfTheState(t *testing.T) {
+	d := newDriver(t)
+	for i := range MaxPolicies {
+		require.Equal(t, Accepted, d.put(&resource.Policy{Metadata: resource.Metadata{Name: fmt.Sprintf("p%d", i)}}).Code)
+	}
+	require.Equal(t, Limit, d.put(&resource.Policy{Metadata: resource.Metadata{Name: "one-more"}}).Code)
+	require.Equal(t, Accepted, d.put(&resource.Policy{Metadata: resource.Metadata{Name: "p0"}}).Code, "a change needs no room")
+	huge := testJob("huge")
+	huge.Spec.Payload = strings.Repeat("x", resource.MaxPayloadBytes)
+	count := 0
+	for ; d.put(huge).Code == Accepted; count++ {
+		huge.Name = fmt.Sprintf("huge-%d", count)
+	}
+	require.LessOrEqual(t, count*resource.MaxPayloadBytes, MaxPayloadBytes)
+	verdict := d.apply(Record{Delete: &Delete{Kind: resource.KindJob, Name: string(make([]byte, 1<<16))}})
+	require.LessOrEqual(t, len(verdict.Message)+len(verdict.Resource), 2*maxMessageBytes+10)
+}
+
+// TestGuaranteesCheckedTogetherConflict guards against two guarantees that fit alone but not
+// together.
+func TestGuaranteesCheckedTogetherConflict(t *testing.T) {
+	d := newDriver(t)
+	g := &resource.Guarantee{
+		Metadata: resource.Metadata{Name: "g1"}, Status: resource.GuaranteeStatus{Zone: "z1"},
+		Spec: resource.GuaranteeSpec{Organisation: "org", Gangs: 1, Members: 1, AcceleratorsPerMember: 1},
+	}
+	require.Equal(t, Accepted, d.put(g).Code)
+	g.Name = "g2"
+	require.Equal(t, RevisionConflict, d.put(g).Code)
+	require.NotContains(t, d.s.Guarantees, "g2")
+}
+
+// TestNewerRecordIsNotMalformed guards against an old process that skips what a newer one
+// applies, after which their states differ for ever.
+func TestNewerRecordIsNotMalformed(t *testing.T) {
+	for data, want := range map[string]error{
+		`{"v":2,"id":"a","newPayload":{}}`: ErrRecordVersion,
+		`{"v":2,"id":7}`:                   ErrRecordVersion,
+		`{"v":1,"id":"a"}`:                 ErrRecordFormat,
+		`{"v":0,"id":"a","release":{}}`:    ErrRecordFormat,
+		`{`:                                ErrRecordFormat,
+	} {
+		_, err := DecodeRecord([]byte(data))
+		require.ErrorIs(t, err, want, data)
+	}
+	s := New()
+	s.Format = RecordVersion + 1
+	_, err := DecodeSnapshot(encoded(t, s))
+	require.ErrorIs(t, err, ErrRecordVersion)
+}
+
+// TestDamagedSnapshotIsRefused guards against a state that makes a later record panic, and
+// against parts of two snapshots taken for one.
+func TestDamagedSnapshotIsRefused(t *testing.T) {
+	d := newDriver(t)
+	parts := d.s.SplitSnapshot("s", encoded(t, d.s))
+	_, err := JoinSnapshot(parts)
+	require.NoError(t, err)
+	parts[0].Data[len(parts[0].Data)/2]++
+	_, err = JoinSnapshot(parts)
+	require.ErrorIs(t, err, ErrSnapshotIncomplete)
+	_, err = JoinSnapshot(nil)
+	require.ErrorIs(t, err, ErrSnapshotIncomplete)
+
+	d.s.Jobs["missing"] = nil
+	_, err = DecodeSnapshot(encoded(t, d.s))
+	require.ErrorIs(t, err, ErrSnapshotFormat)
+	delete(d.s.Jobs, "missing")
+	d.s.VerdictOrder = nil
+	_, err = DecodeSnapshot(encoded(t, d.s))
+	require.ErrorIs(t, err, ErrSnapshotFormat)
+}
+
+// TestChangesForWatchers guards against a watch that misses a change or resumes where the
+// changes are no longer known.
+func TestChangesForWatchers(t *testing.T) {
+	d := newDriver(t)
+	d.put(testJob("a"))
+	version := d.s.Applied
+	d.apply(Record{Delete: &Delete{Kind: resource.KindJob, Name: "a"}})
+	d.apply(Record{Delete: &Delete{Kind: resource.KindJob, Name: "a"}})
+	changes, ok := d.s.Changes(version)
+	require.True(t, ok)
+	require.Equal(t, []Change{
+		{Offset: version + 1, Kind: resource.KindJob, Name: "a"},
+		{Offset: version + 2, Kind: resource.KindJob, Name: "a", Deleted: true},
+	}, changes)
+	for range maxHistory {
+		d.put(&resource.Organisation{Metadata: resource.Metadata{Name: "org"}})
+	}
+	_, ok = d.s.Changes(version)
+	require.False(t, ok)
+	changes, ok = d.s.Changes(d.s.Applied)
+	require.True(t, ok)
+	require.Empty(t, changes)
+}
+
+// FuzzDecodeRecord guards against an entry of the log that makes every instance panic.
+func FuzzDecodeRecord(f *testing.F) {
+	f.Add([]byte(`{"v":1,"id":"a","put":{"kind":"jobs","object":{"metadata":{"name":"a"},"spec":{"members":1}}}}`))
+	f.Add([]byte(`{"v":1,"id":"a","put":{"kind":"policies","object":null}}`))
+	f.Add([]byte(`{"v":1,"id":"a","delete":{"kind":"jobs","name":"a","ifVersion":0}}`))
+	f.Add([]byte(`{"v":1,"id":"a","claim":{"zone":"z","epoch":{"number":1,"holder":"i"}}}`))
+	f.Add([]byte(`{"v":1,"id":"a","zoneUpdate":{"zone":"z","epoch":{"number":1,"holder":"i"},"jobs":[{"name":"a"}]}}`))
+	f.Add([]byte(`{"v":1,"id":"a","snapshotPart":{"parts":-1,"part":9}}`))
+	f.Add([]byte(`{"v":9}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, err := DecodeRecord(data)
+		if err != nil {
+			if !errors.Is(err, ErrRecordFormat) && !errors.Is(err, ErrRecordVersion) {
+				t.Fatalf("untyped error %v", err)
+			}
+			return
+		}
+		s := New()
+		s.Apply(1, r)
+		s.Apply(2, r)
+		if _, err := DecodeSnapshot(encoded(t, s)); err != nil {
+			t.Fatalf("state after the record has no snapshot: %v", err)
+		}
+	})
+}
+
+// FuzzDecodeSnapshot guards against a snapshot that makes the next record panic.
+func FuzzDecodeSnapshot(f *testing.F) {
+	f.Add([]byte(`{}`))
+	f.Add([]byte(`{"format":1,"applied":3,"jobs":{"a":{"metadata":{"name":"a"},"status":{"phase":"Queued"}}}}`))
+	f.Add([]byte(`{"format":1,"jobs":{"a":null}}`))
+	f.Add([]byte(`{"format":1,"verdicts":{"a":{"code":"accepted"}},"verdictOrder":["a"],"endedJobs":[{"name":"x"}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := DecodeSnapshot(compress(t, data))
+		if err != nil {
+			return
+		}
+		if s.Applied >= ^platform.Offset(0)-2 {
+			return
+		}
+		s.Apply(s.Applied+1, Record{Version: 1, ID: "x", Base: s.Applied, Delete: &Delete{Kind: resource.KindJob, Name: "a"}})
+		s.Clone()
+	})
+}
