Test the zone's loop under random orders of failures

Cause: the invariants of gangs must hold under any order of failures. Change: a rapid test that drives the pure zone against the stand-ins' workers, with the invariants as assertions on the stand-ins' record of runs.

--- /dev/null
+++ b/internal/placement/chaos_test.go
@@ -0,0 +1,431 @@
+package placement
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/oleanderbend/oleanderbend/internal/gang"
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+	"github.com/oleanderbend/oleanderbend/internal/scheduler"
+	"github.com/oleanderbend/oleanderbend/internal/standin"
+	"github.com/oleanderbend/oleanderbend/internal/state"
+)
+
+const (
+	chaosTick = 50 * time.Millisecond
+	// chaosTime is how long faults occur, calmTime how long the system then has to finish.
+	chaosTime = 40 * time.Second
+	calmTime  = 90 * time.Second
+)
+
+// manualClock is advanced by the test.
+type manualClock struct{ at time.Time }
+
+func (c *manualClock) Now() time.Time                       { return c.at }
+func (c *manualClock) After(time.Duration) <-chan time.Time { return make(chan time.Time) }
+
+// impatient is a context that is not done before a call but ends every wait at once, so that a
+// call to a frozen worker returns with an unknown outcome.
+type impatient struct{ context.Context }
+
+func (impatient) Done() <-chan struct{} {
+	done := make(chan struct{})
+	close(done)
+	return done
+}
+
+// message is a call or an answer on its way.
+type message struct {
+	at     time.Time
+	leader *chaosLeader
+	op     Op
+	sent   time.Time
+	answer *Answer
+}
+
+// chaosLeader is one instance that leads, or believes that it leads, the zone.
+type chaosLeader struct {
+	epoch    platform.Epoch
+	zone     *zone
+	recorded bool
+	dead     bool
+	// lagging has the state that a leader sees that does not read the log.
+	lagging *state.State
+	pausedA time.Time
+}
+
+// chaos drives zones against the stand-ins' workers with faults drawn by rapid.
+type chaos struct {
+	t        *rapid.T
+	clock    *manualClock
+	fleet    *standin.Fleet
+	rows     []platform.Instance
+	state    *state.State
+	logUp    bool
+	leaders  []*chaosLeader
+	number   uint64
+	messages []message
+	nextAt   time.Time
+	calm     bool
+	reserved map[platform.LeaseID]bool
+	frozen   map[string]standin.WorkerFaults
+}
+
+func newChaos(t *rapid.T) *chaos {
+	c := &chaos{
+		t: t, clock: &manualClock{at: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}, logUp: true,
+		state: state.New(), reserved: make(map[platform.LeaseID]bool), frozen: make(map[string]standin.WorkerFaults),
+	}
+	for i := range 4 {
+		c.rows = append(c.rows, platform.Instance{
+			ID: fmt.Sprintf("w%d", i), Kind: platform.KindWorker, State: platform.StateLive, Zone: "z",
+			Rack: fmt.Sprintf("r%d", i/2), Cores: 64, MemoryMB: 64 << 10, Accelerators: 4,
+		})
+	}
+	c.fleet = standin.NewFleet(standin.FleetConfig{Clock: c.clock, Workers: c.rows})
+	c.put(&resource.Organisation{Metadata: resource.Metadata{Name: "org"}})
+	c.job("gang", 4, 2, resource.RestartAlways, "duration=18s checkpoint=500ms")
+	c.job("once", 3, 2, resource.RestartNever, "duration=12s")
+	c.job("single", 1, 1, resource.RestartAlways, "duration=25s checkpoint=500ms")
+	c.newLeader()
+	return c
+}
+
+func (c *chaos) apply(r state.Record) state.Verdict {
+	r.Version, r.Base, r.Time = state.RecordVersion, c.state.Applied, c.clock.at
+	if r.ID == "" {
+		r.ID = fmt.Sprintf("record-%d", c.state.Applied+1)
+	}
+	return c.state.Apply(c.state.Applied+1, r)
+}
+
+func (c *chaos) put(object resource.Object) {
+	data, err := json.Marshal(object)
+	require.NoError(c.t, err)
+	v := c.apply(state.Record{Put: &state.Put{Kind: object.Kind(), Object: data}})
+	require.Equal(c.t, state.Accepted, v.Code, v.Message)
+}
+
+func (c *chaos) job(name string, members, accelerators int, restart resource.RestartPolicy, payload string) {
+	job := testJob(name, members, accelerators, payload)
+	job.Spec.Restart, job.Status.Zone = restart, "z"
+	c.put(job)
+}
+
+// newLeader starts a leader with the next epoch, recorded if the log is up.
+func (c *chaos) newLeader() {
+	c.number++
+	epoch := platform.Epoch{Number: c.number, Holder: fmt.Sprintf("i%d", c.number%3)}
+	l := &chaosLeader{epoch: epoch, zone: newZone(c.clock.at, "z", epoch, scheduler.New(1))}
+	c.leaders = append(c.leaders, l)
+}
+
+func (c *chaos) leader() *chaosLeader { return c.leaders[len(c.leaders)-1] }
+
+// run lets faults occur and then checks that the system finishes its work.
+func (c *chaos) run() {
+	end := c.clock.at.Add(chaosTime)
+	for c.clock.at.Before(end) {
+		c.maybeFault()
+		c.tick()
+	}
+	c.calmDown()
+	end = c.clock.at.Add(calmTime)
+	for c.clock.at.Before(end) && !c.finished() {
+		c.tick()
+	}
+	c.check()
+	for name, job := range c.state.Jobs {
+		require.True(c.t, job.Status.Phase.Terminal(), "job %s is %s after the faults: %s", name, job.Status.Phase, job.Status.Reason)
+	}
+}
+
+func (c *chaos) finished() bool {
+	for _, job := range c.state.Jobs {
+		if !job.Status.Phase.Terminal() {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *chaos) tick() {
+	c.clock.at = c.clock.at.Add(chaosTick)
+	c.deliver()
+	for _, l := range c.leaders {
+		if !l.dead {
+			c.stepLeader(l)
+		}
+	}
+}
+
+func (c *chaos) stepLeader(l *chaosLeader) {
+	now := c.clock.at
+	if now.Before(l.pausedA) {
+		return
+	}
+	if !l.recorded && c.logUp {
+		v := c.apply(state.Record{Claim: &state.Claim{Zone: "z", Epoch: l.epoch, Provisional: true}})
+		l.recorded = v.Code == state.Accepted
+		if !l.recorded {
+			l.dead = true
+			return
+		}
+	}
+	st := c.state
+	if l.lagging != nil {
+		st = l.lagging
+	}
+	view := newView(st, "z")
+	view.Instances, view.May, view.LogUp = c.rows, true, c.logUp && l.recorded && l.lagging == nil
+	step := l.zone.step(now, view)
+	for _, op := range step.Ops {
+		c.send(l, op)
+	}
+	if step.Update != nil {
+		c.write(l, step)
+	}
+}
+
+func (c *chaos) write(l *chaosLeader, step Step) {
+	outcomes := []string{"ok", "ok", "ok", "lost", "not-applied"}
+	outcome := "ok"
+	if !c.calm {
+		outcome = rapid.SampledFrom(outcomes).Draw(c.t, "write")
+	}
+	var verdict state.Verdict
+	var err error
+	switch {
+	case !c.logUp || outcome == "not-applied":
+		err = state.ErrNotApplied
+	default:
+		update := cloneUpdate(*step.Update)
+		verdict = c.apply(state.Record{ID: step.RecordID, ZoneUpdate: &update})
+		if outcome == "lost" {
+			err = state.ErrUnknownOutcome
+		}
+	}
+	if l.zone.written(c.clock.at, verdict, err) {
+		l.dead = true
+	}
+}
+
+func cloneUpdate(u state.ZoneUpdate) state.ZoneUpdate {
+	u.Jobs = slices.Clone(u.Jobs)
+	return u
+}
+
+// send puts a call on its way: at once, late, or never.
+func (c *chaos) send(l *chaosLeader, op Op) {
+	now := c.clock.at
+	fate := "ok"
+	if !c.calm {
+		fate = rapid.SampledFrom([]string{"ok", "ok", "ok", "ok", "ok", "late", "lost"}).Draw(c.t, "fate")
+	}
+	m := message{at: now, leader: l, op: op, sent: now}
+	switch fate {
+	case "late":
+		// The caller gives up first, but the call still arrives.
+		m.at = now.Add(gang.CallTimeout)
+		c.answerLater(l, op, now, Answer{Answer: gang.Answer{Sent: now, Err: platform.ErrUnknownOutcome}})
+		m.leader = nil
+	case "lost":
+		c.answerLater(l, op, now, Answer{Answer: gang.Answer{Sent: now, Err: platform.ErrUnknownOutcome}})
+		return
+	}
+	m.op.run = op.run
+	m.answer = nil
+	c.messages = append(c.messages, withEpoch(m, l.epoch))
+	c.checkStart(op)
+}
+
+// withEpoch keeps the epoch of a call whose leader is not told the answer.
+func withEpoch(m message, epoch platform.Epoch) message {
+	m.op.Reason += "\x00" + fmt.Sprintf("%d/%s", epoch.Number, epoch.Holder)
+	return m
+}
+
+func (c *chaos) answerLater(l *chaosLeader, op Op, sent time.Time, answer Answer) {
+	c.messages = append(c.messages, message{at: sent.Add(gang.CallTimeout), leader: l, op: op, sent: sent, answer: &answer})
+}
+
+func (c *chaos) deliver() {
+	due, rest := []message{}, []message{}
+	for _, m := range c.messages {
+		if m.at.After(c.clock.at) {
+			rest = append(rest, m)
+		} else {
+			due = append(due, m)
+		}
+	}
+	c.messages = rest
+	for _, m := range due {
+		switch {
+		case m.answer != nil:
+			c.answer(m.leader, m.op, *m.answer)
+		default:
+			c.arrive(m)
+		}
+	}
+}
+
+// arrive carries out a call at its worker.
+func (c *chaos) arrive(m message) {
+	var epoch platform.Epoch
+	var reason string
+	for i := range m.op.Reason {
+		if m.op.Reason[i] == 0 {
+			reason = m.op.Reason[:i]
+			_, err := fmt.Sscanf(m.op.Reason[i+1:], "%d/%s", &epoch.Number, &epoch.Holder)
+			require.NoError(c.t, err)
+			break
+		}
+	}
+	m.op.Reason = reason
+	r := newRunner(c.fleet, epoch, func() bool { return true }, func() time.Time { return m.sent })
+	answer := r.exchange(impatient{context.Background()}, []Op{m.op})[0]
+	if answer.Err == nil && m.op.Kind == gang.CallReserve {
+		for _, id := range m.op.Leases {
+			c.reserved[id] = true
+		}
+	}
+	if m.leader == nil {
+		return
+	}
+	if errors.Is(answer.Err, platform.ErrUnknownOutcome) {
+		c.answerLater(m.leader, m.op, m.sent, answer)
+		return
+	}
+	c.answer(m.leader, m.op, answer)
+}
+
+func (c *chaos) answer(l *chaosLeader, op Op, answer Answer) {
+	if l.dead {
+		return
+	}
+	if errors.Is(answer.Err, platform.ErrStaleEpoch) {
+		l.dead = true
+		return
+	}
+	l.zone.answer(c.clock.at, op, answer)
+}
+
+// checkStart asserts that a start is sent only when all members were reserved, and for a job
+// that runs at most once only when the log has the attempt.
+func (c *chaos) checkStart(op Op) {
+	if op.Kind != gang.CallStart {
+		return
+	}
+	for i := range op.Task.Members {
+		id := platform.LeaseID{JobUID: op.run.uid, Attempt: op.run.number, Member: i}
+		require.True(c.t, c.reserved[id] || c.everReserved(id), "start of %v before member %d is reserved", op.run, i)
+	}
+	job := c.state.Jobs[op.Task.JobName]
+	if job.Spec.Restart == resource.RestartNever {
+		require.Equal(c.t, op.run.number, job.Status.Attempt, "start before the attempt is in the log")
+	}
+}
+
+// everReserved finds a reservation whose answer was lost.
+func (c *chaos) everReserved(id platform.LeaseID) bool {
+	for _, row := range c.rows {
+		for _, lease := range c.fleet.Snapshot(row.ID) {
+			if lease.ID == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (c *chaos) maybeFault() {
+	if c.clock.at.Before(c.nextAt) {
+		return
+	}
+	c.nextAt = c.clock.at.Add(time.Duration(rapid.IntRange(4, 60).Draw(c.t, "ticks to next fault")) * chaosTick)
+	switch rapid.SampledFrom([]string{"die", "pause", "two-leaders", "log", "worker", "worker", "worker", "heal"}).Draw(c.t, "fault") {
+	case "die":
+		c.leader().dead = true
+		c.newLeader()
+	case "pause":
+		c.leader().pausedA = c.clock.at.Add(time.Duration(rapid.IntRange(1, 5).Draw(c.t, "pause")) * time.Second)
+		c.newLeader()
+	case "two-leaders":
+		// The old leader goes on with a state that no longer changes.
+		c.leader().lagging = c.state.Clone()
+		c.newLeader()
+	case "log":
+		c.logUp = !c.logUp
+	case "worker":
+		c.faultWorker()
+	case "heal":
+		c.heal()
+	}
+}
+
+func (c *chaos) faultWorker() {
+	id := rapid.SampledFrom(c.rows).Draw(c.t, "worker").ID
+	var faults standin.WorkerFaults
+	switch rapid.SampledFrom([]string{"outage", "frozen", "crashed", "lose"}).Draw(c.t, "worker fault") {
+	case "outage":
+		faults.Outage = true
+	case "frozen":
+		faults.Frozen = true
+	case "crashed":
+		faults.Crashed = true
+	case "lose":
+		faults.LoseAnswers = rapid.IntRange(1, 4).Draw(c.t, "answers")
+	}
+	require.NoError(c.t, c.fleet.SetFaults(id, faults))
+}
+
+func (c *chaos) heal() {
+	for _, row := range c.rows {
+		require.NoError(c.t, c.fleet.SetFaults(row.ID, standin.WorkerFaults{}))
+	}
+}
+
+func (c *chaos) calmDown() {
+	c.heal()
+	c.calm, c.logUp = true, true
+	for _, l := range c.leaders {
+		l.lagging = nil
+	}
+	if c.leader().dead {
+		c.newLeader()
+	}
+}
+
+// check asserts the invariants on the stand-ins' record of runs.
+func (c *chaos) check() {
+	for id, partial := range c.fleet.PartialTime() {
+		require.LessOrEqual(c.t, partial, gang.RunningTTL, "attempt %v was partial", id)
+	}
+	attempts := make(map[uint64]bool)
+	members := make(map[platform.LeaseID]int)
+	once := c.state.Jobs["once"]
+	for _, run := range c.fleet.Runs() {
+		if run.ID.JobUID == once.UID {
+			attempts[run.ID.Attempt] = true
+			members[run.ID]++
+			require.Equal(c.t, 1, members[run.ID], "member %v ran twice", run.ID)
+		}
+	}
+	require.LessOrEqual(c.t, len(attempts), 1, "the job that runs at most once had several attempts")
+}
+
+// Guards against partial gangs, second runs and jobs that are forgotten, over random orders of
+// leader deaths, pauses, two leaders at once, log outages, lost and late calls, and crashed,
+// frozen or unreachable workers.
+func TestGangInvariantsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { newChaos(t).run() })
+}
--- a/internal/placement/runner.go
+++ b/internal/placement/runner.go
@@ -152,10 +152,14 @@
 	return a.Reason == b.Reason && a.Throttle == b.Throttle
 }
 
-// call makes one call for a batch and returns the answer to each op.
+// call makes one call for a batch within the timeout and returns the answer to each op.
 func (r *runner) call(ctx context.Context, batch []Op) []Answer {
 	ctx, cancel := context.WithTimeout(ctx, gang.CallTimeout)
 	defer cancel()
+	return r.exchange(ctx, batch)
+}
+
+func (r *runner) exchange(ctx context.Context, batch []Op) []Answer {
 	sent := r.now()
 	shared := Answer{Answer: gang.Answer{Sent: sent}}
 	if !r.mayCall() {
