Test recovery, expiry, partitions and lost answers of the replica

Cause: the replica had no tests of its own, and an idle log delayed a start by a whole long poll (1 s).

Change: reads do not wait until the replica is ready. A refused append is repeated for 2 s, which is longer than a burst beyond the log's rate. A fresh instance becomes ready from peers only if one of them is ready.

--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -67,11 +67,10 @@
 	default:
 		verdict := r.state.Apply(entry.Offset, record)
 		r.deliver(record.ID, verdict)
-		if r.firstRecordAt.IsZero() {
-			r.firstRecordAt = record.Time
-		}
 		if record.SnapshotPart != nil {
 			r.parts.add(*record.SnapshotPart, record.Time, r.deps.Now())
+		} else {
+			r.parts.record(record.Time, r.deps.Now())
 		}
 	}
 	r.metrics.applied.Inc()
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -19,6 +19,8 @@
 	// readWait is how long a long poll waits for an entry. It is well below the 2 s for which a
 	// leader's confirmation holds, so that an idle log confirms the leaders too.
 	readWait = time.Second
+	// startWait is used instead until the replica is ready.
+	startWait = 20 * time.Millisecond
 	// readMargin is added to a long poll's wait before the log counts as hanging.
 	readMargin = 2 * time.Second
 )
@@ -103,7 +105,12 @@
 		return r.recoverFromLog(ctx)
 	}
 	sent := r.deps.Now()
-	batch, err := r.readLog(ctx, applied+1, readWait)
+	wait := readWait
+	if !r.IsReady() {
+		// An idle log must not delay the start by a long poll.
+		wait = startWait
+	}
+	batch, err := r.readLog(ctx, applied+1, wait)
 	if errors.Is(err, platform.ErrExpired) {
 		return r.recoverFromLog(ctx)
 	}
--- a/internal/replica/parts.go
+++ b/internal/replica/parts.go
@@ -24,25 +24,39 @@
 
 // assembler recognises complete snapshots among the applied records.
 type assembler struct {
-	open []*assembly
-	// last is the newest complete snapshot.
-	last completeSnapshot
+	open     []*assembly
+	progress SnapshotProgress
 	// lastID is the id of the snapshot that was completed last.
 	lastID string
 }
 
-// completeSnapshot describes a snapshot that is in the log as a whole.
-type completeSnapshot struct {
+// SnapshotProgress says which records a fresh instance would need now.
+type SnapshotProgress struct {
+	// Offset is that of the newest complete snapshot in the log, 0 if there is none.
 	Offset platform.Offset
-	// WrittenAt is the time of its first part.
-	WrittenAt time.Time
+	// Since is when the first part of that snapshot was written or, without one, the first
+	// record.
+	Since time.Time
 }
 
-// add notes one part. The writer's clock may be ahead, so its time is limited by now.
-func (a *assembler) add(p state.SnapshotPart, written, now time.Time) {
+// record notes a record that is not part of a snapshot.
+func (a *assembler) record(written, now time.Time) {
+	if a.progress.Offset == 0 && a.progress.Since.IsZero() {
+		a.progress.Since = earlier(written, now)
+	}
+}
+
+// earlier limits a writer's time by this instance's, because the writer's clock may be ahead.
+func earlier(written, now time.Time) time.Time {
 	if written.After(now) {
-		written = now
+		return now
 	}
+	return written
+}
+
+// add notes one part.
+func (a *assembler) add(p state.SnapshotPart, written, now time.Time) {
+	written = earlier(written, now)
 	index := slices.IndexFunc(a.open, func(o *assembly) bool { return o.id == p.Snapshot })
 	if index < 0 {
 		a.open = append(a.open, &assembly{id: p.Snapshot, offset: p.Offset, parts: p.Parts, seen: make(map[int]bool), first: written})
@@ -60,8 +74,8 @@
 	}
 	a.open = slices.Delete(a.open, index, index+1)
 	a.lastID = o.id
-	if o.offset > a.last.Offset {
-		a.last = completeSnapshot{Offset: o.offset, WrittenAt: o.first}
+	if o.offset > a.progress.Offset {
+		a.progress = SnapshotProgress{Offset: o.offset, Since: o.first}
 	}
 }
 
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -44,6 +44,8 @@
 	Applied platform.Offset
 	// Recovered is false if the replica has no state to copy yet.
 	Recovered bool
+	// Ready is set if the replica's instance may serve with its state.
+	Ready bool
 }
 
 // StateArgs asks for a copy of the state.
@@ -53,6 +55,8 @@
 type StateReply struct {
 	Applied platform.Offset
 	Data    []byte
+	// Snapshots is what the peer knows of the snapshots in the log.
+	Snapshots SnapshotProgress
 }
 
 // TailArgs asks for the entries from an offset on.
@@ -73,12 +77,13 @@
 // Position tells how far the replica is.
 func (c *Receiver) Position(_ *PositionArgs, reply *PositionReply) error {
 	reply.Applied, reply.Recovered, _ = c.replica.progress()
+	reply.Ready = c.replica.IsReady()
 	return nil
 }
 
 // State returns a copy of the state.
 func (c *Receiver) State(_ *StateArgs, reply *StateReply) error {
-	s, err := c.replica.copyState()
+	s, snapshots, err := c.replica.copyState()
 	if err != nil {
 		return err
 	}
@@ -86,7 +91,7 @@
 	if err != nil {
 		return err
 	}
-	reply.Applied, reply.Data = s.Applied, data
+	reply.Applied, reply.Data, reply.Snapshots = s.Applied, data, snapshots
 	return nil
 }
 
@@ -105,13 +110,13 @@
 }
 
 // copyState returns a copy of the state that is safe to encode without the lock.
-func (r *Replica) copyState() (*state.State, error) {
+func (r *Replica) copyState() (*state.State, SnapshotProgress, error) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	if !r.recovered {
-		return nil, errNotRecovered
+		return nil, SnapshotProgress{}, errNotRecovered
 	}
-	return r.state.Clone(), nil
+	return r.state.Clone(), r.parts.progress, nil
 }
 
 // catchUp compares this replica with its peers until ctx is done.
@@ -183,9 +188,10 @@
 // once it has reached every peer that answers.
 func (r *Replica) recoverFromPeers(ctx context.Context, rounds int) {
 	positions, silent := r.askPositions(ctx)
-	best := ""
+	best, ready := "", false
 	var highest platform.Offset
 	for id, p := range positions {
+		ready = ready || p.Ready
 		if p.Recovered && (best == "" || p.Applied > highest) {
 			best, highest = id, p.Applied
 		}
@@ -199,7 +205,8 @@
 			return
 		}
 	}
-	if silent > 0 && rounds < minPeerRounds {
+	// A peer that is not ready itself may lack records that were in force.
+	if !ready || silent > 0 && rounds < minPeerRounds {
 		return
 	}
 	applied, recovered, failure := r.progress()
@@ -275,7 +282,11 @@
 		return eris.Wrapf(state.ErrSnapshotFormat, "peer %s sent offset %d, the state has %d", id, reply.Applied, s.Applied)
 	}
 	r.metrics.copies.Inc()
-	r.install(s, "peer "+id)
+	if r.install(s, "peer "+id) {
+		r.mu.Lock()
+		r.parts.progress = reply.Snapshots
+		r.mu.Unlock()
+	}
 	return nil
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -80,8 +80,6 @@
 
 	source sourceState
 	parts  assembler
-	// firstRecordAt is when the first applied record was written.
-	firstRecordAt time.Time
 
 	randMu sync.Mutex
 	rand   *rand.Rand
@@ -158,9 +156,15 @@
 
 // IsReady reports whether the instance may serve requests with this state.
 func (r *Replica) IsReady() bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.isReadyLocked()
+}
+
+func (r *Replica) isReadyLocked() bool {
 	select {
 	case <-r.ready:
-		return r.Err() == nil
+		return r.failure == nil
 	default:
 		return false
 	}
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,374 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+	"github.com/oleanderbend/oleanderbend/internal/settings"
+	"github.com/oleanderbend/oleanderbend/internal/standin"
+	"github.com/oleanderbend/oleanderbend/internal/state"
+	"github.com/oleanderbend/oleanderbend/internal/timeline"
+)
+
+// inForceBound is the bound of I8 today.
+const inForceBound = 2 * time.Second
+
+var six = []string{"a", "b", "c", "d", "e", "f"}
+
+// outage and silent are faults of the log.
+var (
+	outage = standin.LogFaults{CallFaults: standin.CallFaults{Outage: true}}
+	silent = standin.LogFaults{CallFaults: standin.CallFaults{Silent: true}}
+)
+
+// TestPolicyInForceEverywhere guards against a configuration that reaches some instances late:
+// over the log, by a peer when an instance is cut from the log, and after an outage.
+func TestPolicyInForceEverywhere(t *testing.T) {
+	bubble(t, standin.LogConfig{}, func(t *testing.T, c *cluster) {
+		c.start(six...)
+		c.waitReady(time.Second, six...)
+		c.mustWrite("a", 1)
+		t.Logf("log up: %s", c.waitPolicy(1, inForceBound, six...))
+		c.cut(true, false, "f")
+		time.Sleep(3 * time.Second)
+		c.mustWrite("a", 2)
+		t.Logf("one instance cut from the log: %s", c.waitPolicy(2, inForceBound, six...))
+		c.log.SetFaults(outage)
+		time.Sleep(time.Hour)
+		c.log.SetFaults(standin.LogFaults{})
+		started := time.Now()
+		for {
+			if _, err := c.writePolicy("b", 3); err == nil {
+				break
+			}
+		}
+		c.waitPolicy(3, inForceBound, six...)
+		t.Logf("after an outage of an hour: %s", time.Since(started))
+		require.LessOrEqual(t, time.Since(started), inForceBound)
+		c.log.SetFaults(standin.LogFaults{CallFaults: standin.CallFaults{Delay: settings.Duration(500 * time.Millisecond)}})
+		c.mustWrite("c", 4)
+		t.Logf("log slow by 0.5 s: %s", c.waitPolicy(4, inForceBound, six...))
+	})
+}
+
+// TestLostAnswersAreSettled guards against a write that is told unknown or refused although
+// its verdict can be found, and against one that takes effect twice.
+func TestLostAnswersAreSettled(t *testing.T) {
+	bubble(t, standin.LogConfig{}, func(t *testing.T, c *cluster) {
+		c.start("a", "b")
+		c.waitReady(time.Second, "a", "b")
+		c.log.SetFaults(standin.LogFaults{CallFaults: standin.CallFaults{LoseAnswers: 3}})
+		c.mustWrite("a", 1)
+		c.log.SetFaults(standin.LogFaults{LateAppends: 2, LateBy: settings.Duration(20 * time.Second)})
+		c.mustWrite("a", 2)
+		c.mustWrite("b", 3)
+		time.Sleep(time.Minute)
+		require.Equal(t, 3, c.inForce("a"), "a late append undid a later write")
+		require.Equal(t, 3, c.inForce("b"))
+	})
+}
+
+// TestOutcomeDuringOutage guards against a wrong answer while the log is down: refused only if
+// the record has no effect, unknown only if it may have one.
+func TestOutcomeDuringOutage(t *testing.T) {
+	bubble(t, standin.LogConfig{}, func(t *testing.T, c *cluster) {
+		c.start("a")
+		c.waitReady(time.Second, "a")
+		c.log.SetFaults(outage)
+		_, err := c.writePolicy("a", 1)
+		require.ErrorIs(t, err, state.ErrNotApplied)
+		c.log.SetFaults(silent)
+		_, err = c.writePolicy("a", 2)
+		require.ErrorIs(t, err, state.ErrUnknownOutcome)
+		c.log.SetFaults(standin.LogFaults{LateAppends: 1, LateBy: settings.Duration(time.Minute)})
+		record := policyRecord(t, 3)
+		record.ID = "late"
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		_, err = c.replica("a").Write(ctx, record)
+		require.ErrorIs(t, err, state.ErrUnknownOutcome)
+		verdict, err := c.replica("a").Write(t.Context(), record)
+		require.NoError(t, err)
+		time.Sleep(2 * time.Minute)
+		again, err := c.replica("a").Write(t.Context(), record)
+		require.NoError(t, err)
+		require.Equal(t, verdict, again, "the same id took effect twice")
+	})
+}
+
+// TestRateLimitIsWaitedOut guards against writes that fail because the log accepts only a
+// limited number of appends a second.
+func TestRateLimitIsWaitedOut(t *testing.T) {
+	bubble(t, standin.LogConfig{AppendsPerSecond: 50}, func(t *testing.T, c *cluster) {
+		c.start("a", "b")
+		c.waitReady(time.Second, "a", "b")
+		var group sync.WaitGroup
+		var mu sync.Mutex
+		applied, refused := 0, 0
+		for i := range 200 {
+			group.Go(func() {
+				_, err := c.writePolicy([]string{"a", "b"}[i%2], i+1)
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil {
+					applied++
+				} else if errors.Is(err, state.ErrNotApplied) {
+					refused++
+				}
+			})
+		}
+		group.Wait()
+		require.Equal(t, 200, applied+refused, "an outcome was unknown")
+		time.Sleep(2 * time.Second)
+		require.Equal(t, platform.Offset(applied), c.replica("b").Applied(), "a refused write took effect")
+		t.Logf("applied %d, refused %d", applied, refused)
+		require.Greater(t, applied, 100)
+	})
+}
+
+// TestRestartNeverServesAnOlderPolicy guards against a restarted instance that serves a policy
+// older than one that it or a live peer had in force: with the log up, down and expired, and
+// with a partition.
+func TestRestartNeverServesAnOlderPolicy(t *testing.T) {
+	bubble(t, standin.LogConfig{Retention: 10 * time.Minute}, func(t *testing.T, c *cluster) {
+		c.start(six...)
+		c.waitReady(time.Second, six...)
+		for i := range 30 {
+			c.mustWrite(six[i%6], i+1)
+			time.Sleep(time.Minute)
+		}
+		c.start("a")
+		c.waitReady(2*time.Second, "a")
+		require.Equal(t, 30, c.inForce("a"), "from a snapshot in the log and the tail")
+
+		c.mustWrite("b", 31)
+		c.log.SetFaults(outage)
+		c.start("a", "b")
+		c.waitReady(5*time.Second, "a", "b")
+		require.Equal(t, 31, c.inForce("a"), "from a peer while the log is down")
+		require.Equal(t, 31, c.inForce("b"))
+
+		c.log.SetFaults(silent)
+		c.start("c")
+		c.waitReady(8*time.Second, "c")
+		require.Equal(t, 31, c.inForce("c"), "from a peer while the log hangs")
+
+		c.log.SetFaults(outage)
+		c.cut(false, true, "d")
+		c.start("d")
+		time.Sleep(time.Minute)
+		require.False(t, c.replica("d").IsReady(), "cut from the log and all peers")
+		c.cut(false, false, "d")
+		c.waitReady(5*time.Second, "d")
+		require.Equal(t, 31, c.inForce("d"))
+
+		time.Sleep(30 * time.Minute)
+		c.log.SetFaults(standin.LogFaults{})
+		c.start("e")
+		c.waitReady(5*time.Second, "e")
+		require.Equal(t, 31, c.inForce("e"), "every entry expired during the outage")
+		time.Sleep(time.Minute)
+		c.killAll()
+		c.start("f")
+		c.waitReady(5*time.Second, "f")
+		require.Equal(t, 31, c.inForce("f"), "the snapshot after the outage was not written")
+	})
+}
+
+// TestSnapshotsOutliveRetention guards against a state that is lost because its records
+// expired before a snapshot was complete, and against torn snapshots taken for whole ones.
+func TestSnapshotsOutliveRetention(t *testing.T) {
+	bubble(t, standin.LogConfig{Retention: 10 * time.Minute}, func(t *testing.T, c *cluster) {
+		c.start("a", "b")
+		c.waitReady(time.Second, "a", "b")
+		c.mustWrite("a", 7)
+		for range 10 {
+			time.Sleep(8 * time.Minute)
+			// A torn snapshot: one of two parts, at an offset beyond all others.
+			part := state.SnapshotPart{Offset: 1 << 20, Snapshot: "torn", Parts: 2, Digest: 1, Data: []byte("x")}
+			_, err := c.replica("a").Write(t.Context(), state.Record{ID: "torn", SnapshotPart: &part})
+			_ = err
+		}
+		require.Greater(t, c.replica("a").metrics.snapshots.Get()+c.replica("b").metrics.snapshots.Get(), uint64(8))
+		c.killAll()
+		c.start("c")
+		c.waitReady(5*time.Second, "c")
+		require.Equal(t, 7, c.inForce("c"))
+	})
+}
+
+// TestGapAfterExpiry guards against an instance that was cut from the log longer than the
+// retention and goes on with a hole in its records.
+func TestGapAfterExpiry(t *testing.T) {
+	bubble(t, standin.LogConfig{Retention: 10 * time.Minute}, func(t *testing.T, c *cluster) {
+		c.start("a", "b")
+		c.waitReady(time.Second, "a", "b")
+		c.mustWrite("a", 1)
+		c.cut(true, true, "b")
+		time.Sleep(2 * readWait)
+		for i := range 30 {
+			c.mustWrite("a", i+2)
+			time.Sleep(time.Minute)
+		}
+		require.Equal(t, 1, c.inForce("b"))
+		c.cut(false, true, "b")
+		c.waitPolicy(31, inForceBound, "b")
+		require.True(t, c.replica("b").IsReady())
+		require.Equal(t, c.replica("a").Applied(), c.replica("b").Applied())
+	})
+}
+
+// TestHistoryLost guards against an instance that serves an empty state when the records
+// expired without a snapshot.
+func TestHistoryLost(t *testing.T) {
+	bubble(t, standin.LogConfig{Retention: time.Minute}, func(t *testing.T, c *cluster) {
+		_, err := c.log.Append(t.Context(), []byte("x"))
+		require.NoError(t, err)
+		time.Sleep(2 * time.Minute)
+		c.start("a")
+		time.Sleep(time.Minute)
+		require.False(t, c.replica("a").IsReady())
+		require.ErrorIs(t, c.replica("a").Err(), ErrHistoryLost)
+		_, err = c.writePolicy("a", 1)
+		require.ErrorIs(t, err, state.ErrNotApplied)
+	})
+}
+
+// TestNewerRecordStopsTheReplica guards against an old binary that goes on with a state that
+// differs from that of newer ones.
+func TestNewerRecordStopsTheReplica(t *testing.T) {
+	bubble(t, standin.LogConfig{}, func(t *testing.T, c *cluster) {
+		c.start("a")
+		c.waitReady(time.Second, "a")
+		c.mustWrite("a", 1)
+		_, err := c.log.Append(t.Context(), []byte(`{"v":2,"id":"new"}`))
+		require.NoError(t, err)
+		time.Sleep(time.Second)
+		require.False(t, c.replica("a").IsReady())
+		require.ErrorIs(t, c.replica("a").Err(), ErrNewerVersion)
+		_, err = c.writePolicy("a", 2)
+		require.ErrorIs(t, err, state.ErrNotApplied)
+		require.Equal(t, 1, c.inForce("a"))
+		c.start("b")
+		time.Sleep(time.Minute)
+		require.False(t, c.replica("b").IsReady())
+	})
+}
+
+// TestManyWritersLoseNothing guards against a lost update: writers on six replicas add to one
+// value with expected versions, over a log that loses answers and appends late.
+func TestManyWritersLoseNothing(t *testing.T) {
+	bubble(t, standin.LogConfig{}, func(t *testing.T, c *cluster) {
+		c.start(six...)
+		c.waitReady(time.Second, six...)
+		c.mustWrite("a", 1)
+		c.waitPolicy(1, inForceBound, six...)
+		c.log.SetFaults(standin.LogFaults{
+			CallFaults: standin.CallFaults{Delay: settings.Duration(time.Millisecond), LoseAnswers: 50}, LateAppends: 20, LateBy: settings.Duration(5 * time.Second),
+		})
+		var group sync.WaitGroup
+		var mu sync.Mutex
+		accepted := 0
+		for i := range 48 {
+			group.Go(func() {
+				if addOne(t.Context(), c.replica(six[i%6])) {
+					mu.Lock()
+					accepted++
+					mu.Unlock()
+				}
+			})
+		}
+		group.Wait()
+		time.Sleep(10 * time.Second)
+		for _, id := range six {
+			require.Equal(t, 1+accepted, c.inForce(id), "accepted updates at %s", id)
+		}
+		require.Equal(t, 48, accepted)
+	})
+}
+
+// addOne raises the queue limit by one with the expected version, and repeats on a conflict.
+func addOne(ctx context.Context, r *Replica) bool {
+	for range 500 {
+		var version uint64
+		limit := 0
+		r.Read(func(s *state.State) {
+			version, limit = s.Policies[resource.DefaultPolicyName].ResourceVersion, s.Policy().Admission.QueueLimit
+		})
+		record := policyRecord(panicT{}, limit+1)
+		record.Put.IfVersion = &version
+		attempt, cancel := context.WithTimeout(ctx, 30*time.Second)
+		verdict, err := r.Write(attempt, record)
+		cancel()
+		if err == nil && verdict.Code == state.Accepted {
+			return true
+		}
+		if err != nil && !errors.Is(err, state.ErrNotApplied) {
+			return false
+		}
+	}
+	return false
+}
+
+// panicT lets helpers check outside the test's goroutine.
+type panicT struct{}
+
+// Errorf implements require.TestingT.
+func (panicT) Errorf(format string, args ...any) { panic(fmt.Sprintf(format, args...)) }
+
+// FailNow implements require.TestingT.
+func (panicT) FailNow() { panic("failed") }
+
+// TestSnapshotTrigger guards against snapshots that come too late to outlive the retention or
+// from all instances at once.
+func TestSnapshotTrigger(t *testing.T) {
+	now := time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+	for _, tc := range []struct {
+		age     time.Duration
+		records uint64
+		rank    int
+		due     bool
+	}{
+		{29 * time.Minute, 4999, 0, false},
+		{30 * time.Minute, 1, 0, true},
+		{time.Minute, 5000, 0, true},
+		{30 * time.Minute, 1, 1, false},
+		{32 * time.Minute, 1, 1, true},
+		{45 * time.Minute, 1, 100, true},
+		{time.Minute, 5000, 1, false},
+		{time.Minute, 7500, 100, true},
+	} {
+		trigger := SnapshotTrigger{Now: now, Since: now.Add(-tc.age), Records: tc.records, Retention: time.Hour, Rank: tc.rank}
+		_, due := trigger.Due()
+		require.Equal(t, tc.due, due, "%+v", tc)
+	}
+}
+
+// TestPoliciesAreSeenBeforeTheirVerdict guards against a writer that reads an older state than
+// the one its verdict belongs to.
+func TestPoliciesAreSeenBeforeTheirVerdict(t *testing.T) {
+	bubble(t, standin.LogConfig{}, func(t *testing.T, c *cluster) {
+		c.start("a")
+		c.waitReady(time.Second, "a")
+		for i := range 20 {
+			c.mustWrite("a", i+1)
+			require.Equal(t, i+1, c.inForce("a"))
+		}
+		synctest.Wait()
+		var names []string
+		for _, e := range c.replica("a").deps.Events.Events(timeline.Filter{}) {
+			names = append(names, e.Name)
+		}
+		require.Equal(t, 20, strings.Count(strings.Join(names, " "), "policy-in-force"))
+	})
+}
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -83,17 +83,13 @@
 func (r *Replica) snapshotTrigger() (SnapshotTrigger, bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	if !r.recovered || r.failure != nil || r.state.Applied == 0 || r.source.isFailing() {
+	if !r.isReadyLocked() || r.state.Applied == 0 || r.source.isFailing() {
 		return SnapshotTrigger{}, false
 	}
-	last := r.parts.last
-	since := last.WrittenAt
-	if last.Offset == 0 {
-		since = r.firstRecordAt
-	}
+	last := r.parts.progress
 	return SnapshotTrigger{
 		Now:       r.deps.Now(),
-		Since:     since,
+		Since:     last.Since,
 		Records:   uint64(r.state.Applied - min(last.Offset, r.state.Applied)),
 		Retention: r.source.retentionTime(),
 		Rank:      r.snapshotRank(),
@@ -130,7 +126,7 @@
 func (r *Replica) writeSnapshot(ctx context.Context, reason string) error {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
-	s, err := r.copyState()
+	s, _, err := r.copyState()
 	if err != nil {
 		return err
 	}
--- a/internal/replica/write.go
+++ b/internal/replica/write.go
@@ -16,9 +16,9 @@
 const (
 	// appendTimeout bounds one append, so that a log that hangs is noticed and asked again.
 	appendTimeout = 2 * time.Second
-	// maxRefusedAppends is how many appends in a row the log may refuse before a write that
-	// certainly had no effect is given up.
-	maxRefusedAppends = 4
+	// refusedPatience is how long the log may refuse the appends of a write that certainly had
+	// no effect. It is longer than a burst beyond the log's rate limit.
+	refusedPatience = 2 * time.Second
 	// verdictPatience is how long a writer waits for the verdict of an append whose answer
 	// was lost before it appends again.
 	verdictPatience = 300 * time.Millisecond
@@ -144,7 +144,7 @@
 	w := p.waiter
 	backoff := r.newBackoff()
 	mayBeInLog := false
-	refused := 0
+	started := r.deps.Now()
 	for {
 		if v, done := waitVerdict(ctx, w, 0); done {
 			return v, nil
@@ -164,9 +164,8 @@
 		case errors.Is(err, platform.ErrTooLarge):
 			return state.Verdict{}, eris.Wrap(state.ErrNotApplied, err.Error())
 		case errors.Is(err, platform.ErrUnavailable):
-			refused++
-			if !mayBeInLog && refused >= maxRefusedAppends {
-				return state.Verdict{}, eris.Wrapf(state.ErrNotApplied, "the log refused %d appends: %v", refused, err)
+			if !mayBeInLog && r.deps.Now().Sub(started) >= refusedPatience {
+				return state.Verdict{}, eris.Wrapf(state.ErrNotApplied, "the log refused the append for %s: %v", refusedPatience, err)
 			}
 		default:
 			mayBeInLog = true
