Add timeline, explain and check-config; test the API and the commands

Cause: three operators' commands were missing, and the API had no tests.

A request id that was used for a put no longer answers a delete. Unknown fields and wrong types are named as fields. A wrong command line exits with 2, help with 0. A watch at the command line goes on after missed changes.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -162,11 +162,26 @@
 		return eris.Wrap(err, "listen on the operator address")
 	}
 	a.addr = listener.Addr()
+	serve, err := a.serveOn(ctx, listener)
+	if err != nil {
+		return errors.Join(err, listener.Close())
+	}
+	if a.kernel == nil {
+		go func() { _ = serve(ctx) }()
+	} else {
+		a.kernel.Go(Name, "serve", serve)
+	}
+	a.deps.Logger.Info().Str("event", "operators-served").Str("addr", a.addr.String()).Msg("")
+	return nil
+}
+
+// serveOn prepares the server and returns the function that runs it.
+func (a *API) serveOn(ctx context.Context, listener net.Listener) (func(context.Context) error, error) {
 	limited := limitListener(listener, maxConnections)
 	if a.deps.TLS.CertFile != "" {
 		certificates := newCertificates(a.deps.TLS, a.deps.Now)
 		if _, err := certificates.get(nil); err != nil {
-			return errors.Join(err, listener.Close())
+			return nil, err
 		}
 		limited = tls.NewListener(limited, &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: certificates.get, NextProtos: []string{"http/1.1"}})
 	}
@@ -176,19 +191,12 @@
 		BaseContext: func(net.Listener) context.Context { return ctx },
 		ErrorLog:    a.deps.Logger.Std("", 0),
 	}
-	serve := func(context.Context) error {
+	return func(context.Context) error {
 		if err := a.server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
 			return eris.Wrap(err, "serve operators")
 		}
 		return nil
-	}
-	if a.kernel == nil {
-		go func() { _ = serve(ctx) }()
-	} else {
-		a.kernel.Go(Name, "serve", serve)
-	}
-	a.deps.Logger.Info().Str("event", "operators-served").Str("addr", a.addr.String()).Msg("")
-	return nil
+	}, nil
 }
 
 // Stop implements kernel.Service. Watches end; requests in progress are finished.
--- /dev/null
+++ b/internal/api/api_test.go
@@ -0,0 +1,382 @@
+package api
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/rotisserie/eris"
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+	"github.com/oleanderbend/oleanderbend/internal/settings"
+	"github.com/oleanderbend/oleanderbend/internal/state"
+)
+
+// TestConditionalWrites guards against a write that undoes one that its caller has not seen,
+// and against wrong status codes.
+func TestConditionalWrites(t *testing.T) {
+	f := newFixture(t)
+	var org resource.Organisation
+	response := f.ok(&org, "PUT", "/v1/organisations/org", orgBody, "If-None-Match", "*")
+	require.Equal(t, http.StatusCreated, response.StatusCode)
+	require.Equal(t, `"1"`, response.Header.Get("ETag"))
+	f.refused(409, "PUT", "/v1/organisations/org", orgBody, "If-None-Match", "*")
+	response = f.ok(&org, "PUT", "/v1/organisations/org", `{"spec":{"weight":2}}`, "If-Match", `"1"`)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Equal(t, uint64(2), org.Generation)
+	p := f.refused(412, "PUT", "/v1/organisations/org", orgBody, "If-Match", `"1"`)
+	require.Equal(t, OutcomeRefused, p.Outcome)
+	require.Equal(t, org.ResourceVersion, p.CurrentVersion)
+	f.refused(412, "PUT", "/v1/organisations/org", `{"metadata":{"resourceVersion":1},"spec":{}}`)
+	f.refused(412, "PUT", "/v1/organisations/other", orgBody, "If-Match", "*")
+	f.refused(400, "PUT", "/v1/organisations/org", orgBody, "If-Match", "x")
+	f.refused(400, "PUT", "/v1/organisations/org", orgBody, "If-None-Match", "7")
+	f.refused(412, "DELETE", "/v1/organisations/org", "", "If-Match", "1")
+	f.ok(nil, "PUT", "/v1/jobs/job", jobBody)
+	p = f.refused(409, "DELETE", "/v1/organisations/org", "")
+	require.Contains(t, p.Detail, "used by job job")
+	f.refused(404, "DELETE", "/v1/organisations/none", "")
+	f.refused(404, "GET", "/v1/organisations/none", "")
+	f.refused(404, "GET", "/v1/things/org", "")
+	f.refused(404, "POST", "/v1/jobs/job", jobBody)
+}
+
+// TestJobLifeCycle guards against a status that a caller can write, against a cancel that
+// removes the job, and against a change of a job's shape.
+func TestJobLifeCycle(t *testing.T) {
+	f := newFixture(t)
+	f.refused(422, "PUT", "/v1/jobs/job", jobBody)
+	f.ok(nil, "PUT", "/v1/organisations/org", orgBody)
+	body := strings.Replace(jobBody, `"spec"`, `"status":{"phase":"Running","zone":"forged"},"spec"`, 1)
+	var job resource.Job
+	f.ok(&job, "PUT", "/v1/jobs/job", body)
+	require.Equal(t, resource.JobStatus{Phase: resource.PhaseQueued, Zone: "z1"}, job.Status)
+	f.refused(422, "PUT", "/v1/jobs/job", strings.Replace(jobBody, `"members":2`, `"members":3`, 1))
+	p := f.refused(422, "PUT", "/v1/jobs/large", strings.Replace(jobBody, `"members":2`, `"members":101`, 1))
+	require.Contains(t, p.Detail, "no zone has 101 accelerators in one rack")
+	var explained Explanation
+	f.ok(&explained, "GET", "/v1/explain/jobs/job", "")
+	require.Equal(t, "quota", explained.Code)
+	require.NotEmpty(t, explained.Unblock)
+	f.ok(&job, "DELETE", "/v1/jobs/job", "")
+	require.Equal(t, resource.PhaseCancelled, job.Status.Phase)
+	f.refused(409, "PUT", "/v1/jobs/job", jobBody)
+	var deleted Deleted
+	f.ok(&deleted, "DELETE", "/v1/jobs/job", "")
+	require.True(t, deleted.Deleted)
+	f.refused(404, "GET", "/v1/explain/jobs/job", "")
+}
+
+// TestProblemsNameFieldValueAndRule guards against refusals that do not say what to change.
+func TestProblemsNameFieldValueAndRule(t *testing.T) {
+	f := newFixture(t)
+	for _, tc := range []struct {
+		body, field string
+		status      int
+	}{
+		{`{"spec":{"members":0,"organisation":"org","acceleratorsPerMember":1}}`, "spec.members", 422},
+		{`{"spec":{"members":"two"}}`, "spec.members", 422},
+		{`{"spec":{"memberz":1}}`, "memberz", 422},
+		{`{"kind":"policies","spec":{}}`, "kind", 422},
+		{`{"metadata":{"name":"other"},"spec":{}}`, "metadata.name", 422},
+		{`null`, "body", 422},
+		{`[]`, "body", 422},
+		{"{\n  \"spec\": ", "", 400},
+		{``, "", 400},
+		{`{} {}`, "", 400},
+	} {
+		p := f.refused(tc.status, "PUT", "/v1/jobs/job", tc.body)
+		if tc.field == "" {
+			require.Contains(t, p.Detail, "line", tc.body)
+			continue
+		}
+		require.NotEmpty(t, p.Fields, tc.body)
+		require.Equal(t, tc.field, p.Fields[0].Field, tc.body)
+		require.NotEmpty(t, p.Fields[0].Rule)
+	}
+}
+
+// TestRepeatedRequestHasOneEffect guards against a retry after a lost answer that creates,
+// changes or removes twice, and against an id taken for another request.
+func TestRepeatedRequestHasOneEffect(t *testing.T) {
+	f := newFixture(t)
+	for range 2 {
+		response := f.ok(nil, "PUT", "/v1/organisations/org", orgBody, "Idempotency-Key", "k1", "If-None-Match", "*")
+		require.Equal(t, http.StatusCreated, response.StatusCode)
+		require.Equal(t, "k1", response.Header.Get("Oleanderbend-Request-Id"))
+	}
+	f.ok(nil, "PUT", "/v1/jobs/job", jobBody)
+	for range 2 {
+		var job resource.Job
+		f.ok(&job, "DELETE", "/v1/jobs/job", "", "Oleanderbend-Request-Id", "k2")
+		require.Equal(t, resource.PhaseCancelled, job.Status.Phase, "a repeated cancel removed the job")
+	}
+	f.refused(422, "PUT", "/v1/organisations/other", orgBody, "Idempotency-Key", "k1")
+	f.refused(422, "DELETE", "/v1/organisations/org", "", "Idempotency-Key", "k1")
+	f.refused(400, "PUT", "/v1/organisations/org", orgBody, "Idempotency-Key", strings.Repeat("x", 200))
+	f.refused(400, "PUT", "/v1/organisations/org", orgBody, "Idempotency-Key", "a b")
+	var status RequestStatus
+	f.ok(&status, "GET", "/v1/requests/k1", "")
+	require.Equal(t, state.Accepted, status.Verdict.Code)
+	require.Equal(t, 404, f.do("GET", "/v1/requests/never", "").StatusCode)
+}
+
+// TestOutcomesOfWrites guards against a refusal that is not true and an unknown outcome that
+// cannot be asked about.
+func TestOutcomesOfWrites(t *testing.T) {
+	f := newFixture(t)
+	f.replica.fail = eris.Wrap(state.ErrNotApplied, "the log is down")
+	for _, method := range []string{"PUT", "DELETE"} {
+		p := f.refused(503, method, "/v1/organisations/org", orgBody)
+		require.Equal(t, OutcomeRefused, p.Outcome)
+	}
+	f.replica.fail = eris.Wrap(state.ErrUnknownOutcome, "no answer")
+	p := f.refused(504, "PUT", "/v1/organisations/org", orgBody, "Idempotency-Key", "k")
+	require.Equal(t, OutcomeUnknown, p.Outcome)
+	require.Equal(t, "k", p.RequestID)
+	f.replica.notReady = true
+	p = f.refused(503, "PUT", "/v1/organisations/org", orgBody)
+	require.Equal(t, OutcomeRefused, p.Outcome)
+	f.refused(503, "GET", "/v1/jobs", "")
+	f.refused(503, "GET", "/-/ready", "")
+	f.ok(nil, "GET", "/-/healthy", "")
+	f.ok(nil, "GET", "/v1/instances", "")
+}
+
+// TestGuaranteesAreCheckedAgainAfterARace guards against two guarantees that fit alone but not
+// together, and against a refusal without the reason.
+func TestGuaranteesAreCheckedAgainAfterARace(t *testing.T) {
+	f := newFixture(t)
+	f.ok(nil, "PUT", "/v1/organisations/org", orgBody)
+	raced := false
+	f.replica.onCheck = func() {
+		if !raced {
+			raced = true
+			f.ok(nil, "PUT", "/v1/guarantees/rival", fmt.Sprintf(guaranteeBody, 6))
+		}
+	}
+	p := f.refused(422, "PUT", "/v1/guarantees/g", fmt.Sprintf(guaranteeBody, 6), "Idempotency-Key", "first")
+	require.Contains(t, p.Detail, "zone z1 lacks 8 accelerators in one rack")
+	raced = false
+	f.replica.onCheck = func() {
+		if !raced {
+			raced = true
+			f.ok(nil, "DELETE", "/v1/guarantees/rival", "")
+		}
+	}
+	var g resource.Guarantee
+	for range 2 {
+		response := f.ok(&g, "PUT", "/v1/guarantees/g", fmt.Sprintf(guaranteeBody, 4), "Idempotency-Key", "second")
+		require.Equal(t, http.StatusCreated, response.StatusCode)
+	}
+	require.Equal(t, "z1", g.Status.Zone)
+	require.Equal(t, resource.ConditionTrue, g.Conditions[0].Status)
+	var status RequestStatus
+	f.ok(&status, "GET", "/v1/requests/second", "")
+	require.Equal(t, state.Accepted, status.Verdict.Code, "the verdict of the repeated check")
+}
+
+// TestListPagesAndSelectors guards against items that a page skips or repeats.
+func TestListPagesAndSelectors(t *testing.T) {
+	f := newFixture(t)
+	for i := range 25 {
+		body := fmt.Sprintf(`{"metadata":{"labels":{"n":"%d","even":"%t"}},"spec":{}}`, i, i%2 == 0)
+		f.ok(nil, "PUT", fmt.Sprintf("/v1/organisations/org-%02d", i), body)
+	}
+	list := func(query string) (List, []string) {
+		var l List
+		f.ok(&l, "GET", "/v1/organisations?"+query, "")
+		var names []string
+		for _, item := range l.Items {
+			object, err := DecodeObject(resource.KindOrganisation, item)
+			require.NoError(t, err)
+			names = append(names, object.Meta().Name)
+		}
+		return l, names
+	}
+	var all []string
+	token := ""
+	for {
+		l, names := list("limit=7&continue=" + token)
+		all = append(all, names...)
+		if token = l.Continue; token == "" {
+			break
+		}
+	}
+	require.Len(t, all, 25)
+	require.IsIncreasing(t, all)
+	_, names := list("selector=" + url.QueryEscape("even=true,n!=4"))
+	require.Len(t, names, 12)
+	_, names = list("selector=missing")
+	require.Empty(t, names)
+	for _, query := range []string{"limit=0", "limit=x", "limit=1000000", "continue=!", "continue=" + continueToken("jobs", "a"), "selector==x", "selector=" + strings.Repeat("a", 2000)} {
+		f.refused(400, "GET", "/v1/organisations?"+query, "")
+	}
+}
+
+// watchLines reads lines of a watch until a sync line.
+func watchLines(t *testing.T, lines *bufio.Scanner) []WatchLine {
+	t.Helper()
+	var got []WatchLine
+	for lines.Scan() {
+		var line WatchLine
+		require.NoError(t, json.Unmarshal(lines.Bytes(), &line))
+		if line.Type == WatchSync {
+			return got
+		}
+		got = append(got, line)
+	}
+	return got
+}
+
+// TestWatchShowsEachChangeAndResumes guards against a watch that misses a change, shows a
+// wrong selection, or resumes where changes are no longer known.
+func TestWatchShowsEachChangeAndResumes(t *testing.T) {
+	f := newFixture(t)
+	server := httptest.NewServer(f.api.Handler())
+	defer server.Close()
+	f.ok(nil, "PUT", "/v1/organisations/org", orgBody)
+	f.ok(nil, "PUT", "/v1/jobs/first", jobBody)
+	open := func(query string) (*http.Response, *bufio.Scanner) {
+		response, err := http.Get(server.URL + "/v1/jobs?watch=1" + query)
+		require.NoError(t, err)
+		return response, bufio.NewScanner(response.Body)
+	}
+	response, lines := open("&selector=team%3Da")
+	got := watchLines(t, lines)
+	require.Len(t, got, 1)
+	require.Equal(t, "first", got[0].Name)
+	f.ok(nil, "PUT", "/v1/jobs/other", strings.Replace(jobBody, `"a"`, `"b"`, 1))
+	f.ok(nil, "PUT", "/v1/jobs/second", jobBody)
+	f.ok(nil, "DELETE", "/v1/jobs/first", "")
+	f.ok(nil, "DELETE", "/v1/jobs/first", "")
+	var seen []string
+	for len(seen) < 4 && lines.Scan() {
+		var line WatchLine
+		require.NoError(t, json.Unmarshal(lines.Bytes(), &line))
+		if line.Type != WatchSync {
+			seen = append(seen, line.Type+" "+line.Name)
+		}
+		if line.Type == WatchDelete && line.Name == "first" {
+			break
+		}
+	}
+	require.Contains(t, seen, "put second")
+	require.Equal(t, "delete first", seen[len(seen)-1])
+	require.NoError(t, response.Body.Close())
+
+	response, lines = open("&from=3")
+	require.True(t, lines.Scan(), "the first line confirms the version")
+	var resumed []string
+	for len(resumed) < 2 && lines.Scan() {
+		var line WatchLine
+		require.NoError(t, json.Unmarshal(lines.Bytes(), &line))
+		if line.Type != WatchSync {
+			resumed = append(resumed, line.Type+" "+line.Name)
+		}
+	}
+	require.Equal(t, []string{"put second", "delete first"}, resumed)
+	close(f.api.stopping)
+	for lines.Scan() {
+	}
+	require.NoError(t, response.Body.Close())
+
+	f.replica.Read(func(s *state.State) { f.replica.state = s.Clone() })
+	p := f.refused(410, "GET", "/v1/jobs?watch=1&from=3", "")
+	require.Contains(t, p.Detail, "list the resources")
+	f.refused(400, "GET", "/v1/jobs?watch=1&from=x", "")
+}
+
+// TestRoles guards against a caller that does more than its token allows and against secrets
+// in logs and answers.
+func TestRoles(t *testing.T) {
+	const reader, operator = "reader-secret-0123456789", "operator-secret-0123456789"
+	f := newFixture(t, settings.Token{Name: "r", Role: "read", Secret: reader}, settings.Token{Name: "o", Role: "operate", Secret: operator})
+	for _, tc := range []struct {
+		token         string
+		read, operate int
+	}{
+		{"", 401, 401},
+		{"Bearer wrong", 401, 401},
+		{"Basic " + operator, 401, 401},
+		{"Bearer " + reader, 200, 403},
+		{"Bearer " + operator, 200, 201},
+	} {
+		require.Equal(t, tc.read, f.do("GET", "/v1/jobs", "", "Authorization", tc.token).StatusCode, tc.token)
+		require.Equal(t, tc.read, f.do("GET", "/metrics", "", "Authorization", tc.token).StatusCode, tc.token)
+		response := f.do("PUT", "/v1/organisations/org", orgBody, "Authorization", tc.token)
+		require.Equal(t, tc.operate, response.StatusCode, tc.token)
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.NotContains(t, string(body), "secret")
+	}
+	require.Equal(t, 200, f.do("GET", "/-/healthy", "").StatusCode)
+	require.Contains(t, f.logs.String(), "token=o")
+	require.NotContains(t, f.logs.String(), "secret")
+}
+
+// TestRacingOperators guards against an accepted update that another operator overwrites:
+// every writer adds to one value with the version that it read.
+func TestRacingOperators(t *testing.T) {
+	f := newFixture(t)
+	f.ok(nil, "PUT", "/v1/organisations/org", `{"spec":{"acceleratorQuota":0}}`)
+	server := httptest.NewServer(f.api.Handler())
+	defer server.Close()
+	const writers, rounds = 16, 25
+	var group sync.WaitGroup
+	accepted := make([]int, writers)
+	for i := range writers {
+		group.Go(func() {
+			for range rounds {
+				if addQuota(server.URL) {
+					accepted[i]++
+				}
+			}
+		})
+	}
+	group.Wait()
+	total := 0
+	for _, n := range accepted {
+		total += n
+	}
+	var org resource.Organisation
+	f.ok(&org, "GET", "/v1/organisations/org", "")
+	require.Equal(t, total, org.Spec.AcceleratorQuota)
+	require.Equal(t, uint64(1+total), org.Generation)
+	t.Logf("%d of %d updates accepted", total, writers*rounds)
+	require.Positive(t, total)
+}
+
+// addQuota adds one to the quota with the version read, and reports whether it was accepted.
+func addQuota(base string) bool {
+	response, err := http.Get(base + "/v1/organisations/org")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	var org resource.Organisation
+	if json.NewDecoder(response.Body).Decode(&org) != nil {
+		return false
+	}
+	body := fmt.Sprintf(`{"spec":{"acceleratorQuota":%d}}`, org.Spec.AcceleratorQuota+1)
+	request, err := http.NewRequest(http.MethodPut, base+"/v1/organisations/org", strings.NewReader(body))
+	if err != nil {
+		return false
+	}
+	request.Header.Set("If-Match", strconv.Quote(strconv.FormatUint(org.ResourceVersion, 10)))
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = answer.Body.Close() }()
+	return answer.StatusCode == http.StatusOK
+}
--- a/internal/api/codec.go
+++ b/internal/api/codec.go
@@ -6,7 +6,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"reflect"
 	"strconv"
+	"strings"
 
 	"github.com/oleanderbend/oleanderbend/internal/resource"
 )
@@ -42,6 +44,9 @@
 	if err := json.Unmarshal(data, &members); err != nil {
 		return nil, syntaxProblem(data, err)
 	}
+	if members == nil {
+		return nil, fieldProblem("body", "null", "an object")
+	}
 	if given, found := members["kind"]; found {
 		var name resource.Kind
 		if json.Unmarshal(given, &name) != nil || name != kind {
@@ -73,9 +78,30 @@
 		if field == "" {
 			field = "body"
 		}
-		return fieldProblem(field, typed.Value, "of type "+typed.Type.String())
+		return fieldProblem(field, typed.Value, "of type "+jsonType(typed.Type))
+	}
+	// The library has no type for this error.
+	if field, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+		return fieldProblem(strings.Trim(field, `"`), "", "absent: the kind has no such field")
+	}
+	return problem(http.StatusBadRequest, "%v", err)
+}
+
+// jsonType names a Go type as JSON does.
+func jsonType(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.String:
+		return "string"
+	case reflect.Bool:
+		return "boolean"
+	case reflect.Struct, reflect.Map:
+		return "object"
+	case reflect.Slice, reflect.Array:
+		return "array"
+	case reflect.Float32, reflect.Float64:
+		return "number"
 	default:
-		return problem(http.StatusBadRequest, "%v", err)
+		return "integer (" + t.String() + ")"
 	}
 }
 
--- a/internal/api/wrap.go
+++ b/internal/api/wrap.go
@@ -77,7 +77,7 @@
 	if r.PathValue("kind") == "" || a.deps.Ready.IsReady() {
 		return nil
 	}
-	p := problem(http.StatusServiceUnavailable, "instance %s has not caught up yet; try another instance or again", a.deps.ID)
+	p := problem(http.StatusServiceUnavailable, "instance %s is starting or stopping; try another instance", a.deps.ID)
 	if r.Method != http.MethodGet {
 		p.Outcome = OutcomeRefused
 	}
--- a/internal/api/write.go
+++ b/internal/api/write.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -24,16 +25,20 @@
 
 // request is one write of an operator.
 type request struct {
-	id   string
-	kind resource.Kind
-	name string
+	id string
+	// delete tells a delete from a put.
+	delete bool
+	kind   resource.Kind
+	name   string
 	// version is the expected resource version; nil accepts any, 0 none.
 	version *uint64
+	// mustExist is set by If-Match: *.
+	mustExist bool
 }
 
 // parseRequest reads what is common to all writes.
 func parseRequest(r *http.Request) (request, error) {
-	req := request{kind: resource.Kind(r.PathValue("kind")), name: r.PathValue("name")}
+	req := request{delete: r.Method == http.MethodDelete, kind: resource.Kind(r.PathValue("kind")), name: r.PathValue("name")}
 	if _, err := resource.New(req.kind); err != nil {
 		return req, unknownKind(string(req.kind))
 	}
@@ -42,6 +47,7 @@
 		return req, err
 	}
 	req.version, err = expectedVersion(r)
+	req.mustExist = r.Header.Get("If-Match") == "*"
 	return req, err
 }
 
@@ -108,6 +114,9 @@
 	if err := req.completePut(object); err != nil {
 		return err
 	}
+	if req.mustExist && !a.exists(req) {
+		return refusedProblem(req, http.StatusPreconditionFailed, fmt.Sprintf("there is no %s %q to replace", req.kind, req.name))
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), writeTimeout)
 	defer cancel()
 	verdict, err := a.putObject(ctx, req, object)
@@ -196,8 +205,8 @@
 	var verdict state.Verdict
 	var attempts int
 	a.deps.Reader.Read(func(s *state.State) { verdict, attempts = findVerdict(s, req.id) })
-	if attempts > 0 && verdict.Resource != string(req.kind)+"/"+req.name {
-		detail := fmt.Sprintf("the request id was used before, for %q", verdict.Resource)
+	if attempts > 0 && (verdict.Resource != string(req.kind)+"/"+req.name || verdict.Delete != req.delete) {
+		detail := fmt.Sprintf("the request id was used before, for another write (%q)", verdict.Resource)
 		return verdict, attempts, refusedProblem(req, http.StatusUnprocessableEntity, detail)
 	}
 	return verdict, attempts, nil
@@ -220,10 +229,14 @@
 	return nil
 }
 
-func (a *API) assignJob(ctx context.Context, req request, job *resource.Job) error {
+func (a *API) exists(req request) bool {
 	exists := false
-	a.deps.Reader.Read(func(s *state.State) { _, exists = s.Jobs[job.Name] })
-	if exists || a.deps.Zones == nil {
+	a.deps.Reader.Read(func(s *state.State) { _, exists = s.Lookup(req.kind, req.name) })
+	return exists
+}
+
+func (a *API) assignJob(ctx context.Context, req request, job *resource.Job) error {
+	if a.deps.Zones == nil || a.exists(req) {
 		return nil
 	}
 	zone, refusal, err := a.deps.Zones.ChooseZone(ctx, job)
@@ -244,7 +257,7 @@
 	}
 	// The revisions are read before the check, so that a change during it is a conflict.
 	var revisions map[string]uint64
-	a.deps.Reader.Read(func(s *state.State) { revisions = cloneRevisions(s) })
+	a.deps.Reader.Read(func(s *state.State) { revisions = maps.Clone(s.GuaranteeRevision) })
 	zone, result, err := a.deps.Guarantees.CheckGuarantee(ctx, g)
 	switch {
 	case err != nil:
@@ -261,14 +274,6 @@
 	return nil
 }
 
-func cloneRevisions(s *state.State) map[string]uint64 {
-	revisions := make(map[string]uint64, len(s.GuaranteeRevision))
-	for zone, revision := range s.GuaranteeRevision {
-		revisions[zone] = revision
-	}
-	return revisions
-}
-
 func refusedProblem(req request, status int, detail string) *Problem {
 	p := problem(status, "%s", detail)
 	p.Outcome, p.RequestID = OutcomeRefused, req.id
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -49,7 +49,15 @@
 
 // Run runs the command line until ctx is done and returns the exit code.
 func Run(ctx context.Context, args []string, env Env) int {
-	err := root(env).ParseAndRun(ctx, args)
+	command := root(env)
+	if err := command.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return ExitOK
+		}
+		fmt.Fprintf(env.Stderr, "oleanderbend: %v\n", err)
+		return ExitUsage
+	}
+	err := command.Run(ctx)
 	if err == nil {
 		return ExitOK
 	}
@@ -85,6 +93,9 @@
 			getCommand(env),
 			deleteCommand(env),
 			watchCommand(env),
+			timelineCommand(env),
+			explainCommand(env),
+			checkConfigCommand(env),
 			versionCommand(env),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
--- a/internal/cli/watch.go
+++ b/internal/cli/watch.go
@@ -30,7 +30,8 @@
 		ShortUsage: "oleanderbend watch [flags] KIND",
 		ShortHelp:  "show the resources of a kind and then each change",
 		LongHelp: `The watch goes on with another server when one fails, and resumes where it was. It ends with an
-interrupt (exit code 0) or when the changes since --from are no longer kept (exit code 1).
+interrupt (exit code 0) or when the changes since --from are no longer kept (exit code 1). If
+changes are missed later, all resources are shown again, with a note on the standard error.
 
 EXAMPLES
   oleanderbend watch jobs
@@ -69,6 +70,8 @@
 	version  uint64
 	// resumes is set once the version is one to resume from.
 	resumes bool
+	// begun is set once a line has come.
+	begun bool
 }
 
 // run follows one server after another until ctx is done or a server refuses for good.
@@ -82,7 +85,14 @@
 		}
 		var p *api.Problem
 		if errors.As(err, &p) && settled(p.Status) {
-			return err
+			if p.Status != http.StatusGone || !w.begun {
+				return err
+			}
+			// The server no longer has the changes since, so all resources are shown again.
+			w.version, w.resumes, w.begun = 0, false, false
+			if err := printf(w.env.Stderr, "changes were missed; showing all %s again\n", w.kind); err != nil {
+				return err
+			}
 		}
 		failures++
 		if progressed {
@@ -123,7 +133,7 @@
 		if err := w.print(lines.Bytes()); err != nil {
 			return progressed, err
 		}
-		progressed = true
+		progressed, w.begun = true, true
 	}
 	return progressed, lines.Err()
 }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -86,13 +86,13 @@
 // refused unless allowRemote is set.
 func ReadLoad(file string, allowRemote bool) (Load, error) {
 	var l Load
-	if err := readStrict(file, &l); err != nil {
+	err := readChecked(file, &l, func() []Problem {
+		l.setDefaults()
+		return l.check(allowRemote)
+	})
+	if err != nil {
 		return Load{}, err
 	}
-	l.setDefaults()
-	if problems := l.check(allowRemote); len(problems) > 0 {
-		return Load{}, &Error{File: file, Problems: problems}
-	}
 	return l, nil
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,6 +28,8 @@
 type Error struct {
 	File     string
 	Problems []Problem
+	// unknownKeys is set if the file was decoded and only has unknown keys.
+	unknownKeys bool
 }
 
 // Error implements error.
@@ -117,19 +119,32 @@
 // ReadServe reads and checks the settings of one instance.
 func ReadServe(file string) (Serve, error) {
 	var s Serve
-	if err := readStrict(file, &s); err != nil {
+	err := readChecked(file, &s, func() []Problem {
+		setDefault(&s.StopTimeout, Duration(defaultStopTimeout))
+		setDefault(&s.LogLevel, "info")
+		return s.check()
+	})
+	if err != nil {
 		return Serve{}, err
 	}
-	if s.StopTimeout == 0 {
-		s.StopTimeout = Duration(defaultStopTimeout)
+	return s, nil
+}
+
+// readChecked reads a file and checks it. It reports unknown keys and broken rules together.
+func readChecked(file string, into any, check func() []Problem) error {
+	err := readStrict(file, into)
+	var decoded *Error
+	if err != nil && (!errors.As(err, &decoded) || !decoded.unknownKeys) {
+		return err
 	}
-	if s.LogLevel == "" {
-		s.LogLevel = "info"
+	result := &Error{File: file, Problems: check()}
+	if decoded != nil {
+		result.Problems = append(decoded.Problems, result.Problems...)
 	}
-	if problems := s.check(); len(problems) > 0 {
-		return Serve{}, &Error{File: file, Problems: problems}
+	if len(result.Problems) == 0 {
+		return nil
 	}
-	return s, nil
+	return result
 }
 
 func readStrict(file string, into any) error {
@@ -152,6 +167,7 @@
 	var syntax *toml.DecodeError
 	switch {
 	case errors.As(err, &strict):
+		result.unknownKeys = true
 		for _, missing := range strict.Errors {
 			result.Problems = append(result.Problems, Problem{Key: strings.Join(missing.Key(), "."), Rule: "unknown key"})
 		}
--- a/internal/settings/standin.go
+++ b/internal/settings/standin.go
@@ -81,13 +81,13 @@
 // ReadStandin reads and checks the settings of the stand-ins.
 func ReadStandin(file string) (Standin, error) {
 	var s Standin
-	if err := readStrict(file, &s); err != nil {
+	err := readChecked(file, &s, func() []Problem {
+		s.setDefaults()
+		return s.check()
+	})
+	if err != nil {
 		return Standin{}, err
 	}
-	s.setDefaults()
-	if problems := s.check(); len(problems) > 0 {
-		return Standin{}, &Error{File: file, Problems: problems}
-	}
 	return s, nil
 }
 
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -63,6 +63,8 @@
 	Message string `json:"message,omitempty"`
 	// Resource is the kind and name that a put or a delete was about, for example "jobs/a".
 	Resource string `json:"resource,omitempty"`
+	// Delete is set if the record was a delete.
+	Delete bool `json:"delete,omitempty"`
 	// Offset is where the record took its effect.
 	Offset platform.Offset `json:"offset"`
 }
@@ -247,7 +249,7 @@
 		return v
 	case r.Delete != nil:
 		v := s.applyDelete(offset, r, *r.Delete)
-		v.Resource = truncate(string(r.Delete.Kind) + "/" + r.Delete.Name)
+		v.Resource, v.Delete = truncate(string(r.Delete.Kind)+"/"+r.Delete.Name), true
 		return v
 	case r.Claim != nil:
 		return s.applyClaim(*r.Claim)
