Bound faults of the stand-ins and end long polls at an outage

Cause: a long poll outlived the start of an outage and reported success; a poll used up a lost answer meant for an append; an extreme clock rate overflowed the lease clock. Change: faults are validated; changes of faults wake waiting reads; reads do not count as lost answers; the targets note when they begin to leave, also by the instance list. Conclusion: covered by TestLongPollMeetsFaults and FuzzFaults.

--- a/internal/load/plot.go
+++ b/internal/load/plot.go
@@ -115,6 +115,7 @@
 		return fmt.Errorf("%w: no request was answered", ErrPlot)
 	}
 	// Set explicitly, because a logarithmic axis must not reach 0.
+	p.X.Min = 0
 	p.Y.Min, p.Y.Max = low/axisMargin, high*axisMargin
 	if err := p.Save(plotWidth, plotHeight, file); err != nil {
 		return fmt.Errorf("%w: %w", ErrPlot, err)
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -152,7 +152,7 @@
 	}
 }
 
-func setOne[T any](data []byte, set func(T)) error {
+func setOne[T validator](data []byte, set func(T)) error {
 	faults, err := decodeFaults[T](data)
 	if err != nil {
 		return err
@@ -161,7 +161,7 @@
 	return nil
 }
 
-func setEach[T any](data []byte, ids []string, set func(string, T) error) error {
+func setEach[T validator](data []byte, ids []string, set func(string, T) error) error {
 	faults, err := decodeFaults[T](data)
 	if err != nil {
 		return err
@@ -176,15 +176,18 @@
 	return errors.Join(errs...)
 }
 
+// validator is a set of faults.
+type validator interface{ Validate() error }
+
 // decodeFaults refuses unknown fields, so that a misspelt fault is not taken for none.
-func decodeFaults[T any](data []byte) (T, error) {
+func decodeFaults[T validator](data []byte) (T, error) {
 	var faults T
 	decoder := json.NewDecoder(strings.NewReader(string(data)))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&faults); err != nil {
-		return faults, fmt.Errorf("standin: invalid faults: %w", err)
+		return faults, fmt.Errorf("%w: %w", ErrFaults, err)
 	}
-	return faults, nil
+	return faults, faults.Validate()
 }
 
 func (s *Server) selected(kind platform.InstanceKind, selector string) []string {
@@ -228,10 +231,16 @@
 		answerControl(rw, nil, fmt.Errorf("standin: unknown state %q", change.State))
 		return
 	}
-	if err := s.Instances.SetState(r.PathValue("id"), change.State); err != nil {
+	id := r.PathValue("id")
+	if err := s.Instances.SetState(id, change.State); err != nil {
 		answerControl(rw, nil, err)
 		return
 	}
+	for _, target := range s.Targets {
+		if target.config.ID == id {
+			target.setListed(change.State)
+		}
+	}
 	rw.WriteHeader(http.StatusNoContent)
 }
 
--- a/internal/standin/errors.go
+++ b/internal/standin/errors.go
@@ -16,6 +16,8 @@
 	errNoWorker   = errors.New("standin: no such worker")
 	// ErrNotFound means that a fault was set for a service that does not exist.
 	ErrNotFound = errors.New("standin: no such service")
+	// ErrFaults means that faults are malformed or out of bounds.
+	ErrFaults = errors.New("standin: invalid faults")
 	// ErrPayload means that a task's payload is not in the form key=value.
 	ErrPayload = errors.New("standin: invalid payload")
 )
@@ -23,7 +25,17 @@
 // readError turns an unknown outcome into ErrUnavailable: a read has no effect.
 func readError(err error) error {
 	if errors.Is(err, platform.ErrUnknownOutcome) {
-		return fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, hiddenOutcome{err})
 	}
 	return err
 }
+
+// hiddenOutcome hides ErrUnknownOutcome from errors.Is and keeps the rest, such as the error
+// of a context.
+type hiddenOutcome struct{ err error }
+
+func (h hiddenOutcome) Error() string { return h.err.Error() }
+
+func (h hiddenOutcome) Is(target error) bool {
+	return target != platform.ErrUnknownOutcome && errors.Is(h.err, target)
+}
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -19,7 +20,7 @@
 	// Delay is added before a call takes effect. A caller that gives up does not stop the call.
 	Delay settings.Duration `json:"delay,omitzero"`
 	// LoseAnswers is the number of next calls that take effect but whose answer is lost;
-	// negative for all calls.
+	// negative for all calls. Reads are not counted, so that a poll does not use up the fault.
 	LoseAnswers int `json:"loseAnswers,omitempty"`
 }
 
@@ -46,6 +47,48 @@
 	ClockRate float64 `json:"clockRate,omitempty"`
 }
 
+// Bounds of faults. Within them, times on every clock stay far from overflow.
+const (
+	maxFaultDelay = 24 * time.Hour
+	maxClockRate  = 100
+	minClockRate  = 0.01
+	maxSlow       = 1000
+)
+
+func checkDelay(field string, d settings.Duration) error {
+	if d < 0 || time.Duration(d) > maxFaultDelay {
+		return fmt.Errorf("%w: %s must be between 0s and %v", ErrFaults, field, maxFaultDelay)
+	}
+	return nil
+}
+
+// Validate returns ErrFaults for values out of bounds.
+func (f CallFaults) Validate() error { return checkDelay("delay", f.Delay) }
+
+// Validate returns ErrFaults for values out of bounds.
+func (f LogFaults) Validate() error {
+	return errors.Join(f.CallFaults.Validate(), checkDelay("lateBy", f.LateBy))
+}
+
+// Validate returns ErrFaults for values out of bounds.
+func (f WorkerFaults) Validate() error {
+	if f.ClockRate != 0 && (f.ClockRate < minClockRate || f.ClockRate > maxClockRate) {
+		return fmt.Errorf("%w: clockRate must be between %v and %v", ErrFaults, minClockRate, maxClockRate)
+	}
+	return f.CallFaults.Validate()
+}
+
+// Validate returns ErrFaults for values out of bounds.
+func (f TargetFaults) Validate() error {
+	if f.Share < 0 || f.Share > 1 {
+		return fmt.Errorf("%w: share must be between 0 and 1", ErrFaults)
+	}
+	if f.Slow < 0 || f.Slow > maxSlow {
+		return fmt.Errorf("%w: slow must be between 0 and %v", ErrFaults, maxSlow)
+	}
+	return checkDelay("delay", f.Delay)
+}
+
 // takeOne consumes one of a count of faults; a negative count is not used up.
 func takeOne(count *int) bool {
 	switch {
@@ -82,9 +125,25 @@
 	return takeOne(&g.faults.LoseAnswers)
 }
 
+// read carries out a call without an effect. Its error is never an unknown outcome.
+func (g *gate) read(ctx context.Context, apply func()) error {
+	return readError(g.pass(ctx, apply))
+}
+
 // do carries out apply, unless a fault prevents it. A nil error means that apply was carried
 // out and its answer arrived; otherwise the results of apply must not be used.
 func (g *gate) do(ctx context.Context, apply func()) error {
+	if err := g.pass(ctx, apply); err != nil {
+		return err
+	}
+	if g.loseAnswer() {
+		return unknownOutcome(errAnswerLost)
+	}
+	return nil
+}
+
+// pass carries a call to the service, without regard to its answer.
+func (g *gate) pass(ctx context.Context, apply func()) error {
 	if err := ctx.Err(); err != nil {
 		return unavailable(err)
 	}
@@ -109,8 +168,18 @@
 		}
 	}
 	apply()
-	if g.loseAnswer() {
-		return unknownOutcome(errAnswerLost)
+	return nil
+}
+
+// during tells what the faults of now do to a call that is waiting for its answer.
+func (g *gate) during(ctx context.Context) error {
+	faults := g.get()
+	if faults.Outage {
+		return unavailable(errOutage)
+	}
+	if faults.Silent {
+		<-ctx.Done()
+		return unavailable(ctx.Err())
 	}
 	return nil
 }
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -51,8 +51,12 @@
 // Len returns the number of workers.
 func (f *Fleet) Len() int { return len(f.ids) }
 
-// SetFaults replaces the faults of one worker. It returns ErrNotFound for an unknown id.
+// SetFaults replaces the faults of one worker. It returns ErrNotFound for an unknown id and
+// ErrFaults for values out of bounds.
 func (f *Fleet) SetFaults(id string, faults WorkerFaults) error {
+	if err := faults.Validate(); err != nil {
+		return err
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w, found := f.workers[id]
@@ -97,12 +101,16 @@
 // call carries out apply at a worker through its faults. Results that apply sets must be
 // used only if the error is nil, because a delayed call may still be running otherwise.
 func (f *Fleet) call(ctx context.Context, row platform.Instance, apply func(*worker)) error {
+	return f.callThrough(ctx, (*gate).do, row, apply)
+}
+
+func (f *Fleet) callThrough(ctx context.Context, pass func(*gate, context.Context, func()) error, row platform.Instance, apply func(*worker)) error {
 	w, found := f.workers[row.ID]
 	if !found {
 		return unavailable(fmt.Errorf("%w: %q", errNoWorker, row.ID))
 	}
 	var frozenDone chan struct{}
-	err := w.gate.do(ctx, func() { frozenDone = f.applyOrWait(w, apply) })
+	err := pass(&w.gate, ctx, func() { frozenDone = f.applyOrWait(w, apply) })
 	if err != nil || frozenDone == nil {
 		return err
 	}
@@ -217,7 +225,7 @@
 // Usage implements platform.Workers.
 func (f *Fleet) Usage(ctx context.Context, row platform.Instance) ([]platform.Usage, error) {
 	var reports []platform.Usage
-	if err := f.call(ctx, row, func(w *worker) { reports = w.usage(f.usageLag) }); err != nil {
+	if err := f.callThrough(ctx, (*gate).read, row, func(w *worker) { reports = w.usage(f.usageLag) }); err != nil {
 		return nil, readError(err)
 	}
 	return reports, nil
--- a/internal/standin/fuzz_test.go
+++ b/internal/standin/fuzz_test.go
@@ -112,3 +112,33 @@
 		})
 	})
 }
+
+// FuzzFaults guards against faults that crash the stand-ins or overflow the times of a worker.
+func FuzzFaults(f *testing.F) {
+	for _, service := range []string{"log", "instances", "workers", "targets", "x"} {
+		f.Add(service, `{"delay":"1s","loseAnswers":-1}`)
+		f.Add(service, `{"clockRate":1e300}`)
+		f.Add(service, `{"slow":1e300,"share":0.5,"delay":"9223372036s"}`)
+		f.Add(service, `{"lateAppends":1,"lateBy":"-5s"}`)
+		f.Add(service, `null`)
+	}
+	f.Fuzz(func(t *testing.T, service, body string) {
+		synctest.Test(t, func(t *testing.T) {
+			rows := testRows(1)
+			server := &Server{Log: NewLog(LogConfig{}), Instances: NewInstances(nil, 0, rows), Fleet: NewFleet(FleetConfig{Workers: rows})}
+			target := NewTarget(TargetConfig{ID: "t", Slots: 1})
+			err := server.SetFaults(service, "*", []byte(body))
+			if faults, decodeErr := decodeFaults[TargetFaults]([]byte(body)); decodeErr == nil {
+				target.SetFaults(faults)
+				require.GreaterOrEqual(t, faults.serviceTime(time.Second), time.Duration(0))
+			}
+			if err != nil {
+				return
+			}
+			time.Sleep(time.Hour)
+			w := server.Fleet.workers["a"]
+			server.Fleet.Snapshot("a")
+			require.Positive(t, w.clock)
+		})
+	})
+}
--- a/internal/standin/instances.go
+++ b/internal/standin/instances.go
@@ -84,9 +84,8 @@
 // List implements platform.Instances.
 func (i *Instances) List(ctx context.Context) ([]platform.Instance, error) {
 	var rows []platform.Instance
-	err := i.gate.do(ctx, func() { rows = i.visible() })
-	if err != nil {
-		return nil, readError(err)
+	if err := i.gate.read(ctx, func() { rows = i.visible() }); err != nil {
+		return nil, err
 	}
 	return rows, nil
 }
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -77,6 +77,7 @@
 	defer l.mu.Unlock()
 	l.gate.set(f.CallFaults)
 	l.late = f
+	l.wakeReaders()
 }
 
 // Attempts returns how many appends reached the log, refused ones included.
@@ -142,9 +143,14 @@
 	offset := l.next
 	l.next++
 	l.entries = append(l.entries, logEntry{Entry: platform.Entry{Offset: offset, Data: data}, at: now})
+	l.wakeReaders()
+	return offset, nil
+}
+
+// wakeReaders is called with the mutex held.
+func (l *Log) wakeReaders() {
 	close(l.appended)
 	l.appended = make(chan struct{})
-	return offset, nil
 }
 
 // takeToken is called with the mutex held.
@@ -161,30 +167,30 @@
 
 // Read implements platform.Log.
 func (l *Log) Read(ctx context.Context, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
-	if err := l.gate.do(ctx, func() {}); err != nil {
-		return platform.Batch{}, readError(err)
+	if err := l.gate.read(ctx, func() {}); err != nil {
+		return platform.Batch{}, err
 	}
 	deadline := l.config.Clock.After(wait)
 	for {
-		batch, appended, err := l.read(from, limit)
+		batch, changed, err := l.read(from, limit)
 		if err != nil || len(batch.Entries) > 0 || wait <= 0 {
 			return batch, err
 		}
 		select {
-		case <-appended:
-			// An outage that began meanwhile ends the long poll.
-			if l.gate.get().Outage {
-				return platform.Batch{}, unavailable(errOutage)
-			}
+		case <-changed:
 		case <-deadline:
 			return batch, nil
 		case <-ctx.Done():
 			return platform.Batch{}, unavailable(ctx.Err())
 		}
+		// A fault that began meanwhile ends the long poll.
+		if err := l.gate.during(ctx); err != nil {
+			return platform.Batch{}, err
+		}
 	}
 }
 
-// read also returns a channel that is closed by the next append.
+// read also returns a channel that is closed by the next append or change of faults.
 func (l *Log) read(from platform.Offset, limit int) (platform.Batch, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/standin/log_test.go
+++ b/internal/standin/log_test.go
@@ -103,3 +103,28 @@
 		require.Equal(t, platform.StateLeaving, listed[0].State)
 	})
 }
+
+// Guards against a long poll that outlives the start of an outage, and against a poll that
+// uses up a fault meant for appends.
+func TestLongPollMeetsFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := NewLog(LogConfig{})
+		failed := make(chan error, 1)
+		go func() {
+			_, err := l.Read(t.Context(), 1, 1, time.Minute)
+			failed <- err
+		}()
+		time.Sleep(time.Second)
+		l.SetFaults(LogFaults{CallFaults: CallFaults{Outage: true}})
+		start := time.Now()
+		require.ErrorIs(t, <-failed, platform.ErrUnavailable)
+		require.Zero(t, time.Since(start))
+		l.SetFaults(LogFaults{CallFaults: CallFaults{LoseAnswers: 1}})
+		_, err := l.Read(t.Context(), 1, 1, 0)
+		require.NoError(t, err)
+		_, err = l.Append(t.Context(), nil)
+		require.ErrorIs(t, err, platform.ErrUnknownOutcome)
+		_, err = l.Append(t.Context(), nil)
+		require.NoError(t, err)
+	})
+}
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -81,13 +81,15 @@
 type Target struct {
 	config TargetConfig
 
-	mu       sync.Mutex
-	random   *rand.Rand
-	faults   TargetFaults
-	stats    TargetStats
-	conns    map[net.Conn]bool
-	executed map[string]int
-	order    []string
+	mu     sync.Mutex
+	random *rand.Rand
+	faults TargetFaults
+	// listedLeaving is set while the instance list has the target as leaving.
+	listedLeaving bool
+	stats         TargetStats
+	conns         map[net.Conn]bool
+	executed      map[string]int
+	order         []string
 }
 
 // TargetStats counts what a target has seen.
@@ -105,7 +107,8 @@
 	PeakRunning     int `json:"peakRunning"`
 	Connections     int `json:"connections"`
 	PeakConnections int `json:"peakConnections"`
-	// LeavingSince is when the fault Leaving was set; LastStarted is the last begin of an execution.
+	// LeavingSince is when the target began to leave, by its header or in the instance list
+	// before the list's lag, whichever was first; LastStarted is the last begin of an execution.
 	LeavingSince time.Time `json:"leavingSince,omitzero"`
 	LastStarted  time.Time `json:"lastStarted,omitzero"`
 }
@@ -126,13 +129,26 @@
 func (t *Target) SetFaults(f TargetFaults) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if f.Leaving && !t.faults.Leaving {
-		t.stats.LeavingSince = t.config.Clock.Now()
-	}
-	if !f.Leaving {
+	t.faults = f
+	t.noteLeaving()
+}
+
+// setListed tells the target its state in the instance list.
+func (t *Target) setListed(state platform.InstanceState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.listedLeaving = state == platform.StateLeaving
+	t.noteLeaving()
+}
+
+// noteLeaving is called with the mutex held.
+func (t *Target) noteLeaving() {
+	switch leaving := t.faults.Leaving || t.listedLeaving; {
+	case !leaving:
 		t.stats.LeavingSince = time.Time{}
+	case t.stats.LeavingSince.IsZero():
+		t.stats.LeavingSince = t.config.Clock.Now()
 	}
-	t.faults = f
 }
 
 // Executed returns how often a request's execution began.
