Check that a worker's state does not depend on how often it is looked at

Cause: workers compute their state on demand, so a look in between must change nothing. Change: a property test applies random acts and faults to a watched and an unwatched worker. Conclusion: the computed times agree within the rounding.

--- /dev/null
+++ b/internal/standin/observe_test.go
@@ -0,0 +1,124 @@
+package standin
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+)
+
+// step is one random act on a worker, after a random time.
+type step struct {
+	after  time.Duration
+	act    string
+	member int
+	faults WorkerFaults
+}
+
+// TestMain gives the property test a fixed seed, so that every run checks the same cases.
+// Another seed is set with -rapid.seed.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		if err := seed.Value.Set("20260302"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func drawSteps(t *rapid.T) []step {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+		return step{
+			after:  time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond,
+			act:    rapid.SampledFrom([]string{"reserve", "start", "renew", "checkpoint", "throttle", "stop", "release", "faults"}).Draw(t, "act"),
+			member: rapid.IntRange(0, 1).Draw(t, "member"),
+			faults: WorkerFaults{
+				Frozen:    rapid.Bool().Draw(t, "frozen"),
+				FailAll:   rapid.IntRange(0, 9).Draw(t, "failAll") == 0,
+				ClockRate: rapid.SampledFrom([]float64{0, 0.5, 1.3, 2}).Draw(t, "rate"),
+			},
+		}
+	}), 1, 40).Draw(t, "steps")
+}
+
+// apply acts on the state below the calls, which would wait for a frozen worker.
+func (s step) apply(f *Fleet) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers["a"]
+	w.advance(f.clock.Now())
+	id := lease(s.member)
+	t, known := w.tasks[id]
+	switch {
+	case s.act == "reserve":
+		task := platform.TaskSpec{Members: 4, Accelerators: 2, Payload: "duration=7s checkpoint=1500ms"}
+		_ = w.reserve(platform.ReserveRequest{Leases: []platform.LeaseID{id}, Task: task, TTLSeconds: 5})
+	case s.act == "faults":
+		w.setFaults(s.faults)
+	case !known:
+	case s.act == "start":
+		w.start(t, 3*time.Second)
+	case s.act == "renew":
+		w.renew(t, 10*time.Second)
+	case s.act == "checkpoint":
+		w.beginCheckpoint(t)
+	case s.act == "throttle":
+		w.throttle(t, 0.5)
+	case s.act == "stop":
+		w.stop(t, "test")
+	case s.act == "release":
+		w.release([]platform.LeaseID{id})
+	}
+}
+
+// Guards against a worker whose tasks end at another time, or keep other work, depending on
+// how often the worker is looked at. Its state is computed only on demand.
+func TestStateDoesNotDependOnObservation(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := drawSteps(rt)
+		synctest.Test(t, func(*testing.T) {
+			watched := NewFleet(FleetConfig{Workers: testRows(1)})
+			unwatched := NewFleet(FleetConfig{Workers: testRows(1)})
+			running := []step{{act: "reserve"}, {act: "start"}, {act: "checkpoint"}}
+			for _, s := range append(running, steps...) {
+				for left := s.after; left > 0; left -= 150 * time.Millisecond {
+					time.Sleep(min(left, 150*time.Millisecond))
+					watched.Snapshot("a")
+				}
+				s.apply(watched)
+				s.apply(unwatched)
+			}
+			time.Sleep(30 * time.Second)
+			requireSameState(rt, watched, unwatched)
+		})
+	})
+}
+
+// requireSameState allows for rounding to whole nanoseconds at each look.
+func requireSameState(t require.TestingT, a, b *Fleet) {
+	const rounding = float64(time.Microsecond)
+	runsA, runsB := a.Runs(), b.Runs()
+	require.Len(t, runsB, len(runsA))
+	for i := range runsA {
+		require.Equal(t, runsA[i].End, runsB[i].End)
+		require.InDelta(t, 0, runsA[i].To.Sub(runsB[i].To), rounding)
+	}
+	leasesA, leasesB := a.Snapshot("a"), b.Snapshot("a")
+	require.Len(t, leasesB, len(leasesA))
+	for i := range leasesA {
+		require.Equal(t, leasesA[i].State, leasesB[i].State)
+		require.Equal(t, leasesA[i].Checkpoint, leasesB[i].Checkpoint)
+		require.InDelta(t, leasesA[i].RanSeconds, leasesB[i].RanSeconds, time.Microsecond.Seconds())
+	}
+	require.Len(t, b.workers["a"].store.work, len(a.workers["a"].store.work))
+	for key, work := range a.workers["a"].store.work {
+		require.InDelta(t, work, b.workers["a"].store.work[key], rounding, key.name)
+	}
+}
