Give requests to stand-in targets an id that instances pass on

Change: the query parameter id names the request in the record and in the answer; load sets it. Errors of reads no longer show the outcome that they replace.

--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -87,6 +87,7 @@
 
 func (c call) request(ctx context.Context) (*http.Request, error) {
 	query := url.Values{
+		standin.ParamID:      {c.id},
 		standin.ParamService: {time.Duration(c.flow.Service).String()},
 		standin.ParamSize:    {strconv.FormatInt(c.flow.AnswerBytes, 10)},
 	}
--- a/internal/platform/httpclient/client.go
+++ b/internal/platform/httpclient/client.go
@@ -35,7 +35,7 @@
 		return nil, nil
 	}
 	if err := decodeBounded(resp.Body, MaxAnswerBytes, out); err != nil {
-		return nil, fmt.Errorf("%w: answer: %w", platform.ErrUnknownOutcome, err)
+		return nil, &callError{platform.ErrUnknownOutcome, fmt.Errorf("answer: %w", err)}
 	}
 	return nil, nil
 }
@@ -44,12 +44,15 @@
 	var refusal Refusal
 	err := decodeBounded(resp.Body, maxProblemBytes, &refusal)
 	if err != nil || refusalError(refusal.Code) == nil {
-		return nil, fmt.Errorf("%w: HTTP status %d without a known code", platform.ErrUnknownOutcome, resp.StatusCode)
+		return nil, &callError{platform.ErrUnknownOutcome, fmt.Errorf("HTTP status %d without a known code", resp.StatusCode)}
 	}
 	return &refusal, fmt.Errorf("%w: %s", refusalError(refusal.Code), refusal.Message)
 }
 
-var errAnswerTooLarge = errors.New("httpclient: answer too large")
+var (
+	errAnswerTooLarge = errors.New("httpclient: answer too large")
+	errNoOffset       = errors.New("httpclient: answer has no offset")
+)
 
 // decodeBounded decodes one JSON value of at most limit bytes.
 func decodeBounded(r io.Reader, limit int64, out any) error {
@@ -71,28 +74,26 @@
 	_ = body.Close()
 }
 
+// callError is the outcome of a failed call with its cause, such as a context's error.
+type callError struct{ outcome, cause error }
+
+// Error implements error.
+func (e *callError) Error() string { return e.outcome.Error() + ": " + e.cause.Error() }
+
+// Unwrap gives errors.Is and errors.As both the outcome and the cause.
+func (e *callError) Unwrap() []error { return []error{e.outcome, e.cause} }
+
 // readOnly turns an unknown outcome into ErrUnavailable, because a read has no effect.
 func readOnly(err error) error {
-	if errors.Is(err, platform.ErrUnknownOutcome) {
-		// The chain keeps the context's error, which tells a timeout from a cancellation.
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, withoutOutcome{err})
+	var failed *callError
+	if errors.As(err, &failed) && failed.outcome == platform.ErrUnknownOutcome {
+		return &callError{platform.ErrUnavailable, failed.cause}
 	}
 	return err
 }
 
-// withoutOutcome hides ErrUnknownOutcome from errors.Is.
-type withoutOutcome struct{ err error }
-
-func (w withoutOutcome) Error() string { return w.err.Error() }
-
-func (w withoutOutcome) Is(target error) bool {
-	return target != platform.ErrUnknownOutcome && errors.Is(w.err, target)
-}
-
-func (w withoutOutcome) As(target any) bool { return errors.As(w.err, target) }
-
 // badRequest reports a request that could not be built, which therefore had no effect.
-func badRequest(err error) error { return fmt.Errorf("%w: %w", platform.ErrUnavailable, err) }
+func badRequest(err error) error { return &callError{platform.ErrUnavailable, err} }
 
 // Log is the platform's log over HTTP. It is safe for concurrent use.
 type Log struct {
@@ -122,7 +123,7 @@
 		return 0, err
 	}
 	if answer.Offset == 0 {
-		return 0, fmt.Errorf("%w: answer has no offset", platform.ErrUnknownOutcome)
+		return 0, &callError{platform.ErrUnknownOutcome, errNoOffset}
 	}
 	return answer.Offset, nil
 }
--- a/internal/platform/httpclient/transport.go
+++ b/internal/platform/httpclient/transport.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -134,9 +133,8 @@
 	if err == nil {
 		return resp, nil
 	}
-	outcome := platform.ErrUnavailable
 	if a.mayHaveWritten() {
-		outcome = platform.ErrUnknownOutcome
+		return nil, &callError{platform.ErrUnknownOutcome, err}
 	}
-	return nil, fmt.Errorf("%w: %w", outcome, err)
+	return nil, &callError{platform.ErrUnavailable, err}
 }
--- a/internal/platform/httpclient/workers.go
+++ b/internal/platform/httpclient/workers.go
@@ -65,7 +65,7 @@
 		return nil, err
 	}
 	if len(answer.Results) != len(req.Leases) {
-		return nil, fmt.Errorf("%w: %d results for %d leases", platform.ErrUnknownOutcome, len(answer.Results), len(req.Leases))
+		return nil, &callError{platform.ErrUnknownOutcome, fmt.Errorf("%d results for %d leases", len(answer.Results), len(req.Leases))}
 	}
 	return answer.Results, nil
 }
--- a/internal/standin/errors.go
+++ b/internal/standin/errors.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 
 	"github.com/oleanderbend/oleanderbend/internal/platform"
 )
@@ -22,20 +21,24 @@
 	ErrPayload = errors.New("standin: invalid payload")
 )
 
+// callError is the outcome of a failed call with its cause, such as a context's error.
+type callError struct{ outcome, cause error }
+
+// Error implements error.
+func (e *callError) Error() string { return e.outcome.Error() + ": " + e.cause.Error() }
+
+// Unwrap gives errors.Is and errors.As both the outcome and the cause.
+func (e *callError) Unwrap() []error { return []error{e.outcome, e.cause} }
+
+func unavailable(cause error) error { return &callError{platform.ErrUnavailable, cause} }
+
+func unknownOutcome(cause error) error { return &callError{platform.ErrUnknownOutcome, cause} }
+
 // readError turns an unknown outcome into ErrUnavailable: a read has no effect.
 func readError(err error) error {
-	if errors.Is(err, platform.ErrUnknownOutcome) {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, hiddenOutcome{err})
+	var failed *callError
+	if errors.As(err, &failed) && failed.outcome == platform.ErrUnknownOutcome {
+		return unavailable(failed.cause)
 	}
 	return err
 }
-
-// hiddenOutcome hides ErrUnknownOutcome from errors.Is and keeps the rest, such as the error
-// of a context.
-type hiddenOutcome struct{ err error }
-
-func (h hiddenOutcome) Error() string { return h.err.Error() }
-
-func (h hiddenOutcome) Is(target error) bool {
-	return target != platform.ErrUnknownOutcome && errors.Is(h.err, target)
-}
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/oleanderbend/oleanderbend/internal/platform"
 	"github.com/oleanderbend/oleanderbend/internal/settings"
 )
 
@@ -183,11 +182,3 @@
 	}
 	return nil
 }
-
-func unavailable(cause error) error {
-	return fmt.Errorf("%w: %w", platform.ErrUnavailable, cause)
-}
-
-func unknownOutcome(cause error) error {
-	return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, cause)
-}
--- a/internal/standin/server_test.go
+++ b/internal/standin/server_test.go
@@ -171,6 +171,9 @@
 	got := callTarget(t, targets, row, "a", "size=3&service=1ms")
 	require.Equal(t, "a\na", got.body)
 	require.Equal(t, "a", got.header.Get(platform.HeaderRequestID))
+	got = callTarget(t, targets, row, "attempt", "size=3&id=q")
+	require.Equal(t, "q\nq", got.body)
+	require.Equal(t, "attempt", got.header.Get(platform.HeaderRequestID))
 	set(`{"wrongRequestID":true,"leaving":true}`)
 	got = callTarget(t, targets, row, "b", "size=3")
 	require.NotEqual(t, "b", got.header.Get(platform.HeaderRequestID))
@@ -187,7 +190,7 @@
 	require.ErrorIs(t, callTarget(t, targets, row, "f", "").err, platform.ErrUnavailable)
 	set(`{}`)
 	require.Equal(t, http.StatusBadRequest, callTarget(t, targets, row, "g", "size=-1").status)
-	for id, want := range map[string]int{"a": 1, "b": 1, "c": 1, "d": 1, "e": 1, "f": 0, "g": 0} {
+	for id, want := range map[string]int{"a": 1, "q": 1, "attempt": 0, "b": 1, "c": 1, "d": 1, "e": 1, "f": 0, "g": 0} {
 		require.Equal(t, want, target.Executed(id), id)
 	}
 	resp, err := http.Post(s.ControlURL+ExecutedPath, "application/json", strings.NewReader(`{"ids":["a","f"]}`))
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -20,6 +21,10 @@
 
 // Query parameters of a request to a target.
 const (
+	// ParamID is the id under which the target records the request and makes its answer; the
+	// default is the header Oleanderbend-Request-Id. An instance replaces that header by an id
+	// of its own for each attempt, but passes on the query unchanged.
+	ParamID = "id"
 	// ParamService is the service time, for example 50ms.
 	ParamService = "service"
 	// ParamSize is the size of the answer in bytes.
@@ -194,7 +199,9 @@
 
 // work is what one request asks for.
 type work struct {
-	id      string
+	id string
+	// echo is the request id that the answer repeats.
+	echo    string
 	service time.Duration
 	size    int64
 }
@@ -203,8 +210,9 @@
 
 // parseWork reads a request to a target.
 func parseWork(header http.Header, query url.Values) (work, error) {
-	w := work{id: header.Get(platform.HeaderRequestID)}
-	if len(w.id) > maxRequestIDLen {
+	w := work{echo: header.Get(platform.HeaderRequestID)}
+	w.id = cmp.Or(query.Get(ParamID), w.echo)
+	if len(w.id) > maxRequestIDLen || len(w.echo) > maxRequestIDLen {
 		return work{}, fmt.Errorf("%w: request id longer than %d bytes", errBadRequest, maxRequestIDLen)
 	}
 	if s := query.Get(ParamService); s != "" {
@@ -254,7 +262,7 @@
 	}
 	t.begin(job.id)
 	if faults.FailFast {
-		rw.Header().Set(platform.HeaderRequestID, job.id)
+		rw.Header().Set(platform.HeaderRequestID, job.echo)
 		http.Error(rw, "failing fast", http.StatusInternalServerError)
 		return
 	}
@@ -270,7 +278,7 @@
 // refuse answers a request that was not started.
 func refuse(rw http.ResponseWriter, job work, status int, message string) {
 	rw.Header().Set(platform.HeaderNotStarted, "true")
-	rw.Header().Set(platform.HeaderRequestID, job.id)
+	rw.Header().Set(platform.HeaderRequestID, job.echo)
 	http.Error(rw, message, status)
 }
 
@@ -279,10 +287,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	if faults.WrongRequestID {
-		job.id = "other-" + job.id
+		job.id, job.echo = "other-"+job.id, "other-"+job.echo
 	}
 	header := rw.Header()
-	header.Set(platform.HeaderRequestID, job.id)
+	header.Set(platform.HeaderRequestID, job.echo)
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	header.Set("Content-Length", strconv.FormatInt(job.size, 10))
 	if faults.ShortAnswer {
