--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -134,7 +134,7 @@
 	if !r.Verified {
 		verified = "not compared with what ran"
 	}
-	if _, err := fmt.Fprintf(w, "seed %d, %.1f s, outcomes %s, %d rules broken\n", r.Seed, r.Seconds, verified, len(r.Violations)); err != nil {
+	if _, err := fmt.Fprintf(w, "seed %d, %.1f s, outcomes %s, rules broken: %d\n", r.Seed, r.Seconds, verified, len(r.Violations)); err != nil {
 		return err
 	}
 	for _, rule := range slices.Sorted(maps.Keys(r.Violations)) {
