Transfer the instance list only when it has changed

Cause: at the design size of 800 workers and 50 targets one poll of the list has 134 KB, which is 268 KB/s for an instance that polls each 500 ms; the bound for control is 3 KB/s. Change: the list has an entity tag, and the client asks for it conditionally.

--- a/internal/platform/httpclient/client.go
+++ b/internal/platform/httpclient/client.go
@@ -9,7 +9,9 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/oleanderbend/oleanderbend/internal/platform"
@@ -28,6 +30,10 @@
 		return nil, err
 	}
 	defer drain(resp.Body)
+	return decodeAnswer(resp, out)
+}
+
+func decodeAnswer(resp *http.Response, out any) (*Refusal, error) {
 	if resp.StatusCode/100 != 2 {
 		return readRefusal(resp)
 	}
@@ -153,10 +159,16 @@
 // Close closes idle connections.
 func (l *Log) Close() { l.transport.CloseIdleConnections() }
 
-// Instances is the platform's instance list over HTTP. It is safe for concurrent use.
+// Instances is the platform's instance list over HTTP. It keeps the last list and transfers
+// it again only when it has changed. It is safe for concurrent use.
 type Instances struct {
 	client
 	url string
+
+	mu sync.Mutex
+	// etag names the kept list; empty if the service has given none.
+	etag string
+	rows []platform.Instance
 }
 
 var _ platform.Instances = (*Instances)(nil)
@@ -172,11 +184,36 @@
 	if err != nil {
 		return nil, badRequest(err)
 	}
+	etag, kept := i.kept()
+	if etag != "" {
+		req.Header.Set("If-None-Match", etag)
+	}
+	resp, err := roundTrip(i.transport, req)
+	if err != nil {
+		return nil, readOnly(err)
+	}
+	defer drain(resp.Body)
+	if resp.StatusCode == http.StatusNotModified && etag != "" {
+		return slices.Clone(kept), nil
+	}
 	var answer InstancesAnswer
-	if _, err := i.call(req, &answer); err != nil {
+	if _, err := decodeAnswer(resp, &answer); err != nil {
 		return nil, readOnly(err)
 	}
-	return answer.Instances, nil
+	i.keep(resp.Header.Get("ETag"), answer.Instances)
+	return slices.Clone(answer.Instances), nil
+}
+
+func (i *Instances) kept() (etag string, rows []platform.Instance) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.etag, i.rows
+}
+
+func (i *Instances) keep(etag string, rows []platform.Instance) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.etag, i.rows = etag, rows
 }
 
 // Close closes idle connections.
--- a/internal/platform/httpclient/httpclient_test.go
+++ b/internal/platform/httpclient/httpclient_test.go
@@ -215,6 +215,47 @@
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 }
 
+// Guards against a list that stays old because of its entity tag, one that callers can change
+// for each other, and a 304 that nobody asked for.
+func TestListIsTransferredWhenChanged(t *testing.T) {
+	etag, status, row := `"a"`, 0, `{"id":"t1"}`
+	var bodies int
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set("ETag", etag)
+		switch {
+		case status != 0:
+			rw.WriteHeader(status)
+		case etag != "" && r.Header.Get("If-None-Match") == etag:
+			rw.WriteHeader(http.StatusNotModified)
+		default:
+			bodies++
+			_, _ = io.WriteString(rw, `{"instances":[`+row+`]}`)
+		}
+	}))
+	defer server.Close()
+	list := NewInstances(server.URL, Options{})
+	defer list.Close()
+	idOf := func() string {
+		rows, err := list.List(t.Context())
+		require.NoError(t, err)
+		id := rows[0].ID
+		rows[0].ID = "changed by a caller"
+		return id
+	}
+	require.Equal(t, "t1", idOf())
+	require.Equal(t, "t1", idOf())
+	require.Equal(t, 1, bodies)
+	etag, row = `"b"`, `{"id":"t2"}`
+	require.Equal(t, "t2", idOf())
+	etag, row = "", `{"id":"t3"}`
+	require.Equal(t, "t3", idOf())
+	require.Equal(t, "t3", idOf())
+	require.Equal(t, 4, bodies)
+	status = http.StatusNotModified
+	_, err := list.List(t.Context())
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+}
+
 // FuzzAnswer guards against answers of the platform that crash the client or that turn into
 // certainty without a known code.
 func FuzzAnswer(f *testing.F) {
--- a/internal/standin/handlers.go
+++ b/internal/standin/handlers.go
@@ -4,11 +4,14 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/oleanderbend/oleanderbend/internal/platform"
 	"github.com/oleanderbend/oleanderbend/internal/platform/httpclient"
 )
@@ -110,11 +113,27 @@
 			writeError(rw, err, nil)
 			return
 		}
-		writeJSON(rw, http.StatusOK, httpclient.InstancesAnswer{Instances: rows})
+		writeList(rw, r, httpclient.InstancesAnswer{Instances: rows})
 	})
 	return mux
 }
 
+// writeList answers with an entity tag, and without a body if the caller has the same list.
+func writeList(rw http.ResponseWriter, r *http.Request, answer httpclient.InstancesAnswer) {
+	data, err := json.Marshal(answer)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	etag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(data), 16))
+	rw.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		rw.WriteHeader(http.StatusNotModified)
+		return
+	}
+	rw.Header().Set("Content-Type", "application/json")
+	_, _ = rw.Write(data)
+}
+
 // operation carries out one call to a worker and returns the answer's body; nil for none.
 type operation func(r *http.Request, worker platform.Instance) (any, error)
 
--- a/internal/standin/server_test.go
+++ b/internal/standin/server_test.go
@@ -258,3 +258,28 @@
 	require.Eventually(t, func() bool { return s.Targets[0].Stats().Connections == 3 }, 5*time.Second, time.Millisecond)
 	require.Equal(t, http.StatusOK, callTarget(t, clients[4], row, "", "").status)
 }
+
+// Guards against a list over HTTP that transfers the same rows again, or misses a change.
+func TestListOverHTTP(t *testing.T) {
+	s := startServer(t)
+	list := httpclient.NewInstances(s.InstancesURL, httpclient.Options{})
+	defer list.Close()
+	first, err := list.List(t.Context())
+	require.NoError(t, err)
+	resp, err := http.Get(s.InstancesURL + httpclient.InstancesPath)
+	require.NoError(t, err)
+	resp.Body.Close()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, s.InstancesURL+httpclient.InstancesPath, nil)
+	require.NoError(t, err)
+	req.Header.Set("If-None-Match", resp.Header.Get("ETag"))
+	again, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	again.Body.Close()
+	require.Equal(t, http.StatusNotModified, again.StatusCode)
+
+	require.Equal(t, http.StatusNoContent, put(t, s, "/instances/"+first[0].ID, `{"state":"leaving"}`))
+	second, err := list.List(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, platform.StateLeaving, second[0].State)
+	require.Equal(t, first[1:], second[1:])
+}
