--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -4,11 +4,11 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"sync"
 	"time"
 
 	"github.com/oleanderbend/oleanderbend/internal/instance"
+	"github.com/oleanderbend/oleanderbend/internal/loopback"
 	"github.com/oleanderbend/oleanderbend/internal/settings"
 	"github.com/oleanderbend/oleanderbend/internal/standin"
 	"github.com/oleanderbend/oleanderbend/internal/timeline"
@@ -162,7 +162,7 @@
 }
 
 func instanceSettings(platform *standin.Server) ([]settings.Serve, error) {
-	addrs, err := freeAddrs(3 * instances)
+	addrs, err := loopback.FreeAddrs(3 * instances)
 	if err != nil {
 		return nil, err
 	}
@@ -188,18 +188,3 @@
 	}
 	return all, nil
 }
-
-// freeAddrs returns loopback addresses with ports that are free now.
-func freeAddrs(n int) ([]string, error) {
-	var addrs []string
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		// All listeners stay open until the end, so that no port is returned twice.
-		defer listener.Close()
-		addrs = append(addrs, listener.Addr().String())
-	}
-	return addrs, nil
-}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -54,8 +54,8 @@
 	// The deadline covers the wait for the head of the answer; a long answer may stream on.
 	late := time.AfterFunc(x.ticket.request.Deadline.Sub(x.g.now()), func() { cancel(errAnswerLate) })
 	defer late.Stop()
-	wireID := x.info.id + "." + attemptSuffix()
-	req := x.outgoing(ctx, d.target, wireID)
+	attemptID := newAttemptID()
+	req := x.outgoing(ctx, d.target, attemptID)
 	defer req.Body.Close()
 	resp, err := x.g.cfg.Targets.RoundTrip(d.target, req)
 	if err != nil {
@@ -65,20 +65,21 @@
 	if !late.Stop() {
 		return attemptResult{verdict: dispatch.Failed, sent: true, problem: lateProblem()}
 	}
-	return x.answer(resp, wireID)
+	return x.answer(resp, attemptID)
 }
 
 var errAnswerLate = errors.New("gateway: no answer before the deadline")
 
-// attemptSuffix makes the request id on the wire unique to one attempt, so that the answer
-// to an earlier attempt, or to another request with the same id, is never taken for its own.
-func attemptSuffix() string {
+// newAttemptID returns an id that is unique to one attempt, so that the answer to an earlier
+// attempt, or to another request with the same id, is not taken for its own. It has a header of
+// its own: callers find their request id unchanged in the targets' records.
+func newAttemptID() string {
 	var random [6]byte
 	_, _ = rand.Read(random[:])
 	return hex.EncodeToString(random[:])
 }
 
-func (x *exchange) outgoing(ctx context.Context, target platform.Instance, wireID string) *http.Request {
+func (x *exchange) outgoing(ctx context.Context, target platform.Instance, attemptID string) *http.Request {
 	in := x.r
 	req := (&http.Request{
 		Method:        in.Method,
@@ -93,7 +94,8 @@
 	}).WithContext(ctx)
 	removeHopHeaders(req.Header)
 	req.Header.Del("Expect")
-	req.Header.Set(platform.HeaderRequestID, wireID)
+	req.Header.Set(platform.HeaderRequestID, x.info.id)
+	req.Header.Set(platform.HeaderAttemptID, attemptID)
 	if host, _, err := net.SplitHostPort(in.RemoteAddr); err == nil {
 		req.Header.Set("X-Forwarded-For", host)
 	}
@@ -156,9 +158,9 @@
 }
 
 // answer checks the head of an answer and forwards it.
-func (x *exchange) answer(resp *http.Response, wireID string) attemptResult {
+func (x *exchange) answer(resp *http.Response, attemptID string) attemptResult {
 	result := attemptResult{sent: true, leaving: resp.Header.Get(platform.HeaderLeaving) == "true"}
-	if resp.Header.Get(platform.HeaderRequestID) != wireID {
+	if !x.isOwnAnswer(resp, attemptID) {
 		result.verdict = dispatch.Failed
 		result.problem = problem{
 			outcome: outcomeUnknown, status: http.StatusBadGateway,
@@ -199,6 +201,16 @@
 	return resp.ProtoMajor >= 2
 }
 
+// isOwnAnswer reports whether an answer belongs to this attempt. Targets must echo the
+// request id; the attempt id is compared if the target echoes it.
+func (x *exchange) isOwnAnswer(resp *http.Response, attemptID string) bool {
+	if resp.Header.Get(platform.HeaderRequestID) != x.info.id {
+		return false
+	}
+	echoed := resp.Header.Get(platform.HeaderAttemptID)
+	return echoed == "" || echoed == attemptID
+}
+
 // forward streams an answer to the caller. An answer that is cut aborts the caller's
 // connection, which is done by abortExchange after the accounts are settled.
 func (x *exchange) forward(resp *http.Response, result *attemptResult) {
@@ -208,6 +220,7 @@
 	}
 	removeHopHeaders(h)
 	h.Del(platform.HeaderLeaving)
+	h.Del(platform.HeaderAttemptID)
 	h.Set(platform.HeaderRequestID, x.info.id)
 	h.Set(platform.HeaderOutcome, string(outcomeAnswer))
 	if x.g.draining.Load() {
--- a/internal/instance/services.go
+++ b/internal/instance/services.go
@@ -52,10 +52,10 @@
 	if g.stopped {
 		return nil
 	}
-	g.started = true
 	if err := g.inner.Start(ctx); err != nil {
 		return err
 	}
+	g.started = true
 	g.onReady()
 	return nil
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -248,7 +248,10 @@
 	HeaderDeadlineMs   = "Oleanderbend-Deadline-Ms"
 	HeaderIdempotent   = "Oleanderbend-Idempotent"
 	HeaderRequestID    = "Oleanderbend-Request-Id"
-	HeaderOutcome      = "Oleanderbend-Outcome"
+	// HeaderAttemptID is unique to one attempt of a request. A target that echoes it lets the
+	// gateway tell the answer of one attempt from that of another.
+	HeaderAttemptID = "Oleanderbend-Attempt-Id"
+	HeaderOutcome   = "Oleanderbend-Outcome"
 	// HeaderNotStarted is set to "true" by a target that refused a request without starting it.
 	HeaderNotStarted = "Oleanderbend-Not-Started"
 	// HeaderLeaving is set to "true" on answers of a target that is about to leave.
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -179,6 +179,7 @@
 // work is what one request asks for.
 type work struct {
 	id      string
+	attempt string
 	service time.Duration
 	size    int64
 }
@@ -187,7 +188,7 @@
 
 // parseWork reads a request to a target.
 func parseWork(header http.Header, query url.Values) (work, error) {
-	w := work{id: header.Get(platform.HeaderRequestID)}
+	w := work{id: header.Get(platform.HeaderRequestID), attempt: header.Get(platform.HeaderAttemptID)}
 	if len(w.id) > maxRequestIDLen {
 		return work{}, fmt.Errorf("%w: request id longer than %d bytes", errBadRequest, maxRequestIDLen)
 	}
@@ -267,6 +268,9 @@
 	}
 	header := rw.Header()
 	header.Set(platform.HeaderRequestID, job.id)
+	if job.attempt != "" {
+		header.Set(platform.HeaderAttemptID, job.attempt)
+	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	header.Set("Content-Length", strconv.FormatInt(job.size, 10))
 	if faults.ShortAnswer {
