--- a/internal/measure/jobsdriver.go
+++ b/internal/measure/jobsdriver.go
@@ -60,7 +60,9 @@
 	placed     time.Time
 	begin      time.Time
 	reclaiming bool
-	ended      bool
+	// reclaimable is the value of the placement.
+	reclaimable bool
+	ended       bool
 }
 
 // progress returns the work done in this attempt.
@@ -286,7 +288,7 @@
 	for _, r := range s.running {
 		out.Running = append(out.Running, scheduler.Running{
 			Job: r.task.job, Workers: r.workers, StartedAt: r.placed,
-			CheckpointAge: r.sinceCheckpoint(s.now), Reclaiming: r.reclaiming,
+			CheckpointAge: r.sinceCheckpoint(s.now), Reclaiming: r.reclaiming, Reclaimable: r.reclaimable,
 		})
 	}
 	return out
@@ -351,7 +353,7 @@
 			s.result.invalid++
 		}
 	}
-	r := &jobsRun{task: t, workers: p.Workers, placed: s.now, begin: s.now.Add(jobsStartDelay)}
+	r := &jobsRun{task: t, workers: p.Workers, placed: s.now, begin: s.now.Add(jobsStartDelay), reclaimable: p.Reclaimable}
 	t.run = r
 	t.job.Status.Starts++
 	if t.started.IsZero() {
--- a/internal/scheduler/cluster.go
+++ b/internal/scheduler/cluster.go
@@ -90,6 +90,8 @@
 	startedAt  time.Time
 	lost       time.Duration
 	reclaiming bool
+	// beyond is set if the run was placed as reclaimable.
+	beyond bool
 	// movable is false for a job that must not be stopped because it may not start again.
 	movable bool
 	// placed is set for a job placed by this decision.
@@ -212,7 +214,7 @@
 		k := len(r.Workers)
 		*out = run{
 			job: r.Job, name: r.Job.Name, shape: jobShape(&r.Job.Spec), nodes: nodes[:k:k],
-			startedAt: r.StartedAt, lost: r.CheckpointAge, reclaiming: r.Reclaiming,
+			startedAt: r.StartedAt, lost: r.CheckpointAge, reclaiming: r.Reclaiming, beyond: r.Reclaimable,
 			movable: r.Job.Spec.Restart != resource.RestartNever,
 		}
 		nodes = nodes[k:]
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -30,19 +30,20 @@
 
 // drain finds the place for a gang that becomes free first if nothing else starts there, with
 // the expected time. It returns nil if there is none.
-func (c *cluster) drain(avail []int, s shape, end func(*run) time.Time) ([]int, time.Time) {
+// No more than limit units of each node are used; nil means no limit.
+func (c *cluster) drain(avail []int, s shape, limit []int, end func(*run) time.Time) ([]int, time.Time) {
 	cached := cacheEnds(end)
 	switch s.adjacency {
 	case resource.AdjacentWorker:
-		return c.drainGroups(avail, s, cached, len(c.nodes), func(i int) []int { return []int{i} })
+		return c.drainGroups(avail, s, limit, cached, len(c.nodes), func(i int) []int { return []int{i} })
 	case resource.AdjacentRack:
-		return c.drainGroups(avail, s, cached, len(c.racks), func(i int) []int { return c.racks[i] })
+		return c.drainGroups(avail, s, limit, cached, len(c.racks), func(i int) []int { return c.racks[i] })
 	default:
 		all := make([]int, len(c.nodes))
 		for i := range all {
 			all[i] = i
 		}
-		return c.drainIn(avail, s, all, cached)
+		return c.drainIn(avail, s, all, limit, cached)
 	}
 }
 
@@ -58,11 +59,11 @@
 	}
 }
 
-func (c *cluster) drainGroups(avail []int, s shape, end func(*run) time.Time, groups int, nodesOf func(int) []int) ([]int, time.Time) {
+func (c *cluster) drainGroups(avail []int, s shape, limit []int, end func(*run) time.Time, groups int, nodesOf func(int) []int) ([]int, time.Time) {
 	var best []int
 	var bestAt time.Time
 	for i := range groups {
-		nodes, at := c.drainIn(avail, s, nodesOf(i), end)
+		nodes, at := c.drainIn(avail, s, nodesOf(i), limit, end)
 		if nodes != nil && (best == nil || at.Before(bestAt)) {
 			best, bestAt = nodes, at
 		}
@@ -71,19 +72,28 @@
 }
 
 // drainIn finds when a gang fits on the nodes. The zero time means now.
-func (c *cluster) drainIn(avail []int, s shape, nodes []int, end func(*run) time.Time) ([]int, time.Time) {
-	room := make([]int, len(c.nodes))
-	copy(room, avail)
+func (c *cluster) drainIn(avail []int, s shape, nodes, limit []int, end func(*run) time.Time) ([]int, time.Time) {
+	room := slices.Clone(avail)
+	bounded := room
+	if limit != nil {
+		bounded = make([]int, len(room))
+		for n := range room {
+			bounded[n] = min(room[n], limit[n])
+		}
+	}
 	members := 0
 	for _, n := range nodes {
-		members += c.usableFits(room, n, s)
+		members += c.usableFits(bounded, n, s)
 	}
 	var at time.Time
 	if members < s.members {
 		for _, rel := range c.releases(nodes, end) {
-			before := c.usableFits(room, rel.node, s)
+			before := c.usableFits(bounded, rel.node, s)
 			room[rel.node] += rel.units
-			members += c.usableFits(room, rel.node, s) - before
+			if limit != nil {
+				bounded[rel.node] = min(room[rel.node], limit[rel.node])
+			}
+			members += c.usableFits(bounded, rel.node, s) - before
 			at = rel.at
 			if members >= s.members {
 				break
@@ -99,7 +109,7 @@
 			usable = append(usable, n)
 		}
 	}
-	return c.fill(room, s, c.tightestFirst(room, usable), nil), at
+	return c.fill(bounded, s, c.tightestFirst(bounded, usable), nil), at
 }
 
 func (c *cluster) usableFits(room []int, n int, s shape) int {
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -48,7 +48,7 @@
 }
 
 // coverMode says which runs count as a use of their organisation's guarantee. A run of exactly
-// the guaranteed shape always does, except in coverNone.
+// the guaranteed shape does, except in coverFixed.
 type coverMode int
 
 const (
@@ -59,8 +59,8 @@
 	coverAll
 	// coverExact adds nothing.
 	coverExact
-	// coverNone covers nothing. It applies after the loss of workers only.
-	coverNone
+	// coverFixed covers only runs of exactly the guaranteed shape that cannot be reclaimed.
+	coverFixed
 )
 
 // reserve computes the reservation plan for the runs of the index. Runs keep the cover of
@@ -74,7 +74,7 @@
 		order slotOrder
 	}{
 		{coverMovable, bySpread}, {coverAll, bySpread}, {coverMovable, bySize},
-		{coverExact, bySpread}, {coverExact, bySize}, {coverNone, bySpread},
+		{coverExact, bySpread}, {coverExact, bySize}, {coverFixed, bySpread}, {coverFixed, bySize},
 	} {
 		next := c.reserveOnce(guarantees, try.mode, try.order)
 		if best == nil || next.broken() < best.broken() {
@@ -124,7 +124,7 @@
 	for _, run := range c.runs {
 		slots := byOrg[run.job.Spec.Organisation]
 		switch {
-		case mode != coverNone && !run.reclaiming && hasShape(slots, run.shape):
+		case (mode != coverFixed || !run.movable) && !run.reclaiming && hasShape(slots, run.shape):
 			exact = append(exact, run)
 		case !run.movable:
 			fixed = append(fixed, run)
@@ -137,15 +137,17 @@
 			fixed = append(fixed, run)
 		}
 	}
-	slices.SortStableFunc(exact, olderRun)
-	slices.SortStableFunc(smaller, olderRun)
+	for _, run := range fixed {
+		c.takeRoom(r, run)
+	}
+	slices.SortStableFunc(exact, coverOrder)
+	slices.SortStableFunc(smaller, coverOrder)
 	for _, run := range exact {
 		c.cover(r, byOrg[run.job.Spec.Organisation], run)
 	}
 	for _, run := range fixed {
-		slots := byOrg[run.job.Spec.Organisation]
-		if r.covered[run] == nil && (mode != coverAll || !c.cover(r, slots, run)) {
-			c.takeRoom(r, run)
+		if r.covered[run] == nil && mode == coverAll {
+			c.cover(r, byOrg[run.job.Spec.Organisation], run)
 		}
 	}
 	for _, run := range smaller {
@@ -169,8 +171,24 @@
 	return slices.ContainsFunc(s.runs, func(r *run) bool { return !r.movable || s.exact(r.shape) })
 }
 
-func olderRun(a, b *run) int {
-	return cmp.Or(a.startedAt.Compare(b.startedAt), cmp.Compare(a.name, b.name))
+// coverOrder puts first the runs that no plan can move, then those that were started within
+// the guarantee, then the older ones.
+func coverOrder(a, b *run) int {
+	return cmp.Or(
+		compareBool(a.movable, b.movable), compareBool(a.beyond, b.beyond),
+		a.startedAt.Compare(b.startedAt), cmp.Compare(a.name, b.name))
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
 }
 
 func (c *cluster) takeRoom(r *reservation, run *run) {
@@ -179,6 +197,12 @@
 	}
 }
 
+func (c *cluster) giveRoom(r *reservation, run *run) {
+	for _, f := range run.feet {
+		r.room[f.node] += f.units
+	}
+}
+
 // usedOn returns the units that covered runs hold of the slot on a node.
 func (s *slot) usedOn(n int) int {
 	for _, f := range s.used {
@@ -194,6 +218,9 @@
 	if len(slots) == 0 || run.unknown {
 		return false
 	}
+	if !run.movable {
+		c.giveRoom(r, run)
+	}
 	var best *slot
 	bestLeft := 0
 	for _, s := range slots {
@@ -203,6 +230,9 @@
 		}
 	}
 	if best == nil {
+		if !run.movable {
+			c.takeRoom(r, run)
+		}
 		return false
 	}
 	c.join(r, best, run)
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -13,10 +13,16 @@
 	// urgencyStep is the wait that counts as much as one level of urgency within an
 	// organisation. It bounds how long less urgent work can be passed.
 	urgencyStep = 10 * time.Minute
-	// headReclaimAfter is how long the head of the queue waits before it may stop reclaimable
-	// jobs that were created after it. Until then it waits for running jobs to end, which
-	// loses no work.
-	headReclaimAfter = 15 * time.Minute
+	// agedAfter is the wait from which the oldest job of an organisation within its fair share
+	// goes first and may stop reclaimable jobs that were created after it. Until then it waits
+	// for running jobs to end, which loses no work.
+	agedAfter = 15 * time.Minute
+	// agedAnyway is the same for an organisation beyond its fair share. Without it, a gang that
+	// is larger than the fair share could wait for ever.
+	agedAnyway = 2 * time.Hour
+	// agedEvery is the shortest time between two starts because of agedAnyway. It keeps an
+	// organisation that queues many jobs from turning fair share into first come first served.
+	agedEvery = 10 * time.Minute
 	// moveMargin is how much sooner another place must become free before the reservation of
 	// the head of the queue moves there. Each move wastes what was kept free so far.
 	moveMargin = 5 * time.Minute
@@ -29,6 +35,11 @@
 	// places has the workers reserved for waiting jobs, by job name. It is kept between
 	// decisions so that a reservation does not move with every change of the estimates.
 	places map[string][]string
+	// aged and holder name the queued jobs that go first and hold places: the one that waits
+	// for too long, and the one that was the head of the queue when it was first blocked.
+	aged, holder string
+	// lastAgedAnyway is the last start because of agedAnyway.
+	lastAgedAnyway time.Time
 }
 
 // New returns a scheduler. The seed only decides between equal choices.
@@ -67,6 +78,8 @@
 	queue := d.admissible(snapshot.Queued)
 	queue = d.placeGuaranteed(queue)
 	queue = d.placeUrgent(queue)
+	queue = d.placeAged(queue)
+	queue = d.placeHolder(queue)
 	d.placeByShare(queue)
 	p.places = d.places
 	return d.plan
@@ -229,19 +242,22 @@
 	return j.Created.Add(time.Duration(j.Spec.Urgency) * urgencyStep)
 }
 
-// overQuota reports a job that would take its organisation over its quota.
-func (d *decision) overQuota(j *resource.Job) bool {
+// exceedsQuota reports whether a job would take its organisation over its quota.
+func (d *decision) exceedsQuota(j *resource.Job) bool {
 	o := d.snapshot.Organisations[j.Spec.Organisation]
-	if o == nil || o.Spec.AcceleratorQuota == 0 {
-		return false
-	}
-	held := d.held[j.Spec.Organisation]
-	if held+j.Spec.Accelerators() <= o.Spec.AcceleratorQuota {
+	return o != nil && o.Spec.AcceleratorQuota > 0 &&
+		d.held[j.Spec.Organisation]+j.Spec.Accelerators() > o.Spec.AcceleratorQuota
+}
+
+// overQuota records why a job that exceeds the quota waits, and reports whether it does.
+func (d *decision) overQuota(j *resource.Job) bool {
+	if !d.exceedsQuota(j) {
 		return false
 	}
+	org := j.Spec.Organisation
 	d.wait(j, ReasonQuota, "jobs of the organisation end or its quota is raised",
 		"organisation %s holds %d of its quota of %d accelerators, the job needs %d",
-		j.Spec.Organisation, held, o.Spec.AcceleratorQuota, j.Spec.Accelerators())
+		org, d.held[org], d.snapshot.Organisations[org].Spec.AcceleratorQuota, j.Spec.Accelerators())
 	return true
 }
 
@@ -315,6 +331,7 @@
 // organisation's guarantee must fit into it.
 func (d *decision) tryStart(r *run, useGuarantee bool) *reservation {
 	if !useGuarantee && r.movable {
+		r.beyond = true
 		return d.res
 	}
 	d.c.runs = append(d.c.runs, r)
@@ -346,7 +363,7 @@
 
 // keepsPlan reports whether a plan with a new run gives each guarantee at least the places it
 // has now and takes no other run's cover away. Smaller runs of the same organisation give way
-// to a run of the guaranteed shape.
+// to a run of the guaranteed shape, and a run that cannot be reclaimed needs no cover.
 func (d *decision) keepsPlan(next *reservation, added *run) bool {
 	for i := range next.missing {
 		if next.missing[i] > d.res.missing[i] {
@@ -354,7 +371,7 @@
 		}
 	}
 	for r, slot := range d.res.covered {
-		if next.covered[r] == nil && !givesWay(r, slot, added.job.Spec.Organisation) {
+		if next.covered[r] == nil && r.movable && !givesWay(r, slot, added.job.Spec.Organisation) {
 			return false
 		}
 	}
@@ -367,18 +384,33 @@
 }
 
 // placeGuaranteed handles the jobs that fit into an unused part of their organisation's
-// guarantee and returns the others.
+// guarantee and returns the others. Jobs of exactly a guaranteed shape come first: a smaller
+// job would only have to give way to them again.
 func (d *decision) placeGuaranteed(queue []*resource.Job) []*resource.Job {
 	if len(d.snapshot.Guarantees) == 0 {
 		return queue
 	}
-	rest := queue[:0:0]
-	for _, j := range queue {
-		if d.guaranteed[j.Spec.Organisation] == 0 || !d.guaranteedStart(j) {
-			rest = append(rest, j)
+	promised := make(map[string][]shape)
+	for _, g := range d.snapshot.Guarantees {
+		promised[g.Spec.Organisation] = append(promised[g.Spec.Organisation], guaranteeShape(&g.Spec))
+	}
+	handled := make(map[*resource.Job]bool)
+	for _, exact := range []bool{true, false} {
+		for _, j := range queue {
+			shapes := promised[j.Spec.Organisation]
+			if len(shapes) > 0 && slices.Contains(shapes, sizeOf(j)) == exact && !handled[j] {
+				handled[j] = d.guaranteedStart(j)
+			}
 		}
 	}
-	return rest
+	return slices.DeleteFunc(slices.Clone(queue), func(j *resource.Job) bool { return handled[j] })
+}
+
+// sizeOf returns the shape of a job in accelerators only.
+func sizeOf(j *resource.Job) shape {
+	s := jobShape(&j.Spec)
+	s.cores, s.memoryMB = 0, 0
+	return s
 }
 
 // guaranteedStart places a job within its organisation's guarantee, reclaiming what is in the
@@ -436,21 +468,19 @@
 			return e, next
 		}
 	}
-	var best *eviction
+	var found []*eviction
 	for _, slot := range unused {
-		e := d.c.evictWithin(soon, s, may, d.unusedUnits(slot, s))
-		if e != nil && (best == nil || e.loss < best.loss) {
-			best = e
+		if e := d.c.evictWithin(soon, s, may, d.unusedUnits(slot, s)); e != nil {
+			found = append(found, e)
 		}
 	}
-	if best == nil {
-		return nil, nil
-	}
-	next := d.tryStart(d.newRun(j, best.nodes), true)
-	if next == nil {
-		return nil, nil
+	slices.SortStableFunc(found, func(a, b *eviction) int { return cmp.Compare(a.loss, b.loss) })
+	for _, e := range found {
+		if next := d.tryStart(d.newRun(j, e.nodes), true); next != nil {
+			return e, next
+		}
 	}
-	return best, next
+	return nil, nil
 }
 
 // unusedSlots returns the slots of an organisation with a place that could hold a gang.
@@ -530,7 +560,7 @@
 		return true
 	}
 	org := j.Spec.Organisation
-	within := float64(d.held[org]+j.Spec.Accelerators()) <= d.fairShare(org)
+	within := d.withinShare(j)
 	may := func(r *run) bool {
 		return !r.placed && !r.reclaiming && !d.res.protected(r) && !d.urgent(r.job) &&
 			(within || r.job.Spec.Organisation == org)
@@ -571,7 +601,6 @@
 		byOrg[org] = append(byOrg[org], j)
 	}
 	slices.Sort(orgs)
-	blocked := 0
 	for len(orgs) > 0 {
 		i := d.nextOrg(orgs, byOrg)
 		j := byOrg[orgs[i]][0]
@@ -581,15 +610,110 @@
 		if d.overQuota(j) || d.backfill(j) {
 			continue
 		}
-		if blocked == 0 {
-			d.reserveHead(j)
-			blocked++
+		if d.p.holder == "" && d.reserveHead(j) {
+			d.p.holder = j.Name
 			continue
 		}
 		d.explain(j)
 	}
 }
 
+// placeAged gives one job that has waited too long the first turn, and returns the others.
+func (d *decision) placeAged(queue []*resource.Job) []*resource.Job {
+	j := d.agedJob(queue)
+	if j == nil {
+		d.p.aged = ""
+		return queue
+	}
+	rest := slices.DeleteFunc(slices.Clone(queue), func(q *resource.Job) bool { return q == j })
+	d.p.aged = j.Name
+	switch {
+	case d.overQuota(j):
+		d.p.aged = ""
+	case d.backfill(j):
+		d.p.aged = ""
+		if !d.withinShare(j) {
+			d.p.lastAgedAnyway = d.now
+		}
+	case d.reclaimForAged(j) || d.reserveHead(j):
+	default:
+		d.explain(j)
+		d.p.aged = ""
+	}
+	return rest
+}
+
+// agedJob returns the job that was chosen before, or else the oldest one that is entitled.
+func (d *decision) agedJob(queue []*resource.Job) *resource.Job {
+	var best *resource.Job
+	for _, j := range queue {
+		if j.Name == d.p.aged {
+			return j
+		}
+		wait := d.now.Sub(j.Created)
+		if wait < agedAfter || best != nil && byAge(best, j) < 0 {
+			continue
+		}
+		anyway := wait >= agedAnyway && d.now.Sub(d.p.lastAgedAnyway) >= agedEvery
+		if (anyway || d.withinShare(j)) && d.hasPlace(j) && !d.exceedsQuota(j) {
+			best = j
+		}
+	}
+	return best
+}
+
+func byAge(a, b *resource.Job) int {
+	return cmp.Or(a.Created.Compare(b.Created), cmp.Compare(a.Name, b.Name))
+}
+
+// withinShare reports whether an organisation stays within its fair share with one more job.
+func (d *decision) withinShare(j *resource.Job) bool {
+	org := j.Spec.Organisation
+	return float64(d.held[org]+j.Spec.Accelerators()) <= d.fairShare(org)
+}
+
+// hasPlace reports whether a job could start if everything that may end or be stopped did. A
+// job that cannot be reclaimed has a place only beside all guarantees.
+func (d *decision) hasPlace(j *resource.Job) bool {
+	return j.Spec.Restart != resource.RestartNever || d.c.locate(d.res.room, jobShape(&j.Spec)) != nil
+}
+
+// reclaimForAged stops younger reclaimable jobs for a job that has waited too long. The order
+// of age keeps two jobs from stopping each other in turn.
+func (d *decision) reclaimForAged(j *resource.Job) bool {
+	if j.Spec.Restart == resource.RestartNever {
+		return false
+	}
+	may := func(r *run) bool {
+		return !r.placed && !r.reclaiming && !d.res.protected(r) && !d.urgent(r.job) && byAge(j, r.job) < 0
+	}
+	e := d.c.evict(d.availableSoon(j), jobShape(&j.Spec), may)
+	if e == nil {
+		return false
+	}
+	d.reclaimFor(j, e, "the job has waited too long")
+	return true
+}
+
+// placeHolder handles the job that holds the place of the head of the queue.
+func (d *decision) placeHolder(queue []*resource.Job) []*resource.Job {
+	i := slices.IndexFunc(queue, func(j *resource.Job) bool { return j.Name == d.p.holder })
+	d.p.holder = ""
+	if i < 0 {
+		return queue
+	}
+	j := queue[i]
+	rest := slices.Delete(slices.Clone(queue), i, i+1)
+	switch {
+	case d.overQuota(j) || d.backfill(j):
+	case d.reserveHead(j):
+		d.p.holder = j.Name
+	default:
+		d.explain(j)
+	}
+	return rest
+}
+
 func (d *decision) nextOrg(orgs []string, byOrg map[string][]*resource.Job) int {
 	best := 0
 	for i := 1; i < len(orgs); i++ {
@@ -657,29 +781,26 @@
 }
 
 // reserveHead holds the place for the head of the queue that is expected to become free first.
-func (d *decision) reserveHead(j *resource.Job) {
+func (d *decision) reserveHead(j *resource.Job) bool {
 	s := jobShape(&j.Spec)
-	if d.now.Sub(j.Created) >= headReclaimAfter && j.Spec.Restart != resource.RestartNever {
-		may := func(r *run) bool {
-			return !r.placed && !r.reclaiming && !d.res.protected(r) && !d.urgent(r.job) &&
-				r.job.Created.After(j.Created)
-		}
-		if e := d.c.evict(d.availableSoon(j), s, may); e != nil {
-			d.reclaimFor(j, e, "the job waits at the head of the queue")
-			return
-		}
+	var limit []int
+	if j.Spec.Restart == resource.RestartNever {
+		limit = d.res.room
 	}
-	nodes, ready := d.c.drain(d.availableSoon(j), s, d.endOf)
+	nodes, ready := d.c.drain(d.availableSoon(j), s, limit, d.endOf)
 	if nodes == nil {
-		d.explain(j)
-		return
+		return false
+	}
+	if ready.Before(d.now) {
+		ready = d.now
 	}
 	nodes, ready = d.keepPlace(j, s, nodes, ready)
 	d.places[j.Name] = d.c.ids(nodes)
 	d.hold(j, nodes, ready)
 	d.wait(j, ReasonReservation, "running jobs on the reserved workers end",
 		"the job is the head of the queue and holds a reservation that is expected to be free in %s",
-		ready.Sub(d.now).Round(time.Second))
+		max(ready.Sub(d.now), 0).Round(time.Second))
+	return true
 }
 
 func (d *decision) endOf(r *run) time.Time {
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -32,6 +32,9 @@
 	CheckpointAge time.Duration
 	// Reclaiming is set when the job has been asked to checkpoint and stop.
 	Reclaiming bool
+	// Reclaimable is the value of the placement that started the job. If it is not known,
+	// false is safe: the plan then decides by age which jobs a guarantee covers.
+	Reclaimable bool
 }
 
 // Snapshot is the state of one zone that a decision is made on. The scheduler does not
--- a/internal/scheduler/validate.go
+++ b/internal/scheduler/validate.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -164,7 +165,7 @@
 			return invalid("job %s is reclaimed twice", r.Job)
 		case running.Job.Spec.Restart == resource.RestartNever:
 			return invalid("reclaimed job %s may not be restarted", r.Job)
-		case covered[r.Job] != nil && !v.givesWay(running.Job, covered[r.Job], r.For):
+		case covered[r.Job] != nil && !v.givesWay(running.Job, covered[r.Job]):
 			return invalid("reclaimed job %s is within its organisation's guarantee", r.Job)
 		case r.Deadline.IsZero():
 			return invalid("reclaim of job %s has no deadline", r.Job)
@@ -174,11 +175,16 @@
 	return nil
 }
 
-// givesWay reports whether a covered job may be stopped for another of its organisation.
-func (v *validation) givesWay(victim *resource.Job, s *slot, beneficiary string) bool {
-	j := v.queued[beneficiary]
-	return j != nil && j.Spec.Organisation == victim.Spec.Organisation &&
-		s.exact(jobShape(&j.Spec)) && !s.exact(jobShape(&victim.Spec))
+// givesWay reports whether a covered job may be stopped: a job of its organisation that has the
+// guaranteed shape is queued. The job may then be stopped for any other, because it loses its
+// cover as soon as that one starts or waits for a reclaim.
+func (v *validation) givesWay(victim *resource.Job, s *slot) bool {
+	if s.exact(jobShape(&victim.Spec)) {
+		return false
+	}
+	return slices.ContainsFunc(v.snapshot.Queued, func(j *resource.Job) bool {
+		return j.Spec.Organisation == victim.Spec.Organisation && s.exact(jobShape(&j.Spec))
+	})
 }
 
 func (r *reservation) coveredByName() map[string]*slot {
@@ -191,6 +197,13 @@
 
 // checkGuarantees recomputes the reservation plan with the placements.
 func checkGuarantees(c *cluster, before *reservation, snapshot *Snapshot, plan *Plan) error {
+	// Cover goes by the time of the start, and the placed jobs start last.
+	var last time.Time
+	for _, r := range c.runs {
+		if r.startedAt.After(last) {
+			last = r.startedAt
+		}
+	}
 	for i := range plan.Placements {
 		p := &plan.Placements[i]
 		nodes := make([]int, len(p.Workers))
@@ -199,7 +212,7 @@
 		}
 		c.occupy(&run{
 			job: p.Job, name: p.Job.Name, shape: jobShape(&p.Job.Spec), nodes: nodes,
-			movable: p.Job.Spec.Restart != resource.RestartNever && p.Reclaimable, placed: true,
+			startedAt: last.Add(time.Nanosecond), movable: p.Job.Spec.Restart != resource.RestartNever, placed: true, beyond: p.Reclaimable,
 		})
 	}
 	after := c.reserve(snapshot.Guarantees)
