Count a guarantee miss from the last time a job was queued

The driver kept the time of entitlement over a start, so that a job which was queued again after the loss of a worker counted as a miss at once.

--- a/internal/measure/jobsdriver.go
+++ b/internal/measure/jobsdriver.go
@@ -355,6 +355,7 @@
 	}
 	r := &jobsRun{task: t, workers: p.Workers, placed: s.now, begin: s.now.Add(jobsStartDelay), reclaimable: p.Reclaimable}
 	t.run = r
+	t.entitledSince = time.Time{}
 	t.job.Status.Starts++
 	if t.started.IsZero() {
 		t.started = r.begin
