Keep the index of the workers and runs between decisions

Cause: a decision at the design size spent most of its time on building the index and on sorting runs by time.

--- a/internal/scheduler/cluster.go
+++ b/internal/scheduler/cluster.go
@@ -85,9 +85,13 @@
 	// nodes has the index of each member's worker, -1 if the worker is not known.
 	nodes []int
 	// feet has what the run holds, by node in ascending order, without unknown workers.
-	feet       []foot
-	unknown    bool
-	startedAt  time.Time
+	feet      []foot
+	unknown   bool
+	startedAt time.Time
+	// order is the time of the start in nanoseconds.
+	order int64
+	// org is the number of the organisation in the index.
+	org        int
 	lost       time.Duration
 	reclaiming bool
 	// beyond is set if the run was placed as reclaimable.
@@ -126,13 +130,19 @@
 // accelerators returns the declared total of the run.
 func (r *run) accelerators() int { return r.shape.members * r.shape.accel }
 
-// cluster is the index of a snapshot.
+// cluster is the index of a snapshot. It can be loaded again with the next one, and then keeps
+// what has not changed, so that the cost of a decision is mostly in the changes.
 type cluster struct {
+	// workers are those that nodes, byID and racks were built from.
+	workers []Worker
 	nodes   []node
 	byID    map[string]int
 	racks   [][]int
-	rackIDs []string
 	runs    []*run
+	// known has the runs of the last load by the name of their job, orgs a number for each
+	// organisation.
+	known map[string]*run
+	orgs  map[string]int
 	// free has the units of each node that nothing holds now.
 	free []int
 	// soon has the units that are free or held by jobs that were asked to stop.
@@ -144,16 +154,19 @@
 }
 
 func newCluster(snapshot *Snapshot) *cluster {
-	c := &cluster{
-		nodes: make([]node, 0, len(snapshot.Workers)),
-		byID:  make(map[string]int, len(snapshot.Workers)),
-	}
-	c.addNodes(snapshot.Workers)
-	c.free = make([]int, len(c.nodes))
-	c.on = make([][]*run, len(c.nodes))
-	for i := range c.nodes {
-		if c.nodes[i].usable {
-			c.free[i] = c.nodes[i].accel
+	c := &cluster{}
+	c.load(snapshot)
+	return c
+}
+
+// load replaces the content by that of a snapshot.
+func (c *cluster) load(snapshot *Snapshot) {
+	c.loadNodes(snapshot.Workers)
+	for n := range c.nodes {
+		c.free[n] = 0
+		c.on[n] = c.on[n][:0]
+		if c.nodes[n].usable {
+			c.free[n] = c.nodes[n].accel
 		}
 	}
 	for id, held := range snapshot.Held {
@@ -161,25 +174,44 @@
 			c.free[i] -= held
 		}
 	}
-	c.soon = slices.Clone(c.free)
-	c.addRuns(snapshot.Running)
-	return c
+	copy(c.soon, c.free)
+	c.loadRuns(snapshot.Running)
 }
 
-// addNodes indexes the workers in the order of their ids, so that decisions do not depend on
-// the order of the snapshot.
-func (c *cluster) addNodes(workers []Worker) {
-	order := make([]int, len(workers))
-	for i := range order {
-		order[i] = i
+func (c *cluster) loadNodes(workers []Worker) {
+	if !c.sameWorkers(workers) {
+		c.buildNodes(workers)
 	}
-	byID := func(a, b int) int { return cmp.Compare(workers[a].ID, workers[b].ID) }
-	if !slices.IsSortedFunc(order, byID) {
-		slices.SortFunc(order, byID)
+	c.suspects = false
+	for i := range workers {
+		n := &c.nodes[c.byID[workers[i].ID]]
+		n.usable, n.suspect = workers[i].Usable, workers[i].Suspect
+		c.suspects = c.suspects || n.suspect
 	}
+}
+
+// sameWorkers reports whether only the usability of workers differs from the last load.
+func (c *cluster) sameWorkers(workers []Worker) bool {
+	if c.byID == nil {
+		return false
+	}
+	return slices.EqualFunc(c.workers, workers, func(a, b Worker) bool {
+		return a.ID == b.ID && a.Rack == b.Rack && a.Accelerators == b.Accelerators &&
+			a.Cores == b.Cores && a.MemoryMB == b.MemoryMB
+	})
+}
+
+// buildNodes indexes the workers in the order of their ids, so that decisions do not depend on
+// the order of the snapshot.
+func (c *cluster) buildNodes(workers []Worker) {
+	c.workers = slices.Clone(workers)
+	c.known, c.racks = nil, nil
+	c.nodes = make([]node, 0, len(workers))
+	c.byID = make(map[string]int, len(workers))
+	sorted := slices.Clone(workers)
+	slices.SortFunc(sorted, func(a, b Worker) int { return cmp.Compare(a.ID, b.ID) })
 	rackIndex := make(map[string]int)
-	for _, i := range order {
-		w := &workers[i]
+	for _, w := range sorted {
 		if _, ok := c.byID[w.ID]; ok {
 			continue
 		}
@@ -188,59 +220,84 @@
 			rack = len(c.racks)
 			rackIndex[w.Rack] = rack
 			c.racks = append(c.racks, nil)
-			c.rackIDs = append(c.rackIDs, w.Rack)
 		}
 		c.byID[w.ID] = len(c.nodes)
 		c.racks[rack] = append(c.racks[rack], len(c.nodes))
-		c.suspects = c.suspects || w.Suspect
-		c.nodes = append(c.nodes, node{
-			id: w.ID, rack: rack, accel: w.Accelerators, cores: w.Cores, memoryMB: w.MemoryMB,
-			usable: w.Usable, suspect: w.Suspect,
-		})
+		c.nodes = append(c.nodes, node{id: w.ID, rack: rack, accel: w.Accelerators, cores: w.Cores, memoryMB: w.MemoryMB})
 	}
+	c.free = make([]int, len(c.nodes))
+	c.soon = make([]int, len(c.nodes))
+	c.on = make([][]*run, len(c.nodes))
 }
 
-func (c *cluster) addRuns(running []Running) {
+func (c *cluster) loadRuns(running []Running) {
+	before := c.known
+	c.known = make(map[string]*run, len(running))
 	c.runs = make([]*run, 0, len(running)+8)
-	block := make([]run, len(running))
-	members := 0
-	for i := range running {
-		members += len(running[i].Workers)
+	const maxOrganisations = 4096
+	if c.orgs == nil || len(c.orgs) > maxOrganisations {
+		c.orgs, before = make(map[string]int), nil
 	}
-	nodes := make([]int, members)
 	for i := range running {
 		r := &running[i]
-		out := &block[i]
-		k := len(r.Workers)
-		*out = run{
-			job: r.Job, name: r.Job.Name, shape: jobShape(&r.Job.Spec), nodes: nodes[:k:k],
-			startedAt: r.StartedAt, lost: r.CheckpointAge, reclaiming: r.Reclaiming, beyond: r.Reclaimable,
-			movable: r.Job.Spec.Restart != resource.RestartNever,
-		}
-		nodes = nodes[k:]
-		for m, id := range r.Workers {
-			n, ok := c.byID[id]
-			if !ok {
-				n = -1
-			}
-			out.nodes[m] = n
+		out := before[r.Job.Name]
+		if out == nil || !c.unchanged(out, r) {
+			out = &run{name: r.Job.Name, shape: jobShape(&r.Job.Spec), nodes: c.indexes(r.Workers), org: c.orgNumber(r.Job)}
+			c.setFeet(out)
 		}
+		out.job, out.startedAt, out.lost = r.Job, r.StartedAt, r.CheckpointAge
+		out.order = r.StartedAt.UnixNano()
+		out.reclaiming, out.beyond, out.placed = r.Reclaiming, r.Reclaimable, false
+		out.movable = r.Job.Spec.Restart != resource.RestartNever
+		c.known[out.name] = out
 		c.occupy(out)
 	}
 }
 
-// occupy adds a run to the index and takes its units.
+// unchanged reports whether a run of the last load still has its shape and its workers.
+func (c *cluster) unchanged(old *run, r *Running) bool {
+	if old.unknown || len(old.nodes) != len(r.Workers) || old.shape != jobShape(&r.Job.Spec) ||
+		old.job.Spec.Organisation != r.Job.Spec.Organisation {
+		return false
+	}
+	for m, id := range r.Workers {
+		if c.nodes[old.nodes[m]].id != id {
+			return false
+		}
+	}
+	return true
+}
+
+// indexes returns the nodes of worker ids, -1 for an id that is not known.
+func (c *cluster) indexes(ids []string) []int {
+	out := make([]int, len(ids))
+	for m, id := range ids {
+		n, ok := c.byID[id]
+		if !ok {
+			n = -1
+		}
+		out[m] = n
+	}
+	return out
+}
+
+func (c *cluster) orgNumber(j *resource.Job) int {
+	i, ok := c.orgs[j.Spec.Organisation]
+	if !ok {
+		i = len(c.orgs)
+		c.orgs[j.Spec.Organisation] = i
+	}
+	return i
+}
+
+// occupy adds a run with its feet to the index and takes its units.
 func (c *cluster) occupy(r *run) {
-	c.setFeet(r)
 	c.runs = append(c.runs, r)
 	for _, f := range r.feet {
 		c.free[f.node] -= f.units
 		if !r.reclaiming {
 			c.soon[f.node] -= f.units
 		}
-		if c.on[f.node] == nil {
-			c.on[f.node] = make([]*run, 0, 8)
-		}
 		c.on[f.node] = append(c.on[f.node], r)
 	}
 }
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -98,20 +98,24 @@
 			r.room[n] = c.nodes[n].accel
 		}
 	}
-	byOrg := r.addSlots(guarantees)
+	byOrg := c.addSlots(r, guarantees)
 	c.coverRuns(r, byOrg, mode)
 	c.completeSlots(r)
 	c.placeSlots(r, order)
 	return r
 }
 
-func (r *reservation) addSlots(guarantees []*resource.Guarantee) map[string][]*slot {
-	byOrg := make(map[string][]*slot)
+// addSlots makes the slots and returns those of each organisation, by its number.
+func (c *cluster) addSlots(r *reservation, guarantees []*resource.Guarantee) [][]*slot {
+	byOrg := make([][]*slot, len(c.orgs))
 	for i, g := range guarantees {
+		org, running := c.orgs[g.Spec.Organisation]
 		for range g.Spec.Gangs {
 			s := &slot{guarantee: i, shape: guaranteeShape(&g.Spec)}
 			r.slots = append(r.slots, s)
-			byOrg[g.Spec.Organisation] = append(byOrg[g.Spec.Organisation], s)
+			if running {
+				byOrg[org] = append(byOrg[org], s)
+			}
 		}
 	}
 	return byOrg
@@ -119,39 +123,38 @@
 
 // coverRuns gives runs their cover: first runs of exactly a guaranteed shape, then unmovable
 // ones, which take room whether or not they are covered, then the others.
-func (c *cluster) coverRuns(r *reservation, byOrg map[string][]*slot, mode coverMode) {
+func (c *cluster) coverRuns(r *reservation, byOrg [][]*slot, mode coverMode) {
 	var exact, fixed, smaller []*run
 	for _, run := range c.runs {
-		slots := byOrg[run.job.Spec.Organisation]
+		slots := byOrg[run.org]
+		if !run.movable {
+			c.takeRoom(r, run)
+			fixed = append(fixed, run)
+		}
+		if len(slots) == 0 || run.reclaiming {
+			continue
+		}
 		switch {
-		case (mode != coverFixed || !run.movable) && !run.reclaiming && hasShape(slots, run.shape):
+		case (mode != coverFixed || !run.movable) && hasShape(slots, run.shape):
 			exact = append(exact, run)
-		case !run.movable:
-			fixed = append(fixed, run)
-		case !run.reclaiming && slots != nil && (mode == coverMovable || mode == coverAll):
+		case run.movable && (mode == coverMovable || mode == coverAll):
 			smaller = append(smaller, run)
 		}
 	}
+	slices.SortFunc(exact, coverOrder)
+	slices.SortFunc(smaller, coverOrder)
 	for _, run := range exact {
-		if !run.movable {
-			fixed = append(fixed, run)
-		}
-	}
-	for _, run := range fixed {
-		c.takeRoom(r, run)
+		c.cover(r, byOrg[run.org], run)
 	}
-	slices.SortStableFunc(exact, coverOrder)
-	slices.SortStableFunc(smaller, coverOrder)
-	for _, run := range exact {
-		c.cover(r, byOrg[run.job.Spec.Organisation], run)
-	}
-	for _, run := range fixed {
-		if r.covered[run] == nil && mode == coverAll {
-			c.cover(r, byOrg[run.job.Spec.Organisation], run)
+	if mode == coverAll {
+		for _, run := range fixed {
+			if r.covered[run] == nil {
+				c.cover(r, byOrg[run.org], run)
+			}
 		}
 	}
 	for _, run := range smaller {
-		c.cover(r, byOrg[run.job.Spec.Organisation], run)
+		c.cover(r, byOrg[run.org], run)
 	}
 }
 
@@ -174,9 +177,16 @@
 // coverOrder puts first the runs that no plan can move, then those that were started within
 // the guarantee, then the older ones.
 func coverOrder(a, b *run) int {
-	return cmp.Or(
-		compareBool(a.movable, b.movable), compareBool(a.beyond, b.beyond),
-		a.startedAt.Compare(b.startedAt), cmp.Compare(a.name, b.name))
+	if a.movable != b.movable {
+		return compareBool(a.movable, b.movable)
+	}
+	if a.beyond != b.beyond {
+		return compareBool(a.beyond, b.beyond)
+	}
+	if a.order != b.order {
+		return cmp.Compare(a.order, b.order)
+	}
+	return cmp.Compare(a.name, b.name)
 }
 
 // compareBool orders false before true.
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -32,6 +32,8 @@
 type policyScheduler struct {
 	seed    int64
 	learned *predictor
+	// index is loaded with each snapshot.
+	index *cluster
 	// places has the workers reserved for waiting jobs, by job name. It is kept between
 	// decisions so that a reservation does not move with every change of the estimates.
 	places map[string][]string
@@ -44,7 +46,7 @@
 
 // New returns a scheduler. The seed only decides between equal choices.
 func New(seed int64) Scheduler {
-	return &policyScheduler{seed: seed, learned: newPredictor(), places: make(map[string][]string)}
+	return &policyScheduler{seed: seed, learned: newPredictor(), index: &cluster{}, places: make(map[string][]string)}
 }
 
 // Finished implements Scheduler.
@@ -122,7 +124,8 @@
 
 func newDecision(p *policyScheduler, now time.Time, snapshot *Snapshot) *decision {
 	policy := resource.PolicySpec{Placement: snapshot.Policy}.WithDefaults().Placement
-	c := newCluster(snapshot)
+	c := p.index
+	c.load(snapshot)
 	d := &decision{
 		p: p, now: now, snapshot: snapshot, policy: policy, c: c,
 		res:        c.reserve(snapshot.Guarantees),
@@ -319,7 +322,8 @@
 
 func (d *decision) newRun(j *resource.Job, nodes []int) *run {
 	r := &run{
-		job: j, name: j.Name, shape: jobShape(&j.Spec), nodes: nodes, startedAt: d.now,
+		job: j, name: j.Name, shape: jobShape(&j.Spec), nodes: nodes,
+		startedAt: d.now, order: d.now.UnixNano(), org: d.c.orgNumber(j),
 		movable: j.Spec.Restart != resource.RestartNever, placed: true,
 	}
 	d.c.setFeet(r)
--- a/internal/scheduler/validate.go
+++ b/internal/scheduler/validate.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"slices"
-	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -198,22 +197,19 @@
 // checkGuarantees recomputes the reservation plan with the placements.
 func checkGuarantees(c *cluster, before *reservation, snapshot *Snapshot, plan *Plan) error {
 	// Cover goes by the time of the start, and the placed jobs start last.
-	var last time.Time
+	var last int64
 	for _, r := range c.runs {
-		if r.startedAt.After(last) {
-			last = r.startedAt
-		}
+		last = max(last, r.order)
 	}
 	for i := range plan.Placements {
 		p := &plan.Placements[i]
-		nodes := make([]int, len(p.Workers))
-		for m, id := range p.Workers {
-			nodes[m] = c.byID[id]
+		r := &run{
+			job: p.Job, name: p.Job.Name, shape: jobShape(&p.Job.Spec), nodes: c.indexes(p.Workers),
+			order: last + 1, org: c.orgNumber(p.Job), beyond: p.Reclaimable, placed: true,
+			movable: p.Job.Spec.Restart != resource.RestartNever,
 		}
-		c.occupy(&run{
-			job: p.Job, name: p.Job.Name, shape: jobShape(&p.Job.Spec), nodes: nodes,
-			startedAt: last.Add(time.Nanosecond), movable: p.Job.Spec.Restart != resource.RestartNever, placed: true, beyond: p.Reclaimable,
-		})
+		c.setFeet(r)
+		c.occupy(r)
 	}
 	after := c.reserve(snapshot.Guarantees)
 	for i, g := range snapshot.Guarantees {
