--- a/internal/dispatch/slots.go
+++ b/internal/dispatch/slots.go
@@ -90,15 +90,18 @@
 // Owner returns the instance that lends the slots of a target.
 func Owner(target string, instances []string) string { return Ranked(target, instances)[0] }
 
-// BaseShare returns the slots of a target that an instance may use without a grant. It sums
-// to the target's slots over all instances.
-func BaseShare(target platform.Instance, instance string, instances []string) int {
+// BaseShares returns the slots of a target that each instance may use without a grant. They
+// sum to the target's slots.
+func BaseShares(target platform.Instance, instances []string) map[string]int {
 	slots, n := Slots(target), len(instances)
-	share := slots / n
-	if slices.Index(Ranked(target.ID, instances), instance) < slots%n {
-		share++
+	shares := make(map[string]int, n)
+	for rank, id := range Ranked(target.ID, instances) {
+		shares[id] = slots / n
+		if rank < slots%n {
+			shares[id]++
+		}
 	}
-	return share
+	return shares
 }
 
 // Holder keeps the grants of one instance.
@@ -130,7 +133,7 @@
 	clear(h.base)
 	clear(h.owner)
 	for _, t := range targets {
-		h.base[t.ID] = BaseShare(t, h.instance, h.instances)
+		h.base[t.ID] = BaseShares(t, h.instances)[h.instance]
 		h.owner[t.ID] = Owner(t.ID, h.instances)
 	}
 }
@@ -204,6 +207,8 @@
 	started   time.Time
 	weights   map[string]float64
 	targets   []platform.Instance
+	// base has the base shares of the owned targets by target and instance.
+	base      map[string]map[string]int
 	allSlots  int
 	sequence  uint64
 	borrowers map[string]*borrower
@@ -237,11 +242,13 @@
 // SetTargets takes the current targets and keeps those that this instance owns.
 func (l *Lender) SetTargets(targets []platform.Instance) {
 	l.targets = l.targets[:0]
+	l.base = make(map[string]map[string]int)
 	l.allSlots = 0
 	for _, t := range targets {
 		l.allSlots += Slots(t)
 		if Owner(t.ID, l.instances) == l.id {
 			l.targets = append(l.targets, t)
+			l.base[t.ID] = BaseShares(t, l.instances)
 		}
 	}
 }
@@ -277,7 +284,7 @@
 
 // committed returns the slots of a target that an instance may be using.
 func (l *Lender) committed(now time.Time, target platform.Instance, instance string) int {
-	base := BaseShare(target, instance, l.instances)
+	base := l.base[target.ID][instance]
 	b := l.borrowers[instance]
 	if b == nil {
 		return base
--- /dev/null
+++ b/internal/measure/policyrequest_test.go
@@ -0,0 +1,62 @@
+package measure
+
+import (
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func requestPolicyNames() []string {
+	return []string{requestBaseline, string(sharingSubsets), string(sharingBase), string(sharingOwner)}
+}
+
+// benchmarkRequests reports the metrics of one measurement for each deployment and policy.
+func benchmarkRequests(b *testing.B, measure func(d requestDeployment, policy string) requestMetrics) {
+	for _, d := range requestDeployments() {
+		for _, policy := range requestPolicyNames() {
+			b.Run("deployment="+d.name+"/policy="+policy, func(b *testing.B) {
+				var metrics requestMetrics
+				for b.Loop() {
+					metrics = measure(d, policy)
+				}
+				for _, unit := range slices.Sorted(maps.Keys(metrics)) {
+					b.ReportMetric(metrics[unit], unit)
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkPolicyFlood(b *testing.B) {
+	for _, flood := range []struct {
+		name    string
+		urgency int
+	}{{"low", 7}, {"high", 0}} {
+		b.Run("flood="+flood.name, func(b *testing.B) {
+			benchmarkRequests(b, func(d requestDeployment, policy string) requestMetrics {
+				return measureFlood(d, policy, requestSeed, flood.urgency)
+			})
+		})
+	}
+}
+
+func BenchmarkPolicySmallCallers(b *testing.B) {
+	benchmarkRequests(b, func(d requestDeployment, policy string) requestMetrics {
+		return measureSmallCallers(d, policy, requestSeed)
+	})
+}
+
+func BenchmarkPolicyRetry(b *testing.B) {
+	benchmarkRequests(b, func(d requestDeployment, policy string) requestMetrics {
+		return measureRetry(d, policy, requestSeed)
+	})
+}
+
+// Guards against a simulation that depends on map order or on the wall clock.
+func TestRequestMeasuresRepeat(t *testing.T) {
+	d := requestDeployment{name: "tiny", instances: 3, targets: 6, slots: 8, orgs: 2}
+	first := measureFlood(d, string(sharingOwner), 1, 0)
+	require.Equal(t, first, measureFlood(d, string(sharingOwner), 1, 0))
+}
--- /dev/null
+++ b/internal/measure/request_policy.go
@@ -0,0 +1,293 @@
+package measure
+
+import (
+	"slices"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/admission"
+	"github.com/oleanderbend/oleanderbend/internal/dispatch"
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+)
+
+// fifoPolicy is the baseline: one bounded queue in order of arrival, the base share of each
+// target, the target with the fewest requests, and up to 3 attempts at once.
+type fifoPolicy struct {
+	sim     *requestSim
+	queue   []*simRequest
+	targets []platform.Instance
+	share   map[string]int
+	inUse   map[string]int
+}
+
+const (
+	fifoQueueLimit  = 4096
+	fifoMaxAttempts = 3
+)
+
+func newFIFOPolicies(s *requestSim) {
+	ids := s.deployment.instanceIDs()
+	for _, id := range ids {
+		p := &fifoPolicy{sim: s, targets: s.deployment.targetRows(), share: make(map[string]int), inUse: make(map[string]int)}
+		for _, t := range p.targets {
+			p.share[t.ID] = dispatch.BaseShares(t, ids)[id]
+		}
+		s.policies = append(s.policies, p)
+	}
+}
+
+func (p *fifoPolicy) arrive(r *simRequest) {
+	if len(p.queue) >= fifoQueueLimit {
+		p.sim.refuse(r)
+		return
+	}
+	p.queue = append(p.queue, r)
+	p.pump()
+}
+
+func (p *fifoPolicy) pump() {
+	for len(p.queue) > 0 {
+		best := ""
+		for _, t := range p.targets {
+			free := p.inUse[t.ID] < p.share[t.ID]
+			if free && (best == "" || p.inUse[t.ID] < p.inUse[best]) {
+				best = t.ID
+			}
+		}
+		if best == "" {
+			return
+		}
+		r := p.queue[0]
+		p.queue = p.queue[1:]
+		p.inUse[best]++
+		p.sim.attempt(r, best)
+	}
+}
+
+func (p *fifoPolicy) finished(r *simRequest, target string, ok bool) {
+	p.inUse[target]--
+	switch {
+	case ok:
+		p.sim.answer(r)
+	case r.source.idempotent && r.attempts < fifoMaxAttempts:
+		p.queue = append(p.queue, r)
+	default:
+		p.sim.fail(r)
+	}
+	p.pump()
+}
+
+func (p *fifoPolicy) tick() {}
+
+// requestSharing is a way to hold the per-target limits over all instances.
+type requestSharing string
+
+// Ways to hold the limits.
+const (
+	// sharingSubsets gives each target to one instance.
+	sharingSubsets requestSharing = "static-subsets"
+	// sharingBase gives each instance its base share of each target.
+	sharingBase requestSharing = "static-shares"
+	// sharingOwner lends slots by the owner of each target.
+	sharingOwner requestSharing = "oleanderbend"
+)
+
+// ownPolicy runs the packages admission and dispatch as the gateway does.
+type ownPolicy struct {
+	sim     *requestSim
+	id      string
+	sharing requestSharing
+	queue   *admission.Queue
+	table   *dispatch.Table
+	holder  *dispatch.Holder
+	lender  *dispatch.Lender
+	peers   map[string]*ownPolicy
+	owners  []string
+	waiting bool
+	sentAt  time.Time
+	reports int
+}
+
+func newOwnPolicies(s *requestSim, sharing requestSharing, seed uint64) []*ownPolicy {
+	ids := s.deployment.instanceIDs()
+	rows := s.deployment.targetRows()
+	peers := make(map[string]*ownPolicy)
+	var all []*ownPolicy
+	for i, id := range ids {
+		p := &ownPolicy{
+			sim: s, id: id, sharing: sharing, queue: admission.New(seed + uint64(i)), peers: peers,
+			holder: dispatch.NewHolder(id, ids),
+			// The owners have run for a while when the measurement starts.
+			lender: dispatch.NewLender(id, ids, s.now.Add(-dispatch.GrantTTL)),
+		}
+		p.holder.Track(rows)
+		p.lender.SetTargets(rows)
+		fixed := p.fixedShares(rows, ids)
+		p.table = dispatch.New(seed+uint64(i), func(t platform.Instance) int {
+			if fixed != nil {
+				return fixed[t.ID]
+			}
+			return p.holder.Allowance(s.now, t.ID)
+		})
+		p.table.Update(rows)
+		for _, t := range rows {
+			if owner := p.holder.OwnerOf(t.ID); !slices.Contains(p.owners, owner) {
+				p.owners = append(p.owners, owner)
+			}
+		}
+		slices.Sort(p.owners)
+		peers[id] = p
+		all = append(all, p)
+		s.policies = append(s.policies, p)
+	}
+	return all
+}
+
+// fixedShares returns the shares of a way to hold the limits that does not change them.
+func (p *ownPolicy) fixedShares(rows []platform.Instance, ids []string) map[string]int {
+	if p.sharing == sharingOwner {
+		return nil
+	}
+	shares := make(map[string]int)
+	for _, t := range rows {
+		switch {
+		case p.sharing == sharingBase:
+			shares[t.ID] = dispatch.BaseShares(t, ids)[p.id]
+		case dispatch.Owner(t.ID, ids) == p.id:
+			shares[t.ID] = dispatch.Slots(t)
+		}
+	}
+	return shares
+}
+
+func (p *ownPolicy) arrive(r *simRequest) {
+	_, total := p.table.Capacity(p.sim.now)
+	p.refuse(p.queue.Arrive(p.sim.now, &r.Request, total))
+	p.pump()
+}
+
+func (p *ownPolicy) refuse(refusals []admission.Refusal) {
+	for _, refusal := range refusals {
+		r := refusal.Request.Context.(*simRequest)
+		if r.attempts > 0 {
+			p.sim.fail(r)
+			continue
+		}
+		p.sim.refuse(r)
+	}
+}
+
+func (p *ownPolicy) pump() {
+	now := p.sim.now
+	free, total := p.table.Capacity(now)
+	for free > 0 {
+		next, refused := p.queue.Next(now, free, total)
+		p.refuse(refused)
+		if next == nil {
+			break
+		}
+		r := next.Context.(*simRequest)
+		target, ok := p.table.Pick(now, r.avoid, r.source.idempotent)
+		if !ok {
+			panic("measure: free slot without target")
+		}
+		free--
+		if r.attempts == 0 {
+			p.table.FirstAttempt()
+		}
+		p.sim.attempt(r, target.ID)
+	}
+	begins := p.queue.Queued() > 0 && !p.waiting
+	p.waiting = p.queue.Queued() > 0
+	if begins && now.Sub(p.sentAt) >= requestTick {
+		p.report()
+	}
+}
+
+func (p *ownPolicy) finished(r *simRequest, target string, ok bool) {
+	now := p.sim.now
+	verdict := dispatch.Answered
+	if !ok {
+		verdict = dispatch.Failed
+	}
+	held := now.Sub(r.started)
+	p.table.Finish(now, target, dispatch.Result{Verdict: verdict, Held: held, Expected: p.queue.ServiceTime(r.Flow), Caller: 1})
+	p.queue.Finish(now, &r.Request, held, ok)
+	switch {
+	case ok:
+		p.sim.answer(r)
+	case r.source.idempotent && p.table.TakeRetry():
+		r.avoid = target
+		p.sim.after(p.table.Backoff(r.attempts), func() {
+			p.queue.Requeue(p.sim.now, &r.Request)
+			p.pump()
+		})
+	default:
+		p.sim.fail(r)
+	}
+	p.pump()
+}
+
+func (p *ownPolicy) tick() {
+	period := dispatch.IdleReportPeriod
+	if p.queue.Queued() > 0 {
+		period = dispatch.BusyReportPeriod
+	}
+	if p.sim.now.Sub(p.sentAt) >= period {
+		p.report()
+	}
+	p.refuse(p.queue.Expire(p.sim.now))
+	p.table.Refresh()
+	p.pump()
+}
+
+// report exchanges reports and replies with the owners of all targets.
+func (p *ownPolicy) report() {
+	if p.sharing != sharingOwner {
+		return
+	}
+	p.sentAt = p.sim.now
+	for _, owner := range p.owners {
+		p.reports++
+		sent, report := p.sim.now, p.slotReport(owner)
+		p.sim.after(p.sim.deployment.peerDelay, func() {
+			reply, err := p.peers[owner].lender.Report(p.sim.now, report)
+			if err != nil {
+				return
+			}
+			p.sim.after(p.sim.deployment.peerDelay, func() {
+				p.holder.Apply(owner, reply, sent, p.sim.now)
+				p.queue.SetSpread(p.holder.Spreads(p.sim.now))
+				p.table.Refresh()
+				p.pump()
+			})
+		})
+	}
+}
+
+func (p *ownPolicy) slotReport(owner string) dispatch.SlotReport {
+	report := dispatch.SlotReport{
+		Instance: p.id, Confirmed: p.holder.Confirmed(owner), InUse: make(map[string]int),
+		Demand: p.queue.Queued() + p.queue.Running(),
+	}
+	if p.queue.Queued() > 0 {
+		report.Flows = dispatch.TopFlows(p.queue.Demand())
+	}
+	for id, n := range p.table.InUse() {
+		if p.holder.OwnerOf(id) == owner {
+			report.InUse[id] = n
+		}
+	}
+	return report
+}
+
+// newRequestPolicies sets up the policies of all instances by name.
+func newRequestPolicies(s *requestSim, name string, seed uint64) {
+	if name == requestBaseline {
+		newFIFOPolicies(s)
+		return
+	}
+	newOwnPolicies(s, requestSharing(name), seed)
+}
+
+// requestBaseline is the name of the first-in first-out baseline.
+const requestBaseline = "baseline-fifo"
--- /dev/null
+++ b/internal/measure/request_scenarios.go
@@ -0,0 +1,190 @@
+package measure
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/admission"
+)
+
+// requestSeed is the seed of the benchmarks.
+const requestSeed = 20260101
+
+const (
+	requestWarmup  = 10 * time.Second
+	requestRunTime = 40 * time.Second
+	// requestDeviation is the sigma of service times; a 99th percentile is about 4 times the
+	// median.
+	requestDeviation = 0.6
+)
+
+// requestKind is a kind of work of the ordinary load.
+type requestKind struct {
+	name    string
+	urgency int
+	service time.Duration
+	// part is its part of the ordinary load.
+	part float64
+}
+
+func requestKinds() []requestKind {
+	return []requestKind{
+		{"approval", 1, 50 * time.Millisecond, 0.2},
+		{"plan", 3, 200 * time.Millisecond, 0.4},
+		{"forecast", 5, time.Second, 0.4},
+	}
+}
+
+// ordinaryLoad returns sources of all kinds and organisations that need the given part of
+// the capacity. Half of an organisation's work is of one caller, the rest of nine.
+func ordinaryLoad(d requestDeployment, part float64) []requestSource {
+	var sources []requestSource
+	const callers = 10
+	for org := range d.orgs {
+		for _, kind := range requestKinds() {
+			load := d.capacity() * part * kind.part / float64(d.orgs)
+			for caller := range callers {
+				share := 0.5 / (callers - 1)
+				if caller == 0 {
+					share = 0.5
+				}
+				sources = append(sources, requestSource{
+					flow:    admission.Flow{Organisation: fmt.Sprintf("org-%03d", org), Kind: kind.name, Caller: fmt.Sprintf("caller-%d", caller)},
+					urgency: kind.urgency, rate: load * share / kind.service.Seconds(), service: kind.service,
+					deviation: requestDeviation, deadline: 10 * time.Second, idempotent: true, group: "others",
+				})
+			}
+		}
+	}
+	return sources
+}
+
+// floodLoad returns sources of one kind that need ten times the capacity: many callers of
+// half of the organisations.
+func floodLoad(d requestDeployment, urgency int) []requestSource {
+	const (
+		factor  = 10
+		callers = 5
+		service = 500 * time.Millisecond
+	)
+	orgs := max(1, d.orgs/2)
+	rate := factor * d.capacity() / service.Seconds() / float64(orgs*callers)
+	var sources []requestSource
+	for org := range orgs {
+		for caller := range callers {
+			sources = append(sources, requestSource{
+				flow:    admission.Flow{Organisation: fmt.Sprintf("org-%03d", org), Kind: "surge", Caller: fmt.Sprintf("caller-%d", caller)},
+				urgency: urgency, rate: rate, service: service, deviation: requestDeviation,
+				deadline: 10 * time.Second, idempotent: true, group: "flood", from: requestWarmup / 2,
+			})
+		}
+	}
+	return sources
+}
+
+// requestMetrics are the reported figures of one benchmark by unit.
+type requestMetrics map[string]float64
+
+func runRequests(d requestDeployment, policy string, seed uint64, sources []requestSource, until time.Duration) requestResult {
+	s := newRequestSim(d, seed)
+	s.warmup = requestWarmup
+	newRequestPolicies(s, policy, seed)
+	return s.run(sources, until)
+}
+
+// measureFlood compares the ordinary load with and without a flood of one kind.
+func measureFlood(d requestDeployment, policy string, seed uint64, urgency int) requestMetrics {
+	const ordinaryPart = 0.5
+	quiet := runRequests(d, policy, seed, ordinaryLoad(d, ordinaryPart), requestRunTime)
+	sources := append(ordinaryLoad(d, ordinaryPart), floodLoad(d, urgency)...)
+	flooded := runRequests(d, policy, seed, sources, requestRunTime)
+	before, after := quiet.groups["others"], flooded.groups["others"]
+	served := after.work + flooded.groups["flood"].work
+	measured := (requestRunTime - requestWarmup).Seconds()
+	return requestMetrics{
+		"kept_share":  float64(after.answered) / float64(after.sent) / (float64(before.answered) / float64(before.sent)),
+		"p99_ratio":   float64(after.p99()) / float64(before.p99()),
+		"utilisation": served.Seconds() / measured / d.capacity(),
+		"over_limit":  float64(flooded.overLimit),
+	}
+}
+
+// smallCallerLoad returns small callers, each at one instance, that together need 5 % of the
+// capacity.
+func smallCallerLoad(d requestDeployment) []requestSource {
+	const (
+		callers = 20
+		part    = 0.05
+		service = 100 * time.Millisecond
+	)
+	var sources []requestSource
+	for caller := range callers {
+		sources = append(sources, requestSource{
+			flow:    admission.Flow{Organisation: "org-000", Kind: "approval", Caller: fmt.Sprintf("officer-%02d", caller)},
+			urgency: 3, rate: d.capacity() * part / service.Seconds() / callers, service: service,
+			deviation: requestDeviation, deadline: 5 * time.Second, idempotent: true, group: "small",
+			at: []int{caller % d.instances},
+		})
+	}
+	return sources
+}
+
+// measureSmallCallers compares small callers alone and beside one caller of the same
+// organisation and kind that sends 50 times their work, which is 2.5 times the capacity, over
+// all instances.
+func measureSmallCallers(d requestDeployment, policy string, seed uint64) requestMetrics {
+	const factor = 50
+	small := smallCallerLoad(d)
+	alone := runRequests(d, policy, seed, smallCallerLoad(d), requestRunTime)
+	total := 0.0
+	for _, src := range small {
+		total += src.load()
+	}
+	const batchService = 400 * time.Millisecond
+	large := requestSource{
+		flow:    admission.Flow{Organisation: "org-000", Kind: "approval", Caller: "clinic-batch"},
+		urgency: 3, rate: factor * total / batchService.Seconds(), service: batchService,
+		deviation: requestDeviation, deadline: time.Minute, idempotent: true, group: "large", from: requestWarmup / 2,
+	}
+	crowded := runRequests(d, policy, seed, append(small, large), requestRunTime)
+	before, after := alone.groups["small"], crowded.groups["small"]
+	return requestMetrics{
+		"small_p99_ratio":     float64(after.p99()) / float64(before.p99()),
+		"small_refused_share": float64(after.refused+after.failed) / float64(after.sent),
+		"over_limit":          float64(crowded.overLimit),
+	}
+}
+
+// measureRetry lets all targets fail for 20 s and then half of them. goodput_share is the
+// work answered in the last 20 s against the capacity of the healthy half; the offered load
+// exceeds that capacity.
+func measureRetry(d requestDeployment, policy string, seed uint64) requestMetrics {
+	const (
+		allFail   = 20 * time.Second
+		settle    = 20 * time.Second
+		end       = 60 * time.Second
+		overload  = 0.65
+		healthyIs = 0.5
+	)
+	s := newRequestSim(d, seed)
+	s.warmup = allFail + settle
+	newRequestPolicies(s, policy, seed)
+	rows := d.targetRows()
+	for _, t := range s.targets {
+		t.failing = true
+	}
+	s.after(allFail, func() {
+		for i, row := range rows {
+			s.targets[row.ID].failing = i%2 == 0
+		}
+	})
+	result := s.run(ordinaryLoad(d, overload), end)
+	g := result.groups["others"]
+	measured := (end - allFail - settle).Seconds()
+	return requestMetrics{
+		"attempts_ratio": float64(result.attempts) / float64(max(1, result.firstAttempts)),
+		"goodput_share":  g.work.Seconds() / measured / (d.capacity() * healthyIs),
+		"failed_share":   float64(g.failed) / float64(g.sent),
+		"over_limit":     float64(result.overLimit),
+	}
+}
--- /dev/null
+++ b/internal/measure/request_sim.go
@@ -0,0 +1,320 @@
+package measure
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/admission"
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+)
+
+// requestEpoch is the start of virtual time.
+var requestEpoch = time.Unix(1_000_000_000, 0)
+
+// requestDeployment is the size of a simulated system.
+type requestDeployment struct {
+	name      string
+	instances int
+	targets   int
+	slots     int
+	orgs      int
+	// callerDelay and peerDelay are one way.
+	callerDelay time.Duration
+	peerDelay   time.Duration
+}
+
+// requestDeployments are the deployments of docs/design.md. The design size states no
+// targets and entry instances; 160 and 20 are assumed.
+func requestDeployments() []requestDeployment {
+	return []requestDeployment{
+		{"tumaini", 6, 48, 8, 4, 3 * time.Millisecond, 1500 * time.Microsecond},
+		{"hamnverket", 6, 48, 8, 4, time.Millisecond, time.Millisecond},
+		{"design", 20, 160, 8, 130, 3 * time.Millisecond, 1500 * time.Microsecond},
+	}
+}
+
+func (d requestDeployment) capacity() float64 { return float64(d.targets * d.slots) }
+
+func (d requestDeployment) instanceIDs() []string {
+	ids := make([]string, d.instances)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("entry-%02d", i)
+	}
+	return ids
+}
+
+func (d requestDeployment) targetRows() []platform.Instance {
+	rows := make([]platform.Instance, d.targets)
+	for i := range rows {
+		rows[i] = platform.Instance{
+			ID: fmt.Sprintf("target-%03d", i), Kind: platform.KindTarget, State: platform.StateLive,
+			Slots: d.slots, Connections: 64,
+		}
+	}
+	return rows
+}
+
+// requestSource sends requests of one flow at random times.
+type requestSource struct {
+	flow    admission.Flow
+	urgency int
+	// rate is in requests per second, service the mean time in a slot.
+	rate    float64
+	service time.Duration
+	// deviation is the sigma of the log-normal service time.
+	deviation  float64
+	deadline   time.Duration
+	idempotent bool
+	// group names the sources that are measured together.
+	group string
+	// at lists the instances that the source uses; empty means all.
+	at       []int
+	from, to time.Duration
+}
+
+// load returns the mean number of slots that the source needs.
+func (s requestSource) load() float64 { return s.rate * s.service.Seconds() }
+
+// simRequest is one request under simulation.
+type simRequest struct {
+	admission.Request
+	source   *requestSource
+	sent     time.Time
+	service  time.Duration
+	attempts int
+	instance int
+	avoid    string
+	started  time.Time
+	done     bool
+}
+
+// requestPolicy makes the decisions of one instance.
+type requestPolicy interface {
+	arrive(r *simRequest)
+	// finished is called when an attempt ends at the named target.
+	finished(r *simRequest, target string, ok bool)
+	// tick is called every requestTick.
+	tick()
+}
+
+const requestTick = 100 * time.Millisecond
+
+// requestSim runs sources against instances and targets in virtual time.
+type requestSim struct {
+	deployment requestDeployment
+	now        time.Time
+	events     requestEvents
+	sequence   uint64
+	random     *rand.Rand
+	policies   []requestPolicy
+	targets    map[string]*simTarget
+	result     requestResult
+	warmup     time.Duration
+}
+
+// simTarget is a target. It fails or slows requests as the scenario says.
+type simTarget struct {
+	slots   int
+	inUse   int
+	failing bool
+	slowed  float64
+}
+
+// requestGroup has the results of one group of sources.
+type requestGroup struct {
+	sent      int
+	answered  int
+	refused   int
+	failed    int
+	latencies []time.Duration
+	work      time.Duration
+}
+
+// requestResult is the outcome of one run.
+type requestResult struct {
+	groups        map[string]*requestGroup
+	firstAttempts int
+	attempts      int
+	overLimit     int
+	pending       int
+}
+
+func newRequestSim(d requestDeployment, seed uint64) *requestSim {
+	s := &requestSim{
+		deployment: d, now: requestEpoch, random: rand.New(rand.NewPCG(seed, 7)),
+		targets: make(map[string]*simTarget), result: requestResult{groups: make(map[string]*requestGroup)},
+	}
+	for _, row := range d.targetRows() {
+		s.targets[row.ID] = &simTarget{slots: row.Slots, slowed: 1}
+	}
+	return s
+}
+
+// elapsed returns the virtual time since the start.
+func (s *requestSim) elapsed() time.Duration { return s.now.Sub(requestEpoch) }
+
+// after schedules an action.
+func (s *requestSim) after(d time.Duration, action func()) {
+	s.sequence++
+	heap.Push(&s.events, requestEvent{at: s.now.Add(d), sequence: s.sequence, action: action})
+}
+
+// run simulates until the given time and returns the result.
+func (s *requestSim) run(sources []requestSource, until time.Duration) requestResult {
+	for i := range sources {
+		src := &sources[i]
+		if s.result.groups[src.group] == nil {
+			s.result.groups[src.group] = &requestGroup{}
+		}
+		s.after(src.from+s.gap(src), func() { s.send(src) })
+	}
+	s.after(requestTick, s.tick)
+	end := requestEpoch.Add(until)
+	for len(s.events) > 0 && !s.events[0].at.After(end) {
+		event := heap.Pop(&s.events).(requestEvent)
+		s.now = event.at
+		event.action()
+	}
+	for _, g := range s.result.groups {
+		slices.Sort(g.latencies)
+	}
+	return s.result
+}
+
+func (s *requestSim) gap(src *requestSource) time.Duration {
+	return time.Duration(s.random.ExpFloat64() / src.rate * float64(time.Second))
+}
+
+func (s *requestSim) tick() {
+	for _, p := range s.policies {
+		p.tick()
+	}
+	s.after(requestTick, s.tick)
+}
+
+// send makes one request of a source and schedules the next one.
+func (s *requestSim) send(src *requestSource) {
+	if src.to > 0 && s.elapsed() >= src.to {
+		return
+	}
+	s.after(s.gap(src), func() { s.send(src) })
+	instance := s.random.IntN(len(s.policies))
+	if len(src.at) > 0 {
+		instance = src.at[s.random.IntN(len(src.at))]
+	}
+	// The mean of a log-normal value is exp(mu + sigma^2/2).
+	scale := math.Exp(src.deviation*s.random.NormFloat64() - src.deviation*src.deviation/2)
+	r := &simRequest{
+		source: src, sent: s.now, instance: instance,
+		service: time.Duration(float64(src.service) * scale),
+	}
+	r.Flow, r.Urgency, r.Deadline = src.flow, src.urgency, s.now.Add(src.deadline)
+	r.Context = r
+	s.count(r, func(g *requestGroup) { g.sent++ })
+	s.result.pending++
+	s.after(s.deployment.callerDelay, func() { s.policies[instance].arrive(r) })
+}
+
+// count changes the group of a request that was sent after the warm-up.
+func (s *requestSim) count(r *simRequest, change func(*requestGroup)) {
+	if r.sent.Sub(requestEpoch) >= s.warmup {
+		change(s.result.groups[r.source.group])
+	}
+}
+
+// attempt runs a request at a target and reports the end to the policy.
+func (s *requestSim) attempt(r *simRequest, target string) {
+	r.attempts++
+	s.result.attempts++
+	if r.attempts == 1 {
+		s.result.firstAttempts++
+	}
+	r.started = s.now
+	t := s.targets[target]
+	t.inUse++
+	if t.inUse > t.slots {
+		s.result.overLimit++
+	}
+	const failTime = time.Millisecond
+	held, ok := time.Duration(float64(r.service)*t.slowed), true
+	if t.failing {
+		held, ok = failTime, false
+	}
+	s.after(2*s.deployment.peerDelay+held, func() {
+		t.inUse--
+		s.policies[r.instance].finished(r, target, ok)
+	})
+}
+
+// answer ends a request with an answer. An answer after the deadline counts as failed.
+func (s *requestSim) answer(r *simRequest) {
+	s.end(r, func(g *requestGroup) {
+		latency := s.now.Add(s.deployment.callerDelay).Sub(r.sent)
+		if s.now.After(r.Deadline) {
+			g.failed++
+			return
+		}
+		g.answered++
+		g.work += r.service
+		g.latencies = append(g.latencies, latency)
+	})
+}
+
+func (s *requestSim) refuse(r *simRequest) { s.end(r, func(g *requestGroup) { g.refused++ }) }
+
+func (s *requestSim) fail(r *simRequest) { s.end(r, func(g *requestGroup) { g.failed++ }) }
+
+func (s *requestSim) end(r *simRequest, change func(*requestGroup)) {
+	if r.done {
+		panic("measure: a request ended twice")
+	}
+	r.done = true
+	s.result.pending--
+	s.count(r, change)
+}
+
+// p99 returns the 99th percentile of the latency of a group.
+func (g *requestGroup) p99() time.Duration {
+	if len(g.latencies) == 0 {
+		return 0
+	}
+	return g.latencies[min(len(g.latencies)-1, len(g.latencies)*99/100)]
+}
+
+type requestEvent struct {
+	at       time.Time
+	sequence uint64
+	action   func()
+}
+
+// requestEvents is a heap of events by time.
+type requestEvents []requestEvent
+
+// Len implements heap.Interface.
+func (h requestEvents) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h requestEvents) Less(i, j int) bool {
+	if c := h[i].at.Compare(h[j].at); c != 0 {
+		return c < 0
+	}
+	return h[i].sequence < h[j].sequence
+}
+
+// Swap implements heap.Interface.
+func (h requestEvents) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *requestEvents) Push(x any) { *h = append(*h, x.(requestEvent)) }
+
+// Pop implements heap.Interface.
+func (h *requestEvents) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
