Refuse late work earlier and move lent slots only on real imbalance

Cause: under a flood a third of the slot time went to answers after their deadline, and the division of slots changed at random with small changes of demand. Change: the wait estimate has a margin, a queued request needs its whole mean time before its deadline, and the owner moves slots only when parts differ by more than 10 %.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -90,6 +90,9 @@
 	total      int
 	service    map[Flow]float64
 	classes    []Flow
+	// stuck is set while no queued request may take one of the last free slots, so that
+	// arrivals need not search the tree again.
+	stuck bool
 }
 
 // New returns an empty queue with the default policy.
@@ -162,7 +165,7 @@
 	if leaf.queued >= q.policy.CallerQueueLimit {
 		return []Refusal{q.refuse(r, ErrQueueFull, wait)}
 	}
-	if now.Add(wait + q.serviceTime(leaf.flow)).After(r.Deadline) {
+	if now.Add(q.needed(leaf.flow, wait)).After(r.Deadline) {
 		return []Refusal{q.refuse(r, ErrDeadline, wait)}
 	}
 	var refused []Refusal
@@ -176,6 +179,9 @@
 		refused = append(refused, q.refuse(evicted, ErrQueueFull, q.expectedWait(now, longest, total)))
 	}
 	q.push(leaf, r)
+	if q.stuck && float64(leaf.running+1) <= max(leaf.share(now)*float64(total), 1) {
+		q.stuck = false
+	}
 	return refused
 }
 
@@ -183,6 +189,7 @@
 // place by arrival and is not refused for lack of room, since it was admitted before.
 func (q *Queue) Requeue(now time.Time, r *Request) {
 	q.push(q.leaf(now, r.Flow), r)
+	q.stuck = false
 }
 
 // Next removes the request to dispatch next, or returns nil if none may take a slot. free is
@@ -190,13 +197,17 @@
 func (q *Queue) Next(now time.Time, free, total int) (*Request, []Refusal) {
 	q.total = total
 	var refused []Refusal
-	for free > 0 && q.root.queued > 0 {
+	if free > reserve(total) {
+		q.stuck = false
+	}
+	for free > 0 && q.root.queued > 0 && !q.stuck {
 		leaf := q.choose(now, free, total)
 		if leaf == nil {
+			q.stuck = true
 			break
 		}
 		r := leaf.pop()
-		if now.Add(q.shortestService(leaf.flow)).After(r.Deadline) {
+		if q.late(now, r) {
 			q.collect(now, leaf)
 			refused = append(refused, q.refuse(r, ErrDeadline, minRetryAfter))
 			continue
@@ -210,6 +221,7 @@
 
 // Expire refuses queued requests whose deadline has passed and forgets idle callers.
 func (q *Queue) Expire(now time.Time) []Refusal {
+	q.stuck = false
 	var refused []Refusal
 	var leaves []*node
 	q.root.eachLeaf(func(n *node) { leaves = append(leaves, n) })
@@ -227,6 +239,7 @@
 // is corrected from the expected to the real time. Only answered requests teach the expected
 // time, since failures can be far shorter.
 func (q *Queue) Finish(now time.Time, r *Request, held time.Duration, answered bool) {
+	q.stuck = false
 	leaf := r.leaf
 	leaf.finish(now, held.Seconds()-r.charged)
 	r.charged = 0
@@ -271,14 +284,29 @@
 	return defaultService
 }
 
-// shortestService is the least time that an answer takes, used to refuse requests that are
-// certainly late. A quarter of the mean leaves room for requests shorter than most.
-func (q *Queue) shortestService(f Flow) time.Duration {
-	const part = 4
+// needed is the time that an answer needs after the given expected wait. A request that does
+// not wait is given the benefit of the doubt, since many need less than the mean. One that
+// waits is refused with a margin, since work that ends after its deadline is lost.
+func (q *Queue) needed(f Flow, wait time.Duration) time.Duration {
+	service := q.serviceTime(f)
 	if _, known := q.service[class(f)]; !known {
-		return 0
+		return wait
 	}
-	return q.serviceTime(f) / part
+	if wait < service {
+		return wait + service/4
+	}
+	return wait + wait/4 + 2*service
+}
+
+// late reports whether a request that is next can no longer be answered in time. After a
+// long wait there are others behind it that can, so the whole mean is asked for.
+func (q *Queue) late(now time.Time, r *Request) bool {
+	service := q.serviceTime(r.leaf.flow)
+	left := r.Deadline.Sub(now)
+	if now.Sub(r.arrived) < service {
+		return left < service/4
+	}
+	return left < service+service/2
 }
 
 func (q *Queue) learn(f Flow, held time.Duration) {
@@ -298,9 +326,10 @@
 
 // choose returns the leaf whose request takes the next slot.
 func (q *Queue) choose(now time.Time, free, total int) *node {
-	reserve := int(math.Ceil(float64(total) / reserveDivisor))
-	if free > reserve {
+	if free > reserve(total) {
 		return q.root.choose()
 	}
 	return q.root.chooseWithin(now, float64(total))
 }
+
+func reserve(total int) int { return int(math.Ceil(float64(total) / reserveDivisor)) }
--- a/internal/admission/node.go
+++ b/internal/admission/node.go
@@ -96,6 +96,7 @@
 }
 
 func (q *Queue) reweigh() {
+	q.stuck = false
 	var walk func(n *node)
 	walk = func(n *node) {
 		for _, c := range n.children {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -357,6 +357,10 @@
 		return false
 	}
 	factor := min(math.Pow(2, float64(e.ejections)), maxEjectFactor)
+	if t.mostOut(now) {
+		// A common cause is likelier than many broken targets, so they are tried again soon.
+		factor = 1
+	}
 	jitter := 1 + ejectJitter*(2*t.random.Float64()-1)
 	out := time.Duration(t.policy.EjectSeconds * factor * jitter * float64(time.Second))
 	e.ejections++
@@ -366,6 +370,17 @@
 	return true
 }
 
+// mostOut reports whether at least half of the targets are out.
+func (t *Table) mostOut(now time.Time) bool {
+	out := 0
+	for _, e := range t.order {
+		if e.trial || now.Before(e.outUntil) {
+			out++
+		}
+	}
+	return 2*out >= len(t.order)
+}
+
 // FirstAttempt adds the share of one first attempt to the retry budget.
 func (t *Table) FirstAttempt() {
 	t.tokens = min(t.tokens+t.policy.RetryBudget, retryBurst)
--- a/internal/dispatch/fair.go
+++ b/internal/dispatch/fair.go
@@ -20,6 +20,7 @@
 	slices.SortFunc(flows, compareFlows)
 	shares := make(map[admission.Flow]float64, len(flows))
 	l.fill(flows, demand, float64(l.allSlots), levelOrganisation, shares)
+	l.noteUnsatisfied(demand, shares)
 	result := make(map[string]float64, len(live))
 	for _, f := range flows {
 		total := demand[f].total
@@ -124,31 +125,45 @@
 	return 1
 }
 
-// spread returns the part of the demand of each reported flow, and of its organisation and
-// kind, that is at the reporting instance. Whole parts are left out.
-func (l *Lender) spread(now time.Time, report SlotReport) []FlowSpread {
+// levels returns a flow, its kind and its organisation.
+func levels(f admission.Flow) [levelFlow]admission.Flow {
+	return [levelFlow]admission.Flow{{Organisation: f.Organisation}, {Organisation: f.Organisation, Kind: f.Kind}, f}
+}
+
+// noteUnsatisfied keeps the total demand of the flows, kinds and organisations that want
+// more than their fair share. The others need no limit, whatever their spread.
+func (l *Lender) noteUnsatisfied(demand map[admission.Flow]*flowDemands, shares map[admission.Flow]float64) {
+	wanted, given := make(map[admission.Flow]float64), make(map[admission.Flow]float64)
+	for f, d := range demand {
+		for _, level := range levels(f) {
+			wanted[level] += d.total
+			given[level] += shares[f]
+		}
+	}
+	const rounding = 0.5
+	clear(l.unsatisfied)
+	for f, total := range wanted {
+		if given[f] < total-rounding {
+			l.unsatisfied[f] = total
+		}
+	}
+}
+
+// spread returns the part of the demand of each unsatisfied flow, kind and organisation that
+// is at the reporting instance. Whole parts are left out.
+func (l *Lender) spread(report SlotReport) []FlowSpread {
 	here := make(map[admission.Flow]int)
-	addLevels(here, report.Flows)
-	all := make(map[admission.Flow]int)
-	for _, id := range l.instances {
-		if l.live(now, id) {
-			addLevels(all, l.borrowers[id].report.Flows)
+	for _, f := range report.Flows {
+		for _, level := range levels(f.Flow) {
+			here[level] += f.Demand
 		}
 	}
 	var result []FlowSpread
 	for f, d := range here {
-		if all[f] > d {
-			result = append(result, FlowSpread{Flow: f, Part: float64(d) / float64(all[f])})
+		if total := l.unsatisfied[f]; total > float64(d) {
+			result = append(result, FlowSpread{Flow: f, Part: float64(d) / total})
 		}
 	}
 	slices.SortFunc(result, func(a, b FlowSpread) int { return compareFlows(a.Flow, b.Flow) })
 	return result
 }
-
-func addLevels(sums map[admission.Flow]int, flows []FlowDemand) {
-	for _, f := range flows {
-		sums[f.Flow] += f.Demand
-		sums[admission.Flow{Organisation: f.Flow.Organisation, Kind: f.Flow.Kind}] += f.Demand
-		sums[admission.Flow{Organisation: f.Flow.Organisation}] += f.Demand
-	}
-}
--- a/internal/dispatch/slots.go
+++ b/internal/dispatch/slots.go
@@ -33,6 +33,11 @@
 	floorShare = 0.25
 	// maxReportedFlows bounds the size of a report.
 	maxReportedFlows = 64
+	// rebalancePeriod bounds the work of dividing slots; it is below BusyReportPeriod.
+	rebalancePeriod = 100 * time.Millisecond
+	// rebalanceBand is the difference from its part, relative to an equal part, that an
+	// instance may have before slots are moved.
+	rebalanceBand = 0.1
 	// maxUnconfirmed bounds the replies that the owner remembers for one instance.
 	maxUnconfirmed = 8
 )
@@ -208,10 +213,15 @@
 	weights   map[string]float64
 	targets   []platform.Instance
 	// base has the base shares of the owned targets by target and instance.
-	base      map[string]map[string]int
-	allSlots  int
-	sequence  uint64
-	borrowers map[string]*borrower
+	base map[string]map[string]int
+	// wanted has the division of the owned targets that the lender works towards.
+	wanted     map[string]map[string]int
+	rebalanced time.Time
+	// unsatisfied has the demand of flows, kinds and organisations beyond their fair share.
+	unsatisfied map[admission.Flow]float64
+	allSlots    int
+	sequence    uint64
+	borrowers   map[string]*borrower
 }
 
 type borrower struct {
@@ -232,7 +242,8 @@
 		id: id, instances: slices.Sorted(slices.Values(instances)), started: now,
 		// The sequence begins at the start time, so that replies of a restarted owner are newer.
 		sequence:  uint64(max(now.UnixNano(), 0)),
-		borrowers: make(map[string]*borrower),
+		borrowers: make(map[string]*borrower), wanted: make(map[string]map[string]int),
+		unsatisfied: make(map[admission.Flow]float64),
 	}
 }
 
@@ -249,8 +260,12 @@
 		if Owner(t.ID, l.instances) == l.id {
 			l.targets = append(l.targets, t)
 			l.base[t.ID] = BaseShares(t, l.instances)
+			if l.wanted[t.ID] == nil {
+				l.wanted[t.ID] = maps.Clone(l.base[t.ID])
+			}
 		}
 	}
+	maps.DeleteFunc(l.wanted, func(id string, _ map[string]int) bool { return l.base[id] == nil })
 }
 
 // Report answers the report of an instance. It returns ErrOwnerStarting until grants of an
@@ -271,7 +286,7 @@
 		return b.replies[last].reply, nil
 	}
 	l.sequence++
-	reply := SlotReply{Sequence: l.sequence, Slots: l.divide(now, report.Instance), Spread: l.spread(now, report)}
+	reply := SlotReply{Sequence: l.sequence, Slots: l.divide(now, report.Instance), Spread: l.spread(report)}
 	b.replies = append(b.replies, sentReply{reply, now})
 	return reply, nil
 }
@@ -325,52 +340,108 @@
 // divide returns the slots of each owned target for one instance: the wanted division, as
 // far as others have given back what they hold.
 func (l *Lender) divide(now time.Time, instance string) map[string]int {
-	wanted := l.wanted(now)
+	l.rebalance(now)
 	slots := make(map[string]int, len(l.targets))
-	for i, t := range l.targets {
+	for _, t := range l.targets {
 		free := Slots(t)
 		for _, other := range l.instances {
 			if other != instance {
 				free -= l.committed(now, t, other)
 			}
 		}
-		slots[t.ID] = max(0, min(wanted[i][instance], free))
+		slots[t.ID] = max(0, min(l.wanted[t.ID][instance], free))
 	}
 	return slots
 }
 
-// wanted divides the slots of each target among live instances in the parts given by demand.
-// Rounding errors are carried from target to target, so that they do not add up.
-func (l *Lender) wanted(now time.Time) []map[string]int {
+// rebalance moves wanted slots from instances that have more than their part to those that
+// have less. Small differences are left, since a slot on the move serves nobody.
+func (l *Lender) rebalance(now time.Time) {
+	if now.Sub(l.rebalanced) < rebalancePeriod {
+		return
+	}
+	l.rebalanced = now
 	parts := l.parts(now)
-	owed := make(map[string]float64)
-	result := make([]map[string]int, len(l.targets))
-	for i, t := range l.targets {
-		result[i] = make(map[string]int)
-		free := Slots(t)
+	total := 0
+	surplus := make(map[string]float64)
+	for _, t := range l.targets {
+		l.returnBase(t, parts)
 		for _, id := range l.instances {
-			if !l.live(now, id) {
-				free -= l.committed(now, t, id)
+			if _, live := parts[id]; live {
+				surplus[id] += float64(l.wanted[t.ID][id])
+				total += l.wanted[t.ID][id]
 			}
 		}
-		for id, part := range parts {
-			owed[id] += part * float64(max(free, 0))
+	}
+	for id, part := range parts {
+		surplus[id] -= part * float64(total)
+	}
+	for l.moveSlot(surplus, max(1, rebalanceBand*float64(total)/float64(max(1, len(parts))))) {
+	}
+}
+
+// returnBase gives instances that are not live their base share of a target back and hands
+// slots that nobody has to the live instances.
+func (l *Lender) returnBase(t platform.Instance, parts map[string]float64) {
+	wanted := l.wanted[t.ID]
+	sum := 0
+	for _, id := range l.instances {
+		if _, live := parts[id]; !live {
+			wanted[id] = l.base[t.ID][id]
 		}
-		for range max(free, 0) {
-			best := ""
-			for _, id := range l.instances {
-				if _, has := parts[id]; has && (best == "" || owed[id] > owed[best]) {
-					best = id
-				}
-			}
-			if best == "" {
-				break
+		sum += wanted[id]
+	}
+	for sum > Slots(t) {
+		most := ""
+		for _, id := range l.instances {
+			if _, live := parts[id]; live && (most == "" || wanted[id] > wanted[most]) {
+				most = id
 			}
-			owed[best]--
-			result[i][best]++
 		}
+		wanted[most]--
+		sum--
+	}
+	for _, id := range l.instances {
+		if _, live := parts[id]; live && sum < Slots(t) && wanted[id] < l.base[t.ID][id] {
+			wanted[id]++
+			sum++
+		}
+	}
+}
+
+// moveSlot moves one slot from the instance with the largest surplus to the one with the
+// largest lack, if both exceed the band. It reports whether it did.
+func (l *Lender) moveSlot(surplus map[string]float64, band float64) bool {
+	from, to := "", ""
+	for _, id := range l.instances {
+		if _, live := surplus[id]; !live {
+			continue
+		}
+		if from == "" || surplus[id] > surplus[from] {
+			from = id
+		}
+		if to == "" || surplus[id] < surplus[to] {
+			to = id
+		}
+	}
+	if from == "" || surplus[from]-surplus[to] <= 2*band || surplus[from] < 1 {
+		return false
+	}
+	best := ""
+	for _, t := range l.targets {
+		w := l.wanted[t.ID]
+		if w[from] > 0 && (best == "" || w[from]-w[to] > l.wanted[best][from]-l.wanted[best][to]) {
+			best = t.ID
+		}
+	}
+	if best == "" {
+		return false
 	}
-	return result
+	l.wanted[best][from]--
+	l.wanted[best][to]++
+	surplus[from]--
+	surplus[to]++
+	return true
 }
 
 // parts returns the part of all slots that each live instance should have.
