Scale only the shares of callers that want more than their fair share

Cause: the parts of small flows, kinds and organisations at one instance change at random, and scaling by them took slots from organisations with a flood. Change: only unsatisfied callers are scaled.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -83,7 +83,7 @@
 type Queue struct {
 	policy     resource.AdmissionPolicy
 	orgWeights map[string]float64
-	spread     map[Flow]float64
+	scales     map[Flow]float64
 	root       *node
 	random     *rand.Rand
 	sequence   uint64
@@ -117,11 +117,10 @@
 	q.reweigh()
 }
 
-// SetSpread sets the part of the demand over all instances that is at this one, by flow and,
-// with empty caller or kind, by kind and by organisation. What is not named counts as whole. Shares are scaled by it, so that a caller gains
-// nothing by spreading over instances.
-func (q *Queue) SetSpread(spread map[Flow]float64) {
-	q.spread = spread
+// SetScales sets factors for the shares of flows. What is not named has the factor 1. They keep a caller from gaining a larger share by
+// spreading over instances.
+func (q *Queue) SetScales(scales map[Flow]float64) {
+	q.scales = scales
 	q.reweigh()
 }
 
--- a/internal/admission/node.go
+++ b/internal/admission/node.go
@@ -76,15 +76,15 @@
 	return c
 }
 
-// weigh sets the weight of a node from the policy and from the spread over instances.
+// weigh sets the weight of a node from the policy and the scales.
 func (q *Queue) weigh(n *node) {
 	switch {
 	case n.parent == q.root:
-		n.weight = weightOr1(q.orgWeights, n.key) * weightOr1(q.spread, Flow{Organisation: n.key})
+		n.weight = weightOr1(q.orgWeights, n.key)
 	case n.parent.parent == q.root:
-		n.weight = weightOr1(q.policy.KindWeights, n.key) * weightOr1(q.spread, Flow{Organisation: n.parent.key, Kind: n.key})
+		n.weight = weightOr1(q.policy.KindWeights, n.key)
 	default:
-		n.weight = weightOr1(q.spread, n.flow)
+		n.weight = weightOr1(q.scales, n.flow)
 	}
 }
 
--- a/internal/dispatch/fair.go
+++ b/internal/dispatch/fair.go
@@ -20,7 +20,7 @@
 	slices.SortFunc(flows, compareFlows)
 	shares := make(map[admission.Flow]float64, len(flows))
 	l.fill(flows, demand, float64(l.allSlots), levelOrganisation, shares)
-	l.noteUnsatisfied(demand, shares)
+	l.noteDemand(demand, shares)
 	result := make(map[string]float64, len(live))
 	for _, f := range flows {
 		total := demand[f].total
@@ -125,45 +125,28 @@
 	return 1
 }
 
-// levels returns a flow, its kind and its organisation.
-func levels(f admission.Flow) [levelFlow]admission.Flow {
-	return [levelFlow]admission.Flow{{Organisation: f.Organisation}, {Organisation: f.Organisation, Kind: f.Kind}, f}
-}
-
-// noteUnsatisfied keeps the total demand of the flows, kinds and organisations that want
-// more than their fair share. The others need no limit, whatever their spread.
-func (l *Lender) noteUnsatisfied(demand map[admission.Flow]*flowDemands, shares map[admission.Flow]float64) {
-	wanted, given := make(map[admission.Flow]float64), make(map[admission.Flow]float64)
-	for f, d := range demand {
-		for _, level := range levels(f) {
-			wanted[level] += d.total
-			given[level] += shares[f]
-		}
-	}
+// noteDemand keeps the total demand of the flows that want more than their fair share.
+func (l *Lender) noteDemand(demand map[admission.Flow]*flowDemands, shares map[admission.Flow]float64) {
 	const rounding = 0.5
 	clear(l.unsatisfied)
-	for f, total := range wanted {
-		if given[f] < total-rounding {
-			l.unsatisfied[f] = total
+	for f, d := range demand {
+		if shares[f] < d.total-rounding {
+			l.unsatisfied[f] = d.total
 		}
 	}
 }
 
-// spread returns the part of the demand of each unsatisfied flow, kind and organisation that
-// is at the reporting instance. Whole parts are left out.
-func (l *Lender) spread(report SlotReport) []FlowSpread {
-	here := make(map[admission.Flow]int)
+// scales returns the factors for the shares of the reported flows at the reporting instance:
+// the part of a flow's demand that is there. A flow that is satisfied is not scaled, since
+// its demand is small and its part at one instance changes at random. Kinds and
+// organisations are not scaled: their members are, and the part of an organisation at one
+// instance says little about the need of its small callers there.
+func (l *Lender) scales(report SlotReport) []FlowScale {
+	var result []FlowScale
 	for _, f := range report.Flows {
-		for _, level := range levels(f.Flow) {
-			here[level] += f.Demand
-		}
-	}
-	var result []FlowSpread
-	for f, d := range here {
-		if total := l.unsatisfied[f]; total > float64(d) {
-			result = append(result, FlowSpread{Flow: f, Part: float64(d) / total})
+		if total := l.unsatisfied[f.Flow]; total > float64(f.Demand) {
+			result = append(result, FlowScale{Flow: f.Flow, Scale: float64(f.Demand) / total})
 		}
 	}
-	slices.SortFunc(result, func(a, b FlowSpread) int { return compareFlows(a.Flow, b.Flow) })
 	return result
 }
--- a/internal/dispatch/slots.go
+++ b/internal/dispatch/slots.go
@@ -68,15 +68,14 @@
 type SlotReply struct {
 	Sequence uint64
 	Slots    map[string]int
-	// Spread is the part of each reported flow's demand that is at the reporting instance.
-	// Entries without caller, or without kind and caller, are for the levels above.
-	Spread []FlowSpread
+	// Scales are factors for the shares of the reported flows at the reporting instance.
+	Scales []FlowScale
 }
 
-// FlowSpread is the part of a flow's demand over all instances that is at one of them.
-type FlowSpread struct {
-	Flow admission.Flow
-	Part float64
+// FlowScale is a factor for the share of a flow at one instance.
+type FlowScale struct {
+	Flow  admission.Flow
+	Scale float64
 }
 
 func rendezvous(key, instance string) uint64 {
@@ -172,18 +171,17 @@
 	}
 }
 
-// Spreads merges the spreads of all valid replies.
-func (h *Holder) Spreads(now time.Time) map[admission.Flow]float64 {
+// Scales merges the scales of all valid replies. They come from the same reports, so the
+// last one in order of the owners' ids is as good as any.
+func (h *Holder) Scales(now time.Time) map[admission.Flow]float64 {
 	merged := make(map[admission.Flow]float64)
 	for _, owner := range slices.Sorted(maps.Keys(h.grants)) {
 		g := h.grants[owner]
-		if !now.Before(g.yields) {
+		if !now.Before(g.until) {
 			continue
 		}
-		for _, s := range g.reply.Spread {
-			if part, known := merged[s.Flow]; !known || s.Part < part {
-				merged[s.Flow] = s.Part
-			}
+		for _, s := range g.reply.Scales {
+			merged[s.Flow] = s.Scale
 		}
 	}
 	return merged
@@ -217,7 +215,7 @@
 	// wanted has the division of the owned targets that the lender works towards.
 	wanted     map[string]map[string]int
 	rebalanced time.Time
-	// unsatisfied has the demand of flows, kinds and organisations beyond their fair share.
+	// unsatisfied has the total demand of flows that want more than their fair share.
 	unsatisfied map[admission.Flow]float64
 	allSlots    int
 	sequence    uint64
@@ -286,7 +284,7 @@
 		return b.replies[last].reply, nil
 	}
 	l.sequence++
-	reply := SlotReply{Sequence: l.sequence, Slots: l.divide(now, report.Instance), Spread: l.spread(report)}
+	reply := SlotReply{Sequence: l.sequence, Slots: l.divide(now, report.Instance), Scales: l.scales(report)}
 	b.replies = append(b.replies, sentReply{reply, now})
 	return reply, nil
 }
--- a/internal/dispatch/slots_test.go
+++ b/internal/dispatch/slots_test.go
@@ -164,20 +164,24 @@
 	big := admission.Flow{Organisation: "o", Kind: "k", Caller: "big"}
 	small := admission.Flow{Organisation: "o", Kind: "k", Caller: "small"}
 	now := epoch.Add(GrantTTL)
-	report := func() (reply SlotReply) {
-		_, err := l.Report(now, SlotReport{Instance: "e0", Demand: 600, Flows: []FlowDemand{{big, 300}, {small, 300}}})
-		require.NoError(t, err)
-		reply, err = l.Report(now, SlotReport{Instance: "e1", Demand: 300, Flows: []FlowDemand{{big, 300}}})
+	reports := []SlotReport{
+		{Instance: "e0", Demand: 600, Flows: []FlowDemand{{big, 300}, {small, 300}}},
+		{Instance: "e1", Demand: 300, Flows: []FlowDemand{{big, 300}}},
+	}
+	report := func(i int) SlotReply {
+		reply, err := l.Report(now, reports[i])
 		require.NoError(t, err)
 		return reply
 	}
-	report()
+	report(0)
+	report(1)
 	now = now.Add(rebalancePeriod)
-	reply := report()
+	report(1)
+	reply := report(1)
 	fair := l.fairSlots(now, l.instances)
 	require.InDelta(t, 60, fair["e0"], 0.01)
 	require.InDelta(t, 20, fair["e1"], 0.01)
-	require.Contains(t, reply.Spread, FlowSpread{Flow: big, Part: 0.5})
+	require.Equal(t, []FlowScale{{Flow: big, Scale: 0.5}}, reply.Scales)
 }
 
 // Guards against lending the base share of an instance whose reports arrive while the
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -118,7 +118,7 @@
 	defer c.mu.Unlock()
 	now := c.now()
 	s.holder.Apply(owner, reply, sent, now)
-	c.queue.SetSpread(s.holder.Spreads(now))
+	c.queue.SetScales(s.holder.Scales(now))
 	c.table.Refresh()
 	c.pumpLocked(now)
 }
--- a/internal/measure/policyrequest_test.go
+++ b/internal/measure/policyrequest_test.go
@@ -54,6 +54,14 @@
 	})
 }
 
+// BenchmarkPolicySharing compares ways to hold the limits of targets when callers use few of
+// the instances.
+func BenchmarkPolicySharing(b *testing.B) {
+	benchmarkRequests(b, func(d requestDeployment, policy string) requestMetrics {
+		return measureSharing(d, policy, requestSeed)
+	})
+}
+
 // Guards against a simulation that depends on map order or on the wall clock.
 func TestRequestMeasuresRepeat(t *testing.T) {
 	d := requestDeployment{name: "tiny", instances: 3, targets: 6, slots: 8, orgs: 2}
--- a/internal/measure/request_policy.go
+++ b/internal/measure/request_policy.go
@@ -256,7 +256,7 @@
 			}
 			p.sim.after(p.sim.deployment.peerDelay, func() {
 				p.holder.Apply(owner, reply, sent, p.sim.now)
-				p.queue.SetSpread(p.holder.Spreads(p.sim.now))
+				p.queue.SetScales(p.holder.Scales(p.sim.now))
 				p.table.Refresh()
 				p.pump()
 			})
--- a/internal/measure/request_scenarios.go
+++ b/internal/measure/request_scenarios.go
@@ -188,3 +188,21 @@
 		"over_limit":     float64(result.overLimit),
 	}
 }
+
+// measureSharing sends 60 % of the capacity through a third of the instances.
+func measureSharing(d requestDeployment, policy string, seed uint64) requestMetrics {
+	const part = 0.6
+	sources := ordinaryLoad(d, part)
+	for i := range sources {
+		for instance := range max(1, d.instances/3) {
+			sources[i].at = append(sources[i].at, instance)
+		}
+	}
+	result := runRequests(d, policy, seed, sources, requestRunTime)
+	g := result.groups["others"]
+	return requestMetrics{
+		"answered_share": float64(g.answered) / float64(g.sent),
+		"p99_ms":         float64(g.p99().Milliseconds()),
+		"over_limit":     float64(result.overLimit),
+	}
+}
--- a/internal/measure/request_sim.go
+++ b/internal/measure/request_sim.go
@@ -262,12 +262,12 @@
 	}
 	s.end(r, func(g *requestGroup) {
 		latency := s.now.Add(s.deployment.callerDelay).Sub(r.sent)
+		g.latencies = append(g.latencies, latency)
 		if s.now.After(r.Deadline) {
 			g.failed++
 			return
 		}
 		g.answered++
-		g.latencies = append(g.latencies, latency)
 	})
 }
 
