--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -263,8 +263,11 @@
 
 func (q *Queue) refuse(r *Request, reason error, wait time.Duration) Refusal {
 	// Jitter between half and one and a half keeps refused callers from returning together.
-	wait = time.Duration(float64(max(wait, minRetryAfter)) * (0.5 + q.random.Float64()))
-	return Refusal{Request: r, Reason: reason, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter)}
+	// The bound applies before it, since long waits would otherwise all become the same.
+	const jitter = 0.5
+	base := min(max(wait, minRetryAfter), maxRetryAfter*2/3)
+	wait = time.Duration(float64(base) * (1 - jitter + 2*jitter*q.random.Float64()))
+	return Refusal{Request: r, Reason: reason, RetryAfter: wait}
 }
 
 // expectedWait estimates the wait at the end of a leaf's queue from the slots it can count on.
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,152 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+)
+
+func newTable(targets int) *Table {
+	t := New(1, nil)
+	t.Update(targetRows(targets))
+	return t
+}
+
+// fill takes all free slots and returns the number taken of each target.
+func fill(table *Table, now time.Time) map[string]int {
+	counts := make(map[string]int)
+	for target, ok := table.Pick(now, "", true); ok; target, ok = table.Pick(now, "", true) {
+		counts[target.ID]++
+	}
+	return counts
+}
+
+// Guards against an idle target that fails fast and attracts the load, and against its
+// return with full load.
+func TestFastFailingTargetIsTakenOutAndTried(t *testing.T) {
+	table := newTable(4)
+	now, hits := epoch, 0
+	for range 1000 {
+		now = now.Add(time.Millisecond)
+		for id, count := range fill(table, now) {
+			r := Result{Verdict: Answered, Held: time.Millisecond, Expected: time.Millisecond, Caller: 1}
+			if id == "t00" {
+				r.Verdict = Failed
+				hits += count
+			}
+			for range count {
+				table.Finish(now, id, r)
+			}
+		}
+	}
+	require.Equal(t, 8, hits)
+	require.Equal(t, 1, fill(table, now.Add(10*time.Second))["t00"])
+}
+
+// Guards against a caller whose requests always fail and so takes targets from the others.
+func TestOneCallerCannotTakeTargetsOut(t *testing.T) {
+	table := newTable(1)
+	for range 100 {
+		_, ok := table.Pick(epoch, "", true)
+		require.True(t, ok)
+		require.False(t, table.Finish(epoch, "t00", Result{Verdict: ErrorAnswer, Caller: 1}))
+	}
+	table.Pick(epoch, "", true)
+	require.True(t, table.Finish(epoch, "t00", Result{Verdict: ErrorAnswer, Caller: 2}))
+}
+
+// Guards against a slow target that fills up with requests while others are free.
+func TestSlowTargetGetsFewRequests(t *testing.T) {
+	table := newTable(4)
+	for range 50 {
+		for id, count := range fill(table, epoch) {
+			held := time.Second
+			if id == "t00" {
+				held = 10 * time.Second
+			}
+			for range count {
+				table.Finish(epoch, id, Result{Verdict: Answered, Held: held, Expected: time.Second})
+			}
+		}
+	}
+	counts := fill(table, epoch)
+	require.LessOrEqual(t, counts["t00"], 2)
+	require.Equal(t, 8, counts["t01"])
+}
+
+// Guards against new work for a target that leaves or is off the list, and against the loss
+// of its requests in progress.
+func TestLeavingTargetIsNotPicked(t *testing.T) {
+	rows := targetRows(2)
+	table := newTable(2)
+	for range 16 {
+		table.Pick(epoch, "", true)
+	}
+	rows[0].State = platform.StateLeaving
+	require.Equal(t, []string{"t00"}, table.Update(rows))
+	require.Equal(t, 8, table.InUse()["t00"])
+	table.Update(rows[1:])
+	require.Equal(t, 8, table.InUse()["t00"])
+	table.Finish(epoch, "t00", Result{Verdict: Answered})
+	_, ok := table.Pick(epoch, "", true)
+	require.False(t, ok)
+}
+
+// Guards against retries beyond the budget and against retries that come in waves.
+func TestRetriesAreBudgetedAndSpread(t *testing.T) {
+	table := newTable(1)
+	retries := 0
+	waits := make(map[time.Duration]bool)
+	for range 10_000 {
+		table.FirstAttempt()
+		for table.TakeRetry() {
+			retries++
+			waits[table.Backoff(3)] = true
+		}
+	}
+	require.LessOrEqual(t, retries, 1000)
+	require.Greater(t, len(waits), 100)
+}
+
+// Guards against more requests at a target than its allowance under any order of events.
+func TestLimitsAreNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		allowed := rapid.IntRange(0, 8).Draw(t, "allowed")
+		table := New(1, func(platform.Instance) int { return allowed })
+		table.Update(targetRows(3))
+		now := epoch
+		running := make(map[string]int)
+		t.Repeat(map[string]func(*rapid.T){
+			"pick": func(t *rapid.T) {
+				free, _ := table.Capacity(now)
+				target, ok := table.Pick(now, "t01", rapid.Bool().Draw(t, "repeatable"))
+				if ok != (free > 0) {
+					t.Fatalf("%d free slots, picked %v", free, ok)
+				}
+				if !ok {
+					return
+				}
+				running[target.ID]++
+				if running[target.ID] > allowed {
+					t.Fatalf("%d requests at %s of %d allowed", running[target.ID], target.ID, allowed)
+				}
+			},
+			"finish": func(t *rapid.T) {
+				id := rapid.SampledFrom([]string{"t00", "t01", "t02"}).Draw(t, "target")
+				if running[id] == 0 {
+					t.Skip()
+				}
+				running[id]--
+				verdict := Verdict(rapid.IntRange(int(Answered), int(Abandoned)).Draw(t, "verdict"))
+				table.Finish(now, id, Result{Verdict: verdict, Held: time.Second, Expected: time.Second, Caller: rapid.Uint64Range(1, 2).Draw(t, "caller")})
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 10_000).Draw(t, "ms")) * time.Millisecond)
+			},
+		})
+	})
+}
--- a/internal/measure/request_sim.go
+++ b/internal/measure/request_sim.go
@@ -1,3 +1,4 @@
+// Package measure compares the decisions of the system with baselines under virtual time.
 package measure
 
 import (
