--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -112,9 +112,10 @@
 	b.reading.Store(true)
 	n, err := b.source.Read(p)
 	b.reading.Store(false)
-	if b.control != nil && err != nil {
+	if b.control != nil && errors.Is(err, io.EOF) {
 		// The server watches the connection for a caller that leaves once the body is read;
-		// a deadline that stays set would look like one.
+		// a deadline that stays set would look like one. After an error the deadline stays, so
+		// that the server does not wait for the rest of the body.
 		_ = b.control.SetReadDeadline(time.Time{})
 	}
 	b.read += int64(n)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -184,6 +184,9 @@
 	if p.outcome == outcomeNotRun || p.outcome == outcomeUnknown {
 		x.g.event(timeline.TypeRefusal, string(p.outcome), x.info.id, p.reason)
 	}
+	if x.body.failed.Load() {
+		x.w.Header().Set("Connection", "close")
+	}
 	p.write(x.w, x.info.id)
 	return p.outcome, p.reason
 }
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -76,3 +76,11 @@
 	c.release()
 	return c.Conn.Close()
 }
+
+// CloseWrite lets the server send a last answer and wait for the caller to read it.
+func (c *limitedConn) CloseWrite() error {
+	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return inner.CloseWrite()
+	}
+	return nil
+}
