Adopt the newest started attempt of a job

Cause: a new leader took a newer attempt that was only reserved for the job's newest one, and the attempt that the log had as running was forgotten (rapid). Change: an attempt that was never started hides neither an older one nor the recorded one.

--- a/internal/placement/adopt.go
+++ b/internal/placement/adopt.go
@@ -42,6 +42,20 @@
 	}
 }
 
+// started reports whether a member was started. A lapsed reservation ends without run time.
+func (f *finding) started() bool {
+	return slices.ContainsFunc(f.found, func(one gang.Found) bool {
+		switch one.Lease.State {
+		case platform.LeaseReserved:
+			return false
+		case platform.LeaseStopped:
+			return one.Lease.RanSeconds > 0
+		default:
+			return true
+		}
+	})
+}
+
 // findings groups the listed leases by attempt.
 func (z *zone) findings() map[attempt]*finding {
 	findings := make(map[attempt]*finding)
@@ -73,12 +87,16 @@
 	return silent
 }
 
-// adoptable returns the attempt of a job that may be running: the newest one found, unless
-// the log says that it has ended, or else the one that the log says is running.
+// adoptable returns the attempt of a job that may be running: the newest one that was started,
+// unless the log says that it has ended, or else the one that the log says is running. A
+// newer attempt that is only reserved hides neither, because it is dropped without a trace.
 func (z *zone) adoptable(job *resource.Job, findings map[attempt]*finding) (finding, gang.Spec, bool) {
 	var newest *finding
 	for _, f := range findings {
-		if f.key.uid == job.UID && (newest == nil || f.key.number > newest.key.number) {
+		if f.key.uid != job.UID || !f.started() && f.key.number != job.Status.Attempt {
+			continue
+		}
+		if newest == nil || f.key.number > newest.key.number {
 			newest = f
 		}
 	}
--- a/internal/placement/chaos_test.go
+++ b/internal/placement/chaos_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -60,7 +61,9 @@
 	dead     bool
 	// lagging has the state that a leader sees that does not read the log.
 	lagging *state.State
-	pausedA time.Time
+	// pausedUntil is when a paused leader goes on.
+	pausedUntil time.Time
+	view        View
 }
 
 // chaos drives zones against the stand-ins' workers with faults drawn by rapid.
@@ -145,10 +148,41 @@
 	}
 	c.check()
 	for name, job := range c.state.Jobs {
-		require.True(c.t, job.Status.Phase.Terminal(), "job %s is %s after the faults: %s", name, job.Status.Phase, job.Status.Reason)
+		require.True(c.t, job.Status.Phase.Terminal(), "job %s is %s after the faults\n%s", name, job.Status.Phase, c.describe())
 	}
 }
 
+// describe prints the leader's and the workers' knowledge for a failed check.
+func (c *chaos) describe() string {
+	var out strings.Builder
+	for _, l := range c.leaders {
+		if l.dead {
+			continue
+		}
+		fmt.Fprintf(&out, "leader %v recorded=%v adopted=%v write=%+v\n", l.epoch, l.recorded, l.zone.adopted, l.zone.write)
+		for key, r := range l.zone.runs {
+			result, reason := r.Outcome()
+			fmt.Fprintf(&out, "  run %s %d %s %s %s commitAt=%v committed=%v ended=%v\n", r.job, key.number, r.Phase(), result, reason, r.commitAt, r.committed, r.ended)
+		}
+		for name, p := range l.zone.pending {
+			fmt.Fprintf(&out, "  pending %s %+v\n", name, *p)
+		}
+		for id, w := range l.zone.workers {
+			fmt.Fprintf(&out, "  worker %s listed=%v failing=%v orphans=%v\n", id, w.listed, w.failing, w.orphans)
+		}
+		fmt.Fprintf(&out, "  waiting %v\n", l.zone.waiting)
+	}
+	for _, row := range c.rows {
+		for _, lease := range c.fleet.Snapshot(row.ID) {
+			fmt.Fprintf(&out, "lease %s %+v\n", row.ID, lease)
+		}
+	}
+	for name, job := range c.state.Jobs {
+		fmt.Fprintf(&out, "job %s %+v\n", name, job.Status)
+	}
+	return out.String()
+}
+
 func (c *chaos) finished() bool {
 	for _, job := range c.state.Jobs {
 		if !job.Status.Phase.Terminal() {
@@ -170,7 +204,7 @@
 
 func (c *chaos) stepLeader(l *chaosLeader) {
 	now := c.clock.at
-	if now.Before(l.pausedA) {
+	if now.Before(l.pausedUntil) {
 		return
 	}
 	if !l.recorded && c.logUp {
@@ -185,7 +219,10 @@
 	if l.lagging != nil {
 		st = l.lagging
 	}
-	view := newView(st, "z")
+	if l.view.Jobs == nil || l.view.Version != st.Applied {
+		l.view = newView(st, "z")
+	}
+	view := l.view
 	view.Instances, view.May, view.LogUp = c.rows, true, c.logUp && l.recorded && l.lagging == nil
 	step := l.zone.step(now, view)
 	for _, op := range step.Ops {
@@ -291,7 +328,10 @@
 		}
 	}
 	m.op.Reason = reason
-	r := newRunner(c.fleet, epoch, func() bool { return true }, func() time.Time { return m.sent })
+	r := &runner{
+		workers: c.fleet, epoch: epoch,
+		mayCall: func() bool { return true }, now: func() time.Time { return m.sent },
+	}
 	answer := r.exchange(impatient{context.Background()}, []Op{m.op})[0]
 	if answer.Err == nil && m.op.Kind == gang.CallReserve {
 		for _, id := range m.op.Leases {
@@ -357,7 +397,7 @@
 		c.leader().dead = true
 		c.newLeader()
 	case "pause":
-		c.leader().pausedA = c.clock.at.Add(time.Duration(rapid.IntRange(1, 5).Draw(c.t, "pause")) * time.Second)
+		c.leader().pausedUntil = c.clock.at.Add(time.Duration(rapid.IntRange(1, 5).Draw(c.t, "pause")) * time.Second)
 		c.newLeader()
 	case "two-leaders":
 		// The old leader goes on with a state that no longer changes.
