--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -15,8 +15,8 @@
 	shape     shape
 	// nodes has the worker of each member; nil if the slot has no place.
 	nodes []int
-	// used has the units that covered runs hold in the slot, by node.
-	used map[int]int
+	// used has the units that covered runs hold in the slot, by node in ascending order.
+	used []foot
 	runs []*run
 }
 
@@ -29,6 +29,8 @@
 	missing []int
 	// room has the units of each node that neither slots nor unmovable runs take.
 	room []int
+	// added is the run that the plan was made for, if any.
+	added *run
 }
 
 // broken returns how many slots have no place.
@@ -45,22 +47,37 @@
 	return !run.movable || r.covered[run] != nil
 }
 
+// coverMode says which runs count as a use of their organisation's guarantee. A run of exactly
+// the guaranteed shape always does, except in coverNone.
+type coverMode int
+
+const (
+	// coverMovable adds the smaller runs that can be reclaimed. Runs that cannot are placed
+	// beside the guarantee, so that the guaranteed shape stays whole.
+	coverMovable coverMode = iota
+	// coverAll adds the smaller runs that cannot be reclaimed.
+	coverAll
+	// coverExact adds nothing.
+	coverExact
+	// coverNone covers nothing. It applies after the loss of workers only.
+	coverNone
+)
+
 // reserve computes the reservation plan for the runs of the index. Runs keep the cover of
 // their organisation's guarantee in the order of their start, so that a later start cannot
-// take it away. If the plan does not hold that way, it is computed again with the covered
-// runs treated as reclaimable where they are in the way: a run can be restarted elsewhere,
-// a broken guarantee cannot be explained.
+// take it away. If the plan does not hold that way, it is computed again with fewer runs
+// protected: a run can be restarted elsewhere, a broken guarantee cannot.
 func (c *cluster) reserve(guarantees []*resource.Guarantee) *reservation {
-	best := c.reserveOnce(guarantees, true, bySpread)
-	if best.broken() == 0 {
-		return best
-	}
+	var best *reservation
 	for _, try := range []struct {
-		cover bool
+		mode  coverMode
 		order slotOrder
-	}{{true, bySize}, {false, bySpread}, {false, bySize}} {
-		next := c.reserveOnce(guarantees, try.cover, try.order)
-		if next.broken() < best.broken() {
+	}{
+		{coverMovable, bySpread}, {coverAll, bySpread}, {coverMovable, bySize},
+		{coverExact, bySpread}, {coverExact, bySize}, {coverNone, bySpread},
+	} {
+		next := c.reserveOnce(guarantees, try.mode, try.order)
+		if best == nil || next.broken() < best.broken() {
 			best = next
 		}
 		if best.broken() == 0 {
@@ -70,7 +87,7 @@
 	return best
 }
 
-func (c *cluster) reserveOnce(guarantees []*resource.Guarantee, cover bool, order slotOrder) *reservation {
+func (c *cluster) reserveOnce(guarantees []*resource.Guarantee, mode coverMode, order slotOrder) *reservation {
 	r := &reservation{
 		covered: make(map[*run]*slot),
 		missing: make([]int, len(guarantees)),
@@ -82,7 +99,7 @@
 		}
 	}
 	byOrg := r.addSlots(guarantees)
-	c.coverRuns(r, byOrg, cover)
+	c.coverRuns(r, byOrg, mode)
 	c.completeSlots(r)
 	c.placeSlots(r, order)
 	return r
@@ -100,59 +117,87 @@
 	return byOrg
 }
 
-// coverRuns gives runs their cover. Unmovable runs come first, because no plan can move them,
-// and they take room whether or not they are covered.
-func (c *cluster) coverRuns(r *reservation, byOrg map[string][]*slot, cover bool) {
-	var movable []*run
-	var unmovable []*run
+// coverRuns gives runs their cover: first runs of exactly a guaranteed shape, then unmovable
+// ones, which take room whether or not they are covered, then the others.
+func (c *cluster) coverRuns(r *reservation, byOrg map[string][]*slot, mode coverMode) {
+	var exact, fixed, smaller []*run
 	for _, run := range c.runs {
+		slots := byOrg[run.job.Spec.Organisation]
 		switch {
+		case mode != coverNone && !run.reclaiming && hasShape(slots, run.shape):
+			exact = append(exact, run)
 		case !run.movable:
-			unmovable = append(unmovable, run)
-		case !run.reclaiming && byOrg[run.job.Spec.Organisation] != nil:
-			movable = append(movable, run)
+			fixed = append(fixed, run)
+		case !run.reclaiming && slots != nil && (mode == coverMovable || mode == coverAll):
+			smaller = append(smaller, run)
 		}
 	}
-	slices.SortStableFunc(unmovable, olderRun)
-	for _, run := range unmovable {
-		if !c.cover(r, byOrg[run.job.Spec.Organisation], run) {
-			c.takeRoom(r, run)
+	for _, run := range exact {
+		if !run.movable {
+			fixed = append(fixed, run)
 		}
 	}
-	if !cover {
-		return
+	slices.SortStableFunc(exact, olderRun)
+	slices.SortStableFunc(smaller, olderRun)
+	for _, run := range exact {
+		c.cover(r, byOrg[run.job.Spec.Organisation], run)
 	}
-	slices.SortStableFunc(movable, olderRun)
-	for _, run := range movable {
+	for _, run := range fixed {
+		slots := byOrg[run.job.Spec.Organisation]
+		if r.covered[run] == nil && (mode != coverAll || !c.cover(r, slots, run)) {
+			c.takeRoom(r, run)
+		}
+	}
+	for _, run := range smaller {
 		c.cover(r, byOrg[run.job.Spec.Organisation], run)
 	}
 }
 
+// hasShape reports whether one of the slots promises the shape.
+func hasShape(slots []*slot, s shape) bool {
+	return slices.ContainsFunc(slots, func(slot *slot) bool { return slot.exact(s) })
+}
+
+// exact reports whether a gang has the shape of the slot.
+func (s *slot) exact(other shape) bool {
+	return s.shape.members == other.members && s.shape.accel == other.accel && s.shape.adjacency == other.adjacency
+}
+
+// taken reports whether the slot is used by a run of its own shape or by one that cannot be
+// moved.
+func (s *slot) taken() bool {
+	return slices.ContainsFunc(s.runs, func(r *run) bool { return !r.movable || s.exact(r.shape) })
+}
+
 func olderRun(a, b *run) int {
 	return cmp.Or(a.startedAt.Compare(b.startedAt), cmp.Compare(a.name, b.name))
 }
 
 func (c *cluster) takeRoom(r *reservation, run *run) {
-	for _, n := range run.nodes {
-		if n >= 0 {
-			r.room[n] -= c.nodes[n].units(run.shape)
+	for _, f := range run.feet {
+		r.room[f.node] -= f.units
+	}
+}
+
+// usedOn returns the units that covered runs hold of the slot on a node.
+func (s *slot) usedOn(n int) int {
+	for _, f := range s.used {
+		if f.node == n {
+			return f.units
 		}
 	}
+	return 0
 }
 
 // cover puts a run into the slot of its organisation that it fills best.
 func (c *cluster) cover(r *reservation, slots []*slot, run *run) bool {
-	if len(slots) == 0 || slices.Contains(run.nodes, -1) {
+	if len(slots) == 0 || run.unknown {
 		return false
 	}
-	use := make(map[int]int, len(run.nodes))
-	for _, n := range run.nodes {
-		use[n] += c.nodes[n].units(run.shape)
-	}
 	var best *slot
 	bestLeft := 0
 	for _, s := range slots {
-		left, ok := c.coverLeft(r, s, use)
+		left, ok := c.coverLeft(r, s, run)
 		if ok && (best == nil || left < bestLeft) {
 			best, bestLeft = s, left
 		}
@@ -160,36 +205,37 @@
 	if best == nil {
 		return false
 	}
-	c.join(r, best, run, use)
+	c.join(r, best, run)
 	return true
 }
 
-// coverLeft returns the units of a slot that stay unused if a run with this use joins it.
-func (c *cluster) coverLeft(r *reservation, s *slot, use map[int]int) (int, bool) {
+// coverLeft returns the units of a slot that stay unused if a run joins it.
+func (c *cluster) coverLeft(r *reservation, s *slot, run *run) (int, bool) {
 	members, held := 0, 0
 	first := -1
-	for n, units := range s.used {
-		if !c.adjacent(s.shape.adjacency, &first, n) {
+	for _, f := range s.used {
+		if !c.adjacent(s.shape.adjacency, &first, f.node) {
 			return 0, false
 		}
-		if _, both := use[n]; !both {
-			members += membersFor(units, s.shape.accel)
-		}
-		held += units
+		members += membersFor(f.units, s.shape.accel)
+		held += f.units
 	}
-	for n, units := range use {
-		if !c.nodes[n].usable || !c.adjacent(s.shape.adjacency, &first, n) {
+	for _, f := range run.feet {
+		if !c.nodes[f.node].usable || !c.adjacent(s.shape.adjacency, &first, f.node) {
+			return 0, false
+		}
+		used := s.usedOn(f.node)
+		more := membersFor(used+f.units, s.shape.accel) - membersFor(used, s.shape.accel)
+		if more*s.shape.accel > r.room[f.node] {
 			return 0, false
 		}
-		before := membersFor(s.used[n], s.shape.accel)
-		after := membersFor(s.used[n]+units, s.shape.accel)
-		if (after-before)*s.shape.accel > r.room[n] {
+		members += more
+		held += f.units
+		if members > s.shape.members {
 			return 0, false
 		}
-		members += after
-		held += units
 	}
-	return s.shape.members*s.shape.accel - held, members <= s.shape.members
+	return s.shape.members*s.shape.accel - held, true
 }
 
 // adjacent reports whether node n is as close to the first node as the adjacency demands.
@@ -211,15 +257,15 @@
 // membersFor returns how many members of a slot the units fill, the last one partly.
 func membersFor(units, accel int) int { return (units + accel - 1) / accel }
 
-func (c *cluster) join(r *reservation, s *slot, run *run, use map[int]int) {
-	if s.used == nil {
-		s.used = make(map[int]int, len(use))
-	}
-	for n, units := range use {
-		before := membersFor(s.used[n], s.shape.accel)
-		after := membersFor(s.used[n]+units, s.shape.accel)
-		r.room[n] -= (after - before) * s.shape.accel
-		s.used[n] += units
+func (c *cluster) join(r *reservation, s *slot, run *run) {
+	for _, f := range run.feet {
+		i, ok := slices.BinarySearchFunc(s.used, f.node, func(f foot, n int) int { return cmp.Compare(f.node, n) })
+		if !ok {
+			s.used = slices.Insert(s.used, i, foot{node: f.node})
+		}
+		before := membersFor(s.used[i].units, s.shape.accel)
+		s.used[i].units += f.units
+		r.room[f.node] -= (membersFor(s.used[i].units, s.shape.accel) - before) * s.shape.accel
 	}
 	s.runs = append(s.runs, run)
 	r.covered[run] = s
@@ -249,12 +295,11 @@
 
 func (s *slot) usedNodes() []int {
 	var out []int
-	for n, units := range s.used {
-		for range membersFor(units, s.shape.accel) {
-			out = append(out, n)
+	for _, f := range s.used {
+		for range membersFor(f.units, s.shape.accel) {
+			out = append(out, f.node)
 		}
 	}
-	slices.Sort(out)
 	return out
 }
 
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -245,25 +245,53 @@
 	return true
 }
 
-// availableNow returns the units of each node that a job can start on now.
-func (d *decision) availableNow(held []int) []int {
+// unavailable marks a node in a vector of units that a job must not use.
+const unavailable = -1 << 20
+
+// availableNow returns the units of each node that a job can start on now beside the held
+// units. Suspect nodes are left out unless suspects is set.
+func (d *decision) availableNow(j *resource.Job, held []int, suspects bool) []int {
 	out := make([]int, len(d.c.free))
 	for n := range out {
 		out[n] = min(d.c.free[n], d.c.soon[n]-held[n])
+		if out[n] > 0 && !d.c.mayStart(n, d.now, suspects) {
+			out[n] = 0
+		}
 	}
+	d.maskAvoided(j, out)
 	return out
 }
 
 // availableSoon returns the units of each node that are free or will be when the jobs that
 // were asked to stop have stopped.
-func (d *decision) availableSoon() []int {
+func (d *decision) availableSoon(j *resource.Job) []int {
 	out := make([]int, len(d.c.soon))
 	for n := range out {
 		out[n] = d.c.soon[n] - d.claimed[n]
+		if d.c.nodes[n].suspect {
+			out[n] = unavailable
+		}
 	}
+	d.maskAvoided(j, out)
 	return out
 }
 
+func (d *decision) maskAvoided(j *resource.Job, units []int) {
+	for _, id := range d.snapshot.Avoid[j.Name] {
+		if n, ok := d.c.byID[id]; ok {
+			units[n] = unavailable
+		}
+	}
+}
+
+// findNow finds a place to start on now, on suspect workers only if the others do not suffice.
+func (d *decision) findNow(j *resource.Job, held []int, s shape) []int {
+	if nodes := d.c.locate(d.availableNow(j, held, false), s); nodes != nil || !d.c.suspects {
+		return nodes
+	}
+	return d.c.locate(d.availableNow(j, held, true), s)
+}
+
 func (d *decision) hold(j *resource.Job, nodes []int, ready time.Time) {
 	s := jobShape(&j.Spec)
 	d.claims = append(d.claims, claim{job: j.Name, nodes: nodes, shape: s, ready: ready})
@@ -274,10 +302,12 @@
 }
 
 func (d *decision) newRun(j *resource.Job, nodes []int) *run {
-	return &run{
+	r := &run{
 		job: j, name: j.Name, shape: jobShape(&j.Spec), nodes: nodes, startedAt: d.now,
 		movable: j.Spec.Restart != resource.RestartNever, placed: true,
 	}
+	d.c.setFeet(r)
+	return r
 }
 
 // tryStart returns the reservation plan with the run, or nil if the plan does not allow the
@@ -290,9 +320,10 @@
 	d.c.runs = append(d.c.runs, r)
 	next := d.c.reserve(d.snapshot.Guarantees)
 	d.c.runs = d.c.runs[:len(d.c.runs)-1]
-	if !d.keepsPlan(next) || useGuarantee && next.covered[r] == nil {
+	if !d.keepsPlan(next, r) || useGuarantee && next.covered[r] == nil {
 		return nil
 	}
+	next.added = r
 	return next
 }
 
@@ -313,22 +344,28 @@
 	return true
 }
 
-// keepsPlan reports whether a new plan gives each guarantee at least the places it has now
-// and takes no running job's cover away.
-func (d *decision) keepsPlan(next *reservation) bool {
+// keepsPlan reports whether a plan with a new run gives each guarantee at least the places it
+// has now and takes no other run's cover away. Smaller runs of the same organisation give way
+// to a run of the guaranteed shape.
+func (d *decision) keepsPlan(next *reservation, added *run) bool {
 	for i := range next.missing {
 		if next.missing[i] > d.res.missing[i] {
 			return false
 		}
 	}
-	for r := range d.res.covered {
-		if next.covered[r] == nil {
+	for r, slot := range d.res.covered {
+		if next.covered[r] == nil && !givesWay(r, slot, added.job.Spec.Organisation) {
 			return false
 		}
 	}
 	return true
 }
 
+// givesWay reports whether a covered run can lose its cover to a run of the guaranteed shape.
+func givesWay(r *run, slot *slot, org string) bool {
+	return r.movable && r.job.Spec.Organisation == org && !slot.exact(r.shape)
+}
+
 // placeGuaranteed handles the jobs that fit into an unused part of their organisation's
 // guarantee and returns the others.
 func (d *decision) placeGuaranteed(queue []*resource.Job) []*resource.Job {
@@ -355,19 +392,23 @@
 	if d.overQuota(j) {
 		return true
 	}
-	now := d.availableNow(d.claimed)
-	if nodes := d.c.locate(now, s); nodes != nil && d.start(j, nodes, true) {
+	if nodes := d.findNow(j, d.claimed, s); nodes != nil && d.start(j, nodes, true) {
 		return true
 	}
+	now := d.availableNow(j, d.claimed, false)
 	for _, slot := range unused {
-		if nodes := d.c.locate(d.within(slot, now), s); nodes != nil && d.start(j, nodes, true) {
+		if nodes := d.c.locate(d.within(slot, s, now), s); nodes != nil && d.start(j, nodes, true) {
 			return true
 		}
 	}
-	best := d.evictGuaranteed(j, s, unused)
+	best, next := d.evictGuaranteed(j, s, unused)
 	if best == nil {
 		return false
 	}
+	// The waiting job uses the guarantee from now on, so that no other job reclaims for the
+	// same part of it.
+	d.c.runs = append(d.c.runs, next.added)
+	d.res = next
 	d.reclaimFor(j, best, "the job is within its organisation's guarantee")
 	return true
 }
@@ -375,26 +416,41 @@
 // evictGuaranteed finds the cheapest place outside the slots of other organisations at which
 // the job is covered. If the plan does not hold there, it falls back to the organisation's own
 // slots, where it holds.
-func (d *decision) evictGuaranteed(j *resource.Job, s shape, unused []*slot) *eviction {
-	soon := d.availableSoon()
-	may := func(r *run) bool { return !r.placed && !r.reclaiming && !d.res.protected(r) }
+func (d *decision) evictGuaranteed(j *resource.Job, s shape, unused []*slot) (*eviction, *reservation) {
+	soon := d.availableSoon(j)
+	may := func(r *run) bool {
+		if r.placed || r.reclaiming {
+			return false
+		}
+		slot := d.res.covered[r]
+		return !d.res.protected(r) || slot != nil && slot.exact(s) && givesWay(r, slot, j.Spec.Organisation)
+	}
 	limit := slices.Clone(d.res.room)
 	for _, slot := range unused {
-		for n, units := range d.unusedUnits(slot) {
+		for n, units := range d.unusedUnits(slot, s) {
 			limit[n] += units
 		}
 	}
-	if e := d.c.evictWithin(soon, s, may, limit); e != nil && d.tryStart(d.newRun(j, e.nodes), true) != nil {
-		return e
+	if e := d.c.evictWithin(soon, s, may, limit); e != nil {
+		if next := d.tryStart(d.newRun(j, e.nodes), true); next != nil {
+			return e, next
+		}
 	}
 	var best *eviction
 	for _, slot := range unused {
-		e := d.c.evictWithin(soon, s, may, d.unusedUnits(slot))
+		e := d.c.evictWithin(soon, s, may, d.unusedUnits(slot, s))
 		if e != nil && (best == nil || e.loss < best.loss) {
 			best = e
 		}
 	}
-	return best
+	if best == nil {
+		return nil, nil
+	}
+	next := d.tryStart(d.newRun(j, best.nodes), true)
+	if next == nil {
+		return nil, nil
+	}
+	return best, next
 }
 
 // unusedSlots returns the slots of an organisation with a place that could hold a gang.
@@ -404,28 +460,35 @@
 		if slot.nodes == nil || d.snapshot.Guarantees[slot.guarantee].Spec.Organisation != org {
 			continue
 		}
-		if d.c.locate(d.unusedUnits(slot), s) != nil {
+		if d.c.locate(d.unusedUnits(slot, s), s) != nil {
 			out = append(out, slot)
 		}
 	}
 	return out
 }
 
-// unusedUnits returns the units of a slot that no run uses, by node.
-func (d *decision) unusedUnits(slot *slot) []int {
+// unusedUnits returns the units of a slot that a gang can use, by node. A gang of the slot's own
+// shape can use all of it, because smaller runs give way.
+func (d *decision) unusedUnits(slot *slot, s shape) []int {
 	out := make([]int, len(d.c.nodes))
+	if slot.exact(s) && slot.taken() {
+		return out
+	}
 	for _, n := range slot.nodes {
 		out[n] += slot.shape.accel
 	}
-	for n, units := range slot.used {
-		out[n] -= units
+	if slot.exact(s) {
+		return out
+	}
+	for _, f := range slot.used {
+		out[f.node] -= f.units
 	}
 	return out
 }
 
 // within limits units to the unused part of a slot.
-func (d *decision) within(slot *slot, units []int) []int {
-	out := d.unusedUnits(slot)
+func (d *decision) within(slot *slot, s shape, units []int) []int {
+	out := d.unusedUnits(slot, s)
 	for n := range out {
 		out[n] = min(out[n], units[n])
 	}
@@ -463,7 +526,7 @@
 		return true
 	}
 	s := jobShape(&j.Spec)
-	if nodes := d.c.locate(d.availableNow(d.claimed), s); nodes != nil && d.start(j, nodes, false) {
+	if nodes := d.findNow(j, d.claimed, s); nodes != nil && d.start(j, nodes, false) {
 		return true
 	}
 	org := j.Spec.Organisation
@@ -475,7 +538,7 @@
 	if j.Spec.Restart == resource.RestartNever {
 		return false
 	}
-	e := d.c.evict(d.availableSoon(), s, may)
+	e := d.c.evict(d.availableSoon(j), s, may)
 	if e == nil {
 		return false
 	}
@@ -545,12 +608,12 @@
 // the job very likely ends before the head's place is ready.
 func (d *decision) backfill(j *resource.Job) bool {
 	s := jobShape(&j.Spec)
-	if d.misfit[s] {
+	if d.misfit[s] && len(d.snapshot.Avoid[j.Name]) == 0 {
 		return d.backfillHeld(j, s)
 	}
-	nodes := d.c.locate(d.availableNow(d.claimed), s)
+	nodes := d.findNow(j, d.claimed, s)
 	if nodes == nil {
-		d.misfit[s] = true
+		d.misfit[s] = d.misfit[s] || len(d.snapshot.Avoid[j.Name]) == 0
 		return d.backfillHeld(j, s)
 	}
 	return d.startBeside(j, nodes, s)
@@ -562,7 +625,7 @@
 	if d.start(j, nodes, false) {
 		return true
 	}
-	units := d.availableNow(d.claimed)
+	units := d.availableNow(j, d.claimed, false)
 	for n := range units {
 		units[n] = min(units[n], d.res.room[n])
 	}
@@ -589,7 +652,7 @@
 	if !lifted {
 		return false
 	}
-	nodes := d.c.locate(d.availableNow(held), s)
+	nodes := d.findNow(j, held, s)
 	return nodes != nil && d.start(j, nodes, false)
 }
 
@@ -601,12 +664,12 @@
 			return !r.placed && !r.reclaiming && !d.res.protected(r) && !d.urgent(r.job) &&
 				r.job.Created.After(j.Created)
 		}
-		if e := d.c.evict(d.availableSoon(), s, may); e != nil {
+		if e := d.c.evict(d.availableSoon(j), s, may); e != nil {
 			d.reclaimFor(j, e, "the job waits at the head of the queue")
 			return
 		}
 	}
-	nodes, ready := d.c.drain(d.availableSoon(), s, d.endOf)
+	nodes, ready := d.c.drain(d.availableSoon(j), s, d.endOf)
 	if nodes == nil {
 		d.explain(j)
 		return
@@ -640,7 +703,7 @@
 		}
 		old[i] = n
 	}
-	oldReady, ok := d.c.readyAt(d.availableSoon(), s, old, d.endOf)
+	oldReady, ok := d.c.readyAt(d.availableSoon(j), s, old, d.endOf)
 	if !ok || ready.Add(moveMargin).Before(oldReady) {
 		return nodes, ready
 	}
@@ -660,6 +723,9 @@
 	}
 	need := j.Spec.Accelerators()
 	switch {
+	case len(d.snapshot.Avoid[j.Name]) > 0 && d.c.locate(d.c.free, s) != nil:
+		d.wait(j, ReasonBadWorkers, "other workers become free",
+			"the job failed on %d workers and is not placed there again", len(d.snapshot.Avoid[j.Name]))
 	case d.c.locate(d.c.free, s) != nil && j.Spec.Restart == resource.RestartNever:
 		d.wait(j, ReasonReservation, "jobs end, or the job may be restarted and so be reclaimed",
 			"the job may not be restarted, so it could not be reclaimed from guaranteed accelerators")
