Take over attempts that a replaced leader recorded late

Change: a running attempt of the log without a run is asked for at its workers; a run with an older number than the recorded one ends.

--- a/internal/placement/adopt.go
+++ b/internal/placement/adopt.go
@@ -149,3 +149,23 @@
 		r.commitAt = now
 	}
 }
+
+// adoptRecorded takes over attempts that the log has as running although this leader does not
+// know them. A leader that lost its epoch may have recorded them after this leader took over.
+func (z *zone) adoptRecorded(now time.Time) {
+	for _, name := range slices.Sorted(maps.Keys(z.view.Jobs)) {
+		job := z.view.Jobs[name]
+		if job.Status.Phase != resource.PhaseRunning || z.byJob[name] != nil || z.runs[attempt{job.UID, job.Status.Attempt}] != nil {
+			continue
+		}
+		if p, found := z.pending[name]; found && p.uid == job.UID && p.status.Attempt >= job.Status.Attempt {
+			continue
+		}
+		f, spec, _ := z.adoptable(job, nil)
+		ask := spec.Workers
+		if len(ask) != spec.Task.Members || slices.Contains(ask, "") {
+			ask = z.workerIDs()
+		}
+		z.adoptRun(now, job, f, spec, ask)
+	}
+}
--- a/internal/placement/finish.go
+++ b/internal/placement/finish.go
@@ -39,7 +39,7 @@
 func (z *zone) end(now time.Time, r *run) bool {
 	outcome, reason := r.Outcome()
 	job, found := z.view.Jobs[r.job]
-	if !found || job.UID != r.key.uid || job.Status.Phase.Terminal() {
+	if !found || job.UID != r.key.uid || job.Status.Phase.Terminal() || job.Status.Attempt > r.key.number {
 		z.reportEnd(r, outcome, reason)
 		return true
 	}
--- a/internal/placement/pending.go
+++ b/internal/placement/pending.go
@@ -225,7 +225,8 @@
 	for _, name := range slices.Sorted(maps.Keys(z.pending)) {
 		p := z.pending[name]
 		job, found := z.view.Jobs[name]
-		obsolete := found && (job.UID != p.uid || job.Status.Phase.Terminal()) || !found && z.view.Version >= p.recorded
+		obsolete := !found && z.view.Version >= p.recorded ||
+			found && (job.UID != p.uid || job.Status.Phase.Terminal() || job.Status.Attempt > p.status.Attempt)
 		done := p.recorded > 0 && z.view.Version >= p.recorded
 		if !obsolete && !done {
 			continue
--- a/internal/placement/zone.go
+++ b/internal/placement/zone.go
@@ -200,11 +200,14 @@
 			r.Halt(now, job.Status.Reason)
 		case job.Status.Phase.Terminal():
 			r.Halt(now, "the job has ended")
+		case job.Status.Attempt > key.number:
+			r.Halt(now, "another leader recorded a newer attempt")
 		default:
 			z.reclaimStep(now, r)
 		}
 	}
 	z.reclaimFromLeaving(now)
+	z.adoptRecorded(now)
 }
 
 func (z *zone) runOrder() []attempt {
