Add worker health, overuse and tests of placement under failures

Cause: a worker that fails everything, a task that uses more than it declared, and results during an outage of the log need rules in the leader's loop. Change: the health and overuse rules of package scheduler are carried out; the first renewal after a start counts from the start, because the gang may never have been whole before.

--- a/internal/gang/gang.go
+++ b/internal/gang/gang.go
@@ -161,12 +161,15 @@
 	members  []member
 	contacts map[string]*contact
 	// order lists the workers in the order of their first member.
-	order       []string
-	entered     time.Time
-	reservedAt  time.Time
-	nextRenew   time.Time
-	started     bool
-	startedAt   time.Time
+	order      []string
+	entered    time.Time
+	reservedAt time.Time
+	nextRenew  time.Time
+	started    bool
+	startedAt  time.Time
+	// firstStart is set until the first renewal after a start. The gang may not have been
+	// whole since then, so the first renewal is counted from it.
+	firstStart  time.Time
 	checkpoint  request
 	throttle    request
 	throttledTo float64
@@ -365,6 +368,10 @@
 		return g.each(now, g.sideCall)
 	}
 	g.nextRenew = g.renewAfter(now)
+	if !g.firstStart.IsZero() && g.firstStart.Before(oldest) {
+		oldest = g.firstStart
+	}
+	g.firstStart = time.Time{}
 	// The lease must end RunningTTL after the oldest confirmation even if the call is slow.
 	ttl := RunningTTL - now.Sub(oldest) - CallTimeout
 	return g.each(now, func(now time.Time, worker string, _ *contact) (Call, bool) {
@@ -656,6 +663,7 @@
 		return
 	}
 	g.started = true
+	g.firstStart = now
 	g.enter(now, Starting)
 }
 
--- a/internal/placement/finish.go
+++ b/internal/placement/finish.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/oleanderbend/oleanderbend/internal/gang"
@@ -38,6 +39,10 @@
 // end takes an outcome over into the job's status. It reports false if that has to wait.
 func (z *zone) end(now time.Time, r *run) bool {
 	outcome, reason := r.Outcome()
+	if r.probe != "" {
+		z.doctor(now).Probed(now, r.probe, outcome == gang.Succeeded)
+		return true
+	}
 	job, found := z.view.Jobs[r.job]
 	if !found || job.UID != r.key.uid || job.Status.Phase.Terminal() || job.Status.Attempt > r.key.number {
 		z.reportEnd(r, outcome, reason)
@@ -46,10 +51,17 @@
 	if outcome == gang.NotStarted {
 		return z.endNotStarted(now, r, job, reason)
 	}
+	if !r.judged {
+		r.judged = true
+		z.judgeWorkers(now, r, job)
+	}
 	status := z.endStatus(now, r, job)
 	if !z.setStatus(now, job, status, r.Leases()) {
 		return false
 	}
+	if status.Phase.Terminal() {
+		z.doctor(now).Forget(job.Name)
+	}
 	if outcome == gang.Succeeded {
 		z.sched.Finished(job, r.Ran())
 	}
@@ -70,17 +82,19 @@
 	name, kept := r.Checkpoint()
 	status.Checkpoint = name
 	status.ConsumedSeconds += kept.Seconds()
-	if outcome == gang.Failed {
+	if outcome == gang.Failed || r.overused {
 		status.Failures++
 	}
+	fault, atFault := z.jobAtFault(now, r, status)
 	switch {
 	case outcome == gang.Succeeded:
 		status.Phase = resource.PhaseSucceeded
 	case r.never:
 		status.Phase = resource.PhaseFailed
 		status.Reason = "the only attempt ended: " + reason
-	case outcome == gang.Failed && status.Failures >= z.view.Policy.MaxFailures:
+	case atFault:
 		status.Phase = resource.PhaseFailed
+		status.Reason = fault + ": " + reason
 	default:
 		status.Phase = resource.PhaseQueued
 	}
@@ -90,6 +104,21 @@
 	return status
 }
 
+// jobAtFault reports whether an attempt's end shows that the job itself is at fault.
+func (z *zone) jobAtFault(now time.Time, r *run, status resource.JobStatus) (string, bool) {
+	outcome, _ := r.Outcome()
+	switch {
+	case r.overused && status.Failures >= z.view.Policy.MaxFailures:
+		return fmt.Sprintf("the job used more than it declared in %d attempts", status.Failures), true
+	case outcome != gang.Failed:
+		return "", false
+	case status.Failures >= failuresLimit*z.view.Policy.MaxFailures:
+		return fmt.Sprintf("%d attempts failed", status.Failures), true
+	default:
+		return z.doctor(now).JobFails(r.job)
+	}
+}
+
 // endNotStarted puts a job back whose attempt never ran. A recorded attempt of a job that
 // must run at most once is not repeated, although it did not run.
 func (z *zone) endNotStarted(now time.Time, r *run, job *resource.Job, reason string) bool {
--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -1,12 +1,17 @@
 package placement
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/oleanderbend/oleanderbend/internal/resource"
+	"github.com/oleanderbend/oleanderbend/internal/scheduler"
+	"github.com/oleanderbend/oleanderbend/internal/standin"
+	"github.com/oleanderbend/oleanderbend/internal/state"
 )
 
 // Guards against a break anywhere between a job in the log and its result in the log.
@@ -52,3 +57,206 @@
 		w.requireNoPartial(0)
 	})
 }
+
+func startWorld(t *testing.T, config worldConfig) *world {
+	w := newWorld(t, config)
+	w.eventually(5*time.Second, "a leader", func() bool { return w.leader("zone-a") != nil })
+	w.organisation("org")
+	return w
+}
+
+var threeNodes = []string{"i1", "i2", "i3"}
+
+// Guards against cancellations whose cost grows faster than what they cancel: a wave makes at
+// most a few calls for each worker.
+func TestCancellationWaveIsBatched(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := startWorld(t, worldConfig{workers: 4, perRack: 2, nodes: threeNodes})
+		const jobs = 32
+		for i := range jobs {
+			w.put(testJob(fmt.Sprintf("job%d", i), 1, 1, "duration=1h"))
+		}
+		running := func() int {
+			n := 0
+			for i := range jobs {
+				if w.phase(fmt.Sprintf("job%d", i), resource.PhaseRunning)() {
+					n++
+				}
+			}
+			return n
+		}
+		w.eventually(10*time.Second, "all running", func() bool { return running() == jobs })
+		before := w.stops.Load()
+		for i := range jobs {
+			w.write(state.Record{Delete: &state.Delete{Kind: resource.KindJob, Name: fmt.Sprintf("job%d", i)}})
+		}
+		w.eventually(3*time.Second, "all stopped", func() bool { return w.active() == 0 })
+		require.LessOrEqual(t, w.stops.Load()-before, int64(3*4), "stop calls for %d jobs on 4 workers", jobs)
+	})
+}
+
+// Guards against work that is lost although the deadline left time for a checkpoint.
+func TestReclaimWaitsForCheckpoint(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := startWorld(t, worldConfig{workers: 2, perRack: 2, nodes: threeNodes})
+		w.put(&resource.Organisation{Metadata: resource.Metadata{Name: "owner"}})
+		w.put(testJob("filler", 4, 4, "duration=1h checkpoint=500ms"))
+		w.eventually(3*time.Second, "running", w.phase("filler", resource.PhaseRunning))
+		time.Sleep(20 * time.Second)
+		g := &resource.Guarantee{
+			Metadata: resource.Metadata{Name: "promise"},
+			Spec:     resource.GuaranteeSpec{Organisation: "owner", Gangs: 1, Members: 2, AcceleratorsPerMember: 8, Adjacency: resource.AdjacentZone},
+			Status:   resource.GuaranteeStatus{Zone: "zone-a"},
+		}
+		w.put(g)
+		owner := testJob("owner", 2, 8, "duration=5s")
+		owner.Spec.Organisation = "owner"
+		w.put(owner)
+		took := w.eventually(10*time.Second, "owner runs", w.phase("owner", resource.PhaseRunning))
+		require.LessOrEqual(t, took, 7100*time.Millisecond)
+		filler := w.job("filler").Status
+		require.NotEmpty(t, filler.Checkpoint)
+		require.Greater(t, filler.ConsumedSeconds, 18.0)
+		w.eventually(20*time.Second, "filler runs again", w.phase("filler", resource.PhaseRunning))
+		w.requireNoPartial(time.Second)
+	})
+}
+
+// Guards against an outage of the log that stops placement, loses results, or lets a job that
+// must not run twice start without a record.
+func TestHourWithoutLog(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := startWorld(t, worldConfig{workers: 2, perRack: 2, nodes: threeNodes})
+		w.put(testJob("first", 2, 8, "duration=30s"))
+		w.put(testJob("second", 2, 8, "duration=30s"))
+		never := testJob("never", 1, 1, "duration=1s")
+		never.Spec.Restart = resource.RestartNever
+		w.eventually(3*time.Second, "running", w.phase("first", resource.PhaseRunning))
+		w.put(never)
+		w.log.SetFaults(standin.LogFaults{CallFaults: standin.CallFaults{Outage: true}})
+		w.eventually(2*time.Minute, "the second job ran during the outage", func() bool {
+			return len(w.fleet.Runs()) == 4 && w.active() == 0
+		})
+		waiting, found := w.leader("zone-a").placement.Waiting("never")
+		require.True(t, found)
+		require.Equal(t, scheduler.ReasonLog, waiting.Code)
+		w.kill(w.leader("zone-a").id)
+		time.Sleep(time.Hour)
+		require.NotNil(t, w.leader("zone-a"), "a provisional leader")
+		require.Len(t, w.fleet.Runs(), 4, "no result was forgotten and no job ran again")
+
+		w.log.SetFaults(standin.LogFaults{})
+		w.eventually(10*time.Second, "results recorded", func() bool {
+			return w.phase("first", resource.PhaseSucceeded)() && w.phase("second", resource.PhaseSucceeded)()
+		})
+		w.eventually(20*time.Second, "the waiting job ran", w.phase("never", resource.PhaseSucceeded))
+		require.Len(t, w.fleet.Runs(), 5)
+	})
+}
+
+// Guards against a gang that goes on without a lost member, and against a job that is not
+// placed again.
+func TestSilentWorkerEndsItsGang(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := startWorld(t, worldConfig{workers: 4, perRack: 2, nodes: threeNodes})
+		w.put(testJob("gang", 2, 8, "duration=40s"))
+		w.eventually(3*time.Second, "running", w.phase("gang", resource.PhaseRunning))
+		time.Sleep(5 * time.Second)
+		lost := w.job("gang").Status.Workers[0]
+		require.NoError(t, w.fleet.SetFaults(lost, standin.WorkerFaults{CallFaults: standin.CallFaults{Silent: true}}))
+		w.eventually(time.Minute, "placed elsewhere", func() bool {
+			status := w.job("gang").Status
+			return status.Phase == resource.PhaseRunning && status.Starts == 2
+		})
+		require.NotContains(t, w.job("gang").Status.Workers, lost)
+		w.requireNoPartial(10 * time.Second)
+	})
+}
+
+// Guards against a job that waits for ever although no worker set can hold it.
+func TestImpossibleJobEndsAtOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := startWorld(t, worldConfig{workers: 2, perRack: 2, nodes: threeNodes})
+		w.put(testJob("huge", 5, 8, ""))
+		w.eventually(2*time.Second, "unplaceable", w.phase("huge", resource.PhaseUnplaceable))
+		require.NotEmpty(t, w.job("huge").Status.Reason)
+	})
+}
+
+// Guards against work that stays in a zone whose workers are all gone.
+func TestLostZoneMovesItsWork(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := startWorld(t, worldConfig{
+			workers: 2, perRack: 2, workerZones: []string{"zone-a", "zone-b"},
+			nodes: []string{"i1@zone-a", "i2@zone-a", "i3@zone-b", "i4@zone-b"},
+		})
+		w.put(&resource.Guarantee{
+			Metadata: resource.Metadata{Name: "promise"},
+			Spec:     resource.GuaranteeSpec{Organisation: "org", Gangs: 1, Members: 1, AcceleratorsPerMember: 8, Adjacency: resource.AdjacentZone},
+			Status:   resource.GuaranteeStatus{Zone: "zone-a"},
+		})
+		w.put(testJob("gang", 2, 4, "duration=30s"))
+		w.eventually(3*time.Second, "running", w.phase("gang", resource.PhaseRunning))
+		w.kill("i1")
+		w.kill("i2")
+		for _, row := range w.rows {
+			if row.Zone == "zone-a" {
+				require.NoError(t, w.fleet.SetFaults(row.ID, standin.WorkerFaults{CallFaults: standin.CallFaults{Outage: true}}))
+			}
+		}
+		w.eventually(time.Minute, "the job runs in the other zone", func() bool {
+			status := w.job("gang").Status
+			return status.Zone == "zone-b" && status.Phase == resource.PhaseRunning
+		})
+		w.eventually(time.Minute, "the guarantee moved", func() bool {
+			zone := ""
+			w.any().replica.Read(func(s *state.State) { zone = s.Guarantees["promise"].Status.Zone })
+			return zone == "zone-b"
+		})
+		w.requireNoPartial(10 * time.Second)
+	})
+}
+
+// Guards against a worker that goes on failing jobs, and one that never returns.
+func TestFailingWorkerIsQuarantinedAndReturns(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := startWorld(t, worldConfig{workers: 4, perRack: 2, nodes: threeNodes})
+		w.organisation("other")
+		bad := w.rows[0].ID
+		require.NoError(t, w.fleet.SetFaults(bad, standin.WorkerFaults{FailAll: true}))
+		for i := range 12 {
+			job := testJob(fmt.Sprintf("job%d", i), 1, 4, "duration=10s")
+			if i%2 == 0 {
+				job.Spec.Organisation = "other"
+			}
+			w.put(job)
+		}
+		quarantined := func() bool {
+			found := false
+			w.any().replica.Read(func(s *state.State) { found = s.Workers[bad].Quarantined })
+			return found
+		}
+		w.eventually(time.Minute, "quarantined", quarantined)
+		for i := range 12 {
+			w.eventually(time.Minute, "jobs succeed elsewhere", w.phase(fmt.Sprintf("job%d", i), resource.PhaseSucceeded))
+		}
+		require.NoError(t, w.fleet.SetFaults(bad, standin.WorkerFaults{}))
+		w.eventually(10*time.Minute, "returned", func() bool { return !quarantined() })
+	})
+}
+
+// Guards against a task that takes more than it declared from its neighbours without limit.
+func TestOveruseIsThrottledThenStopped(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := startWorld(t, worldConfig{workers: 2, perRack: 2, nodes: threeNodes})
+		greedy := testJob("greedy", 1, 1, "duration=1h memory=64000 checkpoint=500ms")
+		greedy.Spec.MemoryMBPerMember, greedy.Spec.CoresPerMember = 1000, 2
+		w.put(greedy)
+		w.eventually(3*time.Second, "running", w.phase("greedy", resource.PhaseRunning))
+		w.eventually(time.Minute, "throttled with the reason", func() bool {
+			return strings.HasPrefix(w.job("greedy").Status.Reason, "throttled: member 0 uses")
+		})
+		w.eventually(5*time.Minute, "ended with the reason", w.phase("greedy", resource.PhaseFailed))
+		require.Contains(t, w.job("greedy").Status.Reason, "more than it declared")
+	})
+}
--- a/internal/placement/worker.go
+++ b/internal/placement/worker.go
@@ -37,7 +37,9 @@
 	// answeredAt is the send time of the last answered call.
 	answeredAt time.Time
 	// failing is set while the last call has no answer.
-	failing bool
+	failing   bool
+	usageOpen bool
+	nextUsage time.Time
 	// orphans are active leases that belong to no run.
 	orphans map[platform.LeaseID]int
 }
@@ -156,6 +158,9 @@
 		if op.isList() {
 			z.takeList(now, w, answer)
 		}
+		if op.Kind == callUsage {
+			z.takeUsage(now, w, answer)
+		}
 	}
 	r, found := z.runs[op.run]
 	if !found || op.Call.Kind == callRelease || op.Call.Kind == callUsage {
--- a/internal/placement/world_test.go
+++ b/internal/placement/world_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -198,6 +199,21 @@
 	network   *network
 	rows      []platform.Instance
 	nodes     map[string]*node
+	// stops counts the stop calls to workers.
+	stops atomic.Int64
+}
+
+// active returns the number of active leases at all workers.
+func (w *world) active() int {
+	n := 0
+	for _, row := range w.rows {
+		for _, lease := range w.fleet.Snapshot(row.ID) {
+			if lease.State.Active() {
+				n++
+			}
+		}
+	}
+	return n
 }
 
 type worldConfig struct {
@@ -245,7 +261,7 @@
 func (w *world) start(self membership.Peer, peers []membership.Peer) {
 	end := networkEnd{network: w.network, id: self.ID}
 	recorder := timeline.NewRecorder(self.ID, hlc.New(nil), 1000)
-	logger := logging.New(w.t.Output(), "info", self.ID)
+	logger := logging.Discard()
 	n := &node{id: self.ID, replica: newMemoryReplica(w.log, self.ID), done: make(chan struct{})}
 	n.membership = membership.New(membership.Config{
 		Self: self, Peers: peers, Seed: 1, Caller: end, Registrar: end, Log: logger, Timeline: recorder,
@@ -256,7 +272,7 @@
 	})
 	n.placement = New(Config{
 		Self: self.ID, Leadership: n.leadership, Reader: n.replica, Writer: n.replica, Tail: n.replica,
-		Instances: w.instances, Workers: guardedWorkers{w.fleet, w.network, self.ID}, Publisher: n.membership,
+		Instances: w.instances, Workers: guardedWorkers{w.fleet, w, self.ID}, Publisher: n.membership,
 		Caller: end, Registrar: end, NewScheduler: func() scheduler.Scheduler { return scheduler.New(1) },
 		Log: logger, Timeline: recorder,
 	})
@@ -300,21 +316,17 @@
 // guardedWorkers does not let a cut instance reach workers.
 type guardedWorkers struct {
 	platform.Workers
-	network *network
-	id      string
+	world *world
+	id    string
 }
 
-func (g guardedWorkers) dead() bool {
-	g.network.mu.Lock()
-	defer g.network.mu.Unlock()
-	return g.network.cut[g.id]
-}
+func (g guardedWorkers) dead() bool { return g.world.network.isCut(g.id) }
 
-func (g guardedWorkers) Renew(ctx context.Context, worker platform.Instance, req platform.LeaseRequest) ([]platform.LeaseResult, error) {
+func (g guardedWorkers) Leases(ctx context.Context, worker platform.Instance, epoch platform.Epoch) ([]platform.Lease, error) {
 	if g.dead() {
 		return nil, platform.ErrUnavailable
 	}
-	return g.Workers.Renew(ctx, worker, req)
+	return g.Workers.Leases(ctx, worker, epoch)
 }
 
 func (g guardedWorkers) Reserve(ctx context.Context, worker platform.Instance, req platform.ReserveRequest) error {
@@ -331,6 +343,21 @@
 	return g.Workers.Start(ctx, worker, req)
 }
 
+func (g guardedWorkers) Renew(ctx context.Context, worker platform.Instance, req platform.LeaseRequest) ([]platform.LeaseResult, error) {
+	if g.dead() {
+		return nil, platform.ErrUnavailable
+	}
+	return g.Workers.Renew(ctx, worker, req)
+}
+
+func (g guardedWorkers) Stop(ctx context.Context, worker platform.Instance, req platform.LeaseRequest) ([]platform.LeaseResult, error) {
+	if g.dead() {
+		return nil, platform.ErrUnavailable
+	}
+	g.world.stops.Add(1)
+	return g.Workers.Stop(ctx, worker, req)
+}
+
 // put writes a resource through any live instance.
 func (w *world) put(object resource.Object) {
 	w.t.Helper()
--- a/internal/placement/zone.go
+++ b/internal/placement/zone.go
@@ -75,9 +75,17 @@
 	committed bool
 	reclaim   *reclaim
 	// ended is set when the outcome was taken over into the job's status.
-	ended bool
-	// starting and settled mark transitions that were reported.
+	ended           bool
 	reportedRunning bool
+	// judged is set when the health of workers has taken the outcome into account.
+	judged bool
+	// probe names the worker of a probe task, which belongs to no job.
+	probe    string
+	placedAt time.Time
+	// overuse has what is remembered of each member's usage reports.
+	overuse map[int]scheduler.Overuse
+	// overused is set when the run is stopped because it uses more than it declared.
+	overused bool
 }
 
 // reclaim is the wish to checkpoint and stop a running job.
@@ -112,6 +120,7 @@
 	write    writeState
 	promises map[string]state.GuaranteeUpdate
 	health   map[string]state.WorkerHealth
+	healthOf *scheduler.Health
 	backoffs map[string]backoff
 	waiting  map[string]scheduler.Waiting
 	// changed is set when the scheduler has something new to decide on.
@@ -166,6 +175,8 @@
 		z.adopt(now)
 	}
 	z.reconcile(now)
+	z.treatWorkers(now)
+	z.askUsage(now)
 	z.schedule(now)
 	z.commitRuns(now)
 	z.callGangs(now)
@@ -194,6 +205,8 @@
 		r := z.runs[key]
 		job, found := z.view.Jobs[r.job]
 		switch {
+		case r.probe != "":
+			z.probeStep(now, r)
 		case !found || job.UID != key.uid:
 			r.Halt(now, "the job was deleted")
 		case job.Status.Phase == resource.PhaseCancelled:
@@ -246,7 +259,7 @@
 func (z *zone) reclaimFromLeaving(now time.Time) {
 	for _, key := range z.runOrder() {
 		r := z.runs[key]
-		if r.never || r.reclaim != nil || r.Phase() != gang.Running {
+		if r.never || r.probe != "" || r.reclaim != nil || r.Phase() != gang.Running {
 			continue
 		}
 		for _, id := range r.Spec().Workers {
@@ -290,10 +303,10 @@
 func (z *zone) snapshot(now time.Time) scheduler.Snapshot {
 	s := scheduler.Snapshot{
 		Zone: z.name, Organisations: z.view.Organisations, Guarantees: z.view.Guarantees,
-		Policy: z.view.Policy, Held: make(map[string]int),
+		Policy: z.view.Policy, Held: make(map[string]int), Avoid: make(map[string][]string),
 	}
 	for _, id := range z.workerIDs() {
-		s.Workers = append(s.Workers, z.workers[id].describe(z.quarantined(id)))
+		s.Workers = append(s.Workers, z.describeWorker(now, id))
 		if held := z.workers[id].heldByOrphans(); held > 0 {
 			s.Held[id] = held
 		}
@@ -304,11 +317,20 @@
 	for _, name := range slices.Sorted(maps.Keys(z.view.Jobs)) {
 		if job := z.view.Jobs[name]; z.queued(now, job) {
 			s.Queued = append(s.Queued, z.withStatus(job))
+			if avoid := z.doctor(now).Avoid(name); len(avoid) > 0 {
+				s.Avoid[name] = avoid
+			}
 		}
 	}
 	return s
 }
 
+func (z *zone) describeWorker(now time.Time, id string) scheduler.Worker {
+	w := z.workers[id].describe(z.quarantined(id) || !z.doctor(now).Usable(id))
+	w.Suspect = z.doctor(now).Suspect(id)
+	return w
+}
+
 // withStatus returns the job with the results that are not yet in the log.
 func (z *zone) withStatus(job *resource.Job) *resource.Job {
 	if _, found := z.pending[job.Name]; !found {
