Keep an isolated instance from claiming again and again

Cause: an instance that reaches the log but no peer sees every holder as silent; in TestLostZoneMovesItsWork two such instances took zones from the others 32 times in a minute. A job that moves to a zone with lower epochs got attempt numbers below its recorded one. Change: a claim in the log that is newer than the isolation shows that the holder lives; the attempt number's epoch field is raised above the job's newest attempt.

--- a/internal/leadership/core.go
+++ b/internal/leadership/core.go
@@ -109,6 +109,10 @@
 	vacancies map[string]vacancy
 	// refused has the epoch that a worker refused and when, by zone.
 	refused map[string]vacancy
+	// isolatedSince is when this instance last lost sight of all peers, zero if it sees one.
+	isolatedSince time.Time
+	// seenAt has the newest epoch of each zone and when this instance first saw it.
+	seenAt map[string]vacancy
 	// pending has the zones with a claim or a record in progress.
 	pending map[string]bool
 }
@@ -119,12 +123,14 @@
 		terms:     make(map[string]Term),
 		vacancies: make(map[string]vacancy),
 		refused:   make(map[string]vacancy),
+		seenAt:    make(map[string]vacancy),
 		pending:   make(map[string]bool),
 	}
 }
 
 // decide returns what to do now, one action at most for each zone.
 func (c *core) decide(now time.Time, in Input) []Action {
+	c.noteIsolation(now, in)
 	var actions []Action
 	for _, zone := range in.Zones {
 		if action, found := c.decideZone(now, zone, in); found {
@@ -134,8 +140,21 @@
 	return actions
 }
 
+// noteIsolation follows since when this instance has seen no peer.
+func (c *core) noteIsolation(now time.Time, in Input) {
+	switch {
+	case !isolated(c.self, in.Members):
+		c.isolatedSince = time.Time{}
+	case c.isolatedSince.IsZero():
+		c.isolatedSince = now
+	}
+}
+
 func (c *core) decideZone(now time.Time, zone Zone, in Input) (Action, bool) {
 	newest := c.newest(zone.Name, in)
+	if c.seenAt[zone.Name].epoch != newest {
+		c.seenAt[zone.Name] = vacancy{epoch: newest, since: now}
+	}
 	if term, held := c.terms[zone.Name]; held {
 		return c.decideHeld(term, newest, in)
 	}
@@ -256,8 +275,13 @@
 		return false
 	}
 	wait := time.Duration(position) * Stagger
-	if isolated(c.self, in.Members) {
+	if !c.isolatedSince.IsZero() {
 		wait += IsolationDelay
+		if c.seenAt[zone.Name].since.After(c.isolatedSince) {
+			// Another instance made a claim while this one reached nobody, so it is this one
+			// that is cut off, and the log shows that the holder lives.
+			return false
+		}
 	}
 	return now.Sub(seen.since) >= wait
 }
--- a/internal/placement/adopt.go
+++ b/internal/placement/adopt.go
@@ -129,6 +129,7 @@
 	r := &run{
 		Gang: gang.Adopt(now, f.sent, spec, f.found, committed, silent),
 		job:  job.Name, key: f.key, never: job.Spec.Restart == resource.RestartNever, committed: committed,
+		placedAt: now,
 	}
 	z.runs[r.key] = r
 	z.byJob[job.Name] = r
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -80,7 +80,7 @@
 		return
 	}
 	spec := gang.Spec{
-		Job: probePrefix + worker, UID: probePrefix + worker, Attempt: z.nextAttempt(), Workers: []string{worker}, Base: z.started,
+		Job: probePrefix + worker, UID: probePrefix + worker, Attempt: z.nextAttempt(0), Workers: []string{worker}, Base: z.started,
 		Task: platform.TaskSpec{JobName: probePrefix + worker, Members: 1, Accelerators: 1, Payload: probePayload},
 	}
 	r := &run{Gang: gang.New(now, spec), job: spec.Job, key: attempt{spec.UID, spec.Attempt}, probe: worker, placedAt: now}
--- a/internal/placement/zone.go
+++ b/internal/placement/zone.go
@@ -79,9 +79,10 @@
 	reportedRunning bool
 	// judged is set when the health of workers has taken the outcome into account.
 	judged bool
-	// probe names the worker of a probe task, which belongs to no job.
-	probe    string
+	// placedAt is when the run was placed or adopted.
 	placedAt time.Time
+	// probe names the worker of a probe task, which belongs to no job.
+	probe string
 	// overuse has what is remembered of each member's usage reports.
 	overuse map[int]scheduler.Overuse
 	// overused is set when the run is stopped because it uses more than it declared.
@@ -380,8 +381,12 @@
 		}
 		return
 	}
+	startedAt := r.StartedAt()
+	if startedAt.IsZero() {
+		startedAt = r.placedAt
+	}
 	s.Running = append(s.Running, scheduler.Running{
-		Job: z.withStatus(job), Workers: workers, StartedAt: r.StartedAt(),
+		Job: z.withStatus(job), Workers: workers, StartedAt: startedAt,
 		CheckpointAge: r.CheckpointAge(),
 		Reclaiming:    r.reclaim != nil || r.Phase() == gang.Stopping,
 	})
@@ -421,10 +426,18 @@
 	maxCounter  = 1<<counterBits - 1
 )
 
-func (z *zone) nextAttempt() uint64 {
+// nextAttempt returns a number above the job's newest attempt. The epoch field is raised if
+// that attempt came from another zone with higher epochs, or from a leader of the same epoch
+// number with a larger hash.
+func (z *zone) nextAttempt(newest uint64) uint64 {
 	z.counter++
 	hash := xxhash.Sum64String(z.epoch.Holder) & (1<<hashBits - 1)
-	return z.epoch.Number<<(hashBits+counterBits) | hash<<counterBits | z.counter
+	low := hash<<counterBits | z.counter
+	high := max(z.epoch.Number, newest>>(hashBits+counterBits))
+	if high<<(hashBits+counterBits)|low <= newest {
+		high++
+	}
+	return high<<(hashBits+counterBits) | low
 }
 
 // place begins an attempt.
@@ -434,12 +447,13 @@
 		return
 	}
 	spec := gang.Spec{
-		Job: job.Name, UID: job.UID, Attempt: z.nextAttempt(), Workers: p.Workers,
+		Job: job.Name, UID: job.UID, Attempt: z.nextAttempt(z.effective(job).Attempt), Workers: p.Workers,
 		Task: z.task(job, p.Reclaimable), Base: z.started,
 	}
 	r := &run{
 		Gang: gang.New(now, spec), job: job.Name,
 		key: attempt{job.UID, spec.Attempt}, never: job.Spec.Restart == resource.RestartNever,
+		placedAt: now,
 	}
 	z.runs[r.key] = r
 	z.byJob[job.Name] = r
