--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/bits"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"time"
 
@@ -24,9 +26,12 @@
 	IndirectProbes = 3
 	// maxUpdates bounds the updates in one message, which keeps the cost of a message constant.
 	maxUpdates = 4
-	// gossipFactor times log2 of the fleet is how often an update is passed on. SWIM uses 3,
+	// gossipFactor times log2 of the fleet is how often urgent news is passed on. SWIM uses 3,
 	// which reaches all members with high probability.
 	gossipFactor = 3
+	// minorSends is how often other news is passed on. It reaches most members; the others
+	// learn it at their next direct exchange. Urgent news has more sends left and goes first.
+	minorSends = 3
 	// silentProbeEvery is the number of periods between two probes of silent peers. Silent
 	// peers are probed so that the two sides of a healed partition find each other again.
 	silentProbeEvery = 5
@@ -51,10 +56,12 @@
 // Message is the content of a probe and of its answer.
 type Message struct {
 	From string
-	// Incarnation, Version and Applied are those of the sender.
-	Incarnation uint64
-	Version     uint64
-	Applied     platform.Offset
+	// Incarnation, Version, Applied and PolicyVersion are those of the sender. Offsets change
+	// too often to be news.
+	Incarnation   uint64
+	Version       uint64
+	Applied       platform.Offset
+	PolicyVersion platform.Offset
 	// KnownIncarnation and KnownVersion tell what the sender knows of the receiver.
 	KnownIncarnation uint64
 	KnownVersion     uint64
@@ -104,11 +111,16 @@
 	return c
 }
 
-// spread queues news of a member for the next messages.
+// spread queues urgent news of a member for the next messages.
 func (c *core) spread(e *entry) {
 	e.sends = gossipFactor * bits.Len(uint(len(c.ids)))
 }
 
+// spreadMinor queues other news of a member.
+func (c *core) spreadMinor(e *entry) {
+	e.sends = max(e.sends, minorSends)
+}
+
 // tick starts a period. It returns the peers to probe and reports whether a status changed.
 func (c *core) tick(now time.Time) (targets []string, changed bool) {
 	c.periods++
@@ -178,7 +190,7 @@
 // missed records that a peer answered neither a direct nor an indirect probe.
 func (c *core) missed(now time.Time, target string) (changed bool) {
 	e, found := c.entries[target]
-	if !found || e.status != Alive {
+	if !found || e == c.self || e.status != Alive {
 		return false
 	}
 	c.setStatus(now, e, Suspect)
@@ -191,14 +203,41 @@
 	c.spread(e)
 }
 
-// publish changes what this instance tells of itself.
-func (c *core) publish(change func(*Info)) {
-	info := c.self.info
+// publish changes what this instance tells of itself and reports whether others must learn it
+// soon.
+func (c *core) publish(change func(*Info)) (urgent bool) {
+	old, info := c.self.info, c.self.info
 	change(&info)
-	info.ID, info.Incarnation = c.self.info.ID, c.self.info.Incarnation
-	info.Version = c.self.info.Version + 1
+	info.ID, info.Incarnation = old.ID, old.Incarnation
+	offsetsOnly := old
+	offsetsOnly.Applied, offsetsOnly.PolicyVersion = info.Applied, info.PolicyVersion
+	if !reflect.DeepEqual(offsetsOnly, info) {
+		info.Version = old.Version + 1
+	}
 	c.self.info = info
-	c.spread(c.self)
+	if info.Version == old.Version {
+		return false
+	}
+	urgent = c.isUrgent(old, info)
+	switch {
+	case urgent:
+		c.spread(c.self)
+	case old.Ready != info.Ready || !maps.Equal(old.FreeAccelerators, info.FreeAccelerators) ||
+		!maps.Equal(old.QueuedAccelerators, info.QueuedAccelerators):
+		c.spreadMinor(c.self)
+	}
+	return urgent
+}
+
+// isUrgent reports whether a change should not wait for the next period. An epoch is news from
+// its holder only: the others repeat it, and every direct exchange shows it.
+func (c *core) isUrgent(old, changed Info) bool {
+	for zone, epoch := range changed.Epochs {
+		if epoch.Holder == changed.ID && epoch != old.Epochs[zone] {
+			return true
+		}
+	}
+	return old.Draining != changed.Draining || !slices.Equal(old.LeavingTargets, changed.LeavingTargets)
 }
 
 // leave marks this instance as gracefully stopped.
@@ -213,7 +252,10 @@
 // so that it can refute at once.
 func (c *core) compose(to string) Message {
 	self := c.self.info
-	m := Message{From: self.ID, Incarnation: self.Incarnation, Version: self.Version, Applied: self.Applied}
+	m := Message{
+		From: self.ID, Incarnation: self.Incarnation, Version: self.Version,
+		Applied: self.Applied, PolicyVersion: self.PolicyVersion,
+	}
 	receiver, found := c.entries[to]
 	if !found {
 		return m
@@ -273,13 +315,20 @@
 	for _, u := range m.Updates {
 		changed = c.merge(now, u) || changed
 	}
-	if sender.info.Incarnation == m.Incarnation && sender.info.Applied < m.Applied {
-		sender.info.Applied = m.Applied
-		changed = true
+	if sender.info.Incarnation == m.Incarnation {
+		changed = c.mergeOffsets(sender, m) || changed
 	}
 	return changed
 }
 
+func (c *core) mergeOffsets(sender *entry, m Message) (changed bool) {
+	info := &sender.info
+	changed = info.Applied < m.Applied || info.PolicyVersion < m.PolicyVersion
+	info.Applied = max(info.Applied, m.Applied)
+	info.PolicyVersion = max(info.PolicyVersion, m.PolicyVersion)
+	return changed
+}
+
 // merge applies one update. A higher incarnation wins; within one incarnation a worse status
 // and a newer version win.
 func (c *core) merge(now time.Time, u Update) (changed bool) {
@@ -295,13 +344,17 @@
 	case u.Info.Incarnation < e.info.Incarnation:
 		return false
 	case u.Info.Incarnation > e.info.Incarnation:
+		discovered := e.info.Incarnation == 0 && u.Status == Alive
 		e.info = u.Info
 		c.setStatus(now, e, u.Status)
+		if discovered {
+			// Others learn of a new instance from the instance itself and the peers that it asked.
+			e.sends = minorSends
+		}
 		return true
 	}
 	if u.Info.Version > e.info.Version {
-		e.info = u.Info
-		c.spread(e)
+		c.takeInfo(e, u.Info)
 		changed = true
 	}
 	if rank(u.Status) > rank(e.status) {
@@ -311,6 +364,20 @@
 	return changed
 }
 
+// takeInfo replaces what is known of a member and passes on what others need.
+func (c *core) takeInfo(e *entry, info Info) {
+	old := e.info
+	info.Applied = max(info.Applied, old.Applied)
+	info.PolicyVersion = max(info.PolicyVersion, old.PolicyVersion)
+	e.info = info
+	if c.isUrgent(old, info) {
+		c.spread(e)
+	} else if !maps.Equal(old.FreeAccelerators, info.FreeAccelerators) || old.Ready != info.Ready ||
+		!maps.Equal(old.QueuedAccelerators, info.QueuedAccelerators) {
+		c.spreadMinor(e)
+	}
+}
+
 // rank orders statuses within one incarnation.
 func rank(s Status) int {
 	switch s {
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -26,7 +26,8 @@
 	ID string `json:"id"`
 	// Incarnation is the start time of the process in nanoseconds; a restart has a higher one.
 	Incarnation uint64 `json:"incarnation"`
-	// Version rises with each change of the other fields.
+	// Version rises with each change of the other fields except the two offsets, which every
+	// message carries.
 	Version uint64 `json:"version"`
 	// Applied is the log offset that the instance's state has reached.
 	Applied platform.Offset `json:"applied"`
@@ -61,6 +62,7 @@
 	Members() []Member
 	// Changed returns a channel that is closed when a status or an Info next changes.
 	Changed() <-chan struct{}
-	// Publish changes what this instance tells of itself. It raises Info.Version.
+	// Publish changes what this instance tells of itself. It raises Info.Version unless only
+	// the offsets change.
 	Publish(change func(*Info))
 }
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -268,9 +266,7 @@
 // The maps and slices that change sets must not be modified afterwards.
 func (s *Service) Publish(change func(*Info)) {
 	s.mu.Lock()
-	old := s.core.self.info
-	s.core.publish(change)
-	urgent := isUrgent(old, s.core.self.info)
+	urgent := s.core.publish(change)
 	s.notify()
 	s.mu.Unlock()
 	if urgent {
@@ -281,13 +277,6 @@
 	}
 }
 
-// isUrgent reports whether a change should not wait for the next period.
-func isUrgent(old, changed Info) bool {
-	return old.Draining != changed.Draining ||
-		!maps.Equal(old.Epochs, changed.Epochs) ||
-		!slices.Equal(old.LeavingTargets, changed.LeavingTargets)
-}
-
 // statuses is called with the lock held, before a change.
 func (s *Service) statuses() []Status {
 	out := make([]Status, len(s.core.ids))
