--- a/internal/gang/gang.go
+++ b/internal/gang/gang.go
@@ -27,8 +27,13 @@
 
 	// confirmSlack is how much older than one period a confirmation may be at a renewal.
 	confirmSlack = 500 * time.Millisecond
-	// lossAfter is the age of a member's confirmation at which the member counts as lost.
-	lossAfter = 5 * time.Second
+	// renewTTL is the longest renewal. A lease then ends RunningTTL after the last moment at
+	// which all members were confirmed, even if the renewal is a period later and slow.
+	renewTTL = RunningTTL - RenewPeriod - CallTimeout
+	// lossAfter is the age of a member's confirmation at which the member counts as lost. The
+	// other members are not stopped before their leases lapse: a frozen worker may still take a
+	// renewal that waits for it, and the gang would be partial for longer.
+	lossAfter = RunningTTL - CallTimeout
 	// reserveDeadline bounds the time to reserve on all workers.
 	reserveDeadline = 3 * time.Second
 	// reserveKeep is how often reservations are repeated while the commit is pending.
@@ -373,7 +378,7 @@
 	}
 	g.firstStart = time.Time{}
 	// The lease must end RunningTTL after the oldest confirmation even if the call is slow.
-	ttl := RunningTTL - now.Sub(oldest) - CallTimeout
+	ttl := min(RunningTTL-now.Sub(oldest)-CallTimeout, renewTTL)
 	return g.each(now, func(now time.Time, worker string, _ *contact) (Call, bool) {
 		active := g.leasesAt(worker, (*member).active)
 		if len(active) == 0 {
