--- a/internal/placement/adopt.go
+++ b/internal/placement/adopt.go
@@ -42,6 +42,20 @@
 	}
 }
 
+// started reports whether a member was started. A lapsed reservation ends without run time.
+func (f *finding) started() bool {
+	return slices.ContainsFunc(f.found, func(one gang.Found) bool {
+		switch one.Lease.State {
+		case platform.LeaseReserved:
+			return false
+		case platform.LeaseStopped:
+			return one.Lease.RanSeconds > 0
+		default:
+			return true
+		}
+	})
+}
+
 // findings groups the listed leases by attempt.
 func (z *zone) findings() map[attempt]*finding {
 	findings := make(map[attempt]*finding)
@@ -73,12 +87,16 @@
 	return silent
 }
 
-// adoptable returns the attempt of a job that may be running: the newest one found, unless
-// the log says that it has ended, or else the one that the log says is running.
+// adoptable returns the attempt of a job that may be running: the newest one that was started,
+// unless the log says that it has ended, or else the one that the log says is running. A
+// newer attempt that is only reserved hides neither, because it is dropped without a trace.
 func (z *zone) adoptable(job *resource.Job, findings map[attempt]*finding) (finding, gang.Spec, bool) {
 	var newest *finding
 	for _, f := range findings {
-		if f.key.uid == job.UID && (newest == nil || f.key.number > newest.key.number) {
+		if f.key.uid != job.UID || !f.started() && f.key.number != job.Status.Attempt {
+			continue
+		}
+		if newest == nil || f.key.number > newest.key.number {
 			newest = f
 		}
 	}
@@ -111,6 +129,7 @@
 	r := &run{
 		Gang: gang.Adopt(now, f.sent, spec, f.found, committed, silent),
 		job:  job.Name, key: f.key, never: job.Spec.Restart == resource.RestartNever, committed: committed,
+		placedAt: now,
 	}
 	z.runs[r.key] = r
 	z.byJob[job.Name] = r
@@ -131,3 +150,23 @@
 		r.commitAt = now
 	}
 }
+
+// adoptRecorded takes over attempts that the log has as running although this leader does not
+// know them. A leader that lost its epoch may have recorded them after this leader took over.
+func (z *zone) adoptRecorded(now time.Time) {
+	for _, name := range slices.Sorted(maps.Keys(z.view.Jobs)) {
+		job := z.view.Jobs[name]
+		if job.Status.Phase != resource.PhaseRunning || z.byJob[name] != nil || z.runs[attempt{job.UID, job.Status.Attempt}] != nil {
+			continue
+		}
+		if p, found := z.pending[name]; found && p.uid == job.UID && p.status.Attempt >= job.Status.Attempt {
+			continue
+		}
+		f, spec, _ := z.adoptable(job, nil)
+		ask := spec.Workers
+		if len(ask) != spec.Task.Members || slices.Contains(ask, "") {
+			ask = z.workerIDs()
+		}
+		z.adoptRun(now, job, f, spec, ask)
+	}
+}
--- a/internal/placement/zone.go
+++ b/internal/placement/zone.go
@@ -75,9 +75,18 @@
 	committed bool
 	reclaim   *reclaim
 	// ended is set when the outcome was taken over into the job's status.
-	ended bool
-	// starting and settled mark transitions that were reported.
+	ended           bool
 	reportedRunning bool
+	// judged is set when the health of workers has taken the outcome into account.
+	judged bool
+	// placedAt is when the run was placed or adopted.
+	placedAt time.Time
+	// probe names the worker of a probe task, which belongs to no job.
+	probe string
+	// overuse has what is remembered of each member's usage reports.
+	overuse map[int]scheduler.Overuse
+	// overused is set when the run is stopped because it uses more than it declared.
+	overused bool
 }
 
 // reclaim is the wish to checkpoint and stop a running job.
@@ -112,6 +121,7 @@
 	write    writeState
 	promises map[string]state.GuaranteeUpdate
 	health   map[string]state.WorkerHealth
+	healthOf *scheduler.Health
 	backoffs map[string]backoff
 	waiting  map[string]scheduler.Waiting
 	// changed is set when the scheduler has something new to decide on.
@@ -166,6 +176,8 @@
 		z.adopt(now)
 	}
 	z.reconcile(now)
+	z.treatWorkers(now)
+	z.askUsage(now)
 	z.schedule(now)
 	z.commitRuns(now)
 	z.callGangs(now)
@@ -194,17 +206,22 @@
 		r := z.runs[key]
 		job, found := z.view.Jobs[r.job]
 		switch {
+		case r.probe != "":
+			z.probeStep(now, r)
 		case !found || job.UID != key.uid:
 			r.Halt(now, "the job was deleted")
 		case job.Status.Phase == resource.PhaseCancelled:
 			r.Halt(now, job.Status.Reason)
 		case job.Status.Phase.Terminal():
 			r.Halt(now, "the job has ended")
+		case job.Status.Attempt > key.number:
+			r.Halt(now, "another leader recorded a newer attempt")
 		default:
 			z.reclaimStep(now, r)
 		}
 	}
 	z.reclaimFromLeaving(now)
+	z.adoptRecorded(now)
 }
 
 func (z *zone) runOrder() []attempt {
@@ -243,7 +260,7 @@
 func (z *zone) reclaimFromLeaving(now time.Time) {
 	for _, key := range z.runOrder() {
 		r := z.runs[key]
-		if r.never || r.reclaim != nil || r.Phase() != gang.Running {
+		if r.never || r.probe != "" || r.reclaim != nil || r.Phase() != gang.Running {
 			continue
 		}
 		for _, id := range r.Spec().Workers {
@@ -287,10 +304,10 @@
 func (z *zone) snapshot(now time.Time) scheduler.Snapshot {
 	s := scheduler.Snapshot{
 		Zone: z.name, Organisations: z.view.Organisations, Guarantees: z.view.Guarantees,
-		Policy: z.view.Policy, Held: make(map[string]int),
+		Policy: z.view.Policy, Held: make(map[string]int), Avoid: make(map[string][]string),
 	}
 	for _, id := range z.workerIDs() {
-		s.Workers = append(s.Workers, z.workers[id].describe(z.quarantined(id)))
+		s.Workers = append(s.Workers, z.describeWorker(now, id))
 		if held := z.workers[id].heldByOrphans(); held > 0 {
 			s.Held[id] = held
 		}
@@ -301,11 +318,20 @@
 	for _, name := range slices.Sorted(maps.Keys(z.view.Jobs)) {
 		if job := z.view.Jobs[name]; z.queued(now, job) {
 			s.Queued = append(s.Queued, z.withStatus(job))
+			if avoid := z.doctor(now).Avoid(name); len(avoid) > 0 {
+				s.Avoid[name] = avoid
+			}
 		}
 	}
 	return s
 }
 
+func (z *zone) describeWorker(now time.Time, id string) scheduler.Worker {
+	w := z.workers[id].describe(z.quarantined(id) || !z.doctor(now).Usable(id))
+	w.Suspect = z.doctor(now).Suspect(id)
+	return w
+}
+
 // withStatus returns the job with the results that are not yet in the log.
 func (z *zone) withStatus(job *resource.Job) *resource.Job {
 	if _, found := z.pending[job.Name]; !found {
@@ -355,8 +381,12 @@
 		}
 		return
 	}
+	startedAt := r.StartedAt()
+	if startedAt.IsZero() {
+		startedAt = r.placedAt
+	}
 	s.Running = append(s.Running, scheduler.Running{
-		Job: z.withStatus(job), Workers: workers, StartedAt: r.StartedAt(),
+		Job: z.withStatus(job), Workers: workers, StartedAt: startedAt,
 		CheckpointAge: r.CheckpointAge(),
 		Reclaiming:    r.reclaim != nil || r.Phase() == gang.Stopping,
 	})
@@ -396,10 +426,18 @@
 	maxCounter  = 1<<counterBits - 1
 )
 
-func (z *zone) nextAttempt() uint64 {
+// nextAttempt returns a number above the job's newest attempt. The epoch field is raised if
+// that attempt came from another zone with higher epochs, or from a leader of the same epoch
+// number with a larger hash.
+func (z *zone) nextAttempt(newest uint64) uint64 {
 	z.counter++
 	hash := xxhash.Sum64String(z.epoch.Holder) & (1<<hashBits - 1)
-	return z.epoch.Number<<(hashBits+counterBits) | hash<<counterBits | z.counter
+	low := hash<<counterBits | z.counter
+	high := max(z.epoch.Number, newest>>(hashBits+counterBits))
+	if high<<(hashBits+counterBits)|low <= newest {
+		high++
+	}
+	return high<<(hashBits+counterBits) | low
 }
 
 // place begins an attempt.
@@ -409,12 +447,13 @@
 		return
 	}
 	spec := gang.Spec{
-		Job: job.Name, UID: job.UID, Attempt: z.nextAttempt(), Workers: p.Workers,
+		Job: job.Name, UID: job.UID, Attempt: z.nextAttempt(z.effective(job).Attempt), Workers: p.Workers,
 		Task: z.task(job, p.Reclaimable), Base: z.started,
 	}
 	r := &run{
 		Gang: gang.New(now, spec), job: job.Name,
 		key: attempt{job.UID, spec.Attempt}, never: job.Spec.Restart == resource.RestartNever,
+		placedAt: now,
 	}
 	z.runs[r.key] = r
 	z.byJob[job.Name] = r
