--- a/internal/placement/world_test.go
+++ b/internal/placement/world_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -133,6 +134,14 @@
 	nodes map[string]map[string]any
 	// cut has the ids that cannot be reached and cannot reach others.
 	cut map[string]bool
+	// dead has the ids that cannot reach the log either.
+	dead map[string]bool
+}
+
+func (n *network) isDead(id string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dead[id]
 }
 
 type networkEnd struct {
@@ -198,6 +207,21 @@
 	network   *network
 	rows      []platform.Instance
 	nodes     map[string]*node
+	// stops counts the stop calls to workers.
+	stops atomic.Int64
+}
+
+// active returns the number of active leases at all workers.
+func (w *world) active() int {
+	n := 0
+	for _, row := range w.rows {
+		for _, lease := range w.fleet.Snapshot(row.ID) {
+			if lease.State.Active() {
+				n++
+			}
+		}
+	}
+	return n
 }
 
 type worldConfig struct {
@@ -210,7 +234,7 @@
 
 func newWorld(t *testing.T, config worldConfig) *world {
 	w := &world{t: t, log: standin.NewLog(standin.LogConfig{}), nodes: make(map[string]*node)}
-	w.network = &network{nodes: make(map[string]map[string]any), cut: make(map[string]bool)}
+	w.network = &network{nodes: make(map[string]map[string]any), cut: make(map[string]bool), dead: make(map[string]bool)}
 	if len(config.workerZones) == 0 {
 		config.workerZones = []string{"zone-a"}
 	}
@@ -245,8 +269,8 @@
 func (w *world) start(self membership.Peer, peers []membership.Peer) {
 	end := networkEnd{network: w.network, id: self.ID}
 	recorder := timeline.NewRecorder(self.ID, hlc.New(nil), 1000)
-	logger := logging.New(w.t.Output(), "info", self.ID)
-	n := &node{id: self.ID, replica: newMemoryReplica(w.log, self.ID), done: make(chan struct{})}
+	logger := logging.Discard()
+	n := &node{id: self.ID, replica: newMemoryReplica(cutLog{w.log, w, self.ID}, self.ID), done: make(chan struct{})}
 	n.membership = membership.New(membership.Config{
 		Self: self, Peers: peers, Seed: 1, Caller: end, Registrar: end, Log: logger, Timeline: recorder,
 	})
@@ -256,7 +280,7 @@
 	})
 	n.placement = New(Config{
 		Self: self.ID, Leadership: n.leadership, Reader: n.replica, Writer: n.replica, Tail: n.replica,
-		Instances: w.instances, Workers: guardedWorkers{w.fleet, w.network, self.ID}, Publisher: n.membership,
+		Instances: w.instances, Workers: guardedWorkers{w.fleet, w, self.ID}, Publisher: n.membership,
 		Caller: end, Registrar: end, NewScheduler: func() scheduler.Scheduler { return scheduler.New(1) },
 		Log: logger, Timeline: recorder,
 	})
@@ -281,11 +305,40 @@
 	w.nodes[self.ID] = n
 }
 
+// cutLog does not let a dead instance reach the log.
+type cutLog struct {
+	platform.Log
+	world *world
+	id    string
+}
+
+func (c cutLog) Append(ctx context.Context, data []byte) (platform.Offset, error) {
+	if c.world.network.isDead(c.id) {
+		return 0, platform.ErrUnavailable
+	}
+	return c.Log.Append(ctx, data)
+}
+
+func (c cutLog) Read(ctx context.Context, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+	if c.world.network.isDead(c.id) {
+		return platform.Batch{}, platform.ErrUnavailable
+	}
+	return c.Log.Read(ctx, from, limit, wait)
+}
+
+// isolate cuts an instance off from its peers and the workers, but not from the log.
+func (w *world) isolate(id string) {
+	w.network.mu.Lock()
+	defer w.network.mu.Unlock()
+	w.network.cut[id] = true
+}
+
 // kill cuts an instance off from everything, as SIGKILL or a pause without end would.
 func (w *world) kill(id string) {
 	w.network.mu.Lock()
 	defer w.network.mu.Unlock()
 	w.network.cut[id] = true
+	w.network.dead[id] = true
 }
 
 func (w *world) close() {
@@ -300,21 +353,17 @@
 // guardedWorkers does not let a cut instance reach workers.
 type guardedWorkers struct {
 	platform.Workers
-	network *network
-	id      string
+	world *world
+	id    string
 }
 
-func (g guardedWorkers) dead() bool {
-	g.network.mu.Lock()
-	defer g.network.mu.Unlock()
-	return g.network.cut[g.id]
-}
+func (g guardedWorkers) dead() bool { return g.world.network.isCut(g.id) }
 
-func (g guardedWorkers) Renew(ctx context.Context, worker platform.Instance, req platform.LeaseRequest) ([]platform.LeaseResult, error) {
+func (g guardedWorkers) Leases(ctx context.Context, worker platform.Instance, epoch platform.Epoch) ([]platform.Lease, error) {
 	if g.dead() {
 		return nil, platform.ErrUnavailable
 	}
-	return g.Workers.Renew(ctx, worker, req)
+	return g.Workers.Leases(ctx, worker, epoch)
 }
 
 func (g guardedWorkers) Reserve(ctx context.Context, worker platform.Instance, req platform.ReserveRequest) error {
@@ -331,6 +380,21 @@
 	return g.Workers.Start(ctx, worker, req)
 }
 
+func (g guardedWorkers) Renew(ctx context.Context, worker platform.Instance, req platform.LeaseRequest) ([]platform.LeaseResult, error) {
+	if g.dead() {
+		return nil, platform.ErrUnavailable
+	}
+	return g.Workers.Renew(ctx, worker, req)
+}
+
+func (g guardedWorkers) Stop(ctx context.Context, worker platform.Instance, req platform.LeaseRequest) ([]platform.LeaseResult, error) {
+	if g.dead() {
+		return nil, platform.ErrUnavailable
+	}
+	g.world.stops.Add(1)
+	return g.Workers.Stop(ctx, worker, req)
+}
+
 // put writes a resource through any live instance.
 func (w *world) put(object resource.Object) {
 	w.t.Helper()
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -200,8 +200,9 @@
 // work is what one request asks for.
 type work struct {
 	id string
-	// echo is the request id that the answer repeats.
+	// echo and attempt are the request id and the attempt id that the answer repeats.
 	echo    string
+	attempt string
 	service time.Duration
 	size    int64
 }
@@ -210,7 +211,7 @@
 
 // parseWork reads a request to a target.
 func parseWork(header http.Header, query url.Values) (work, error) {
-	w := work{echo: header.Get(platform.HeaderRequestID)}
+	w := work{echo: header.Get(platform.HeaderRequestID), attempt: header.Get(platform.HeaderAttemptID)}
 	w.id = cmp.Or(query.Get(ParamID), w.echo)
 	if len(w.id) > maxRequestIDLen || len(w.echo) > maxRequestIDLen {
 		return work{}, fmt.Errorf("%w: request id longer than %d bytes", errBadRequest, maxRequestIDLen)
@@ -291,6 +292,9 @@
 	}
 	header := rw.Header()
 	header.Set(platform.HeaderRequestID, job.echo)
+	if job.attempt != "" {
+		header.Set(platform.HeaderAttemptID, job.attempt)
+	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	header.Set("Content-Length", strconv.FormatInt(job.size, 10))
 	if faults.ShortAnswer {
