Spread a burst of jobs over the zones

Cause: the choice of a zone used what the zones' leaders report in probes. Those reports are older than a burst, so 24 gangs in a row all went to one zone and waited there while three zones were idle. Change: the load of each zone is counted from the replicated state, which has every accepted job.

--- a/internal/instance/adapters.go
+++ b/internal/instance/adapters.go
@@ -8,7 +8,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/oleanderbend/oleanderbend/internal/inventory"
-	"github.com/oleanderbend/oleanderbend/internal/membership"
 	"github.com/oleanderbend/oleanderbend/internal/placement"
 	"github.com/oleanderbend/oleanderbend/internal/platform"
 	"github.com/oleanderbend/oleanderbend/internal/resource"
@@ -23,13 +22,10 @@
 
 func newScheduler(id string) scheduler.Scheduler { return scheduler.New(int64(seed(id) >> 1)) }
 
-// zoneAdapter gives the API its choice of zones, from the list of instances, the state and
-// what the zones' leaders tell.
+// zoneAdapter gives the API its choice of zones, from the list of instances and the state.
 type zoneAdapter struct {
 	instances *inventory.Cache
 	reader    state.Reader
-	view      membership.View
-	now       func() time.Time
 	scheduler scheduler.Scheduler
 }
 
@@ -41,7 +37,7 @@
 	}
 	z.reader.Read(func(s *state.State) {
 		loads := zoning.Inventory(list, quarantined(s))
-		z.addReports(s, loads)
+		addJobs(s, loads)
 		zone = zoning.ChooseForJob(job, loads, s.Guarantees)
 		// Quarantined workers return, so they count for what can ever run.
 		refusal = zoning.Refusal(job, zoning.Inventory(list, func(string) bool { return false }))
@@ -71,23 +67,27 @@
 	return zone, result, nil
 }
 
-// addReports fills in what the leaders of the zones tell of free and queued accelerators. A
-// zone without a report counts as empty.
-func (z *zoneAdapter) addReports(s *state.State, loads map[string]zoning.Load) {
-	reports := make(map[string]membership.Info)
-	for _, m := range z.view.Members() {
-		reports[m.Info.ID] = m.Info
-	}
+// addJobs counts the accelerators that the jobs of each zone hold or wait for. The state has
+// every accepted job at once, so a burst of jobs spreads over the zones; what the leaders
+// report is older and would send a whole burst to one zone.
+func addJobs(s *state.State, loads map[string]zoning.Load) {
 	for zone, load := range loads {
 		load.Free = load.Total
-		if info, found := reports[s.Zones[zone].Epoch.Holder]; found {
-			if free, reported := info.FreeAccelerators[zone]; reported {
-				load.Free = free
-				load.Queued = info.QueuedAccelerators[zone]
-			}
-		}
 		loads[zone] = load
 	}
+	for _, job := range s.Jobs {
+		load, found := loads[job.Status.Zone]
+		if !found {
+			continue
+		}
+		switch job.Status.Phase {
+		case resource.PhaseRunning:
+			load.Free -= job.Spec.Accelerators()
+		case resource.PhaseQueued:
+			load.Queued += job.Spec.Accelerators()
+		}
+		loads[job.Status.Zone] = load
+	}
 }
 
 func quarantined(s *state.State) func(string) bool {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -189,8 +189,7 @@
 func (i *Instance) newAPI(instances *inventory.Cache) *api.API {
 	s := i.settings
 	zones := &zoneAdapter{
-		instances: instances, reader: i.replica, view: i.members, now: i.now,
-		scheduler: newScheduler(s.ID),
+		instances: instances, reader: i.replica, scheduler: newScheduler(s.ID),
 	}
 	return api.New(api.Dependencies{
 		ID: s.ID, Reader: i.replica, Writer: i.replica, Ready: i, View: i.members,
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -30,8 +30,12 @@
 	// nothing about the system.
 	settleTimeout = 60 * time.Second
 	pollPeriod    = 50 * time.Millisecond
+	// pollTimeout bounds one question to an instance, which may be frozen.
+	pollTimeout = time.Second
 )
 
+var pollClient = &http.Client{Timeout: pollTimeout}
+
 // clusterKey finds the holder of a script's cluster.
 type clusterKey struct{}
 
@@ -198,7 +202,7 @@
 	ts.Check(waitFor(func() error {
 		out, err := runCommand(ts, binary, args[1:])
 		if !pattern.MatchString(out) {
-			return fmt.Errorf("%s: no match for %s (%w) in %s", strings.Join(args[1:], " "), args[0], err, out)
+			return fmt.Errorf("%s: no match for %s (%v) in %s", strings.Join(args[1:], " "), args[0], err, out)
 		}
 		return nil
 	}))
@@ -294,7 +298,7 @@
 }
 
 func ready(in instance) error {
-	res, err := http.Get("http://" + in.Operator + "/-/ready")
+	res, err := pollClient.Get("http://" + in.Operator + "/-/ready")
 	if err != nil {
 		return err
 	}
@@ -309,7 +313,7 @@
 func (c *cluster) leader(zone string) (string, error) {
 	var newest platform.Epoch
 	for _, in := range c.instances {
-		res, err := http.Get("http://" + in.Operator + "/v1/instances")
+		res, err := pollClient.Get("http://" + in.Operator + "/v1/instances")
 		if err != nil {
 			continue
 		}
