--- a/internal/dispatch/fair.go
+++ b/internal/dispatch/fair.go
@@ -20,6 +20,7 @@
 	slices.SortFunc(flows, compareFlows)
 	shares := make(map[admission.Flow]float64, len(flows))
 	l.fill(flows, demand, float64(l.allSlots), levelOrganisation, shares)
+	l.noteDemand(demand, shares)
 	result := make(map[string]float64, len(live))
 	for _, f := range flows {
 		total := demand[f].total
@@ -124,31 +125,28 @@
 	return 1
 }
 
-// spread returns the part of the demand of each reported flow, and of its organisation and
-// kind, that is at the reporting instance. Whole parts are left out.
-func (l *Lender) spread(now time.Time, report SlotReport) []FlowSpread {
-	here := make(map[admission.Flow]int)
-	addLevels(here, report.Flows)
-	all := make(map[admission.Flow]int)
-	for _, id := range l.instances {
-		if l.live(now, id) {
-			addLevels(all, l.borrowers[id].report.Flows)
+// noteDemand keeps the total demand of the flows that want more than their fair share.
+func (l *Lender) noteDemand(demand map[admission.Flow]*flowDemands, shares map[admission.Flow]float64) {
+	const rounding = 0.5
+	clear(l.unsatisfied)
+	for f, d := range demand {
+		if shares[f] < d.total-rounding {
+			l.unsatisfied[f] = d.total
 		}
 	}
-	var result []FlowSpread
-	for f, d := range here {
-		if all[f] > d {
-			result = append(result, FlowSpread{Flow: f, Part: float64(d) / float64(all[f])})
-		}
-	}
-	slices.SortFunc(result, func(a, b FlowSpread) int { return compareFlows(a.Flow, b.Flow) })
-	return result
 }
 
-func addLevels(sums map[admission.Flow]int, flows []FlowDemand) {
-	for _, f := range flows {
-		sums[f.Flow] += f.Demand
-		sums[admission.Flow{Organisation: f.Flow.Organisation, Kind: f.Flow.Kind}] += f.Demand
-		sums[admission.Flow{Organisation: f.Flow.Organisation}] += f.Demand
+// scales returns the factors for the shares of the reported flows at the reporting instance:
+// the part of a flow's demand that is there. A flow that is satisfied is not scaled, since
+// its demand is small and its part at one instance changes at random. Kinds and
+// organisations are not scaled: their members are, and the part of an organisation at one
+// instance says little about the need of its small callers there.
+func (l *Lender) scales(report SlotReport) []FlowScale {
+	var result []FlowScale
+	for _, f := range report.Flows {
+		if total := l.unsatisfied[f.Flow]; total > float64(f.Demand) {
+			result = append(result, FlowScale{Flow: f.Flow, Scale: float64(f.Demand) / total})
+		}
 	}
+	return result
 }
--- a/internal/placement/chaos_test.go
+++ b/internal/placement/chaos_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -60,7 +61,9 @@
 	dead     bool
 	// lagging has the state that a leader sees that does not read the log.
 	lagging *state.State
-	pausedA time.Time
+	// pausedUntil is when a paused leader goes on.
+	pausedUntil time.Time
+	view        View
 }
 
 // chaos drives zones against the stand-ins' workers with faults drawn by rapid.
@@ -77,13 +80,34 @@
 	nextAt   time.Time
 	calm     bool
 	reserved map[platform.LeaseID]bool
-	frozen   map[string]standin.WorkerFaults
+	// history has the faults and the calls that arrived, for a failed check.
+	history []string
+}
+
+func (c *chaos) note(format string, args ...any) {
+	c.history = append(c.history, c.clock.at.Format("05.00 ")+fmt.Sprintf(format, args...))
+}
+
+// historyOf returns the faults and what concerns one attempt.
+func (c *chaos) historyOf(id standin.AttemptID) string {
+	var out strings.Builder
+	for _, line := range c.history {
+		if strings.Contains(line, "fault") || strings.Contains(line, fmt.Sprint(id.Attempt)) {
+			fmt.Fprintln(&out, line)
+		}
+	}
+	for _, run := range c.fleet.Runs() {
+		if run.ID.Attempt == id.Attempt {
+			fmt.Fprintf(&out, "run %s %d %s..%s %s\n", run.Worker, run.ID.Member, run.From.Format("05.00"), run.To.Format("05.00"), run.End)
+		}
+	}
+	return out.String()
 }
 
 func newChaos(t *rapid.T) *chaos {
 	c := &chaos{
 		t: t, clock: &manualClock{at: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}, logUp: true,
-		state: state.New(), reserved: make(map[platform.LeaseID]bool), frozen: make(map[string]standin.WorkerFaults),
+		state: state.New(), reserved: make(map[platform.LeaseID]bool),
 	}
 	for i := range 4 {
 		c.rows = append(c.rows, platform.Instance{
@@ -145,10 +169,41 @@
 	}
 	c.check()
 	for name, job := range c.state.Jobs {
-		require.True(c.t, job.Status.Phase.Terminal(), "job %s is %s after the faults: %s", name, job.Status.Phase, job.Status.Reason)
+		require.True(c.t, job.Status.Phase.Terminal(), "job %s is %s after the faults\n%s", name, job.Status.Phase, c.describe())
 	}
 }
 
+// describe prints the leader's and the workers' knowledge for a failed check.
+func (c *chaos) describe() string {
+	var out strings.Builder
+	for _, l := range c.leaders {
+		if l.dead {
+			continue
+		}
+		fmt.Fprintf(&out, "leader %v recorded=%v adopted=%v write=%+v\n", l.epoch, l.recorded, l.zone.adopted, l.zone.write)
+		for key, r := range l.zone.runs {
+			result, reason := r.Outcome()
+			fmt.Fprintf(&out, "  run %s %d %s %s %s commitAt=%v committed=%v ended=%v\n", r.job, key.number, r.Phase(), result, reason, r.commitAt, r.committed, r.ended)
+		}
+		for name, p := range l.zone.pending {
+			fmt.Fprintf(&out, "  pending %s %+v\n", name, *p)
+		}
+		for id, w := range l.zone.workers {
+			fmt.Fprintf(&out, "  worker %s listed=%v failing=%v orphans=%v\n", id, w.listed, w.failing, w.orphans)
+		}
+		fmt.Fprintf(&out, "  waiting %v\n", l.zone.waiting)
+	}
+	for _, row := range c.rows {
+		for _, lease := range c.fleet.Snapshot(row.ID) {
+			fmt.Fprintf(&out, "lease %s %+v\n", row.ID, lease)
+		}
+	}
+	for name, job := range c.state.Jobs {
+		fmt.Fprintf(&out, "job %s %+v\n", name, job.Status)
+	}
+	return out.String()
+}
+
 func (c *chaos) finished() bool {
 	for _, job := range c.state.Jobs {
 		if !job.Status.Phase.Terminal() {
@@ -170,7 +225,7 @@
 
 func (c *chaos) stepLeader(l *chaosLeader) {
 	now := c.clock.at
-	if now.Before(l.pausedA) {
+	if now.Before(l.pausedUntil) {
 		return
 	}
 	if !l.recorded && c.logUp {
@@ -185,7 +240,10 @@
 	if l.lagging != nil {
 		st = l.lagging
 	}
-	view := newView(st, "z")
+	if l.view.Jobs == nil || l.view.Version != st.Applied {
+		l.view = newView(st, "z")
+	}
+	view := l.view
 	view.Instances, view.May, view.LogUp = c.rows, true, c.logUp && l.recorded && l.lagging == nil
 	step := l.zone.step(now, view)
 	for _, op := range step.Ops {
@@ -291,7 +349,11 @@
 		}
 	}
 	m.op.Reason = reason
-	r := newRunner(c.fleet, epoch, func() bool { return true }, func() time.Time { return m.sent })
+	c.note("%s at %s of attempt %d by %v sent %s ttl %v", m.op.Kind, m.op.Call.Worker, m.op.run.number, epoch, m.sent.Format("05.00"), m.op.TTL)
+	r := &runner{
+		workers: c.fleet, epoch: epoch,
+		mayCall: func() bool { return true }, now: func() time.Time { return m.sent },
+	}
 	answer := r.exchange(impatient{context.Background()}, []Op{m.op})[0]
 	if answer.Err == nil && m.op.Kind == gang.CallReserve {
 		for _, id := range m.op.Leases {
@@ -352,12 +414,14 @@
 		return
 	}
 	c.nextAt = c.clock.at.Add(time.Duration(rapid.IntRange(4, 60).Draw(c.t, "ticks to next fault")) * chaosTick)
-	switch rapid.SampledFrom([]string{"die", "pause", "two-leaders", "log", "worker", "worker", "worker", "heal"}).Draw(c.t, "fault") {
+	fault := rapid.SampledFrom([]string{"die", "pause", "two-leaders", "log", "worker", "worker", "worker", "heal"}).Draw(c.t, "fault")
+	c.note("fault: %s", fault)
+	switch fault {
 	case "die":
 		c.leader().dead = true
 		c.newLeader()
 	case "pause":
-		c.leader().pausedA = c.clock.at.Add(time.Duration(rapid.IntRange(1, 5).Draw(c.t, "pause")) * time.Second)
+		c.leader().pausedUntil = c.clock.at.Add(time.Duration(rapid.IntRange(1, 5).Draw(c.t, "pause")) * time.Second)
 		c.newLeader()
 	case "two-leaders":
 		// The old leader goes on with a state that no longer changes.
@@ -385,10 +449,12 @@
 	case "lose":
 		faults.LoseAnswers = rapid.IntRange(1, 4).Draw(c.t, "answers")
 	}
+	c.note("fault at %s: %+v", id, faults)
 	require.NoError(c.t, c.fleet.SetFaults(id, faults))
 }
 
 func (c *chaos) heal() {
+	c.note("fault: healed")
 	for _, row := range c.rows {
 		require.NoError(c.t, c.fleet.SetFaults(row.ID, standin.WorkerFaults{}))
 	}
@@ -408,7 +474,7 @@
 // check asserts the invariants on the stand-ins' record of runs.
 func (c *chaos) check() {
 	for id, partial := range c.fleet.PartialTime() {
-		require.LessOrEqual(c.t, partial, gang.RunningTTL, "attempt %v was partial", id)
+		require.LessOrEqual(c.t, partial, gang.RunningTTL, "attempt %v was partial\n%s", id, c.historyOf(id))
 	}
 	attempts := make(map[uint64]bool)
 	members := make(map[platform.LeaseID]int)
