Show where a policy is in force; say sooner that the log is down

Change: GET of a policy has the member inForce.

Conclusion: an operator learns at once that the log is down.

--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -296,6 +296,21 @@
 	f.refused(400, "GET", "/v1/jobs?watch=1&from=x", "")
 }
 
+// TestPolicyShowsWhereItIsInForce guards against an operator who cannot tell where a change
+// has arrived, and against an answer that cannot be sent back.
+func TestPolicyShowsWhereItIsInForce(t *testing.T) {
+	f := newFixture(t)
+	p := f.refused(404, "GET", "/v1/policies/default", "")
+	require.Contains(t, p.Detail, "the defaults are in force")
+	f.ok(nil, "PUT", "/v1/policies/default", `{"spec":{"admission":{"queueLimit":7}}}`)
+	var answer json.RawMessage
+	f.ok(&answer, "GET", "/v1/policies/default", "")
+	require.Contains(t, string(answer), `"inForce":[{"instance":"entry-1","status":"alive","policyVersion":1,"current":true}]`)
+	var policy resource.Policy
+	f.ok(&policy, "PUT", "/v1/policies/default", string(answer))
+	require.Equal(t, uint64(1), policy.Generation)
+}
+
 // TestRoles guards against a caller that does more than its token allows and against secrets
 // in logs and answers.
 func TestRoles(t *testing.T) {
--- a/internal/api/codec.go
+++ b/internal/api/codec.go
@@ -47,12 +47,20 @@
 	if members == nil {
 		return nil, fieldProblem("body", "null", "an object")
 	}
-	if given, found := members["kind"]; found {
+	given, hasKind := members["kind"]
+	_, hasInForce := members["inForce"]
+	if hasKind {
 		var name resource.Kind
 		if json.Unmarshal(given, &name) != nil || name != kind {
 			return nil, fieldProblem("kind", string(given), "equal to the kind in the path, "+string(kind))
 		}
+	}
+	if hasKind || hasInForce && kind == resource.KindPolicy {
 		delete(members, "kind")
+		if kind == resource.KindPolicy {
+			// Only answers have this member, so that an answer can be sent back.
+			delete(members, "inForce")
+		}
 		if data, err = json.Marshal(members); err != nil {
 			return nil, err
 		}
--- a/internal/api/read.go
+++ b/internal/api/read.go
@@ -29,7 +29,13 @@
 	found := false
 	a.deps.Reader.Read(func(s *state.State) { object, found = s.Lookup(kind, name) })
 	if !found {
-		return problem(http.StatusNotFound, "there is no %s %q", kind, name)
+		if kind == resource.KindPolicy {
+			return problem(http.StatusNotFound, "there is no policy %q; the defaults are in force", name)
+		}
+		return problem(http.StatusNotFound, "%s has no %q", kind, name)
+	}
+	if kind == resource.KindPolicy {
+		return a.writePolicy(w, object)
 	}
 	return writeObject(w, http.StatusOK, object)
 }
--- a/internal/api/status.go
+++ b/internal/api/status.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -30,15 +32,52 @@
 
 func (a *API) getInstances(w http.ResponseWriter, _ *http.Request) error {
 	answer := Instances{Instance: a.deps.ID}
-	var applied platform.Offset
-	a.deps.Reader.Read(func(s *state.State) { answer.PolicyVersion, applied = s.PolicyVersion, s.Applied })
+	answer.Members, answer.PolicyVersion = a.members()
+	return writeJSON(w, http.StatusOK, answer)
+}
+
+// members returns all instances and the newest policy version that this one knows.
+func (a *API) members() ([]membership.Member, platform.Offset) {
+	var applied, policy platform.Offset
+	a.deps.Reader.Read(func(s *state.State) { policy, applied = s.PolicyVersion, s.Applied })
 	if a.deps.View != nil {
-		answer.Members = a.deps.View.Members()
-	} else {
-		info := membership.Info{ID: a.deps.ID, Applied: applied, PolicyVersion: answer.PolicyVersion, Ready: a.deps.Ready.IsReady()}
-		answer.Members = []membership.Member{{Info: info, Status: membership.Alive}}
+		return a.deps.View.Members(), policy
 	}
-	return writeJSON(w, http.StatusOK, answer)
+	info := membership.Info{ID: a.deps.ID, Applied: applied, PolicyVersion: policy, Ready: a.deps.Ready.IsReady()}
+	return []membership.Member{{Info: info, Status: membership.Alive}}, policy
+}
+
+// InForce tells which version of the configuration an instance has in force.
+type InForce struct {
+	Instance      string            `json:"instance"`
+	Status        membership.Status `json:"status"`
+	PolicyVersion platform.Offset   `json:"policyVersion"`
+	// Current is set if the instance has the version of the answer or a newer one.
+	Current bool `json:"current"`
+}
+
+// writePolicy answers with a policy and, in the member inForce, the version at each instance.
+func (a *API) writePolicy(w http.ResponseWriter, object resource.Object) error {
+	members, _ := a.members()
+	rows := make([]InForce, 0, len(members))
+	version := platform.Offset(object.Meta().ResourceVersion)
+	for _, m := range members {
+		rows = append(rows, InForce{
+			Instance: m.Info.ID, Status: m.Status, PolicyVersion: m.Info.PolicyVersion, Current: m.Info.PolicyVersion >= version,
+		})
+	}
+	data, err := EncodeObject(object)
+	if err != nil {
+		return err
+	}
+	tail, err := json.Marshal(rows)
+	if err != nil {
+		return err
+	}
+	data = append(data[:len(data)-1], `,"inForce":`...)
+	data = append(append(data, tail...), '}')
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(object.Meta().ResourceVersion, 10)))
+	return writeJSON(w, http.StatusOK, json.RawMessage(data))
 }
 
 // RequestStatus is the answer of /v1/requests/{id}.
--- a/internal/api/wrap.go
+++ b/internal/api/wrap.go
@@ -56,7 +56,7 @@
 		if err != nil {
 			a.answerError(w, err)
 		}
-		a.account(r, w.status, caller, required, a.deps.Now().Sub(started))
+		a.account(r, w, caller, required, a.deps.Now().Sub(started))
 	})
 }
 
@@ -96,14 +96,15 @@
 }
 
 // account counts a request and logs writes. Paths come from callers, so they are not labels.
-func (a *API) account(r *http.Request, status int, caller string, required role, took time.Duration) {
-	a.deps.Metrics.GetOrCreateCounter(fmt.Sprintf("oleanderbend_api_requests_total{method=%q,status=\"%d\"}", methodLabel(r.Method), status)).Inc()
+func (a *API) account(r *http.Request, w *statusWriter, caller string, required role, took time.Duration) {
+	a.deps.Metrics.GetOrCreateCounter(fmt.Sprintf("oleanderbend_api_requests_total{method=%q,status=\"%d\"}", methodLabel(r.Method), w.status)).Inc()
 	if required != roleOperate {
 		return
 	}
 	a.deps.Metrics.GetOrCreateHistogram("oleanderbend_api_write_seconds").Update(took.Seconds())
 	a.deps.Logger.Info().Str("event", "operator-write").Str("method", r.Method).Str("path", r.URL.Path).
-		Int("status", status).Str("token", caller).Str("request", r.Header.Get(platform.HeaderRequestID)).Dur("took", took).Msg("")
+		Int("status", w.status).Str("token", caller).Str("request", w.Header().Get(platform.HeaderRequestID)).
+		Float64("took_seconds", took.Seconds()).Msg("")
 }
 
 // methodLabel bounds the values of the method label.
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -125,6 +125,16 @@
 	server string
 }
 
+// attempts is what is known after some servers were tried.
+type attempts struct {
+	last    answer
+	lastErr error
+	// unknown is set if a server may have carried out a write without saying so.
+	unknown bool
+	// refused is set if every server of the last round refused because it is not available.
+	refused bool
+}
+
 // do sends the call to one server after another, with the same request id, until one gives an
 // answer that another could not improve. A write that a server may have carried out stays
 // unknown if no later answer settles it. The answer may be an error: see answer.err.
@@ -136,38 +146,51 @@
 	if write && call.header.Get(platform.HeaderIdempotencyKey) == "" {
 		call.header.Set(platform.HeaderIdempotencyKey, uuid.NewString())
 	}
-	var last answer
-	var lastErr error
-	unknown := false
+	var tried attempts
 	for round := range rounds {
 		if round > 0 && !pause(ctx, roundPause) {
 			break
 		}
-		for _, server := range c.servers {
-			got, err := c.send(ctx, server, call)
-			if err == nil && settled(got.status) {
-				return got, nil
-			}
-			if err != nil {
-				lastErr = err
-				unknown = unknown || mayHaveArrived(err)
-			} else {
-				last, lastErr = got, nil
-				unknown = unknown || got.status == http.StatusGatewayTimeout
-			}
-			if ctx.Err() != nil {
-				break
-			}
+		if c.tryServers(ctx, call, &tried) {
+			return tried.last, nil
+		}
+		// A refusal by every server means that the log is down, which a few more rounds do not
+		// outlast.
+		if tried.refused && !tried.unknown {
+			break
 		}
 	}
-	if write && unknown {
+	if write && tried.unknown {
 		id := call.header.Get(platform.HeaderIdempotencyKey)
-		return last, eris.Wrapf(errUnknownOutcome, "request %s may have taken effect; ask with `oleanderbend get request %s` or repeat the command with --request-id %s", id, id, id)
+		return tried.last, eris.Wrapf(errUnknownOutcome, "request %s may have taken effect; ask with `oleanderbend get request %s` or repeat the command with --request-id %s", id, id, id)
+	}
+	if tried.lastErr != nil {
+		return tried.last, eris.Wrapf(errNoServer, "%s: %v; check --server and that the instance runs", strings.Join(c.servers, ", "), tried.lastErr)
 	}
-	if lastErr != nil {
-		return last, eris.Wrapf(errNoServer, "%s: %v; check --server and that the instance runs", strings.Join(c.servers, ", "), lastErr)
+	return tried.last, nil
+}
+
+// tryServers tries each server once and reports whether one settled the call.
+func (c *client) tryServers(ctx context.Context, call call, tried *attempts) bool {
+	tried.refused = true
+	for _, server := range c.servers {
+		if ctx.Err() != nil {
+			return false
+		}
+		got, err := c.send(ctx, server, call)
+		if err != nil {
+			tried.lastErr, tried.refused = err, false
+			tried.unknown = tried.unknown || mayHaveArrived(err)
+			continue
+		}
+		tried.last, tried.lastErr = got, nil
+		if settled(got.status) {
+			return true
+		}
+		tried.refused = tried.refused && got.status == http.StatusServiceUnavailable
+		tried.unknown = tried.unknown || got.status == http.StatusGatewayTimeout
 	}
-	return last, nil
+	return false
 }
 
 // settled reports whether another server would give the same answer.
--- a/internal/replica/write.go
+++ b/internal/replica/write.go
@@ -19,6 +19,9 @@
 	// refusedPatience is how long the log may refuse the appends of a write that certainly had
 	// no effect. It is longer than a burst beyond the log's rate limit.
 	refusedPatience = 2 * time.Second
+	// outagePatience is used instead while reads of the log fail too, so that an operator is
+	// told at once that the log is down.
+	outagePatience = 300 * time.Millisecond
 	// verdictPatience is how long a writer waits for the verdict of an append whose answer
 	// was lost before it appends again.
 	verdictPatience = 300 * time.Millisecond
@@ -164,8 +167,8 @@
 		case errors.Is(err, platform.ErrTooLarge):
 			return state.Verdict{}, eris.Wrap(state.ErrNotApplied, err.Error())
 		case errors.Is(err, platform.ErrUnavailable):
-			if !mayBeInLog && r.deps.Now().Sub(started) >= refusedPatience {
-				return state.Verdict{}, eris.Wrapf(state.ErrNotApplied, "the log refused the append for %s: %v", refusedPatience, err)
+			if took := r.deps.Now().Sub(started); !mayBeInLog && took >= r.refusedPatience() {
+				return state.Verdict{}, eris.Wrapf(state.ErrNotApplied, "the log refused the append for %s: %v", took.Round(time.Millisecond), err)
 			}
 		default:
 			mayBeInLog = true
@@ -181,6 +184,13 @@
 	}
 }
 
+func (r *Replica) refusedPatience() time.Duration {
+	if r.source.isFailing() {
+		return outagePatience
+	}
+	return refusedPatience
+}
+
 // outcome says what is known of a write whose verdict was not found in time.
 func outcome(ctx context.Context, id string, mayBeInLog bool) error {
 	if mayBeInLog {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -328,6 +328,12 @@
 		return Verdict{}, true
 	}
 	message := fmt.Sprintf("expected version %d, current version is %d", *expected, version)
+	switch {
+	case *expected == 0:
+		message = fmt.Sprintf("it exists already, at version %d", version)
+	case !exists:
+		message = fmt.Sprintf("expected version %d, but it does not exist", *expected)
+	}
 	return Verdict{Code: Conflict, Version: version, Message: message}, false
 }
 
