--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -307,6 +307,9 @@
 	if v, ok := checkVersion(current, exists, put.IfVersion); !ok {
 		return v
 	}
+	if exists && isUnchanged(object, current) {
+		return Verdict{Code: Accepted, Version: current.Meta().ResourceVersion}
+	}
 	if message, ok := s.checkLimit(object, exists); !ok {
 		return Verdict{Code: Limit, Message: message}
 	}
@@ -361,6 +364,22 @@
 	}
 }
 
+// isUnchanged reports whether a put would change nothing that its writer decides.
+func isUnchanged(object, current resource.Object) bool {
+	if !sameSpec(object, current) || !maps.Equal(object.Meta().Labels, current.Meta().Labels) {
+		return false
+	}
+	switch o := current.(type) {
+	case *resource.Guarantee:
+		return o.Status.Zone == object.(*resource.Guarantee).Status.Zone
+	case *resource.Job:
+		// A put of an ended job is refused, so that nobody waits for it to run again.
+		return !o.Status.Phase.Terminal()
+	default:
+		return true
+	}
+}
+
 // sameSpec compares encoded specs, because an empty map becomes nil in a snapshot.
 func sameSpec(a, b resource.Object) bool {
 	return bytes.Equal(encodedSpec(a), encodedSpec(b))
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -239,9 +239,15 @@
 		{Offset: version + 1, Kind: resource.KindJob, Name: "a"},
 		{Offset: version + 2, Kind: resource.KindJob, Name: "a", Deleted: true},
 	}, changes)
-	for range maxHistory {
-		d.put(&resource.Organisation{Metadata: resource.Metadata{Name: "org"}})
+	for i := range maxHistory {
+		d.put(&resource.Organisation{Metadata: resource.Metadata{Name: "org"}, Spec: resource.OrganisationSpec{AcceleratorQuota: i + 1}})
 	}
+	newest := d.s.Applied
+	verdict := d.put(&resource.Organisation{Metadata: resource.Metadata{Name: "org"}, Spec: resource.OrganisationSpec{AcceleratorQuota: maxHistory}})
+	require.Equal(t, uint64(newest), verdict.Version, "an unchanged put made a new version")
+	changes, ok = d.s.Changes(newest)
+	require.True(t, ok)
+	require.Empty(t, changes)
 	_, ok = d.s.Changes(version)
 	require.False(t, ok)
 	changes, ok = d.s.Changes(d.s.Applied)
