--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -83,13 +83,16 @@
 type Queue struct {
 	policy     resource.AdmissionPolicy
 	orgWeights map[string]float64
-	spread     map[Flow]float64
+	scales     map[Flow]float64
 	root       *node
 	random     *rand.Rand
 	sequence   uint64
 	total      int
 	service    map[Flow]float64
 	classes    []Flow
+	// stuck is set while no queued request may take one of the last free slots, so that
+	// arrivals need not search the tree again.
+	stuck bool
 }
 
 // New returns an empty queue with the default policy.
@@ -114,11 +117,10 @@
 	q.reweigh()
 }
 
-// SetSpread sets the part of the demand over all instances that is at this one, by flow and,
-// with empty caller or kind, by kind and by organisation. What is not named counts as whole. Shares are scaled by it, so that a caller gains
-// nothing by spreading over instances.
-func (q *Queue) SetSpread(spread map[Flow]float64) {
-	q.spread = spread
+// SetScales sets factors for the shares of flows. What is not named has the factor 1. They keep a caller from gaining a larger share by
+// spreading over instances.
+func (q *Queue) SetScales(scales map[Flow]float64) {
+	q.scales = scales
 	q.reweigh()
 }
 
@@ -162,7 +164,7 @@
 	if leaf.queued >= q.policy.CallerQueueLimit {
 		return []Refusal{q.refuse(r, ErrQueueFull, wait)}
 	}
-	if now.Add(wait + q.serviceTime(leaf.flow)).After(r.Deadline) {
+	if now.Add(q.needed(leaf.flow, wait)).After(r.Deadline) {
 		return []Refusal{q.refuse(r, ErrDeadline, wait)}
 	}
 	var refused []Refusal
@@ -176,6 +178,9 @@
 		refused = append(refused, q.refuse(evicted, ErrQueueFull, q.expectedWait(now, longest, total)))
 	}
 	q.push(leaf, r)
+	if q.stuck && float64(leaf.running+1) <= max(leaf.share(now)*float64(total), 1) {
+		q.stuck = false
+	}
 	return refused
 }
 
@@ -183,6 +188,7 @@
 // place by arrival and is not refused for lack of room, since it was admitted before.
 func (q *Queue) Requeue(now time.Time, r *Request) {
 	q.push(q.leaf(now, r.Flow), r)
+	q.stuck = false
 }
 
 // Next removes the request to dispatch next, or returns nil if none may take a slot. free is
@@ -190,13 +196,17 @@
 func (q *Queue) Next(now time.Time, free, total int) (*Request, []Refusal) {
 	q.total = total
 	var refused []Refusal
-	for free > 0 && q.root.queued > 0 {
+	if free > reserve(total) {
+		q.stuck = false
+	}
+	for free > 0 && q.root.queued > 0 && !q.stuck {
 		leaf := q.choose(now, free, total)
 		if leaf == nil {
+			q.stuck = true
 			break
 		}
 		r := leaf.pop()
-		if now.Add(q.shortestService(leaf.flow)).After(r.Deadline) {
+		if q.late(now, r) {
 			q.collect(now, leaf)
 			refused = append(refused, q.refuse(r, ErrDeadline, minRetryAfter))
 			continue
@@ -210,6 +220,7 @@
 
 // Expire refuses queued requests whose deadline has passed and forgets idle callers.
 func (q *Queue) Expire(now time.Time) []Refusal {
+	q.stuck = false
 	var refused []Refusal
 	var leaves []*node
 	q.root.eachLeaf(func(n *node) { leaves = append(leaves, n) })
@@ -227,6 +238,7 @@
 // is corrected from the expected to the real time. Only answered requests teach the expected
 // time, since failures can be far shorter.
 func (q *Queue) Finish(now time.Time, r *Request, held time.Duration, answered bool) {
+	q.stuck = false
 	leaf := r.leaf
 	leaf.finish(now, held.Seconds()-r.charged)
 	r.charged = 0
@@ -251,8 +263,11 @@
 
 func (q *Queue) refuse(r *Request, reason error, wait time.Duration) Refusal {
 	// Jitter between half and one and a half keeps refused callers from returning together.
-	wait = time.Duration(float64(max(wait, minRetryAfter)) * (0.5 + q.random.Float64()))
-	return Refusal{Request: r, Reason: reason, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter)}
+	// The bound applies before it, since long waits would otherwise all become the same.
+	const jitter = 0.5
+	base := min(max(wait, minRetryAfter), maxRetryAfter*2/3)
+	wait = time.Duration(float64(base) * (1 - jitter + 2*jitter*q.random.Float64()))
+	return Refusal{Request: r, Reason: reason, RetryAfter: wait}
 }
 
 // expectedWait estimates the wait at the end of a leaf's queue from the slots it can count on.
@@ -271,14 +286,29 @@
 	return defaultService
 }
 
-// shortestService is the least time that an answer takes, used to refuse requests that are
-// certainly late. A quarter of the mean leaves room for requests shorter than most.
-func (q *Queue) shortestService(f Flow) time.Duration {
-	const part = 4
+// needed is the time that an answer needs after the given expected wait. A request that does
+// not wait is given the benefit of the doubt, since many need less than the mean. One that
+// waits is refused with a margin, since work that ends after its deadline is lost.
+func (q *Queue) needed(f Flow, wait time.Duration) time.Duration {
+	service := q.serviceTime(f)
 	if _, known := q.service[class(f)]; !known {
-		return 0
+		return wait
 	}
-	return q.serviceTime(f) / part
+	if wait < service {
+		return wait + service/4
+	}
+	return wait + wait/4 + 2*service
+}
+
+// late reports whether a request that is next can no longer be answered in time. After a
+// long wait there are others behind it that can, so the whole mean is asked for.
+func (q *Queue) late(now time.Time, r *Request) bool {
+	service := q.serviceTime(r.leaf.flow)
+	left := r.Deadline.Sub(now)
+	if now.Sub(r.arrived) < service {
+		return left < service/4
+	}
+	return left < service+service/2
 }
 
 func (q *Queue) learn(f Flow, held time.Duration) {
@@ -298,9 +328,10 @@
 
 // choose returns the leaf whose request takes the next slot.
 func (q *Queue) choose(now time.Time, free, total int) *node {
-	reserve := int(math.Ceil(float64(total) / reserveDivisor))
-	if free > reserve {
+	if free > reserve(total) {
 		return q.root.choose()
 	}
 	return q.root.chooseWithin(now, float64(total))
 }
+
+func reserve(total int) int { return int(math.Ceil(float64(total) / reserveDivisor)) }
--- a/internal/standin/server_test.go
+++ b/internal/standin/server_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
 	"testing"
 	"time"
@@ -84,11 +85,12 @@
 	_, err = log.Append(t.Context(), []byte("three"))
 	require.ErrorIs(t, err, platform.ErrUnavailable)
 	require.Equal(t, http.StatusNoContent, put(t, s, "/faults/log", `{"silent":true}`))
-	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { cancel() }})
 	_, err = log.Append(ctx, []byte("four"))
 	require.ErrorIs(t, err, platform.ErrUnknownOutcome)
-	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.ErrorIs(t, err, context.Canceled)
 	require.Equal(t, 2, s.Log.Attempts())
 }
 
@@ -171,6 +173,9 @@
 	got := callTarget(t, targets, row, "a", "size=3&service=1ms")
 	require.Equal(t, "a\na", got.body)
 	require.Equal(t, "a", got.header.Get(platform.HeaderRequestID))
+	got = callTarget(t, targets, row, "attempt", "size=3&id=q")
+	require.Equal(t, "q\nq", got.body)
+	require.Equal(t, "attempt", got.header.Get(platform.HeaderRequestID))
 	set(`{"wrongRequestID":true,"leaving":true}`)
 	got = callTarget(t, targets, row, "b", "size=3")
 	require.NotEqual(t, "b", got.header.Get(platform.HeaderRequestID))
@@ -187,7 +192,7 @@
 	require.ErrorIs(t, callTarget(t, targets, row, "f", "").err, platform.ErrUnavailable)
 	set(`{}`)
 	require.Equal(t, http.StatusBadRequest, callTarget(t, targets, row, "g", "size=-1").status)
-	for id, want := range map[string]int{"a": 1, "b": 1, "c": 1, "d": 1, "e": 1, "f": 0, "g": 0} {
+	for id, want := range map[string]int{"a": 1, "q": 1, "attempt": 0, "b": 1, "c": 1, "d": 1, "e": 1, "f": 0, "g": 0} {
 		require.Equal(t, want, target.Executed(id), id)
 	}
 	resp, err := http.Post(s.ControlURL+ExecutedPath, "application/json", strings.NewReader(`{"ids":["a","f"]}`))
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -20,6 +21,10 @@
 
 // Query parameters of a request to a target.
 const (
+	// ParamID is the id under which the target records the request and makes its answer; the
+	// default is the header Oleanderbend-Request-Id. An instance replaces that header by an id
+	// of its own for each attempt, but passes on the query unchanged.
+	ParamID = "id"
 	// ParamService is the service time, for example 50ms.
 	ParamService = "service"
 	// ParamSize is the size of the answer in bytes.
@@ -81,13 +86,15 @@
 type Target struct {
 	config TargetConfig
 
-	mu       sync.Mutex
-	random   *rand.Rand
-	faults   TargetFaults
-	stats    TargetStats
-	conns    map[net.Conn]bool
-	executed map[string]int
-	order    []string
+	mu     sync.Mutex
+	random *rand.Rand
+	faults TargetFaults
+	// listedLeaving is set while the instance list has the target as leaving.
+	listedLeaving bool
+	stats         TargetStats
+	conns         map[net.Conn]bool
+	executed      map[string]int
+	order         []string
 }
 
 // TargetStats counts what a target has seen.
@@ -105,7 +112,8 @@
 	PeakRunning     int `json:"peakRunning"`
 	Connections     int `json:"connections"`
 	PeakConnections int `json:"peakConnections"`
-	// LeavingSince is when the fault Leaving was set; LastStarted is the last begin of an execution.
+	// LeavingSince is when the target began to leave, by its header or in the instance list
+	// before the list's lag, whichever was first; LastStarted is the last begin of an execution.
 	LeavingSince time.Time `json:"leavingSince,omitzero"`
 	LastStarted  time.Time `json:"lastStarted,omitzero"`
 }
@@ -126,13 +134,26 @@
 func (t *Target) SetFaults(f TargetFaults) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if f.Leaving && !t.faults.Leaving {
-		t.stats.LeavingSince = t.config.Clock.Now()
-	}
-	if !f.Leaving {
+	t.faults = f
+	t.noteLeaving()
+}
+
+// setListed tells the target its state in the instance list.
+func (t *Target) setListed(state platform.InstanceState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.listedLeaving = state == platform.StateLeaving
+	t.noteLeaving()
+}
+
+// noteLeaving is called with the mutex held.
+func (t *Target) noteLeaving() {
+	switch leaving := t.faults.Leaving || t.listedLeaving; {
+	case !leaving:
 		t.stats.LeavingSince = time.Time{}
+	case t.stats.LeavingSince.IsZero():
+		t.stats.LeavingSince = t.config.Clock.Now()
 	}
-	t.faults = f
 }
 
 // Executed returns how often a request's execution began.
@@ -178,7 +199,10 @@
 
 // work is what one request asks for.
 type work struct {
-	id      string
+	id string
+	// echo and attempt are the request id and the attempt id that the answer repeats.
+	echo    string
+	attempt string
 	service time.Duration
 	size    int64
 }
@@ -187,8 +211,9 @@
 
 // parseWork reads a request to a target.
 func parseWork(header http.Header, query url.Values) (work, error) {
-	w := work{id: header.Get(platform.HeaderRequestID)}
-	if len(w.id) > maxRequestIDLen {
+	w := work{echo: header.Get(platform.HeaderRequestID), attempt: header.Get(platform.HeaderAttemptID)}
+	w.id = cmp.Or(query.Get(ParamID), w.echo)
+	if len(w.id) > maxRequestIDLen || len(w.echo) > maxRequestIDLen {
 		return work{}, fmt.Errorf("%w: request id longer than %d bytes", errBadRequest, maxRequestIDLen)
 	}
 	if s := query.Get(ParamService); s != "" {
@@ -238,7 +263,7 @@
 	}
 	t.begin(job.id)
 	if faults.FailFast {
-		rw.Header().Set(platform.HeaderRequestID, job.id)
+		rw.Header().Set(platform.HeaderRequestID, job.echo)
 		http.Error(rw, "failing fast", http.StatusInternalServerError)
 		return
 	}
@@ -254,7 +279,7 @@
 // refuse answers a request that was not started.
 func refuse(rw http.ResponseWriter, job work, status int, message string) {
 	rw.Header().Set(platform.HeaderNotStarted, "true")
-	rw.Header().Set(platform.HeaderRequestID, job.id)
+	rw.Header().Set(platform.HeaderRequestID, job.echo)
 	http.Error(rw, message, status)
 }
 
@@ -263,10 +288,13 @@
 		panic(http.ErrAbortHandler)
 	}
 	if faults.WrongRequestID {
-		job.id = "other-" + job.id
+		job.id, job.echo = "other-"+job.id, "other-"+job.echo
 	}
 	header := rw.Header()
-	header.Set(platform.HeaderRequestID, job.id)
+	header.Set(platform.HeaderRequestID, job.echo)
+	if job.attempt != "" {
+		header.Set(platform.HeaderAttemptID, job.attempt)
+	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	header.Set("Content-Length", strconv.FormatInt(job.size, 10))
 	if faults.ShortAnswer {
