Test confirmation, provisional terms and the bounded results

Cause: a paused leader, a lost log and a full ring of results each have a rule that no test held. Change: service tests of leadership with fakes; tests of the runner and of the result ring.

--- a/internal/placement/capacity_test.go
+++ b/internal/placement/capacity_test.go
@@ -36,6 +36,8 @@
 	bytes int
 	// steps has the real time of each step.
 	steps []time.Duration
+	// logDown makes the log unavailable.
+	logDown bool
 }
 
 func newCapacity(tb testing.TB, workers, gangs int) *capacity {
@@ -86,7 +88,7 @@
 	for end := c.clock.at.Add(d); c.clock.at.Before(end); {
 		c.clock.at = c.clock.at.Add(stepInterval)
 		view := newView(c.state, "z")
-		view.Instances, view.May, view.LogUp = c.rows, true, true
+		view.Instances, view.May, view.LogUp = c.rows, true, !c.logDown
 		begin := time.Now()
 		step := c.zone.step(c.clock.at, view)
 		c.steps = append(c.steps, time.Since(begin))
--- /dev/null
+++ b/internal/placement/runner_test.go
@@ -0,0 +1,66 @@
+package placement
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/gang"
+	"github.com/oleanderbend/oleanderbend/internal/platform"
+	"github.com/oleanderbend/oleanderbend/internal/ring"
+	"github.com/oleanderbend/oleanderbend/internal/standin"
+)
+
+// Guards against a call that leaves after the confirmation of the leadership has expired
+// while the call waited.
+func TestNoCallWithoutConfirmation(t *testing.T) {
+	row := platform.Instance{ID: "w", Accelerators: 1}
+	fleet := standin.NewFleet(standin.FleetConfig{Workers: []platform.Instance{row}})
+	r := newRunner(fleet, platform.Epoch{Number: 1}, func() bool { return false }, time.Now)
+	op := Op{Call: gang.Call{Kind: gang.CallReserve, Worker: "w", Leases: []platform.LeaseID{{JobUID: "u"}}, TTL: time.Second}, Worker: row}
+	answers := r.call(context.Background(), []Op{op})
+	require.ErrorIs(t, answers[0].Err, platform.ErrUnavailable)
+	require.Empty(t, fleet.Snapshot("w"))
+}
+
+// Guards against one slow worker that delays the renewals of the others.
+func TestSlowWorkerDelaysNoOther(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := startWorld(t, worldConfig{workers: 3, perRack: 3, nodes: threeNodes})
+		for i := range 3 {
+			w.put(testJob([]string{"a", "b", "c"}[i], 1, 8, "duration=1h"))
+		}
+		w.eventually(time.Minute, "all running", func() bool { return w.active() == 3 })
+		slow := w.job("a").Status.Workers[0]
+		require.NoError(t, w.fleet.SetFaults(slow, standin.WorkerFaults{CallFaults: standin.CallFaults{Silent: true}}))
+		time.Sleep(time.Minute)
+		require.Equal(t, 1, w.job("b").Status.Starts)
+		require.Equal(t, 1, w.job("c").Status.Starts)
+		require.Equal(t, 2, w.active())
+	})
+}
+
+// Guards against a result that is released at its worker although it found no room to wait
+// for the log.
+func TestFullResultRingKeepsResultsAtWorkers(t *testing.T) {
+	c := newCapacity(t, 4, 2)
+	c.run(time.Second)
+	c.zone.dirty = ring.New[string](1)
+	c.logDown = true
+	for i := range 2 {
+		for _, id := range c.state.Jobs[[]string{"job-0000", "job-0001"}[i]].Status.Workers[:1] {
+			require.NoError(t, c.fleet.SetFaults(id, standin.WorkerFaults{FailAll: true}))
+		}
+	}
+	c.run(10 * time.Second)
+	require.Len(t, c.zone.pending, 1, "only one result fits")
+	require.Zero(t, c.calls[callRelease], "nothing is released before it is recorded")
+	c.logDown = false
+	c.run(5 * time.Second)
+	require.Positive(t, c.calls[callRelease])
+	for _, name := range []string{"job-0000", "job-0001"} {
+		require.Positive(t, c.state.Jobs[name].Status.Failures, name)
+	}
+}
