Wait for recorded starts in the test of a slow worker

Cause: the test read a job's workers before its start was recorded and failed sometimes. Change: wait for the recorded phase.

--- a/internal/placement/runner_test.go
+++ b/internal/placement/runner_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/oleanderbend/oleanderbend/internal/gang"
 	"github.com/oleanderbend/oleanderbend/internal/platform"
+	"github.com/oleanderbend/oleanderbend/internal/resource"
 	"github.com/oleanderbend/oleanderbend/internal/ring"
 	"github.com/oleanderbend/oleanderbend/internal/standin"
 )
@@ -32,7 +33,9 @@
 		for i := range 3 {
 			w.put(testJob([]string{"a", "b", "c"}[i], 1, 8, "duration=1h"))
 		}
-		w.eventually(time.Minute, "all running", func() bool { return w.active() == 3 })
+		for _, name := range []string{"a", "b", "c"} {
+			w.eventually(time.Minute, "running", w.phase(name, resource.PhaseRunning))
+		}
 		slow := w.job("a").Status.Workers[0]
 		require.NoError(t, w.fleet.SetFaults(slow, standin.WorkerFaults{CallFaults: standin.CallFaults{Silent: true}}))
 		time.Sleep(time.Minute)
