--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -164,10 +164,11 @@
 		time.Sleep(5 * time.Second)
 		lost := w.job("gang").Status.Workers[0]
 		require.NoError(t, w.fleet.SetFaults(lost, standin.WorkerFaults{CallFaults: standin.CallFaults{Silent: true}}))
-		w.eventually(time.Minute, "placed elsewhere", func() bool {
+		took := w.eventually(time.Minute, "placed elsewhere", func() bool {
 			status := w.job("gang").Status
 			return status.Phase == resource.PhaseRunning && status.Starts == 2
 		})
+		t.Logf("placed again after %s", took)
 		require.NotContains(t, w.job("gang").Status.Workers, lost)
 		w.requireNoPartial(10 * time.Second)
 	})
