--- /dev/null
+++ b/internal/admission/seed_test.go
@@ -0,0 +1,3 @@
+package admission
+
+import _ "github.com/oleanderbend/oleanderbend/internal/fixedseed"
--- a/internal/demo/operator.go
+++ b/internal/demo/operator.go
@@ -33,11 +33,6 @@
 	return job, c.call(ctx, http.MethodGet, "/v1/jobs/"+name, nil, job)
 }
 
-// cancel cancels a job.
-func (c *cluster) cancel(ctx context.Context, name string) error {
-	return c.call(ctx, http.MethodDelete, "/v1/jobs/"+name, nil, nil)
-}
-
 func (c *cluster) call(ctx context.Context, method, path string, body io.Reader, into any) error {
 	n := c.liveNodes()[0]
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.settings.OperatorAddr+path, body)
--- /dev/null
+++ b/internal/dispatch/seed_test.go
@@ -0,0 +1,3 @@
+package dispatch
+
+import _ "github.com/oleanderbend/oleanderbend/internal/fixedseed"
--- /dev/null
+++ b/internal/idempotency/seed_test.go
@@ -0,0 +1,3 @@
+package idempotency
+
+import _ "github.com/oleanderbend/oleanderbend/internal/fixedseed"
--- /dev/null
+++ b/internal/placement/seed_test.go
@@ -0,0 +1,3 @@
+package placement
+
+import _ "github.com/oleanderbend/oleanderbend/internal/fixedseed"
--- /dev/null
+++ b/internal/scheduler/seed_test.go
@@ -0,0 +1,3 @@
+package scheduler
+
+import _ "github.com/oleanderbend/oleanderbend/internal/fixedseed"
--- /dev/null
+++ b/internal/standin/seed_test.go
@@ -0,0 +1,3 @@
+package standin
+
+import _ "github.com/oleanderbend/oleanderbend/internal/fixedseed"
--- /dev/null
+++ b/internal/state/seed_test.go
@@ -0,0 +1,3 @@
+package state
+
+import _ "github.com/oleanderbend/oleanderbend/internal/fixedseed"
