Hold places for several blocked jobs and let aged jobs go at the share's edge

Cause: at the design size large gangs waited for one reservation and one aged job at a time, and a gang larger than its organisation's fair share waited for two hours at least. Change: places are held for blocked jobs up to a tenth of the zone; an aged job of an organisation below its share goes first even if it exceeds the share; a held place is compared with others once a minute.

--- a/internal/scheduler/cluster.go
+++ b/internal/scheduler/cluster.go
@@ -149,6 +149,8 @@
 	soon []int
 	// suspects is set if a node is suspect.
 	suspects bool
+	// possible has the shapes for which it is known whether all workers together hold them.
+	possible map[shape]bool
 	// on lists the runs that have a member on the node.
 	on [][]*run
 }
@@ -206,6 +208,7 @@
 func (c *cluster) buildNodes(workers []Worker) {
 	c.workers = slices.Clone(workers)
 	c.known, c.racks = nil, nil
+	c.possible = make(map[shape]bool)
 	c.nodes = make([]node, 0, len(workers))
 	c.byID = make(map[string]int, len(workers))
 	sorted := slices.Clone(workers)
@@ -330,6 +333,24 @@
 	}
 }
 
+// isPossible reports whether a gang would fit if nothing ran and all workers were usable.
+func (c *cluster) isPossible(s shape) bool {
+	const maxShapes = 4096
+	ok, known := c.possible[s]
+	if !known {
+		total := make([]int, len(c.nodes))
+		for n := range total {
+			total[n] = c.nodes[n].accel
+		}
+		ok = c.locate(total, s) != nil
+		if len(c.possible) >= maxShapes {
+			clear(c.possible)
+		}
+		c.possible[s] = ok
+	}
+	return ok
+}
+
 // ids returns the worker ids of nodes.
 func (c *cluster) ids(nodes []int) []string {
 	out := make([]string, len(nodes))
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -29,24 +29,48 @@
 }
 
 // drain finds the place for a gang that becomes free first if nothing else starts there, with
-// the expected time. It returns nil if there is none.
-// No more than limit units of each node are used; nil means no limit.
+// the expected time. No more than limit units of each node are used; nil means no limit. It
+// returns nil if there is no place.
 func (c *cluster) drain(avail []int, s shape, limit []int, end func(*run) time.Time) ([]int, time.Time) {
-	cached := cacheEnds(end)
+	d := &drainer{c: c, shape: s, end: cacheEnds(end), room: slices.Clone(avail), limit: limit}
 	switch s.adjacency {
 	case resource.AdjacentWorker:
-		return c.drainGroups(avail, s, limit, cached, len(c.nodes), func(i int) []int { return []int{i} })
+		return d.groups(len(c.nodes), func(i int) []int { return []int{i} })
 	case resource.AdjacentRack:
-		return c.drainGroups(avail, s, limit, cached, len(c.racks), func(i int) []int { return c.racks[i] })
+		return d.groups(len(c.racks), func(i int) []int { return c.racks[i] })
 	default:
 		all := make([]int, len(c.nodes))
 		for i := range all {
 			all[i] = i
 		}
-		return c.drainIn(avail, s, all, limit, cached)
+		return d.in(all)
 	}
 }
 
+// drainer is the working state of drain. Groups of nodes are disjoint and share the room.
+type drainer struct {
+	c     *cluster
+	shape shape
+	end   func(*run) time.Time
+	room  []int
+	limit []int
+}
+
+// fits returns how many members a node can hold within the limit.
+func (d *drainer) fits(n int) int {
+	if !d.c.nodes[n].usable {
+		return 0
+	}
+	units := d.room[n]
+	if d.limit != nil {
+		units = min(units, d.limit[n])
+	}
+	if units < d.shape.accel || units <= 0 {
+		return 0
+	}
+	return units / d.c.nodes[n].units(d.shape)
+}
+
 func cacheEnds(end func(*run) time.Time) func(*run) time.Time {
 	known := make(map[*run]time.Time)
 	return func(r *run) time.Time {
@@ -59,11 +83,11 @@
 	}
 }
 
-func (c *cluster) drainGroups(avail []int, s shape, limit []int, end func(*run) time.Time, groups int, nodesOf func(int) []int) ([]int, time.Time) {
+func (d *drainer) groups(count int, nodesOf func(int) []int) ([]int, time.Time) {
 	var best []int
 	var bestAt time.Time
-	for i := range groups {
-		nodes, at := c.drainIn(avail, s, nodesOf(i), limit, end)
+	for i := range count {
+		nodes, at := d.in(nodesOf(i))
 		if nodes != nil && (best == nil || at.Before(bestAt)) {
 			best, bestAt = nodes, at
 		}
@@ -71,52 +95,45 @@
 	return best, bestAt
 }
 
-// drainIn finds when a gang fits on the nodes. The zero time means now.
-func (c *cluster) drainIn(avail []int, s shape, nodes, limit []int, end func(*run) time.Time) ([]int, time.Time) {
-	room := slices.Clone(avail)
-	bounded := room
-	if limit != nil {
-		bounded = make([]int, len(room))
-		for n := range room {
-			bounded[n] = min(room[n], limit[n])
+// in finds when a gang fits on the nodes. The zero time means now.
+func (d *drainer) in(nodes []int) ([]int, time.Time) {
+	members, most := 0, 0
+	for _, n := range nodes {
+		members += d.fits(n)
+		if d.c.nodes[n].usable {
+			most += d.c.nodes[n].accel / d.c.nodes[n].units(d.shape)
 		}
 	}
-	members := 0
-	for _, n := range nodes {
-		members += c.usableFits(bounded, n, s)
+	if most < d.shape.members {
+		return nil, time.Time{}
 	}
 	var at time.Time
-	if members < s.members {
-		for _, rel := range c.releases(nodes, end) {
-			before := c.usableFits(bounded, rel.node, s)
-			room[rel.node] += rel.units
-			if limit != nil {
-				bounded[rel.node] = min(room[rel.node], limit[rel.node])
-			}
-			members += c.usableFits(bounded, rel.node, s) - before
+	if members < d.shape.members {
+		for _, rel := range d.c.releases(nodes, d.end) {
+			before := d.fits(rel.node)
+			d.room[rel.node] += rel.units
+			members += d.fits(rel.node) - before
 			at = rel.at
-			if members >= s.members {
+			if members >= d.shape.members {
 				break
 			}
 		}
 	}
-	if members < s.members {
+	if members < d.shape.members {
 		return nil, time.Time{}
 	}
-	usable := make([]int, 0, len(nodes))
-	for _, n := range nodes {
-		if c.nodes[n].usable {
-			usable = append(usable, n)
-		}
-	}
-	return c.fill(bounded, s, c.tightestFirst(bounded, usable), nil), at
+	return d.fill(nodes), at
 }
 
-func (c *cluster) usableFits(room []int, n int, s shape) int {
-	if !c.nodes[n].usable {
-		return 0
+// fill places the members on the nodes with the least room first.
+func (d *drainer) fill(nodes []int) []int {
+	out := make([]int, 0, d.shape.members)
+	for _, n := range d.c.tightestFirst(d.room, nodes) {
+		for k := d.fits(n); k > 0 && len(out) < d.shape.members; k-- {
+			out = append(out, n)
+		}
 	}
-	return c.fits(room, n, s)
+	return out
 }
 
 // readyAt returns when a gang can start on given nodes.
--- a/internal/scheduler/locate.go
+++ b/internal/scheduler/locate.go
@@ -54,14 +54,15 @@
 func (c *cluster) locateInRack(free []int, s shape) []int {
 	best, bestLeft := -1, 0
 	for rack, nodes := range c.racks {
+		left := c.rackFree(free, rack)
+		if left < s.members*s.accel || best >= 0 && left >= bestLeft {
+			continue
+		}
 		room := 0
 		for _, n := range nodes {
 			room += c.fits(free, n, s)
 		}
-		if room < s.members {
-			continue
-		}
-		if left := c.rackFree(free, rack); best < 0 || left < bestLeft {
+		if room >= s.members {
 			best, bestLeft = rack, left
 		}
 	}
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -13,19 +13,24 @@
 	// urgencyStep is the wait that counts as much as one level of urgency within an
 	// organisation. It bounds how long less urgent work can be passed.
 	urgencyStep = 10 * time.Minute
-	// agedAfter is the wait from which the oldest job of an organisation within its fair share
+	// agedAfter is the wait from which the oldest job of an organisation below its fair share
 	// goes first and may stop reclaimable jobs that were created after it. Until then it waits
 	// for running jobs to end, which loses no work.
 	agedAfter = 15 * time.Minute
-	// agedAnyway is the same for an organisation beyond its fair share. Without it, a gang that
-	// is larger than the fair share could wait for ever.
+	// agedAnyway is the same for an organisation at or beyond its fair share. Without it, a gang
+	// could wait for ever behind smaller jobs of its own organisation.
 	agedAnyway = 2 * time.Hour
 	// agedEvery is the shortest time between two starts because of agedAnyway. It keeps an
 	// organisation that queues many jobs from turning fair share into first come first served.
 	agedEvery = 10 * time.Minute
+	// maxHeldShare is the part of the zone that may be held for blocked jobs. Held accelerators
+	// stand idle until the rest of a place is free.
+	maxHeldShare = 0.1
 	// moveMargin is how much sooner another place must become free before the reservation of
 	// the head of the queue moves there. Each move wastes what was kept free so far.
 	moveMargin = 5 * time.Minute
+	// searchEvery is how often a better place is searched for.
+	searchEvery = time.Minute
 )
 
 // policyScheduler implements Scheduler.
@@ -36,17 +41,18 @@
 	index *cluster
 	// places has the workers reserved for waiting jobs, by job name. It is kept between
 	// decisions so that a reservation does not move with every change of the estimates.
-	places map[string][]string
-	// aged and holder name the queued jobs that go first and hold places: the one that waits
-	// for too long, and the one that was the head of the queue when it was first blocked.
-	aged, holder string
+	places map[string]place
+	// aged names the queued job that goes first because it has waited too long. holders name
+	// those that hold places because each was the head of the queue when it was first blocked.
+	aged    string
+	holders []string
 	// lastAgedAnyway is the last start because of agedAnyway.
 	lastAgedAnyway time.Time
 }
 
 // New returns a scheduler. The seed only decides between equal choices.
 func New(seed int64) Scheduler {
-	return &policyScheduler{seed: seed, learned: newPredictor(), index: &cluster{}, places: make(map[string][]string)}
+	return &policyScheduler{seed: seed, learned: newPredictor(), index: &cluster{}, places: make(map[string]place)}
 }
 
 // Finished implements Scheduler.
@@ -83,7 +89,7 @@
 	queue = d.placeUrgent(queue)
 	d.hasty = false
 	queue = d.placeAged(queue)
-	queue = d.placeHolder(queue)
+	queue = d.placeHolders(queue)
 	d.placeByShare(queue)
 	p.places = d.places
 	return d.plan
@@ -114,16 +120,16 @@
 	// claimed has the units that claims hold, by node.
 	claimed []int
 	claims  []claim
-	places  map[string][]string
+	places  map[string]place
 	plan    Plan
 	// misfit remembers shapes that found no free place. Free units only shrink within a
 	// decision, so that a second search is in vain.
 	misfit map[shape]bool
-	// total has the units of all nodes with nothing running.
-	total []int
 	// hasty is set while guaranteed and urgent jobs are placed.
 	hasty     bool
 	weightSum float64
+	// capacity is the units of the usable nodes.
+	capacity int
 }
 
 func newDecision(p *policyScheduler, now time.Time, snapshot *Snapshot) *decision {
@@ -137,12 +143,8 @@
 		held:       make(map[string]int),
 		beyond:     make(map[string]int),
 		claimed:    make([]int, len(c.nodes)),
-		places:     make(map[string][]string),
+		places:     make(map[string]place),
 		misfit:     make(map[shape]bool),
-		total:      make([]int, len(c.nodes)),
-	}
-	for n := range c.nodes {
-		d.total[n] = c.nodes[n].accel
 	}
 	for _, g := range snapshot.Guarantees {
 		d.guaranteed[g.Spec.Organisation] += g.Spec.Gangs * g.Spec.Members * g.Spec.AcceleratorsPerMember
@@ -150,6 +152,11 @@
 	for _, r := range c.runs {
 		d.account(r)
 	}
+	for n := range c.nodes {
+		if c.nodes[n].usable {
+			d.capacity += c.nodes[n].accel
+		}
+	}
 	d.sumWeights()
 	return d
 }
@@ -217,17 +224,11 @@
 
 // admissible drops the jobs that can never run and orders the rest.
 func (d *decision) admissible(queued []*resource.Job) []*resource.Job {
-	possible := make(map[shape]bool)
 	out := make([]*resource.Job, 0, len(queued))
 	for _, j := range queued {
 		s := jobShape(&j.Spec)
-		ok, known := possible[s]
-		if !known {
-			ok = d.c.locate(d.total, s) != nil
-			possible[s] = ok
-		}
 		switch {
-		case ok:
+		case d.c.isPossible(s):
 			out = append(out, j)
 		case len(d.c.nodes) == 0:
 			d.wait(j, ReasonCapacity, "workers of the zone are listed", "no worker of zone %q is known", d.snapshot.Zone)
@@ -615,13 +616,7 @@
 // fairShare returns the accelerators that an organisation gets if all that have work want
 // more than their share.
 func (d *decision) fairShare(org string) float64 {
-	total := 0
-	for n := range d.c.nodes {
-		if d.c.nodes[n].usable {
-			total += d.c.nodes[n].accel
-		}
-	}
-	return float64(total) * d.weight(org) / max(d.weightSum, 1e-9)
+	return float64(d.capacity) * d.weight(org) / max(d.weightSum, 1e-9)
 }
 
 // placeByShare handles the rest: the organisation with the smallest weighted use beyond its
@@ -646,8 +641,8 @@
 		if d.overQuota(j) || d.backfill(j) {
 			continue
 		}
-		if d.p.holder == "" && d.reserveHead(j) {
-			d.p.holder = j.Name
+		if d.mayHold(j) && d.reserveHead(j) {
+			d.p.holders = append(d.p.holders, j.Name)
 			continue
 		}
 		d.explain(j)
@@ -663,12 +658,13 @@
 	}
 	rest := slices.DeleteFunc(slices.Clone(queue), func(q *resource.Job) bool { return q == j })
 	d.p.aged = j.Name
+	below := d.belowShare(j)
 	switch {
 	case d.overQuota(j):
 		d.p.aged = ""
 	case d.backfill(j):
 		d.p.aged = ""
-		if !d.withinShare(j) {
+		if !below {
 			d.p.lastAgedAnyway = d.now
 		}
 	case d.reclaimForAged(j) || d.reserveHead(j):
@@ -691,7 +687,7 @@
 			continue
 		}
 		anyway := wait >= agedAnyway && d.now.Sub(d.p.lastAgedAnyway) >= agedEvery
-		if (anyway || d.withinShare(j)) && d.hasPlace(j) && !d.exceedsQuota(j) {
+		if (anyway || d.belowShare(j)) && d.hasPlace(j) && !d.exceedsQuota(j) {
 			best = j
 		}
 	}
@@ -708,6 +704,13 @@
 	return float64(d.held[org]+j.Spec.Accelerators()) <= d.fairShare(org)
 }
 
+// belowShare reports whether an organisation holds less than its fair share. One more job may
+// take it over its share: otherwise a gang larger than the share would never have its turn.
+func (d *decision) belowShare(j *resource.Job) bool {
+	org := j.Spec.Organisation
+	return float64(d.held[org]) < d.fairShare(org)
+}
+
 // hasPlace reports whether a job could start if everything that may end or be stopped did. A
 // job that cannot be reclaimed has a place only beside all guarantees.
 func (d *decision) hasPlace(j *resource.Job) bool {
@@ -731,23 +734,40 @@
 	return true
 }
 
-// placeHolder handles the job that holds the place of the head of the queue.
-func (d *decision) placeHolder(queue []*resource.Job) []*resource.Job {
-	i := slices.IndexFunc(queue, func(j *resource.Job) bool { return j.Name == d.p.holder })
-	d.p.holder = ""
-	if i < 0 {
+// placeHolders handles the jobs that hold places, in the order in which they began to.
+func (d *decision) placeHolders(queue []*resource.Job) []*resource.Job {
+	before := d.p.holders
+	d.p.holders = nil
+	if len(before) == 0 {
 		return queue
 	}
-	j := queue[i]
-	rest := slices.Delete(slices.Clone(queue), i, i+1)
-	switch {
-	case d.overQuota(j) || d.backfill(j):
-	case d.reserveHead(j):
-		d.p.holder = j.Name
-	default:
-		d.explain(j)
+	byName := make(map[string]*resource.Job, len(before))
+	for _, j := range queue {
+		if slices.Contains(before, j.Name) {
+			byName[j.Name] = j
+		}
 	}
-	return rest
+	for _, name := range before {
+		j := byName[name]
+		switch {
+		case j == nil || d.overQuota(j) || d.backfill(j):
+		case d.mayHold(j) && d.reserveHead(j):
+			d.p.holders = append(d.p.holders, name)
+		default:
+			d.explain(j)
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(queue), func(j *resource.Job) bool { return byName[j.Name] == j })
+}
+
+// mayHold reports whether a job may hold a place. The first may always, others while the places
+// held are a small part of the zone.
+func (d *decision) mayHold(j *resource.Job) bool {
+	held := 0
+	for _, cl := range d.claims {
+		held += cl.shape.members * cl.shape.accel
+	}
+	return len(d.p.holders) == 0 || float64(held+j.Spec.Accelerators()) <= maxHeldShare*float64(d.capacity)
 }
 
 func (d *decision) nextOrg(orgs []string, byOrg map[string][]*resource.Job) int {
@@ -823,15 +843,13 @@
 	if j.Spec.Restart == resource.RestartNever {
 		limit = d.res.room
 	}
-	nodes, ready := d.c.drain(d.availableSoon(j), s, limit, d.endOf)
+	nodes, ready := d.reservePlace(j, s, limit)
 	if nodes == nil {
 		return false
 	}
 	if ready.Before(d.now) {
 		ready = d.now
 	}
-	nodes, ready = d.keepPlace(j, s, nodes, ready)
-	d.places[j.Name] = d.c.ids(nodes)
 	d.hold(j, nodes, ready)
 	d.wait(j, ReasonReservation, "running jobs on the reserved workers end",
 		"the job is the head of the queue and holds a reservation that is expected to be free in %s",
@@ -846,25 +864,47 @@
 	return d.p.learned.end(d.now, r)
 }
 
-// keepPlace returns the place that was reserved before, unless the new one is clearly sooner.
-func (d *decision) keepPlace(j *resource.Job, s shape, nodes []int, ready time.Time) ([]int, time.Time) {
-	ids := d.p.places[j.Name]
-	if len(ids) != len(nodes) {
-		return nodes, ready
+// place is the workers that are held for a job.
+type place struct {
+	workers []string
+	// searched is when the place was last compared with others.
+	searched time.Time
+}
+
+// reservePlace returns the place that was reserved before, unless another one is clearly
+// sooner. The search for another one is expensive and is made once in a while.
+func (d *decision) reservePlace(j *resource.Job, s shape, limit []int) ([]int, time.Time) {
+	soon := d.availableSoon(j)
+	before := d.p.places[j.Name]
+	old, oldReady, ok := d.oldPlace(before.workers, soon, s)
+	if ok && d.now.Sub(before.searched) < searchEvery {
+		d.places[j.Name] = before
+		return old, oldReady
 	}
-	old := make([]int, len(ids))
-	for i, id := range ids {
-		n, ok := d.c.byID[id]
-		if !ok || !d.c.nodes[n].usable {
-			return nodes, ready
-		}
-		old[i] = n
+	nodes, ready := d.c.drain(soon, s, limit, d.endOf)
+	if ok && (nodes == nil || !ready.Add(moveMargin).Before(oldReady)) {
+		nodes, ready = old, oldReady
+	}
+	if nodes != nil {
+		d.places[j.Name] = place{workers: d.c.ids(nodes), searched: d.now}
 	}
-	oldReady, ok := d.c.readyAt(d.availableSoon(j), s, old, d.endOf)
-	if !ok || ready.Add(moveMargin).Before(oldReady) {
-		return nodes, ready
+	return nodes, ready
+}
+
+// oldPlace returns the nodes of a reserved place with the time when it is free. It reports
+// false if there is none or if it can no longer hold the gang.
+func (d *decision) oldPlace(ids []string, soon []int, s shape) ([]int, time.Time, bool) {
+	if len(ids) != s.members {
+		return nil, time.Time{}, false
+	}
+	old := d.c.indexes(ids)
+	for _, n := range old {
+		if n < 0 || !d.c.nodes[n].usable || soon[n] <= unavailable/2 {
+			return nil, time.Time{}, false
+		}
 	}
-	return old, oldReady
+	ready, ok := d.c.readyAt(soon, s, old, d.endOf)
+	return old, ready, ok
 }
 
 // explain records why a job that is not the head of the queue waits.
