--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -494,6 +494,11 @@
 		slot := d.res.covered[r]
 		return !d.res.protected(r) || slot != nil && slot.exact(s) && givesWay(r, slot, j.Spec.Organisation)
 	}
+	if e := d.evictAtPlace(j, s, soon, may); e != nil {
+		if next := d.tryStart(d.newRun(j, e.nodes), true); next != nil {
+			return e, next
+		}
+	}
 	limit := slices.Clone(d.res.room)
 	for _, slot := range unused {
 		for n, units := range d.unusedUnits(slot, s) {
@@ -520,6 +525,32 @@
 	return nil, nil
 }
 
+// evictAtPlace finds the victims at the place for which others were asked to stop before. A
+// place that moved with each decision would stop jobs in vain.
+func (d *decision) evictAtPlace(j *resource.Job, s shape, soon []int, may func(*run) bool) *eviction {
+	ids := d.p.places[j.Name].workers
+	if len(ids) != s.members {
+		return nil
+	}
+	limit := make([]int, len(d.c.nodes))
+	for _, n := range d.c.indexes(ids) {
+		if n < 0 {
+			return nil
+		}
+		limit[n] += d.c.nodes[n].units(s)
+	}
+	return d.c.evictWithin(soon, s, may, limit)
+}
+
+// evict returns the place at which victims lose the least, or the place of before.
+func (d *decision) evict(j *resource.Job, may func(*run) bool) *eviction {
+	s, soon := jobShape(&j.Spec), d.availableSoon(j)
+	if e := d.evictAtPlace(j, s, soon, may); e != nil {
+		return e
+	}
+	return d.c.evict(soon, s, may)
+}
+
 // unusedSlots returns the slots of an organisation with a place that could hold a gang.
 func (d *decision) unusedSlots(org string, s shape) []*slot {
 	var out []*slot
@@ -569,6 +600,7 @@
 		d.c.yield(v)
 		d.plan.Reclaims = append(d.plan.Reclaims, Reclaim{Job: v.name, Deadline: deadline, For: j.Name, Reason: reason})
 	}
+	d.places[j.Name] = place{workers: d.c.ids(e.nodes), searched: d.now}
 	d.hold(j, e.nodes, d.now)
 	d.wait(j, ReasonReclaiming, "the stopped jobs leave their workers, at the latest at the deadline",
 		"the job starts when reclaimed accelerators are free, %d jobs are asked to stop now", len(e.victims))
@@ -605,7 +637,7 @@
 	if j.Spec.Restart == resource.RestartNever {
 		return false
 	}
-	e := d.c.evict(d.availableSoon(j), s, may)
+	e := d.evict(j, may)
 	if e == nil {
 		return false
 	}
@@ -726,7 +758,7 @@
 	may := func(r *run) bool {
 		return !r.placed && !r.reclaiming && !d.res.protected(r) && !d.urgent(r.job) && byAge(j, r.job) < 0
 	}
-	e := d.c.evict(d.availableSoon(j), jobShape(&j.Spec), may)
+	e := d.evict(j, may)
 	if e == nil {
 		return false
 	}
