--- /dev/null
+++ b/internal/scheduler/health_test.go
@@ -0,0 +1,124 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+)
+
+func kinds(actions []HealthAction) []HealthActionKind {
+	var out []HealthActionKind
+	for _, a := range actions {
+		out = append(out, a.Kind)
+	}
+	return out
+}
+
+// Guards against a worker that goes on to fail jobs, or that never returns after its repair.
+func TestBadWorkerIsQuarantinedProbedAndReturned(t *testing.T) {
+	h := NewHealth(resource.PlacementPolicy{})
+	for i, org := range []string{"x", "y", "x"} {
+		require.True(t, h.Usable("w"))
+		h.Failed(start, "w", job(fmt.Sprint("j", i), org, 1, 1, ""))
+	}
+	require.False(t, h.Usable("w"))
+	require.Equal(t, []HealthActionKind{HealthQuarantine}, kinds(h.Actions(start)))
+	now := start.Add(firstProbe)
+	require.Equal(t, []HealthActionKind{HealthProbe}, kinds(h.Actions(now)))
+	h.Probed(now, "w", false)
+	require.Empty(t, h.Actions(now.Add(firstProbe)), "the wait doubles after a failed probe")
+	now = now.Add(2 * firstProbe)
+	for range probesToReturn {
+		require.Equal(t, []HealthActionKind{HealthProbe}, kinds(h.Actions(now)))
+		h.Probed(now, "w", true)
+		now = now.Add(firstProbe)
+	}
+	require.Equal(t, []HealthActionKind{HealthReturn}, kinds(h.Actions(now)))
+	require.True(t, h.Usable("w"))
+	require.True(t, h.Suspect("w"), "a returned worker takes one gang until it has proved itself")
+	h.Succeeded("w")
+	require.False(t, h.Suspect("w"))
+}
+
+// Guards against healthy workers that are taken out because of a batch of jobs that fail
+// everywhere, and against such jobs being started without end.
+func TestFaultyBatchTakesNoWorkerOut(t *testing.T) {
+	h := NewHealth(resource.PlacementPolicy{})
+	now := start
+	for i := range 10 {
+		j := job(fmt.Sprint("faulty", i), "x", 1, 1, "")
+		for w := 0; ; w++ {
+			worker := fmt.Sprint("w", w)
+			require.Less(t, w, 20)
+			if !h.Usable(worker) {
+				continue
+			}
+			h.Failed(now, worker, j)
+			for _, a := range h.Actions(now) {
+				require.Equal(t, HealthProbe, a.Kind)
+				h.Probed(now, a.Worker, true)
+			}
+			if _, bad := h.JobFails(j.Name); bad {
+				h.Forget(j.Name)
+				break
+			}
+		}
+	}
+	for w := range 20 {
+		require.True(t, h.Usable(fmt.Sprint("w", w)))
+	}
+}
+
+// Guards against stopping a task on a report that was measured before its throttle, and against
+// a task that stays throttled after its use has dropped.
+func TestOveruseWaitsForReportsAfterTheThrottle(t *testing.T) {
+	const lag = 4 * time.Second
+	declared, over, fine := Size{Cores: 4, MemoryMB: 100}, Size{Cores: 8, MemoryMB: 90}, Size{Cores: 4, MemoryMB: 90}
+	var o Overuse
+	var action OveruseAction
+	now := start
+	step := func(used Size) OveruseAction {
+		now = now.Add(time.Second)
+		o, action = o.Next(now, declared, used, lag)
+		return action
+	}
+	for step(over) == OveruseNone {
+		require.Less(t, now.Sub(start), time.Minute)
+	}
+	require.Equal(t, OveruseThrottle, action)
+	throttled := now
+	for range int(lag / time.Second) {
+		require.Equal(t, OveruseNone, step(over))
+	}
+	for step(over) == OveruseNone {
+		require.Less(t, now.Sub(throttled), time.Minute)
+	}
+	require.Equal(t, OveruseStop, action)
+	require.GreaterOrEqual(t, now.Sub(throttled), lag+stopAfter)
+	for step(fine) == OveruseNone {
+		require.Less(t, now.Sub(throttled), 2*time.Minute)
+	}
+	require.Equal(t, OveruseRelease, action)
+	require.Equal(t, OveruseNone, step(over), "one report is no evidence")
+}
+
+// Guards against trust in declared times: an organisation whose jobs run ten times as long as
+// declared gets estimates that are ten times as long.
+func TestPredictorLearnsErrorByOrganisation(t *testing.T) {
+	p := newPredictor()
+	spec := resource.JobSpec{Organisation: "x", DeclaredSeconds: 60}
+	before, _ := p.total(&spec, cautiousQuantile)
+	require.Equal(t, 4*time.Minute, before)
+	for range minSamples {
+		p.observe(&spec, 10*time.Minute)
+	}
+	after, _ := p.total(&spec, cautiousQuantile)
+	require.Equal(t, 10*time.Minute, after)
+	other := resource.JobSpec{Organisation: "y", DeclaredSeconds: 60}
+	unchanged, _ := p.total(&other, cautiousQuantile)
+	require.Equal(t, before, unchanged)
+}
