--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -29,6 +29,8 @@
 	// reserveDivisor is the inverse of the share of slots that is kept free for classes below
 	// their share. With 64 slots it keeps 4, which absorb a burst while longer work drains.
 	reserveDivisor = 16
+	// weightsPeriod is how long sums of weights are kept. It is far below activeWindow.
+	weightsPeriod = 100 * time.Millisecond
 	// defaultService is the assumed time in a slot of a class without finished requests.
 	defaultService = 100 * time.Millisecond
 	// serviceGain is the weight of the newest sample in the learned time in a slot.
@@ -169,13 +171,13 @@
 	}
 	var refused []Refusal
 	if q.root.queued >= q.policy.QueueLimit {
-		longest := q.longestLeaf()
-		if longest == nil || longest.pressure() <= leaf.pressure() {
+		pressed := q.mostPressed(leaf)
+		if pressed == leaf {
 			return []Refusal{q.refuse(r, ErrQueueFull, wait)}
 		}
-		evicted := longest.worst()
+		evicted := pressed.worst()
 		q.Cancel(evicted)
-		refused = append(refused, q.refuse(evicted, ErrQueueFull, q.expectedWait(now, longest, total)))
+		refused = append(refused, q.refuse(evicted, ErrQueueFull, q.expectedWait(now, pressed, total)))
 	}
 	q.push(leaf, r)
 	if q.stuck && float64(leaf.running+1) <= max(leaf.share(now)*float64(total), 1) {
--- a/internal/admission/node.go
+++ b/internal/admission/node.go
@@ -12,10 +12,16 @@
 	parent   *node
 	key      string
 	flow     Flow
+	leaf     bool
 	sequence uint64
 	weight   float64
 	children []*node
-	queue    requestHeap
+	index    map[string]*node
+	// weights is the sum of the weights of active children as of weightsAt. It is zero when
+	// it must be computed again.
+	weights   float64
+	weightsAt time.Time
+	queue     requestHeap
 	// tag is the start tag of the node's next service among its siblings.
 	tag float64
 	// clock is the start tag of the last child served.
@@ -25,16 +31,24 @@
 	lastActive time.Time
 }
 
-func (n *node) child(key string) *node {
+func (n *node) child(key string) *node { return n.index[key] }
+
+// activeWeights returns the sum of the weights of active children. It is kept for
+// weightsPeriod, since the tree has thousands of nodes at the design size.
+func (n *node) activeWeights(now time.Time) float64 {
+	if n.weights > 0 && now.Sub(n.weightsAt) < weightsPeriod {
+		return n.weights
+	}
+	n.weights, n.weightsAt = 0, now
 	for _, c := range n.children {
-		if c.key == key {
-			return c
+		if c.active(now) {
+			n.weights += c.weight
 		}
 	}
-	return nil
+	return n.weights
 }
 
-func (n *node) isLeaf() bool { return n.flow != Flow{} }
+func (n *node) isLeaf() bool { return n.leaf }
 
 func (n *node) eachLeaf(f func(*node)) {
 	if n.isLeaf() {
@@ -56,10 +70,13 @@
 	kind = q.childOf(org, f.Kind)
 	leaf := q.childOf(kind, f.Caller)
 	if !leaf.isLeaf() {
-		leaf.flow = f
+		leaf.flow, leaf.leaf = f, true
 		q.weigh(leaf)
 	}
-	for n := leaf; n != nil; n = n.parent {
+	for n := leaf; n.parent != nil; n = n.parent {
+		if !n.active(now) {
+			n.parent.weights = 0
+		}
 		n.lastActive = now
 	}
 	return leaf
@@ -72,12 +89,17 @@
 	q.sequence++
 	c := &node{parent: parent, key: key, sequence: q.sequence, tag: parent.clock, weight: 1}
 	parent.children = append(parent.children, c)
+	if parent.index == nil {
+		parent.index = make(map[string]*node)
+	}
+	parent.index[key] = c
 	q.weigh(c)
 	return c
 }
 
 // weigh sets the weight of a node from the policy and the scales.
 func (q *Queue) weigh(n *node) {
+	n.parent.weights = 0
 	switch {
 	case n.parent == q.root:
 		n.weight = weightOr1(q.orgWeights, n.key)
@@ -181,12 +203,9 @@
 		}
 		return nil
 	}
-	waiting := make([]*node, 0, len(n.children))
-	weights := 0.0
+	var waiting []*node
+	weights := n.activeWeights(now)
 	for _, c := range n.children {
-		if c.active(now) {
-			weights += c.weight
-		}
 		if c.queued > 0 {
 			waiting = append(waiting, c)
 		}
@@ -213,26 +232,30 @@
 	if n.parent == nil {
 		return 1
 	}
-	weights := 0.0
-	for _, c := range n.parent.children {
-		if c == n || c.active(now) {
-			weights += c.weight
-		}
-	}
-	return n.parent.share(now) * n.weight / weights
+	return n.parent.share(now) * n.weight / max(n.parent.activeWeights(now), n.weight)
 }
 
 // pressure is the queue length relative to the share, which eviction evens out.
 func (n *node) pressure() float64 { return float64(n.queued) / n.weight }
 
-func (q *Queue) longestLeaf() *node {
-	var longest *node
-	q.root.eachLeaf(func(n *node) {
-		if n.queued > 0 && (longest == nil || n.pressure() > longest.pressure()) {
-			longest = n
+// mostPressed descends to the child under the most pressure at each level. Ties go to the
+// path of the arriving leaf, which is returned if no other leaf should give way to it.
+func (q *Queue) mostPressed(arriving *node) *node {
+	n := q.root
+	for !n.isLeaf() {
+		var most *node
+		for _, c := range n.children {
+			if most == nil || c.pressure() > most.pressure() || c.pressure() == most.pressure() && c.contains(arriving) {
+				most = c
+			}
 		}
-	})
-	return longest
+		n = most
+	}
+	return n
+}
+
+func (n *node) contains(leaf *node) bool {
+	return n == leaf || n == leaf.parent || n == leaf.parent.parent
 }
 
 func (n *node) worst() *Request {
@@ -260,6 +283,8 @@
 		}
 		parent := n.parent
 		parent.children = slices.DeleteFunc(parent.children, func(c *node) bool { return c == n })
+		delete(parent.index, n.key)
+		parent.weights = 0
 		n = parent
 	}
 }
