Keep the reserve for kinds without a standing queue where shares are below one slot

Cause: with 130 organisations a share is about half a slot, so every caller of a flood counted as within its share and used up the reserve. Change: below one slot, only kinds without a standing queue may use the reserve.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -180,7 +180,7 @@
 		refused = append(refused, q.refuse(evicted, ErrQueueFull, q.expectedWait(now, pressed, total)))
 	}
 	q.push(leaf, r)
-	if q.stuck && float64(leaf.running+1) <= max(leaf.share(now)*float64(total), 1) {
+	if q.stuck && leaf.within(leaf.share(now)*float64(total)) {
 		q.stuck = false
 	}
 	return refused
--- a/internal/admission/node.go
+++ b/internal/admission/node.go
@@ -194,11 +194,11 @@
 	return n
 }
 
-// chooseWithin is like choose for leaves that hold fewer slots than their share of the given
-// number. It returns nil if there is none.
+// chooseWithin is like choose for leaves that are within their share of the given number of
+// slots. It returns nil if there is none.
 func (n *node) chooseWithin(now time.Time, slots float64) *node {
 	if n.isLeaf() {
-		if float64(n.running+1) <= max(slots, 1) {
+		if n.within(slots) {
 			return n
 		}
 		return nil
@@ -219,6 +219,17 @@
 	return nil
 }
 
+// within reports whether a leaf whose share is the given number of slots is within it. With
+// many organisations shares are below one slot; then a leaf without a request in progress is
+// within its share if its kind of work has no standing queue.
+func (n *node) within(slots float64) bool {
+	if slots >= 1 {
+		return float64(n.running+1) <= slots
+	}
+	const standingQueue = 2
+	return n.running == 0 && n.parent.queued <= standingQueue
+}
+
 func before(a, b *node) int {
 	return cmp.Or(cmp.Compare(a.tag, b.tag), cmp.Compare(a.sequence, b.sequence))
 }
