Follow a very slow log; keep a lost answer unknown after a refusal

Cause: reads were given up after 3 s, so a log that answers after 5 s never brought a record. At the command line a refusal by a check of a second instance hid that the first attempt may have taken effect.

Change: the time for a read doubles after each unanswered one, up to 10 s beyond the long poll. After a lost answer a refusal counts only if the server knows the verdict of the same request id.

Conclusion: TestVerySlowLog and TestRefusalAfterALostAnswer pass.

--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -152,7 +152,11 @@
 			break
 		}
 		if c.tryServers(ctx, call, &tried) {
-			return tried.last, nil
+			if !write || !tried.unknown || tried.last.status < http.StatusBadRequest || c.hasVerdict(ctx, call, tried.last.server) {
+				return tried.last, nil
+			}
+			// A check before the write refused it, which says nothing of the earlier attempt.
+			break
 		}
 		// A refusal by every server means that the log is down, which a few more rounds do not
 		// outlast.
@@ -170,6 +174,13 @@
 	return tried.last, nil
 }
 
+// hasVerdict reports whether the server knows what became of the call's request id.
+func (c *client) hasVerdict(ctx context.Context, write call, server string) bool {
+	path := "/v1/requests/" + url.PathEscape(write.header.Get(platform.HeaderIdempotencyKey))
+	got, err := c.send(ctx, server, call{method: http.MethodGet, path: path})
+	return err == nil && got.status == http.StatusOK
+}
+
 // tryServers tries each server once and reports whether one settled the call.
 func (c *client) tryServers(ctx context.Context, call call, tried *attempts) bool {
 	tried.refused = true
--- a/internal/cli/commands_test.go
+++ b/internal/cli/commands_test.go
@@ -100,6 +100,25 @@
 	require.Contains(t, stdout, "accepted at version 1")
 }
 
+// TestRefusalAfterALostAnswer guards against a write that counts as refused although the
+// attempt before the refusal may have taken effect.
+func TestRefusalAfterALostAnswer(t *testing.T) {
+	lossy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	defer lossy.Close()
+	i := newInstance(t, "a", standin.NewLog(standin.LogConfig{}))
+	file := writeFile(t, "r.toml", strings.Replace(sampleResources, "gangs = 1", "gangs = 11", 1))
+	code, stdout, _ := run(t, "", "apply", "-f", file, "--server", lossy.URL+","+i.server.URL)
+	require.Equal(t, ExitUnknown, code)
+	require.Contains(t, stdout, "guarantees/clinic unknown")
+	require.Contains(t, stdout, "jobs/nightly created")
+}
+
 // TestRefusalsSayWhy guards against a refusal that an operator cannot act on.
 func TestRefusalsSayWhy(t *testing.T) {
 	i := newInstance(t, "a", standin.NewLog(standin.LogConfig{}))
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -21,8 +21,11 @@
 	readWait = time.Second
 	// startWait is used instead until the replica is ready.
 	startWait = 20 * time.Millisecond
-	// readMargin is added to a long poll's wait before the log counts as hanging.
-	readMargin = 2 * time.Second
+	// minReadMargin is added to a long poll's wait before the log counts as hanging. It doubles
+	// with each such read up to maxReadMargin, so that a slow log still brings records. A log
+	// that is slower counts as down; a larger margin would delay the notice of its return.
+	minReadMargin = 2 * time.Second
+	maxReadMargin = 10 * time.Second
 )
 
 // sourceState is what the replica knows of the log.
@@ -32,6 +35,8 @@
 	failing bool
 	// lastAnswer is when the log last answered a read.
 	lastAnswer time.Time
+	// margin is the current margin of reads.
+	margin time.Duration
 	// tailAt is when the newest read was sent that brought the state to the log's tail.
 	tailAt    time.Time
 	retention time.Duration
@@ -43,9 +48,13 @@
 	s.tailAt = sent
 }
 
-func (s *sourceState) answered(now time.Time, batch platform.Batch) (cameBack bool) {
+// answered notes the answer to a read that was sent at the time with the wait.
+func (s *sourceState) answered(sent, now time.Time, wait time.Duration, batch platform.Batch) (cameBack bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if took := now.Sub(sent) - wait; took < minReadMargin {
+		s.margin = minReadMargin
+	}
 	cameBack = s.failing
 	s.failing = false
 	s.lastAnswer = now
@@ -63,6 +72,20 @@
 	return first
 }
 
+// readMargin returns the margin of the next read.
+func (s *sourceState) readMargin() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(s.margin, minReadMargin)
+}
+
+// timedOut notes a read that was not answered in time.
+func (s *sourceState) timedOut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.margin = min(2*max(s.margin, minReadMargin), maxReadMargin)
+}
+
 func (s *sourceState) isFailing() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -154,13 +177,17 @@
 
 // readLog reads once and notes whether the log answers.
 func (r *Replica) readLog(ctx context.Context, from platform.Offset, wait time.Duration) (platform.Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+readMargin)
+	sent := r.deps.Now()
+	attempt, cancel := context.WithTimeout(ctx, wait+r.source.readMargin())
 	defer cancel()
-	batch, err := r.deps.Log.Read(ctx, from, readLimit, wait)
+	batch, err := r.deps.Log.Read(attempt, from, readLimit, wait)
+	if err != nil && attempt.Err() != nil && ctx.Err() == nil {
+		r.source.timedOut()
+	}
 	if err != nil && !errors.Is(err, platform.ErrExpired) {
 		return batch, eris.Wrap(err, "read the log")
 	}
-	if r.source.answered(r.deps.Now(), batch) {
+	if r.source.answered(sent, r.deps.Now(), wait, batch) {
 		r.deps.Logger.Info().Str("event", "log-answers").Uint64("next", uint64(batch.Next)).Msg("")
 	}
 	return batch, err
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -61,6 +61,25 @@
 	})
 }
 
+// TestVerySlowLog guards against a replica that takes a log that answers after seconds for one
+// that is down, and never becomes ready or never applies a record.
+func TestVerySlowLog(t *testing.T) {
+	bubble(t, standin.LogConfig{}, func(t *testing.T, c *cluster) {
+		c.start("a")
+		c.waitReady(time.Second, "a")
+		c.log.SetFaults(standin.LogFaults{CallFaults: standin.CallFaults{Delay: settings.Duration(5 * time.Second)}})
+		_, err := c.writePolicy("a", 1)
+		if err != nil {
+			require.ErrorIs(t, err, state.ErrUnknownOutcome)
+		}
+		c.waitPolicy(1, time.Minute, "a")
+		c.kill("a")
+		c.start("b")
+		c.waitReady(time.Minute, "b")
+		require.Equal(t, 1, c.inForce("b"))
+	})
+}
+
 // TestLostAnswersAreSettled guards against a write that is told unknown or refused although
 // its verdict can be found, and against one that takes effect twice.
 func TestLostAnswersAreSettled(t *testing.T) {
