Leave the state of lost history when a peer or the log has the records

Cause: a replica that a peer brought up to date while it read the log could keep ErrHistoryLost for ever, because the error was set after the state had been replaced and nothing cleared it.

Change: the error is set only for the state that it was found for, and ends when the log has the record after the applied one.

--- a/internal/api/hostile_test.go
+++ b/internal/api/hostile_test.go
@@ -104,6 +104,20 @@
 	})
 }
 
+// TestLargeHeadIsRefused guards against memory taken by endless header lines.
+func TestLargeHeadIsRefused(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, l *pipeListener, _ *fixture) {
+		conn := l.dial()
+		go func() {
+			_, _ = io.WriteString(conn, "GET /v1/jobs HTTP/1.1\r\nHost: x\r\nX: "+strings.Repeat("a", 2*maxHeaderBytes)+"\r\n\r\n")
+		}()
+		line, err := bufio.NewReader(conn).ReadString('\n')
+		require.NoError(t, err)
+		require.Contains(t, line, "431")
+		require.NoError(t, conn.Close())
+	})
+}
+
 // TestSlowReaderOfAWatchIsCutOff guards against a watch that holds an instance's memory and a
 // connection for a caller that does not read.
 func TestSlowReaderOfAWatchIsCutOff(t *testing.T) {
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -140,6 +140,7 @@
 	if err != nil {
 		return err
 	}
+	r.historyFound()
 	return r.accept(batch, applied, sent)
 }
 
@@ -234,7 +235,8 @@
 func (r *Replica) historyLost(applied, oldest platform.Offset) error {
 	err := eris.Wrapf(ErrHistoryLost, "records %d to %d; no complete snapshot follows them", applied+1, oldest-1)
 	r.mu.Lock()
-	first := r.failure == nil
+	// A peer may have brought a newer state since the log was read.
+	first := r.failure == nil && r.state.Applied == applied
 	if first {
 		r.failure = err
 	}
@@ -245,6 +247,15 @@
 	return err
 }
 
+// historyFound ends ErrHistoryLost: the log still has the record after the applied one.
+func (r *Replica) historyFound() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if errors.Is(r.failure, ErrHistoryLost) {
+		r.failure = nil
+	}
+}
+
 // scan reads the whole retained log and returns the newest complete snapshot, or nil, and the
 // oldest retained offset.
 func (r *Replica) scan(ctx context.Context) (*state.State, platform.Offset, error) {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -266,6 +266,40 @@
 	})
 }
 
+// TestDamagedSnapshotLeavesTheOneBefore guards against a recovery that fails, or loses
+// records, because the newest snapshot has a wrong digest or is incomplete.
+func TestDamagedSnapshotLeavesTheOneBefore(t *testing.T) {
+	bubble(t, standin.LogConfig{}, func(t *testing.T, c *cluster) {
+		c.start("a")
+		c.waitReady(time.Second, "a")
+		c.mustWrite("a", 1)
+		a := c.replica("a")
+		require.NoError(t, a.writeSnapshot(t.Context(), "test"))
+		c.mustWrite("a", 2)
+		s, _, err := a.copyState()
+		require.NoError(t, err)
+		data, err := s.EncodeSnapshot()
+		require.NoError(t, err)
+		whole := s.SplitSnapshot("damaged", data)
+		whole[0].Data = data[:len(data)/2]
+		half := s.SplitSnapshot("half", data)
+		half[0].Parts = 2
+		for i, part := range []state.SnapshotPart{whole[0], half[0]} {
+			record := state.Record{Version: state.RecordVersion, ID: fmt.Sprint("part", i), Base: 1, SnapshotPart: &part}
+			entry, err := record.Encode()
+			require.NoError(t, err)
+			_, err = c.log.Append(t.Context(), entry)
+			require.NoError(t, err)
+		}
+		c.mustWrite("a", 3)
+		c.kill("a")
+		c.start("b")
+		c.waitReady(time.Second, "b")
+		require.Equal(t, 3, c.inForce("b"))
+		require.Equal(t, a.Applied(), c.replica("b").Applied())
+	})
+}
+
 // TestNewerRecordStopsTheReplica guards against an old binary that goes on with a state that
 // differs from that of newer ones.
 func TestNewerRecordStopsTheReplica(t *testing.T) {
