--- a/scenarios/cluster_test.go
+++ b/scenarios/cluster_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -129,6 +130,15 @@
 	return instance{}, fmt.Errorf("no instance %q", id)
 }
 
+// callerList returns the URLs of the caller listeners as a TOML list.
+func (c *cluster) callerList() string {
+	var urls []string
+	for _, in := range c.instances {
+		urls = append(urls, strconv.Quote("http://"+in.Caller))
+	}
+	return "[" + strings.Join(urls, ", ") + "]"
+}
+
 // start starts a process whose output goes to a file of its name.
 func (c *cluster) start(name string, args ...string) error {
 	c.mu.Lock()
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -12,6 +13,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -77,6 +79,8 @@
 			"outcome":    cmdOutcome,
 			"executed":   cmdExecuted,
 			"gangs-ok":   cmdGangsOK,
+			"subst":      cmdSubst,
+			"race":       cmdRace,
 		},
 	})
 }
@@ -121,6 +125,8 @@
 		ts.Check(c.start(in.ID, "serve", "--first-start", "--config", c.settingsFile(in.ID)))
 	}
 	ts.Setenv("SERVERS", strings.Join(operators, ","))
+	ts.Setenv("CONTROL", c.standin.ControlURL)
+	ts.Setenv("CALLERS", c.callerList())
 	for _, in := range c.instances {
 		ts.Check(waitFor(func() error { return ready(in) }))
 	}
@@ -266,6 +272,38 @@
 	ts.Check(clusterOf(ts).checkGangs())
 }
 
+// cmdRace applies files at the same time, each through another instance: race FILE... Each
+// apply may be accepted or refused, but not end with an unknown outcome.
+func cmdRace(ts *testscript.TestScript, _ bool, args []string) {
+	c := clusterOf(ts)
+	binary := findBinary(ts)
+	codes := make([]int, len(args))
+	var wg sync.WaitGroup
+	for i, file := range args {
+		server := c.instances[i%len(c.instances)].Operator
+		wg.Go(func() {
+			var exit *exec.ExitError
+			if _, err := runCommand(ts, binary, []string{"apply", "--server", server, "-f", file}); errors.As(err, &exit) {
+				codes[i] = exit.ExitCode()
+			}
+		})
+	}
+	wg.Wait()
+	for i, code := range codes {
+		if code != cli.ExitOK && code != cli.ExitFailure {
+			ts.Fatalf("apply of %s ended with exit code %d", args[i], code)
+		}
+	}
+}
+
+// cmdSubst replaces ${NAME} in a file by the script's variables: subst FILE.
+func cmdSubst(ts *testscript.TestScript, _ bool, args []string) {
+	path := ts.MkAbs(args[0])
+	data, err := os.ReadFile(path)
+	ts.Check(err)
+	ts.Check(os.WriteFile(path, []byte(os.Expand(string(data), ts.Getenv)), 0o600))
+}
+
 func parseOptions(ts *testscript.TestScript, args []string) map[string]string {
 	options := make(map[string]string)
 	for _, arg := range args {
