--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -23,6 +23,8 @@
 	ticket   *ticket
 	body     *replayBody
 	attempts int
+	// target is the id of the last target that was tried.
+	target string
 	// sent is true once a byte may have reached a target that has not said that it did not
 	// start the request.
 	sent bool
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -39,6 +39,7 @@
 // attempt sends the request to a target once and forwards the answer.
 func (x *exchange) attempt(d decision) attemptResult {
 	x.attempts++
+	x.target = d.target.ID
 	x.g.metrics.attempts.Inc()
 	if x.attempts == 1 {
 		x.g.core.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -189,7 +189,8 @@
 	o, reason := x.run()
 	if o != outcomeAnswer {
 		g.log.Info().Str("request", info.id).Str("organisation", info.flow.Organisation).Str("caller", info.flow.Caller).
-			Str("kind", info.flow.Kind).Str("outcome", string(o)).Str("reason", reason).Int("attempts", x.attempts).Msg("request-ended")
+			Str("kind", info.flow.Kind).Str("outcome", string(o)).Str("reason", reason).Int("attempts", x.attempts).
+			Str("target", x.target).Msg("request-ended")
 	}
 	return o, reason
 }
