Probe a worker after the first failure on it

Change: a failure on a healthy worker is followed by a probe, and a failed probe quarantines the worker. The driver no longer counts starts of jobs that fail everywhere as lost to a bad worker.

--- a/internal/measure/jobsdriver.go
+++ b/internal/measure/jobsdriver.go
@@ -458,7 +458,7 @@
 	t := r.task
 	t.failures++
 	t.job.Status.Failures++
-	if byWorker {
+	if byWorker && !t.faulty {
 		s.result.lostStarts++
 	}
 	if s.health != nil {
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -54,7 +54,8 @@
 // against the job. It is pure: time comes in, actions come out.
 //
 // Jobs of one organisation may share a fault, so their failures alone do not quarantine a
-// worker: it is held, which keeps new work away, and a probe decides.
+// worker: it is held, which keeps new work away, and a probe decides. A probe is also made
+// after any first failure, because it costs less than the starts that it saves.
 type Health struct {
 	quarantineAfter int
 	maxFailures     int
@@ -81,6 +82,8 @@
 	suspects map[string]suspicion
 	// probation is set after a return until the first success.
 	probation bool
+	// check is set while a probe is due because of a failure on a healthy worker.
+	check     bool
 	backoff   time.Duration
 	nextProbe time.Time
 	probing   time.Time
@@ -139,6 +142,9 @@
 	h.newest[job.Name] = now
 	w := h.worker(worker)
 	w.suspects[job.Name] = suspicion{org: job.Spec.Organisation, at: now}
+	if w.state == healthy && !now.Before(w.nextProbe) {
+		w.check = true
+	}
 	h.judge(now, worker, w)
 }
 
@@ -239,6 +245,7 @@
 
 func (h *Health) quarantine(now time.Time, id string, w *workerHealth, reason string) {
 	w.state, w.reason = quarantined, reason
+	w.check = false
 	w.backoff = min(max(2*w.backoff, firstProbe), lastProbe)
 	w.nextProbe = now.Add(w.backoff)
 	w.passed = 0
@@ -253,9 +260,10 @@
 		if !w.probing.IsZero() && now.Sub(w.probing) >= probeTimeout {
 			h.Probed(now, id, false)
 		}
-		if w.state == healthy || !w.probing.IsZero() || now.Before(w.nextProbe) {
+		if w.state == healthy && !w.check || !w.probing.IsZero() || now.Before(w.nextProbe) {
 			continue
 		}
+		w.check = false
 		w.probing = now
 		h.pending = append(h.pending, HealthAction{Kind: HealthProbe, Worker: id, Reason: w.reason})
 	}
@@ -274,6 +282,10 @@
 	switch {
 	case !ok && w.state == held:
 		h.quarantine(now, worker, w, w.reason+", and a probe failed")
+	case !ok && w.state == healthy:
+		h.quarantine(now, worker, w, "a job and then a probe failed on the worker")
+	case w.state == healthy:
+		w.nextProbe = now.Add(firstProbe)
 	case !ok:
 		w.passed = 0
 		w.backoff = min(2*w.backoff, lastProbe)
