Bound what a zone's loop remembers of jobs

Cause: pauses and failures of jobs that are gone were kept, and the ring of answers took some 5 MB for each led zone. Change: both are forgotten with the job; the ring has 1,024 places. Conclusion: the memory of a loop is bounded by the live jobs and workers.

--- a/internal/placement/finish.go
+++ b/internal/placement/finish.go
@@ -46,6 +46,7 @@
 	}
 	job, found := z.view.Jobs[r.job]
 	if !found || job.UID != r.key.uid || job.Status.Phase.Terminal() || job.Status.Attempt > r.key.number {
+		z.doctor(now).Forget(r.job)
 		z.reportEnd(r, outcome, reason)
 		return true
 	}
@@ -72,7 +73,10 @@
 
 func (z *zone) reportEnd(r *run, outcome gang.Outcome, reason string) {
 	countEnd(outcome)
-	z.event(Event{Name: EventEnded, Job: r.job, Worker: r.Culprit(), Reason: string(outcome) + ": " + reason})
+	if reason != "" {
+		reason = ": " + reason
+	}
+	z.event(Event{Name: EventEnded, Job: r.job, Worker: r.Culprit(), Reason: string(outcome) + reason})
 }
 
 // endStatus returns the status after an attempt that started.
--- a/internal/placement/runner.go
+++ b/internal/placement/runner.go
@@ -17,8 +17,9 @@
 	// maxOpenCalls bounds the worker calls of one zone that are open at once. It leaves room
 	// for a rack of silent workers without delaying the calls to the others.
 	maxOpenCalls = 256
-	// resultsCapacity bounds the answers that wait for the loop.
-	resultsCapacity = 8192
+	// resultsCapacity bounds the answers that wait for the loop. A full ring makes the callers
+	// wait, so it only has to cover one step.
+	resultsCapacity = 1024
 )
 
 // outcome is an answered op.
--- a/internal/placement/zone.go
+++ b/internal/placement/zone.go
@@ -180,6 +180,7 @@
 	z.confirmRecorded()
 	if newState {
 		z.noteCommitted()
+		z.pruneBackoffs()
 	}
 	if !view.May {
 		return z.result(now)
@@ -201,6 +202,14 @@
 	return z.result(now)
 }
 
+// pruneBackoffs forgets the pauses of jobs that are gone.
+func (z *zone) pruneBackoffs() {
+	maps.DeleteFunc(z.backoffs, func(name string, _ backoff) bool {
+		job, found := z.view.Jobs[name]
+		return !found || job.Status.Phase.Terminal()
+	})
+}
+
 func (z *zone) result(now time.Time) Step {
 	step := Step{Ops: z.ops, Events: z.events, Exhausted: z.counter >= maxCounter}
 	z.ops, z.events = nil, nil
