Move jobs against fragmentation when it pays

Cause: a blocked adjacent gang waited for jobs to end although enough accelerators were free in other places. Change: reclaimable, checkpointable jobs that fit elsewhere at once are moved if the accelerator seconds that the gang gains are twice those that the moves lose, at most every 5 min and at most 5 % of the zone.

--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -48,6 +48,8 @@
 	holders []string
 	// lastAgedAnyway is the last start because of agedAnyway.
 	lastAgedAnyway time.Time
+	// lastMove is the last round of moves against fragmentation, lastMoveSearch the last search.
+	lastMove, lastMoveSearch time.Time
 }
 
 // New returns a scheduler. The seed only decides between equal choices.
@@ -882,6 +884,9 @@
 	if ready.Before(d.now) {
 		ready = d.now
 	}
+	if d.defragment(j, ready) {
+		return true
+	}
 	d.hold(j, nodes, ready)
 	d.wait(j, ReasonReservation, "running jobs on the reserved workers end",
 		"the job is the head of the queue and holds a reservation that is expected to be free in %s",
--- a/internal/scheduler/schedule_test.go
+++ b/internal/scheduler/schedule_test.go
@@ -172,3 +172,23 @@
 	require.False(t, result.Honourable)
 	require.NotEmpty(t, result.Reason)
 }
+
+// Guards against an adjacent gang that waits for hours although a small job could move to
+// another rack, and against moves that cost more than they gain.
+func TestDefragmentationMovesWhenItPays(t *testing.T) {
+	s := zone(2, 2)
+	blocker := job("blocker", "x", 1, 1, "")
+	s.Running = []Running{
+		running(blocker, time.Minute, "w0-0"),
+		running(job("long", "x", 1, 8, ""), time.Minute, "w1-0"),
+	}
+	gang := job("gang", "y", 2, 8, resource.AdjacentRack)
+	s.Queued = []*resource.Job{gang}
+	plan := decide(t, s)
+	require.Len(t, plan.Reclaims, 1)
+	require.Equal(t, "blocker", plan.Reclaims[0].Job)
+	require.Equal(t, ReasonReclaiming, waitingFor(plan, "gang"))
+
+	blocker.Spec.DeclaredSeconds = 16
+	require.Empty(t, decide(t, s).Reclaims, "the blocker ends soon by itself")
+}
