--- a/internal/state/access.go
+++ b/internal/state/access.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 )
 
 // Errors of writes.
@@ -25,8 +26,16 @@
 // Writer appends records to the log.
 type Writer interface {
 	// Write appends a record with exactly one payload and waits for its verdict. It sets
-	// Version, Base, Writer and Time, and ID if that is empty. It returns ErrNotApplied or
+	// Version, Writer and Time, and Base and ID if they are zero. It returns ErrNotApplied or
 	// ErrUnknownOutcome if there is no verdict; after ErrUnknownOutcome the same record with
 	// the same ID may be written again.
 	Write(ctx context.Context, r Record) (Verdict, error)
 }
+
+// Tail tells how fresh the state of this process is.
+type Tail interface {
+	// ReadAt returns the time, with its monotonic reading, at which the newest answered read
+	// of the log's tail was sent. The state has all records appended before that time. It is
+	// zero if the tail was never reached.
+	ReadAt() time.Time
+}
