Make the reserve smaller and drop it when no class is within its share

Cause: with half of the targets gone every instance has about 32 slots, and the reserve of two of them was lost capacity. Change: a reserve of 1/24, rounded, kept for 2 s after an arrival of a class within its share.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -6,7 +6,6 @@
 
 import (
 	"errors"
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -27,8 +26,11 @@
 	// the gaps between requests of a caller that sends a few a minute.
 	activeWindow = 20 * time.Second
 	// reserveDivisor is the inverse of the share of slots that is kept free for classes below
-	// their share. With 64 slots it keeps 4, which absorb a burst while longer work drains.
-	reserveDivisor = 16
+	// their share. With 64 slots it keeps 3, which absorb a burst while longer work drains.
+	reserveDivisor = 24
+	// reserveWindow is how long the reserve is kept after an arrival of a class within its
+	// share. When all classes are above their share, the reserve would only lose capacity.
+	reserveWindow = 2 * time.Second
 	// weightsPeriod is how long sums of weights are kept. It is far below activeWindow.
 	weightsPeriod = 100 * time.Millisecond
 	// defaultService is the assumed time in a slot of a class without finished requests.
@@ -95,6 +97,8 @@
 	// stuck is set while no queued request may take one of the last free slots, so that
 	// arrivals need not search the tree again.
 	stuck bool
+	// lightAt is when a request of a class within its share last arrived.
+	lightAt time.Time
 }
 
 // New returns an empty queue with the default policy.
@@ -180,8 +184,9 @@
 		refused = append(refused, q.refuse(evicted, ErrQueueFull, q.expectedWait(now, pressed, total)))
 	}
 	q.push(leaf, r)
-	if q.stuck && leaf.within(leaf.share(now)*float64(total)) {
+	if leaf.within(leaf.share(now) * float64(total)) {
 		q.stuck = false
+		q.lightAt = now
 	}
 	return refused
 }
@@ -198,7 +203,7 @@
 func (q *Queue) Next(now time.Time, free, total int) (*Request, []Refusal) {
 	q.total = total
 	var refused []Refusal
-	if free > reserve(total) {
+	if free > q.reserve(now, total) {
 		q.stuck = false
 	}
 	for free > 0 && q.root.queued > 0 && !q.stuck {
@@ -330,10 +335,20 @@
 
 // choose returns the leaf whose request takes the next slot.
 func (q *Queue) choose(now time.Time, free, total int) *node {
-	if free > reserve(total) {
+	if free > q.reserve(now, total) {
 		return q.root.choose()
 	}
 	return q.root.chooseWithin(now, float64(total))
 }
 
-func reserve(total int) int { return int(math.Ceil(float64(total) / reserveDivisor)) }
+// reserve returns the number of slots that are kept free for classes within their share.
+func (q *Queue) reserve(now time.Time, total int) int {
+	if now.Sub(q.lightAt) >= reserveWindow {
+		return 0
+	}
+	return reserveOf(total)
+}
+
+// reserveOf is rounded to the nearest number; half a slot is rounded down, since a reserve
+// of one is a twelfth of the capacity there.
+func reserveOf(total int) int { return (total + reserveDivisor/2 - 1) / reserveDivisor }
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -115,7 +115,7 @@
 	for r, _ := q.Next(epoch, free, total); r != nil; r, _ = q.Next(epoch, free, total) {
 		free--
 	}
-	require.Equal(t, reserve(total), free)
+	require.Equal(t, reserveOf(total), free)
 	arrive(q, epoch, flow("o", "other", "c"), 3)
 	r, _ := q.Next(epoch, free, total)
 	require.NotNil(t, r)
--- a/internal/measure/request_scenarios.go
+++ b/internal/measure/request_scenarios.go
@@ -184,6 +184,7 @@
 	return requestMetrics{
 		"attempts_ratio": float64(result.attempts) / float64(max(1, result.firstAttempts)),
 		"goodput_share":  result.useful.Seconds() / measured / (d.capacity() * healthyIs),
+		"busy_share":     result.busy.Seconds() / measured / (d.capacity() * healthyIs),
 		"failed_share":   float64(g.failed) / float64(g.sent),
 		"over_limit":     float64(result.overLimit),
 	}
