Move lent slots only when parts differ by a quarter, and then even them out

Cause: slots on the move between instances serve nobody, and random changes of demand moved some at most rebalances. Change: a rebalance begins at a difference of a quarter of an equal part (a tenth before) and then evens out all differences.

--- a/internal/dispatch/slots.go
+++ b/internal/dispatch/slots.go
@@ -36,8 +36,8 @@
 	// rebalancePeriod bounds the work of dividing slots; it is below BusyReportPeriod.
 	rebalancePeriod = 100 * time.Millisecond
 	// rebalanceBand is the difference from its part, relative to an equal part, that an
-	// instance may have before slots are moved.
-	rebalanceBand = 0.1
+	// instance may have before slots are moved. Then all differences are evened out.
+	rebalanceBand = 0.25
 	// maxUnconfirmed bounds the replies that the owner remembers for one instance.
 	maxUnconfirmed = 8
 )
@@ -374,7 +374,11 @@
 	for id, part := range parts {
 		surplus[id] -= part * float64(total)
 	}
-	for l.moveSlot(surplus, max(1, rebalanceBand*float64(total)/float64(max(1, len(parts))))) {
+	band := max(1, rebalanceBand*float64(total)/float64(max(1, len(parts))))
+	if !l.moveSlot(surplus, band) {
+		return
+	}
+	for l.moveSlot(surplus, 1) {
 	}
 }
 
