--- /dev/null
+++ b/internal/scheduler/reserve.go
@@ -0,0 +1,427 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+)
+
+// slot is the place that the reservation plan gives to one gang of a guarantee. Jobs of the
+// guarantee's organisation that run inside the slot use the guarantee; everything else inside
+// the slot is free or can be reclaimed.
+type slot struct {
+	guarantee int
+	shape     shape
+	// nodes has the worker of each member; nil if the slot has no place.
+	nodes []int
+	// used has the units that covered runs hold in the slot, by node in ascending order.
+	used []foot
+	runs []*run
+}
+
+// reservation is a concrete assignment of all guaranteed gangs onto workers.
+type reservation struct {
+	slots []*slot
+	// covered has the slot of each run that uses its organisation's guarantee.
+	covered map[*run]*slot
+	// missing counts the slots without a place, by guarantee.
+	missing []int
+	// room has the units of each node that neither slots nor unmovable runs take.
+	room []int
+	// added is the run that the plan was made for, if any.
+	added *run
+}
+
+// broken returns how many slots have no place.
+func (r *reservation) broken() int {
+	total := 0
+	for _, n := range r.missing {
+		total += n
+	}
+	return total
+}
+
+// protected reports whether a run must not be reclaimed.
+func (r *reservation) protected(run *run) bool {
+	return !run.movable || r.covered[run] != nil
+}
+
+// coverMode says which runs count as a use of their organisation's guarantee. A run of exactly
+// the guaranteed shape does, except in coverFixed.
+type coverMode int
+
+const (
+	// coverMovable adds the smaller runs that can be reclaimed. Runs that cannot are placed
+	// beside the guarantee, so that the guaranteed shape stays whole.
+	coverMovable coverMode = iota
+	// coverAll adds the smaller runs that cannot be reclaimed.
+	coverAll
+	// coverExact adds nothing.
+	coverExact
+	// coverFixed covers only runs of exactly the guaranteed shape that cannot be reclaimed.
+	coverFixed
+)
+
+// reserve computes the reservation plan for the runs of the index. Runs keep the cover of
+// their organisation's guarantee in the order of their start, so that a later start cannot
+// take it away. If the plan does not hold that way, it is computed again with fewer runs
+// protected: a run can be restarted elsewhere, a broken guarantee cannot.
+func (c *cluster) reserve(guarantees []*resource.Guarantee) *reservation {
+	var best *reservation
+	for _, try := range []struct {
+		mode  coverMode
+		order slotOrder
+	}{
+		{coverMovable, bySpread}, {coverAll, bySpread}, {coverMovable, bySize},
+		{coverExact, bySpread}, {coverExact, bySize}, {coverFixed, bySpread}, {coverFixed, bySize},
+	} {
+		next := c.reserveOnce(guarantees, try.mode, try.order)
+		if best == nil || next.broken() < best.broken() {
+			best = next
+		}
+		if best.broken() == 0 {
+			break
+		}
+	}
+	return best
+}
+
+func (c *cluster) reserveOnce(guarantees []*resource.Guarantee, mode coverMode, order slotOrder) *reservation {
+	r := &reservation{
+		covered: make(map[*run]*slot),
+		missing: make([]int, len(guarantees)),
+		room:    make([]int, len(c.nodes)),
+	}
+	for n := range c.nodes {
+		if c.nodes[n].usable {
+			r.room[n] = c.nodes[n].accel
+		}
+	}
+	byOrg := c.addSlots(r, guarantees)
+	c.coverRuns(r, byOrg, mode)
+	c.completeSlots(r)
+	c.placeSlots(r, order)
+	return r
+}
+
+// addSlots makes the slots and returns those of each organisation, by its number.
+func (c *cluster) addSlots(r *reservation, guarantees []*resource.Guarantee) [][]*slot {
+	byOrg := make([][]*slot, len(c.orgs))
+	for i, g := range guarantees {
+		org, running := c.orgs[g.Spec.Organisation]
+		for range g.Spec.Gangs {
+			s := &slot{guarantee: i, shape: guaranteeShape(&g.Spec)}
+			r.slots = append(r.slots, s)
+			if running {
+				byOrg[org] = append(byOrg[org], s)
+			}
+		}
+	}
+	return byOrg
+}
+
+// coverRuns gives runs their cover: first runs of exactly a guaranteed shape, then unmovable
+// ones, which take room whether or not they are covered, then the others.
+func (c *cluster) coverRuns(r *reservation, byOrg [][]*slot, mode coverMode) {
+	var exact, fixed, smaller []*run
+	for _, run := range c.runs {
+		slots := byOrg[run.org]
+		if !run.movable {
+			c.takeRoom(r, run)
+			fixed = append(fixed, run)
+		}
+		if len(slots) == 0 || run.reclaiming {
+			continue
+		}
+		switch {
+		case (mode != coverFixed || !run.movable) && hasShape(slots, run.shape):
+			exact = append(exact, run)
+		case run.movable && (mode == coverMovable || mode == coverAll):
+			smaller = append(smaller, run)
+		}
+	}
+	slices.SortFunc(exact, coverOrder)
+	slices.SortFunc(smaller, coverOrder)
+	for _, run := range exact {
+		c.cover(r, byOrg[run.org], run)
+	}
+	if mode == coverAll {
+		for _, run := range fixed {
+			if r.covered[run] == nil {
+				c.cover(r, byOrg[run.org], run)
+			}
+		}
+	}
+	for _, run := range smaller {
+		c.cover(r, byOrg[run.org], run)
+	}
+}
+
+// hasShape reports whether one of the slots promises the shape.
+func hasShape(slots []*slot, s shape) bool {
+	return slices.ContainsFunc(slots, func(slot *slot) bool { return slot.exact(s) })
+}
+
+// exact reports whether a gang has the shape of the slot.
+func (s *slot) exact(other shape) bool {
+	return s.shape.members == other.members && s.shape.accel == other.accel && s.shape.adjacency == other.adjacency
+}
+
+// taken reports whether the slot is used by a run of its own shape or by one that cannot be
+// moved.
+func (s *slot) taken() bool {
+	return slices.ContainsFunc(s.runs, func(r *run) bool { return !r.movable || s.exact(r.shape) })
+}
+
+// coverOrder puts first the runs that no plan can move, then those that were started within
+// the guarantee, then the older ones.
+func coverOrder(a, b *run) int {
+	if a.movable != b.movable {
+		return compareBool(a.movable, b.movable)
+	}
+	if a.beyond != b.beyond {
+		return compareBool(a.beyond, b.beyond)
+	}
+	if a.order != b.order {
+		return cmp.Compare(a.order, b.order)
+	}
+	return cmp.Compare(a.name, b.name)
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+func (c *cluster) takeRoom(r *reservation, run *run) {
+	for _, f := range run.feet {
+		r.room[f.node] -= f.units
+	}
+}
+
+func (c *cluster) giveRoom(r *reservation, run *run) {
+	for _, f := range run.feet {
+		r.room[f.node] += f.units
+	}
+}
+
+// usedOn returns the units that covered runs hold of the slot on a node.
+func (s *slot) usedOn(n int) int {
+	for _, f := range s.used {
+		if f.node == n {
+			return f.units
+		}
+	}
+	return 0
+}
+
+// cover puts a run into the slot of its organisation that it fills best.
+func (c *cluster) cover(r *reservation, slots []*slot, run *run) bool {
+	if len(slots) == 0 || run.unknown {
+		return false
+	}
+	if !run.movable {
+		c.giveRoom(r, run)
+	}
+	var best *slot
+	bestLeft := 0
+	for _, s := range slots {
+		left, ok := c.coverLeft(r, s, run)
+		if ok && (best == nil || left < bestLeft) {
+			best, bestLeft = s, left
+		}
+	}
+	if best == nil {
+		if !run.movable {
+			c.takeRoom(r, run)
+		}
+		return false
+	}
+	c.join(r, best, run)
+	return true
+}
+
+// coverLeft returns the units of a slot that stay unused if a run joins it.
+func (c *cluster) coverLeft(r *reservation, s *slot, run *run) (int, bool) {
+	members, held := 0, 0
+	first := -1
+	for _, f := range s.used {
+		if !c.adjacent(s.shape.adjacency, &first, f.node) {
+			return 0, false
+		}
+		members += membersFor(f.units, s.shape.accel)
+		held += f.units
+	}
+	for _, f := range run.feet {
+		if !c.nodes[f.node].usable || !c.adjacent(s.shape.adjacency, &first, f.node) {
+			return 0, false
+		}
+		used := s.usedOn(f.node)
+		more := membersFor(used+f.units, s.shape.accel) - membersFor(used, s.shape.accel)
+		if more*s.shape.accel > r.room[f.node] {
+			return 0, false
+		}
+		members += more
+		held += f.units
+		if members > s.shape.members {
+			return 0, false
+		}
+	}
+	return s.shape.members*s.shape.accel - held, true
+}
+
+// adjacent reports whether node n is as close to the first node as the adjacency demands.
+func (c *cluster) adjacent(a resource.Adjacency, first *int, n int) bool {
+	if *first < 0 {
+		*first = n
+		return true
+	}
+	switch a {
+	case resource.AdjacentWorker:
+		return n == *first
+	case resource.AdjacentRack:
+		return c.nodes[n].rack == c.nodes[*first].rack
+	default:
+		return true
+	}
+}
+
+// membersFor returns how many members of a slot the units fill, the last one partly.
+func membersFor(units, accel int) int { return (units + accel - 1) / accel }
+
+func (c *cluster) join(r *reservation, s *slot, run *run) {
+	for _, f := range run.feet {
+		i, ok := slices.BinarySearchFunc(s.used, f.node, func(f foot, n int) int { return cmp.Compare(f.node, n) })
+		if !ok {
+			s.used = slices.Insert(s.used, i, foot{node: f.node})
+		}
+		before := membersFor(s.used[i].units, s.shape.accel)
+		s.used[i].units += f.units
+		r.room[f.node] -= (membersFor(s.used[i].units, s.shape.accel) - before) * s.shape.accel
+	}
+	s.runs = append(s.runs, run)
+	r.covered[run] = s
+}
+
+// completeSlots gives places to the members of partly used slots that no run fills. A slot
+// that cannot be completed loses its runs: they count as reclaimable.
+func (c *cluster) completeSlots(r *reservation) {
+	for _, s := range r.slots {
+		if s.used == nil {
+			continue
+		}
+		s.nodes = s.usedNodes()
+		if rest := s.shape.members - len(s.nodes); rest > 0 {
+			restShape := s.shape
+			restShape.members = rest
+			found := c.locateNear(r.room, restShape, s.nodes[0])
+			if found == nil {
+				c.dissolve(r, s)
+				continue
+			}
+			c.take(r, s.shape.accel, found)
+			s.nodes = append(s.nodes, found...)
+		}
+	}
+}
+
+func (s *slot) usedNodes() []int {
+	var out []int
+	for _, f := range s.used {
+		for range membersFor(f.units, s.shape.accel) {
+			out = append(out, f.node)
+		}
+	}
+	return out
+}
+
+// locateNear finds places next to a node that the gang must be adjacent to.
+func (c *cluster) locateNear(room []int, s shape, near int) []int {
+	switch s.adjacency {
+	case resource.AdjacentWorker:
+		if c.fits(room, near, s) < s.members {
+			return nil
+		}
+		return c.fill(room, s, []int{near}, nil)
+	case resource.AdjacentRack:
+		out := c.fill(room, s, c.tightestFirst(room, c.racks[c.nodes[near].rack]), nil)
+		if len(out) < s.members {
+			return nil
+		}
+		return out
+	default:
+		return c.locateInZone(room, s)
+	}
+}
+
+func (c *cluster) take(r *reservation, accel int, nodes []int) {
+	for _, n := range nodes {
+		r.room[n] -= accel
+	}
+}
+
+func (c *cluster) dissolve(r *reservation, s *slot) {
+	for _, n := range s.nodes {
+		r.room[n] += s.shape.accel
+	}
+	for _, run := range s.runs {
+		delete(r.covered, run)
+		if !run.movable {
+			c.takeRoom(r, run)
+		}
+	}
+	s.nodes, s.used, s.runs = nil, nil, nil
+}
+
+// slotOrder orders the slots that are not used yet for their placement.
+type slotOrder func(a, b *slot) int
+
+// bySpread places the closest adjacency first and within it the largest gang.
+func bySpread(a, b *slot) int {
+	return cmp.Or(cmp.Compare(spread(a.shape.adjacency), spread(b.shape.adjacency)), bySize(a, b))
+}
+
+// bySize places the largest gang first.
+func bySize(a, b *slot) int {
+	return cmp.Or(
+		cmp.Compare(b.shape.members*b.shape.accel, a.shape.members*a.shape.accel),
+		cmp.Compare(b.shape.accel, a.shape.accel),
+		cmp.Compare(a.guarantee, b.guarantee))
+}
+
+func spread(a resource.Adjacency) int {
+	switch a {
+	case resource.AdjacentWorker:
+		return 0
+	case resource.AdjacentRack:
+		return 1
+	default:
+		return 2
+	}
+}
+
+func (c *cluster) placeSlots(r *reservation, order slotOrder) {
+	var open []*slot
+	for _, s := range r.slots {
+		if s.nodes == nil {
+			open = append(open, s)
+		}
+	}
+	slices.SortStableFunc(open, order)
+	for _, s := range open {
+		s.nodes = c.locate(r.room, s.shape)
+		if s.nodes == nil {
+			r.missing[s.guarantee]++
+			continue
+		}
+		c.take(r, s.shape.accel, s.nodes)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/schedule.go
@@ -0,0 +1,985 @@
+package scheduler
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+)
+
+const (
+	// urgencyStep is the wait that counts as much as one level of urgency within an
+	// organisation. It bounds how long less urgent work can be passed.
+	urgencyStep = 10 * time.Minute
+	// agedAfter is the wait from which the oldest job of an organisation below its fair share
+	// goes first and may stop reclaimable jobs that were created after it. Until then it waits
+	// for running jobs to end, which loses no work.
+	agedAfter = 15 * time.Minute
+	// agedAnyway is the same for an organisation at or beyond its fair share. Without it, a gang
+	// could wait for ever behind smaller jobs of its own organisation.
+	agedAnyway = 2 * time.Hour
+	// agedEvery is the shortest time between two starts because of agedAnyway. It keeps an
+	// organisation that queues many jobs from turning fair share into first come first served.
+	agedEvery = 10 * time.Minute
+	// maxHeldShare is the part of the zone that may be held for blocked jobs. Held accelerators
+	// stand idle until the rest of a place is free.
+	maxHeldShare = 0.1
+	// moveMargin is how much sooner another place must become free before the reservation of
+	// the head of the queue moves there. Each move wastes what was kept free so far.
+	moveMargin = 5 * time.Minute
+	// searchEvery is how often a better place is searched for.
+	searchEvery = time.Minute
+)
+
+// policyScheduler implements Scheduler.
+type policyScheduler struct {
+	seed    int64
+	learned *predictor
+	// index is loaded with each snapshot.
+	index *cluster
+	// places has the workers reserved for waiting jobs, by job name. It is kept between
+	// decisions so that a reservation does not move with every change of the estimates.
+	places map[string]place
+	// aged names the queued job that goes first because it has waited too long. holders name
+	// those that hold places because each was the head of the queue when it was first blocked.
+	aged    string
+	holders []string
+	// lastAgedAnyway is the last start because of agedAnyway.
+	lastAgedAnyway time.Time
+}
+
+// New returns a scheduler. The seed only decides between equal choices.
+func New(seed int64) Scheduler {
+	return &policyScheduler{seed: seed, learned: newPredictor(), index: &cluster{}, places: make(map[string]place)}
+}
+
+// Finished implements Scheduler.
+func (p *policyScheduler) Finished(job *resource.Job, ran time.Duration) {
+	p.learned.observe(&job.Spec, ran)
+}
+
+// CheckGuarantee implements Scheduler.
+func (p *policyScheduler) CheckGuarantee(snapshot Snapshot, candidate *resource.Guarantee) GuaranteeResult {
+	c := newCluster(&snapshot)
+	before := c.reserve(snapshot.Guarantees)
+	guarantees := append(slices.Clone(snapshot.Guarantees), candidate)
+	after := c.reserve(guarantees)
+	result := GuaranteeResult{Guarantee: candidate.Name, Honourable: true}
+	last := len(guarantees) - 1
+	if n := after.missing[last]; n > 0 {
+		result.Honourable = false
+		result.Reason = fmt.Sprintf("%d of %d gangs of %s have no place beside the existing guarantees",
+			n, candidate.Spec.Gangs, describe(guaranteeShape(&candidate.Spec)))
+	} else if after.broken() > before.broken() {
+		result.Honourable = false
+		result.Reason = "an existing guarantee could no longer be honoured"
+	}
+	return result
+}
+
+// Schedule implements Scheduler.
+func (p *policyScheduler) Schedule(now time.Time, snapshot Snapshot) Plan {
+	d := newDecision(p, now, &snapshot)
+	d.reportGuarantees()
+	queue := d.admissible(snapshot.Queued)
+	d.hasty = true
+	queue = d.placeGuaranteed(queue)
+	queue = d.placeUrgent(queue)
+	d.hasty = false
+	queue = d.placeAged(queue)
+	queue = d.placeHolders(queue)
+	d.placeByShare(queue)
+	p.places = d.places
+	return d.plan
+}
+
+// claim holds units for a job that cannot start yet.
+type claim struct {
+	job   string
+	nodes []int
+	shape shape
+	// ready is when the place is expected to be free.
+	ready time.Time
+}
+
+// decision is the working state of one Schedule call.
+type decision struct {
+	p          *policyScheduler
+	now        time.Time
+	snapshot   *Snapshot
+	policy     resource.PlacementPolicy
+	c          *cluster
+	res        *reservation
+	guaranteed map[string]int
+	// held has the accelerators that each organisation's jobs hold, with those placed now.
+	held map[string]int
+	// beyond has the part of held that is not covered by a guarantee.
+	beyond map[string]int
+	// claimed has the units that claims hold, by node.
+	claimed []int
+	claims  []claim
+	places  map[string]place
+	plan    Plan
+	// misfit remembers shapes that found no free place. Free units only shrink within a
+	// decision, so that a second search is in vain.
+	misfit map[shape]bool
+	// hasty is set while guaranteed and urgent jobs are placed.
+	hasty     bool
+	weightSum float64
+	// capacity is the units of the usable nodes.
+	capacity int
+}
+
+func newDecision(p *policyScheduler, now time.Time, snapshot *Snapshot) *decision {
+	policy := resource.PolicySpec{Placement: snapshot.Policy}.WithDefaults().Placement
+	c := p.index
+	c.load(snapshot)
+	d := &decision{
+		p: p, now: now, snapshot: snapshot, policy: policy, c: c,
+		res:        c.reserve(snapshot.Guarantees),
+		guaranteed: make(map[string]int),
+		held:       make(map[string]int),
+		beyond:     make(map[string]int),
+		claimed:    make([]int, len(c.nodes)),
+		places:     make(map[string]place),
+		misfit:     make(map[shape]bool),
+	}
+	for _, g := range snapshot.Guarantees {
+		d.guaranteed[g.Spec.Organisation] += g.Spec.Gangs * g.Spec.Members * g.Spec.AcceleratorsPerMember
+	}
+	for _, r := range c.runs {
+		d.account(r)
+	}
+	for n := range c.nodes {
+		if c.nodes[n].usable {
+			d.capacity += c.nodes[n].accel
+		}
+	}
+	d.sumWeights()
+	return d
+}
+
+func (d *decision) account(r *run) {
+	org := r.job.Spec.Organisation
+	d.held[org] += r.accelerators()
+	if d.res.covered[r] == nil {
+		d.beyond[org] += r.accelerators()
+	}
+}
+
+// sumWeights adds the weights of the organisations that have work.
+func (d *decision) sumWeights() {
+	active := make(map[string]bool, len(d.held))
+	for org := range d.held {
+		active[org] = true
+	}
+	for _, j := range d.snapshot.Queued {
+		active[j.Spec.Organisation] = true
+	}
+	names := make([]string, 0, len(active))
+	for org := range active {
+		names = append(names, org)
+	}
+	slices.Sort(names)
+	for _, org := range names {
+		d.weightSum += d.weight(org)
+	}
+}
+
+func (d *decision) weight(org string) float64 {
+	if o := d.snapshot.Organisations[org]; o != nil && o.Spec.Weight > 0 {
+		return o.Spec.Weight
+	}
+	return 1
+}
+
+func (d *decision) urgent(j *resource.Job) bool { return j.Spec.Urgency <= *d.policy.UrgentAtMost }
+
+func (d *decision) reportGuarantees() {
+	for i, g := range d.snapshot.Guarantees {
+		result := GuaranteeResult{Guarantee: g.Name, Honourable: d.res.missing[i] == 0}
+		if !result.Honourable {
+			result.Reason = fmt.Sprintf("%d of %d gangs of %s have no place on the usable workers",
+				d.res.missing[i], g.Spec.Gangs, describe(guaranteeShape(&g.Spec)))
+		}
+		d.plan.Guarantees = append(d.plan.Guarantees, result)
+	}
+}
+
+func describe(s shape) string {
+	text := fmt.Sprintf("%d x %d accelerators in one %s", s.members, s.accel, s.adjacency)
+	if s.cores > 0 || s.memoryMB > 0 {
+		text += fmt.Sprintf(" with %d cores and %d MB each", s.cores, s.memoryMB)
+	}
+	return text
+}
+
+func (d *decision) wait(j *resource.Job, code ReasonCode, unblock, format string, args ...any) {
+	d.plan.Waiting = append(d.plan.Waiting, Waiting{
+		Job: j.Name, Code: code, Message: fmt.Sprintf(format, args...), Unblock: unblock,
+	})
+}
+
+// admissible drops the jobs that can never run and orders the rest.
+func (d *decision) admissible(queued []*resource.Job) []*resource.Job {
+	out := make([]*resource.Job, 0, len(queued))
+	for _, j := range queued {
+		s := jobShape(&j.Spec)
+		switch {
+		case d.c.isPossible(s):
+			out = append(out, j)
+		case len(d.c.nodes) == 0:
+			d.wait(j, ReasonCapacity, "workers of the zone are listed", "no worker of zone %q is known", d.snapshot.Zone)
+		default:
+			d.wait(j, ReasonImpossible, "a smaller gang, a wider adjacency or larger workers",
+				"%s fits on no set of the zone's %d workers, even if they were empty", describe(s), len(d.c.nodes))
+		}
+	}
+	slices.SortStableFunc(out, inOrder)
+	return out
+}
+
+// inOrder orders the jobs of one organisation by age and urgency.
+func inOrder(a, b *resource.Job) int {
+	return cmp.Or(rank(a).Compare(rank(b)), cmp.Compare(a.Name, b.Name))
+}
+
+func rank(j *resource.Job) time.Time {
+	return j.Created.Add(time.Duration(j.Spec.Urgency) * urgencyStep)
+}
+
+// exceedsQuota reports whether a job would take its organisation over its quota.
+func (d *decision) exceedsQuota(j *resource.Job) bool {
+	o := d.snapshot.Organisations[j.Spec.Organisation]
+	return o != nil && o.Spec.AcceleratorQuota > 0 &&
+		d.held[j.Spec.Organisation]+j.Spec.Accelerators() > o.Spec.AcceleratorQuota
+}
+
+// overQuota records why a job that exceeds the quota waits, and reports whether it does.
+func (d *decision) overQuota(j *resource.Job) bool {
+	if !d.exceedsQuota(j) {
+		return false
+	}
+	org := j.Spec.Organisation
+	d.wait(j, ReasonQuota, "jobs of the organisation end or its quota is raised",
+		"organisation %s holds %d of its quota of %d accelerators, the job needs %d",
+		org, d.held[org], d.snapshot.Organisations[org].Spec.AcceleratorQuota, j.Spec.Accelerators())
+	return true
+}
+
+// unavailable marks a node in a vector of units that a job must not use.
+const unavailable = -1 << 20
+
+// availableNow returns the units of each node that a job can start on now beside the held
+// units. Suspect nodes are left out unless suspects is set.
+func (d *decision) availableNow(j *resource.Job, held []int, suspects bool) []int {
+	out := make([]int, len(d.c.free))
+	for n := range out {
+		out[n] = min(d.c.free[n], d.c.soon[n]-held[n])
+		if out[n] > 0 && !d.mayStart(n, suspects) {
+			out[n] = 0
+		}
+	}
+	d.maskAvoided(j, out)
+	return out
+}
+
+// mayStart reports whether a job may start on a node that has units for it. A suspect node
+// takes one gang at a time and none otherwise. Other nodes limit unproven starts, except for
+// guaranteed and urgent jobs, which must not wait for it.
+func (d *decision) mayStart(n int, suspects bool) bool {
+	if d.c.nodes[n].suspect {
+		return suspects && d.c.unproven(n, d.now) == 0
+	}
+	if d.hasty {
+		return true
+	}
+	young := d.c.unproven(n, d.now)
+	return young < provingStarts || young < len(d.c.on[n])
+}
+
+// availableSoon returns the units of each node that are free or will be when the jobs that
+// were asked to stop have stopped.
+func (d *decision) availableSoon(j *resource.Job) []int {
+	out := make([]int, len(d.c.soon))
+	for n := range out {
+		out[n] = d.c.soon[n] - d.claimed[n]
+		if d.c.nodes[n].suspect {
+			out[n] = unavailable
+		}
+	}
+	d.maskAvoided(j, out)
+	return out
+}
+
+func (d *decision) maskAvoided(j *resource.Job, units []int) {
+	for _, id := range d.snapshot.Avoid[j.Name] {
+		if n, ok := d.c.byID[id]; ok {
+			units[n] = unavailable
+		}
+	}
+}
+
+// findNow finds a place to start on now, on suspect workers only if the others do not suffice.
+func (d *decision) findNow(j *resource.Job, held []int, s shape) []int {
+	if nodes := d.c.locate(d.availableNow(j, held, false), s); nodes != nil || !d.c.suspects {
+		return nodes
+	}
+	return d.c.locate(d.availableNow(j, held, true), s)
+}
+
+func (d *decision) hold(j *resource.Job, nodes []int, ready time.Time) {
+	s := jobShape(&j.Spec)
+	d.claims = append(d.claims, claim{job: j.Name, nodes: nodes, shape: s, ready: ready})
+	for _, n := range nodes {
+		d.claimed[n] += d.c.nodes[n].units(s)
+	}
+	d.misfit = make(map[shape]bool)
+}
+
+func (d *decision) newRun(j *resource.Job, nodes []int) *run {
+	r := &run{
+		job: j, name: j.Name, shape: jobShape(&j.Spec), nodes: nodes,
+		startedAt: d.now, order: d.now.UnixNano(), org: d.c.orgNumber(j),
+		movable: j.Spec.Restart != resource.RestartNever, placed: true,
+	}
+	d.c.setFeet(r)
+	return r
+}
+
+// tryStart returns the reservation plan with the run, or nil if the plan does not allow the
+// run: an unmovable job must leave every guarantee reclaimable, and a job that is to use its
+// organisation's guarantee must fit into it.
+func (d *decision) tryStart(r *run, useGuarantee bool) *reservation {
+	if !useGuarantee && r.movable {
+		r.beyond = true
+		return d.res
+	}
+	d.c.runs = append(d.c.runs, r)
+	next := d.c.reserve(d.snapshot.Guarantees)
+	d.c.runs = d.c.runs[:len(d.c.runs)-1]
+	if !d.keepsPlan(next, r) || useGuarantee && next.covered[r] == nil {
+		return nil
+	}
+	next.added = r
+	return next
+}
+
+// start places a job on nodes. It reports false, and changes nothing, if the reservation plan
+// does not allow it.
+func (d *decision) start(j *resource.Job, nodes []int, useGuarantee bool) bool {
+	r := d.newRun(j, nodes)
+	next := d.tryStart(r, useGuarantee)
+	if next == nil {
+		return false
+	}
+	d.res = next
+	d.c.occupy(r)
+	d.account(r)
+	d.plan.Placements = append(d.plan.Placements, Placement{
+		Job: j, Workers: d.c.ids(nodes), Reclaimable: !d.res.protected(r),
+	})
+	return true
+}
+
+// keepsPlan reports whether a plan with a new run gives each guarantee at least the places it
+// has now and takes no other run's cover away. Smaller runs of the same organisation give way
+// to a run of the guaranteed shape, and a run that cannot be reclaimed needs no cover.
+func (d *decision) keepsPlan(next *reservation, added *run) bool {
+	for i := range next.missing {
+		if next.missing[i] > d.res.missing[i] {
+			return false
+		}
+	}
+	for r, slot := range d.res.covered {
+		if next.covered[r] == nil && r.movable && !givesWay(r, slot, added.job.Spec.Organisation) {
+			return false
+		}
+	}
+	return true
+}
+
+// givesWay reports whether a covered run can lose its cover to a run of the guaranteed shape.
+func givesWay(r *run, slot *slot, org string) bool {
+	return r.movable && r.job.Spec.Organisation == org && !slot.exact(r.shape)
+}
+
+// placeGuaranteed handles the jobs that fit into an unused part of their organisation's
+// guarantee and returns the others. Jobs of exactly a guaranteed shape come first: a smaller
+// job would only have to give way to them again.
+func (d *decision) placeGuaranteed(queue []*resource.Job) []*resource.Job {
+	if len(d.snapshot.Guarantees) == 0 {
+		return queue
+	}
+	promised := make(map[string][]shape)
+	for _, g := range d.snapshot.Guarantees {
+		promised[g.Spec.Organisation] = append(promised[g.Spec.Organisation], guaranteeShape(&g.Spec))
+	}
+	handled := make(map[*resource.Job]bool)
+	for _, exact := range []bool{true, false} {
+		for _, j := range queue {
+			shapes := promised[j.Spec.Organisation]
+			if len(shapes) > 0 && slices.Contains(shapes, sizeOf(j)) == exact && !handled[j] {
+				handled[j] = d.guaranteedStart(j)
+			}
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(queue), func(j *resource.Job) bool { return handled[j] })
+}
+
+// sizeOf returns the shape of a job in accelerators only.
+func sizeOf(j *resource.Job) shape {
+	s := jobShape(&j.Spec)
+	s.cores, s.memoryMB = 0, 0
+	return s
+}
+
+// guaranteedStart places a job within its organisation's guarantee, reclaiming what is in the
+// way. It reports false if the job does not fit into what is unused.
+func (d *decision) guaranteedStart(j *resource.Job) bool {
+	s := jobShape(&j.Spec)
+	unused := d.unusedSlots(j.Spec.Organisation, s)
+	if len(unused) == 0 {
+		return false
+	}
+	if d.overQuota(j) {
+		return true
+	}
+	if nodes := d.findNow(j, d.claimed, s); nodes != nil && d.start(j, nodes, true) {
+		return true
+	}
+	now := d.availableNow(j, d.claimed, false)
+	for _, slot := range unused {
+		if nodes := d.c.locate(d.within(slot, s, now), s); nodes != nil && d.start(j, nodes, true) {
+			return true
+		}
+	}
+	best, next := d.evictGuaranteed(j, s, unused)
+	if best == nil {
+		return false
+	}
+	if len(best.victims) == 0 && d.fitsNow(j, s, best.nodes) && d.start(j, best.nodes, true) {
+		return true
+	}
+	// The waiting job uses the guarantee from now on, so that no other job reclaims for the
+	// same part of it.
+	d.c.runs = append(d.c.runs, next.added)
+	d.res = next
+	d.reclaimFor(j, best, "the job is within its organisation's guarantee")
+	return true
+}
+
+// fitsNow reports whether a gang can start on given nodes without waiting for a reclaim.
+func (d *decision) fitsNow(j *resource.Job, s shape, nodes []int) bool {
+	units := d.availableNow(j, d.claimed, false)
+	for _, n := range nodes {
+		if units[n] -= d.c.nodes[n].units(s); units[n] < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// evictGuaranteed finds the cheapest place outside the slots of other organisations at which
+// the job is covered. If the plan does not hold there, it falls back to the organisation's own
+// slots, where it holds.
+func (d *decision) evictGuaranteed(j *resource.Job, s shape, unused []*slot) (*eviction, *reservation) {
+	soon := d.availableSoon(j)
+	may := func(r *run) bool {
+		if r.placed || r.reclaiming {
+			return false
+		}
+		slot := d.res.covered[r]
+		return !d.res.protected(r) || slot != nil && slot.exact(s) && givesWay(r, slot, j.Spec.Organisation)
+	}
+	if e := d.evictAtPlace(j, s, soon, may); e != nil {
+		if next := d.tryStart(d.newRun(j, e.nodes), true); next != nil {
+			return e, next
+		}
+	}
+	limit := slices.Clone(d.res.room)
+	for _, slot := range unused {
+		for n, units := range d.unusedUnits(slot, s) {
+			limit[n] += units
+		}
+	}
+	if e := d.c.evictWithin(soon, s, may, limit); e != nil {
+		if next := d.tryStart(d.newRun(j, e.nodes), true); next != nil {
+			return e, next
+		}
+	}
+	var found []*eviction
+	for _, slot := range unused {
+		if e := d.c.evictWithin(soon, s, may, d.unusedUnits(slot, s)); e != nil {
+			found = append(found, e)
+		}
+	}
+	slices.SortStableFunc(found, func(a, b *eviction) int { return cmp.Compare(a.loss, b.loss) })
+	for _, e := range found {
+		if next := d.tryStart(d.newRun(j, e.nodes), true); next != nil {
+			return e, next
+		}
+	}
+	return nil, nil
+}
+
+// evictAtPlace finds the victims at the place for which others were asked to stop before. A
+// place that moved with each decision would stop jobs in vain.
+func (d *decision) evictAtPlace(j *resource.Job, s shape, soon []int, may func(*run) bool) *eviction {
+	ids := d.p.places[j.Name].workers
+	if len(ids) != s.members {
+		return nil
+	}
+	limit := make([]int, len(d.c.nodes))
+	for _, n := range d.c.indexes(ids) {
+		if n < 0 {
+			return nil
+		}
+		limit[n] += d.c.nodes[n].units(s)
+	}
+	return d.c.evictWithin(soon, s, may, limit)
+}
+
+// evict returns the place at which victims lose the least, or the place of before.
+func (d *decision) evict(j *resource.Job, may func(*run) bool) *eviction {
+	s, soon := jobShape(&j.Spec), d.availableSoon(j)
+	if e := d.evictAtPlace(j, s, soon, may); e != nil {
+		return e
+	}
+	return d.c.evict(soon, s, may)
+}
+
+// unusedSlots returns the slots of an organisation with a place that could hold a gang.
+func (d *decision) unusedSlots(org string, s shape) []*slot {
+	var out []*slot
+	for _, slot := range d.res.slots {
+		if slot.nodes == nil || d.snapshot.Guarantees[slot.guarantee].Spec.Organisation != org {
+			continue
+		}
+		if d.c.locate(d.unusedUnits(slot, s), s) != nil {
+			out = append(out, slot)
+		}
+	}
+	return out
+}
+
+// unusedUnits returns the units of a slot that a gang can use, by node. A gang of the slot's own
+// shape can use all of it, because smaller runs give way.
+func (d *decision) unusedUnits(slot *slot, s shape) []int {
+	out := make([]int, len(d.c.nodes))
+	if slot.exact(s) && slot.taken() {
+		return out
+	}
+	for _, n := range slot.nodes {
+		out[n] += slot.shape.accel
+	}
+	if slot.exact(s) {
+		return out
+	}
+	for _, f := range slot.used {
+		out[f.node] -= f.units
+	}
+	return out
+}
+
+// within limits units to the unused part of a slot.
+func (d *decision) within(slot *slot, s shape, units []int) []int {
+	out := d.unusedUnits(slot, s)
+	for n := range out {
+		out[n] = min(out[n], units[n])
+	}
+	return out
+}
+
+// reclaimFor asks the victims to stop and holds their place for the job.
+func (d *decision) reclaimFor(j *resource.Job, e *eviction, reason string) {
+	deadline := d.now.Add(seconds(d.policy.ReclaimSeconds))
+	for _, v := range e.victims {
+		d.c.yield(v)
+		d.plan.Reclaims = append(d.plan.Reclaims, Reclaim{Job: v.name, Deadline: deadline, For: j.Name, Reason: reason})
+	}
+	d.places[j.Name] = place{workers: d.c.ids(e.nodes), searched: d.now}
+	d.hold(j, e.nodes, d.now)
+	d.wait(j, ReasonReclaiming, "the stopped jobs leave their workers, at the latest at the deadline",
+		"the job starts when reclaimed accelerators are free, %d jobs are asked to stop now", len(e.victims))
+}
+
+// placeUrgent handles urgent jobs and returns the others. An urgent job may stop less urgent
+// reclaimable work of any organisation while its own organisation stays within its fair
+// share, and of its own organisation always. The limit keeps an organisation that marks all
+// of its jobs as urgent from taking the zone.
+func (d *decision) placeUrgent(queue []*resource.Job) []*resource.Job {
+	rest := queue[:0:0]
+	for _, j := range queue {
+		if !d.urgent(j) || !d.urgentStart(j) {
+			rest = append(rest, j)
+		}
+	}
+	return rest
+}
+
+func (d *decision) urgentStart(j *resource.Job) bool {
+	if d.overQuota(j) {
+		return true
+	}
+	s := jobShape(&j.Spec)
+	if nodes := d.findNow(j, d.claimed, s); nodes != nil && d.start(j, nodes, false) {
+		return true
+	}
+	org := j.Spec.Organisation
+	within := d.withinShare(j)
+	may := func(r *run) bool {
+		return !r.placed && !r.reclaiming && !d.res.protected(r) && !d.urgent(r.job) &&
+			(within || r.job.Spec.Organisation == org)
+	}
+	if j.Spec.Restart == resource.RestartNever {
+		return false
+	}
+	e := d.evict(j, may)
+	if e == nil {
+		return false
+	}
+	d.reclaimFor(j, e, "the job is urgent")
+	return true
+}
+
+// fairShare returns the accelerators that an organisation gets if all that have work want
+// more than their share.
+func (d *decision) fairShare(org string) float64 {
+	return float64(d.capacity) * d.weight(org) / max(d.weightSum, 1e-9)
+}
+
+// placeByShare handles the rest: the organisation with the smallest weighted use beyond its
+// guarantee is next, then the oldest job.
+func (d *decision) placeByShare(queue []*resource.Job) {
+	byOrg := make(map[string][]*resource.Job)
+	var orgs []string
+	for _, j := range queue {
+		org := j.Spec.Organisation
+		if byOrg[org] == nil {
+			orgs = append(orgs, org)
+		}
+		byOrg[org] = append(byOrg[org], j)
+	}
+	slices.Sort(orgs)
+	for len(orgs) > 0 {
+		i := d.nextOrg(orgs, byOrg)
+		j := byOrg[orgs[i]][0]
+		if byOrg[orgs[i]] = byOrg[orgs[i]][1:]; len(byOrg[orgs[i]]) == 0 {
+			orgs = slices.Delete(orgs, i, i+1)
+		}
+		if d.overQuota(j) || d.backfill(j) {
+			continue
+		}
+		if d.mayHold(j) && d.reserveHead(j) {
+			d.p.holders = append(d.p.holders, j.Name)
+			continue
+		}
+		d.explain(j)
+	}
+}
+
+// placeAged gives one job that has waited too long the first turn, and returns the others.
+func (d *decision) placeAged(queue []*resource.Job) []*resource.Job {
+	j := d.agedJob(queue)
+	if j == nil {
+		d.p.aged = ""
+		return queue
+	}
+	rest := slices.DeleteFunc(slices.Clone(queue), func(q *resource.Job) bool { return q == j })
+	d.p.aged = j.Name
+	below := d.belowShare(j)
+	switch {
+	case d.overQuota(j):
+		d.p.aged = ""
+	case d.backfill(j):
+		d.p.aged = ""
+		if !below {
+			d.p.lastAgedAnyway = d.now
+		}
+	case d.reclaimForAged(j) || d.reserveHead(j):
+	default:
+		d.explain(j)
+		d.p.aged = ""
+	}
+	return rest
+}
+
+// agedJob returns the job that was chosen before, or else the oldest one that is entitled.
+func (d *decision) agedJob(queue []*resource.Job) *resource.Job {
+	var best *resource.Job
+	for _, j := range queue {
+		if j.Name == d.p.aged {
+			return j
+		}
+		wait := d.now.Sub(j.Created)
+		if wait < agedAfter || best != nil && byAge(best, j) < 0 {
+			continue
+		}
+		anyway := wait >= agedAnyway && d.now.Sub(d.p.lastAgedAnyway) >= agedEvery
+		if (anyway || d.belowShare(j)) && d.hasPlace(j) && !d.exceedsQuota(j) {
+			best = j
+		}
+	}
+	return best
+}
+
+func byAge(a, b *resource.Job) int {
+	return cmp.Or(a.Created.Compare(b.Created), cmp.Compare(a.Name, b.Name))
+}
+
+// withinShare reports whether an organisation stays within its fair share with one more job.
+func (d *decision) withinShare(j *resource.Job) bool {
+	org := j.Spec.Organisation
+	return float64(d.held[org]+j.Spec.Accelerators()) <= d.fairShare(org)
+}
+
+// belowShare reports whether an organisation holds less than its fair share. One more job may
+// take it over its share: otherwise a gang larger than the share would never have its turn.
+func (d *decision) belowShare(j *resource.Job) bool {
+	org := j.Spec.Organisation
+	return float64(d.held[org]) < d.fairShare(org)
+}
+
+// hasPlace reports whether a job could start if everything that may end or be stopped did. A
+// job that cannot be reclaimed has a place only beside all guarantees.
+func (d *decision) hasPlace(j *resource.Job) bool {
+	return j.Spec.Restart != resource.RestartNever || d.c.locate(d.res.room, jobShape(&j.Spec)) != nil
+}
+
+// reclaimForAged stops younger reclaimable jobs for a job that has waited too long. The order
+// of age keeps two jobs from stopping each other in turn.
+func (d *decision) reclaimForAged(j *resource.Job) bool {
+	if j.Spec.Restart == resource.RestartNever {
+		return false
+	}
+	may := func(r *run) bool {
+		return !r.placed && !r.reclaiming && !d.res.protected(r) && !d.urgent(r.job) && byAge(j, r.job) < 0
+	}
+	e := d.evict(j, may)
+	if e == nil {
+		return false
+	}
+	d.reclaimFor(j, e, "the job has waited too long")
+	return true
+}
+
+// placeHolders handles the jobs that hold places, in the order in which they began to.
+func (d *decision) placeHolders(queue []*resource.Job) []*resource.Job {
+	before := d.p.holders
+	d.p.holders = nil
+	if len(before) == 0 {
+		return queue
+	}
+	byName := make(map[string]*resource.Job, len(before))
+	for _, j := range queue {
+		if slices.Contains(before, j.Name) {
+			byName[j.Name] = j
+		}
+	}
+	for _, name := range before {
+		j := byName[name]
+		switch {
+		case j == nil || d.overQuota(j) || d.backfill(j):
+		case d.mayHold(j) && d.reserveHead(j):
+			d.p.holders = append(d.p.holders, name)
+		default:
+			d.explain(j)
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(queue), func(j *resource.Job) bool { return byName[j.Name] == j })
+}
+
+// mayHold reports whether a job may hold a place. The first may always, others while the places
+// held are a small part of the zone.
+func (d *decision) mayHold(j *resource.Job) bool {
+	held := 0
+	for _, cl := range d.claims {
+		held += cl.shape.members * cl.shape.accel
+	}
+	return len(d.p.holders) == 0 || float64(held+j.Spec.Accelerators()) <= maxHeldShare*float64(d.capacity)
+}
+
+func (d *decision) nextOrg(orgs []string, byOrg map[string][]*resource.Job) int {
+	best := 0
+	for i := 1; i < len(orgs); i++ {
+		a, b := orgs[i], orgs[best]
+		order := cmp.Or(
+			cmp.Compare(float64(d.beyond[a])/d.weight(a), float64(d.beyond[b])/d.weight(b)),
+			inOrder(byOrg[a][0], byOrg[b][0]))
+		if order < 0 {
+			best = i
+		}
+	}
+	return best
+}
+
+// backfill starts a job on free units. Units held for the head of the queue are used only if
+// the job very likely ends before the head's place is ready.
+func (d *decision) backfill(j *resource.Job) bool {
+	s := jobShape(&j.Spec)
+	if d.misfit[s] && len(d.snapshot.Avoid[j.Name]) == 0 {
+		return d.backfillHeld(j, s)
+	}
+	nodes := d.findNow(j, d.claimed, s)
+	if nodes == nil {
+		d.misfit[s] = d.misfit[s] || len(d.snapshot.Avoid[j.Name]) == 0
+		return d.backfillHeld(j, s)
+	}
+	return d.startBeside(j, nodes, s)
+}
+
+// startBeside starts a job and, if the reservation plan forbids the place of an unmovable job,
+// tries the room that the plan leaves.
+func (d *decision) startBeside(j *resource.Job, nodes []int, s shape) bool {
+	if d.start(j, nodes, false) {
+		return true
+	}
+	units := d.availableNow(j, d.claimed, false)
+	for n := range units {
+		units[n] = min(units[n], d.res.room[n])
+	}
+	nodes = d.c.locate(units, s)
+	return nodes != nil && d.start(j, nodes, false)
+}
+
+func (d *decision) backfillHeld(j *resource.Job, s shape) bool {
+	left, ok := d.p.learned.remaining(j, cautiousQuantile)
+	if !ok {
+		return false
+	}
+	held := slices.Clone(d.claimed)
+	lifted := false
+	for _, cl := range d.claims {
+		if cl.ready.Before(d.now.Add(left)) {
+			continue
+		}
+		lifted = true
+		for _, n := range cl.nodes {
+			held[n] -= d.c.nodes[n].units(cl.shape)
+		}
+	}
+	if !lifted {
+		return false
+	}
+	nodes := d.findNow(j, held, s)
+	return nodes != nil && d.start(j, nodes, false)
+}
+
+// reserveHead holds the place for the head of the queue that is expected to become free first.
+func (d *decision) reserveHead(j *resource.Job) bool {
+	s := jobShape(&j.Spec)
+	var limit []int
+	if j.Spec.Restart == resource.RestartNever {
+		limit = d.res.room
+	}
+	nodes, ready := d.reservePlace(j, s, limit)
+	if nodes == nil {
+		return false
+	}
+	if ready.Before(d.now) {
+		ready = d.now
+	}
+	d.hold(j, nodes, ready)
+	d.wait(j, ReasonReservation, "running jobs on the reserved workers end",
+		"the job is the head of the queue and holds a reservation that is expected to be free in %s",
+		max(ready.Sub(d.now), 0).Round(time.Second))
+	return true
+}
+
+func (d *decision) endOf(r *run) time.Time {
+	if r.reclaiming {
+		return d.now
+	}
+	return d.p.learned.end(d.now, r)
+}
+
+// place is the workers that are held for a job.
+type place struct {
+	workers []string
+	// searched is when the place was last compared with others.
+	searched time.Time
+}
+
+// reservePlace returns the place that was reserved before, unless another one is clearly
+// sooner. The search for another one is expensive and is made once in a while.
+func (d *decision) reservePlace(j *resource.Job, s shape, limit []int) ([]int, time.Time) {
+	soon := d.availableSoon(j)
+	before := d.p.places[j.Name]
+	old, oldReady, ok := d.oldPlace(before.workers, soon, s)
+	if ok && d.now.Sub(before.searched) < searchEvery {
+		d.places[j.Name] = before
+		return old, oldReady
+	}
+	nodes, ready := d.c.drain(soon, s, limit, d.endOf)
+	if ok && (nodes == nil || !ready.Add(moveMargin).Before(oldReady)) {
+		nodes, ready = old, oldReady
+	}
+	if nodes != nil {
+		d.places[j.Name] = place{workers: d.c.ids(nodes), searched: d.now}
+	}
+	return nodes, ready
+}
+
+// oldPlace returns the nodes of a reserved place with the time when it is free. It reports
+// false if there is none or if it can no longer hold the gang.
+func (d *decision) oldPlace(ids []string, soon []int, s shape) ([]int, time.Time, bool) {
+	if len(ids) != s.members {
+		return nil, time.Time{}, false
+	}
+	old := d.c.indexes(ids)
+	for _, n := range old {
+		if n < 0 || !d.c.nodes[n].usable || soon[n] <= unavailable/2 {
+			return nil, time.Time{}, false
+		}
+	}
+	ready, ok := d.c.readyAt(soon, s, old, d.endOf)
+	return old, ready, ok
+}
+
+// explain records why a job that is not the head of the queue waits.
+func (d *decision) explain(j *resource.Job) {
+	s := jobShape(&j.Spec)
+	free, claimed, out := 0, 0, 0
+	for n := range d.c.nodes {
+		free += max(d.c.free[n], 0)
+		claimed += min(max(d.c.free[n], 0), d.claimed[n])
+		if !d.c.nodes[n].usable {
+			out++
+		}
+	}
+	need := j.Spec.Accelerators()
+	switch {
+	case len(d.snapshot.Avoid[j.Name]) > 0 && d.c.locate(d.c.free, s) != nil:
+		d.wait(j, ReasonBadWorkers, "other workers become free",
+			"the job failed on %d workers and is not placed there again", len(d.snapshot.Avoid[j.Name]))
+	case d.c.locate(d.c.free, s) != nil && j.Spec.Restart == resource.RestartNever:
+		d.wait(j, ReasonReservation, "jobs end, or the job may be restarted and so be reclaimed",
+			"the job may not be restarted, so it could not be reclaimed from guaranteed accelerators")
+	case d.c.locate(d.c.free, s) != nil:
+		d.wait(j, ReasonReservation, "the jobs that hold the reservations start",
+			"%d of %d free accelerators are held for jobs before this one", claimed, free)
+	case out > 0 && d.fitsWithAll(s):
+		d.wait(j, ReasonBadWorkers, "workers return",
+			"%d of %d workers are silent, leaving or quarantined", out, len(d.c.nodes))
+	case free >= need:
+		d.wait(j, ReasonAdjacency, "jobs end so that enough free accelerators are adjacent",
+			"%d accelerators are free, but not %s", free, describe(s))
+	default:
+		d.wait(j, ReasonCapacity, "running jobs end",
+			"%d accelerators are free, the job needs %d", free, need)
+	}
+}
+
+// fitsWithAll reports whether the gang would fit if the workers that are out were empty.
+func (d *decision) fitsWithAll(s shape) bool {
+	units := slices.Clone(d.c.free)
+	for n := range units {
+		if !d.c.nodes[n].usable {
+			units[n] = d.c.nodes[n].accel
+		}
+	}
+	return d.c.locate(units, s) != nil
+}
