--- a/internal/inventory/capacity_test.go
+++ b/internal/inventory/capacity_test.go
@@ -44,12 +44,16 @@
 	}
 	b.ReportMetric(time.Since(began).Seconds()*1e3/times, "decode_ms")
 	b.ReportMetric(float64(len(data))/1024, "list_KiB")
+	// The mean of many copies keeps other allocations of the process out of the figure.
+	copies := make([]httpclient.InstancesAnswer, times)
 	before := heapBytes()
-	var decoded httpclient.InstancesAnswer
-	require.NoError(b, json.Unmarshal(data, &decoded))
-	b.ReportMetric(float64(heapBytes()-before)/1024, "heap_KiB")
-	runtime.KeepAlive(decoded)
+	for i := range copies {
+		require.NoError(b, json.Unmarshal(data, &copies[i]))
+	}
+	b.ReportMetric(float64(heapBytes()-before)/1024/times, "heap_KiB")
+	runtime.KeepAlive(copies)
 	runtime.KeepAlive(answer)
+	runtime.KeepAlive(data)
 }
 
 func heapBytes() uint64 {
--- /dev/null
+++ b/internal/placement/capacity_loss_test.go
@@ -0,0 +1,114 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/resource"
+	"github.com/oleanderbend/oleanderbend/internal/standin"
+)
+
+// partialLimit is the design's bound on a partial run.
+const partialLimit = 10 * time.Second
+
+// silence makes the workers unreachable for control; their tasks run until the leases lapse.
+func (w *world) silence(ids ...string) {
+	for _, id := range ids {
+		require.NoError(w.t, w.fleet.SetFaults(id, standin.WorkerFaults{CallFaults: standin.CallFaults{Silent: true}}))
+	}
+}
+
+// unsilence ends the faults, so that no call is left when the test ends.
+func (w *world) unsilence() {
+	for _, row := range w.rows {
+		require.NoError(w.t, w.fleet.SetFaults(row.ID, standin.WorkerFaults{}))
+	}
+}
+
+// runsElsewhere reports whether the jobs run without any of the workers.
+func (w *world) runsElsewhere(lost []string, jobs ...string) func() bool {
+	return func() bool {
+		for _, name := range jobs {
+			job := w.job(name)
+			if job == nil || job.Status.Phase != resource.PhaseRunning {
+				return false
+			}
+			if slices.ContainsFunc(job.Status.Workers, func(id string) bool { return slices.Contains(lost, id) }) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// Guards against gangs that run partially or not again after the loss of racks. It reports the
+// time from the loss until all gangs run again, in virtual time.
+func TestCapacityRackLoss(t *testing.T) {
+	for racks := 1; racks <= 4; racks++ {
+		t.Run(fmt.Sprintf("racks=%d", racks), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				w := startWorld(t, worldConfig{workers: 32, perRack: 4, nodes: threeNodes})
+				var jobs, lost []string
+				for i := range 4 {
+					job := testJob(fmt.Sprintf("job-%d", i), 4, 8, "duration=10h")
+					job.Spec.Adjacency = resource.AdjacentRack
+					w.put(job)
+					jobs = append(jobs, job.Name)
+				}
+				for _, name := range jobs {
+					w.eventually(5*time.Second, name, w.phase(name, resource.PhaseRunning))
+				}
+				time.Sleep(time.Minute)
+				for _, name := range jobs[:racks] {
+					lost = append(lost, w.job(name).Status.Workers...)
+				}
+				w.silence(lost...)
+				took := w.eventually(2*time.Minute, "all run again", w.runsElsewhere(lost, jobs...))
+				t.Logf("racks=%d lost, gangs run again after %s", racks, took)
+				w.requireNoPartial(partialLimit)
+				w.unsilence()
+			})
+		})
+	}
+}
+
+// Guards against jobs that stay in a lost availability zone. It reports the time from the loss
+// of a zone, instances included, until its gangs run in the other zone, in virtual time.
+func TestCapacityZoneLoss(t *testing.T) {
+	for _, count := range []int{1, 2, 4, 8} {
+		t.Run(fmt.Sprintf("gangs=%d", count), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				w := startWorld(t, worldConfig{
+					workers: 32, perRack: 4, workerZones: []string{"zone-a", "zone-b"},
+					nodes: []string{"i1@zone-a", "i2@zone-a", "i3@zone-b", "i4@zone-b"},
+				})
+				var jobs, lost []string
+				for i := range count {
+					job := testJob(fmt.Sprintf("job-%d", i), 4, 8, "duration=10h")
+					w.put(job)
+					jobs = append(jobs, job.Name)
+				}
+				for _, name := range jobs {
+					w.eventually(5*time.Second, name, w.phase(name, resource.PhaseRunning))
+				}
+				time.Sleep(time.Minute)
+				for _, row := range w.rows {
+					if row.Zone == "zone-a" {
+						lost = append(lost, row.ID)
+					}
+				}
+				w.silence(lost...)
+				w.kill("i1")
+				w.kill("i2")
+				took := w.eventually(2*time.Minute, "all run again", w.runsElsewhere(lost, jobs...))
+				t.Logf("gangs=%d of the lost zone run again after %s", count, took)
+				w.requireNoPartial(partialLimit)
+				w.unsilence()
+			})
+		})
+	}
+}
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -34,6 +34,8 @@
 	members map[string]*member
 	// noLog has the instances that are cut from the log, noPeer those cut from all peers.
 	noLog, noPeer map[string]bool
+	// oneWay has the delay of each direction between an instance and the log.
+	oneWay map[string]time.Duration
 }
 
 // member is one instance of a cluster. It implements the interfaces that its replica uses.
@@ -50,7 +52,7 @@
 func newCluster(t *testing.T, config standin.LogConfig) *cluster {
 	return &cluster{
 		t: t, log: standin.NewLog(config), members: make(map[string]*member),
-		noLog: make(map[string]bool), noPeer: make(map[string]bool),
+		noLog: make(map[string]bool), noPeer: make(map[string]bool), oneWay: make(map[string]time.Duration),
 	}
 }
 
@@ -132,6 +134,8 @@
 	if m.cutFromLog() {
 		return 0, platform.ErrUnavailable
 	}
+	defer m.travel()
+	m.travel()
 	return m.cluster.log.Append(ctx, data)
 }
 
@@ -140,9 +144,21 @@
 	if m.cutFromLog() {
 		return platform.Batch{}, platform.ErrUnavailable
 	}
+	defer m.travel()
+	m.travel()
 	return m.cluster.log.Read(ctx, from, limit, wait)
 }
 
+// travel waits as long as a message takes between the instance and the log.
+func (m *member) travel() {
+	m.cluster.mu.Lock()
+	delay := m.cluster.oneWay[m.id]
+	m.cluster.mu.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
+}
+
 // Peers implements peer.Caller.
 func (m *member) Peers() []string {
 	m.cluster.mu.Lock()
--- a/scenarios/capacity_test.go
+++ b/scenarios/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -29,7 +30,8 @@
 	residentKiB   float64
 }
 
-// BenchmarkCapacityProcess measures idle serve processes with the kernel's counters. All
+// BenchmarkCapacityProcess measures serve processes with the kernel's counters: without work,
+// and with a number of running tasks. All
 // metrics are of a real run, so they change a little from run to run.
 func BenchmarkCapacityProcess(b *testing.B) {
 	binary := filepath.Join(b.TempDir(), "oleanderbend")
@@ -38,25 +40,39 @@
 	for _, n := range []int{2, 4, 6, 12} {
 		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
 			for range b.N {
-				benchmarkProcess(b, binary, n, 10)
+				benchmarkProcess(b, binary, processSize{instances: n, workersPerZone: 10})
 			}
 		})
 	}
 	for _, n := range []int{50, 200, 400, 800} {
 		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
 			for range b.N {
-				benchmarkProcess(b, binary, 5, n/5)
+				benchmarkProcess(b, binary, processSize{instances: 5, workersPerZone: n / 5})
+			}
+		})
+	}
+	for _, n := range []int{200, 400, 800, 1600} {
+		b.Run(fmt.Sprintf("tasks=%d", n), func(b *testing.B) {
+			for range b.N {
+				benchmarkProcess(b, binary, processSize{instances: 5, workersPerZone: 40, tasks: n})
 			}
 		})
 	}
 }
 
-func benchmarkProcess(b *testing.B, binary string, instances, workersPerZone int) {
+// processSize is the size of one measured system of five availability zones.
+type processSize struct {
+	instances, workersPerZone int
+	// tasks is the number of running tasks, in gangs of eight.
+	tasks int
+}
+
+func benchmarkProcess(b *testing.B, binary string, size processSize) {
 	zones := []string{"a", "b", "c", "d", "e"}
-	c, err := newCluster(b.TempDir(), binary, instances, zones)
+	c, err := newCluster(b.TempDir(), binary, size.instances, zones)
 	require.NoError(b, err)
 	defer func() { require.NoError(b, c.close()) }()
-	require.NoError(b, c.writeStandinSettings(zones, fleetSize{Workers: workersPerZone, Targets: 10, Retention: "1h"}))
+	require.NoError(b, c.writeStandinSettings(zones, fleetSize{Workers: size.workersPerZone, Targets: 10, Retention: "1h"}))
 	require.NoError(b, c.writeSettings())
 	require.NoError(b, c.start("standin", "standin", "--config", c.settingsFile("standin")))
 	require.NoError(b, waitFor(func() error { return c.control(http.MethodGet, "/faults/", nil, nil) }))
@@ -66,6 +82,9 @@
 	for _, in := range c.instances {
 		require.NoError(b, waitFor(func() error { return ready(in) }))
 	}
+	if size.tasks > 0 {
+		c.runTasks(b, size.tasks)
+	}
 	time.Sleep(capacitySettle)
 	before := c.usages(b)
 	time.Sleep(capacityWindow)
@@ -82,7 +101,7 @@
 		largest.processor = max(largest.processor, u.processor)
 		largest.residentKiB = max(largest.residentKiB, u.residentKiB)
 	}
-	n, seconds := float64(instances), capacityWindow.Seconds()
+	n, seconds := float64(size.instances), capacityWindow.Seconds()
 	b.ReportMetric(sum.processor.Seconds()/seconds/n*100, "core_%")
 	b.ReportMetric(largest.processor.Seconds()/seconds*100, "largest_core_%")
 	b.ReportMetric(sum.read/seconds/n, "read_B/s")
@@ -91,6 +110,44 @@
 	b.ReportMetric(largest.residentKiB/1024, "largest_resident_MiB")
 }
 
+// runTasks creates jobs and waits until all run.
+func (c *cluster) runTasks(b *testing.B, tasks int) {
+	const members = 8
+	c.put(b, "organisations/org", `{"spec":{"weight":1}}`)
+	for i := range tasks / members {
+		c.put(b, fmt.Sprintf("jobs/job-%d", i), fmt.Sprintf(
+			`{"spec":{"organisation":"org","members":%d,"acceleratorsPerMember":1,"urgency":3,"payload":"duration=1h"}}`, members))
+	}
+	require.NoError(b, waitFor(func() error {
+		res, err := pollClient.Get("http://" + c.instances[0].Operator + "/v1/jobs")
+		if err != nil {
+			return err
+		}
+		defer res.Body.Close()
+		data, err := io.ReadAll(res.Body)
+		if err != nil {
+			return err
+		}
+		if running := strings.Count(string(data), `"Running"`); running != tasks/members {
+			return fmt.Errorf("%d of %d jobs run", running, tasks/members)
+		}
+		return nil
+	}))
+}
+
+func (c *cluster) put(b *testing.B, path, body string) {
+	url := "http://" + c.instances[0].Operator + "/v1/" + path
+	req, err := http.NewRequest(http.MethodPut, url, strings.NewReader(body))
+	require.NoError(b, err)
+	req.Header.Set("Content-Type", "application/json")
+	res, err := http.DefaultClient.Do(req)
+	require.NoError(b, err)
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	require.NoError(b, err)
+	require.Less(b, res.StatusCode, http.StatusMultipleChoices, string(data))
+}
+
 // usages reads the counters of all instances.
 func (c *cluster) usages(b *testing.B) []usage {
 	var all []usage
