--- a/internal/scheduler/cluster.go
+++ b/internal/scheduler/cluster.go
@@ -139,7 +139,7 @@
 	byID    map[string]int
 	racks   [][]int
 	runs    []*run
-	// known has the runs of the last load by the name of their job, orgs a number for each
+	// known has the runs of earlier loads by the name of their job, orgs a number for each
 	// organisation.
 	known map[string]*run
 	orgs  map[string]int
@@ -234,25 +234,33 @@
 }
 
 func (c *cluster) loadRuns(running []Running) {
-	before := c.known
-	c.known = make(map[string]*run, len(running))
-	c.runs = make([]*run, 0, len(running)+8)
 	const maxOrganisations = 4096
 	if c.orgs == nil || len(c.orgs) > maxOrganisations {
-		c.orgs, before = make(map[string]int), nil
+		c.orgs, c.known = make(map[string]int), nil
+	}
+	// Runs that have ended are dropped once they are as many as those that have not.
+	if c.known == nil || len(c.known) > 2*len(running)+64 {
+		old := c.known
+		c.known = make(map[string]*run, len(running))
+		for i := range running {
+			if r := old[running[i].Job.Name]; r != nil {
+				c.known[r.name] = r
+			}
+		}
 	}
+	c.runs = make([]*run, 0, len(running)+8)
 	for i := range running {
 		r := &running[i]
-		out := before[r.Job.Name]
+		out := c.known[r.Job.Name]
 		if out == nil || !c.unchanged(out, r) {
 			out = &run{name: r.Job.Name, shape: jobShape(&r.Job.Spec), nodes: c.indexes(r.Workers), org: c.orgNumber(r.Job)}
 			c.setFeet(out)
+			c.known[out.name] = out
 		}
 		out.job, out.startedAt, out.lost = r.Job, r.StartedAt, r.CheckpointAge
 		out.order = r.StartedAt.UnixNano()
 		out.reclaiming, out.beyond, out.placed = r.Reclaiming, r.Reclaimable, false
 		out.movable = r.Job.Spec.Restart != resource.RestartNever
-		c.known[out.name] = out
 		c.occupy(out)
 	}
 }
