--- a/internal/measure/policyrequest_worst_test.go
+++ b/internal/measure/policyrequest_worst_test.go
@@ -13,9 +13,9 @@
 	return requestDeployment{name: "small", instances: 4, targets: 12, slots: 8, orgs: 4}
 }
 
-// requestWorstSeeds are the seeds with the worst figures among 1 to 40, found by
-// OLEANDERBEND_SEARCH_SEEDS=40 go test -run TestRequestWorstSeedSearch -v ./internal/measure.
-var requestWorstSeeds = struct{ flood, small, retry uint64 }{flood: 1, small: 1, retry: 1}
+// requestWorstSeeds are the seeds with the worst figures among 1 to 12, found by
+// OLEANDERBEND_SEARCH_SEEDS=12 go test -run TestRequestWorstSeedSearch -v ./internal/measure.
+var requestWorstSeeds = struct{ flood, small, retry uint64 }{flood: 8, small: 2, retry: 9}
 
 // Guards against a policy that meets its targets for the seed of the benchmarks only.
 func TestRequestWorstSeeds(t *testing.T) {
