Check the kept results at the workers instead of release calls

Cause: with the newest scheduler one failure makes a probe of the worker, whose lease is released without a record; TestFullResultRingKeepsResultsAtWorkers counted that call and failed. Change: the test checks that every lease of both attempts is still at its worker until the record, and gone after it, which is stricter than the count. Conclusion: results are kept until they are recorded.

--- a/internal/placement/runner_test.go
+++ b/internal/placement/runner_test.go
@@ -59,11 +59,28 @@
 	}
 	c.run(10 * time.Second)
 	require.Len(t, c.zone.pending, 1, "only one result fits")
-	require.Zero(t, c.calls[callRelease], "nothing is released before it is recorded")
+	for i := range 2 {
+		require.Equal(t, capacityMembers, c.leasesOf(1<<32+uint64(i)), "nothing is released before it is recorded")
+	}
 	c.logDown = false
 	c.run(5 * time.Second)
-	require.Positive(t, c.calls[callRelease])
+	for i := range 2 {
+		require.Zero(t, c.leasesOf(1<<32+uint64(i)))
+	}
 	for _, name := range []string{"job-0000", "job-0001"} {
 		require.Positive(t, c.state.Jobs[name].Status.Failures, name)
 	}
 }
+
+// leasesOf counts the leases of an attempt at all workers.
+func (c *capacity) leasesOf(attempt uint64) int {
+	n := 0
+	for _, row := range c.rows {
+		for _, lease := range c.fleet.Snapshot(row.ID) {
+			if lease.ID.Attempt == attempt {
+				n++
+			}
+		}
+	}
+	return n
+}
