--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -164,7 +164,9 @@
 type Lease struct {
 	ID    LeaseID    `json:"id"`
 	State LeaseState `json:"state"`
-	Task  TaskSpec   `json:"task"`
+	// Task is set in lists only. Answers to other calls leave it out, because it would be most
+	// of the bytes of a renewal.
+	Task TaskSpec `json:"task,omitzero"`
 	// ExpiresInSeconds is the remaining time of an active lease on the worker's clock.
 	ExpiresInSeconds float64 `json:"expiresInSeconds,omitempty"`
 	// RanSeconds is how long the task has run in this attempt.
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -174,6 +174,7 @@
 			change(t)
 			results[i].Known = true
 			results[i].Lease = w.report(t)
+			results[i].Lease.Task = platform.TaskSpec{}
 		}
 	}
 	return results, nil
