Withdraw placements that no reservation plan is found for again

Cause: with more cases the property tests found a plan (one case in about 600) after which the search did not find a place for a guarantee again, because it had been made with the jobs that wait for a reclaim. Validate rejected it. Change: Schedule checks its own placements without those jobs and withdraws the last ones until the guarantees hold. Property tests run with a fixed seed.

--- a/internal/scheduler/cluster.go
+++ b/internal/scheduler/cluster.go
@@ -98,8 +98,9 @@
 	beyond bool
 	// movable is false for a job that must not be stopped because it may not start again.
 	movable bool
-	// placed is set for a job placed by this decision.
-	placed bool
+	// placed is set for a job placed by this decision, pending for one that waits for a reclaim.
+	placed  bool
+	pending bool
 }
 
 // foot is the units of a node that a gang holds.
--- /dev/null
+++ b/internal/scheduler/main_test.go
@@ -0,0 +1,19 @@
+package scheduler
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain gives the property tests a fixed seed unless the command line sets one, so that
+// each run checks the same cases.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		if err := f.Value.Set("1"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -93,10 +93,36 @@
 	queue = d.placeAged(queue)
 	queue = d.placeHolders(queue)
 	d.placeByShare(queue)
+	d.verify()
 	p.places = d.places
 	return d.plan
 }
 
+// verify withdraws placements, the last first, until each guarantee is as reclaimable as
+// before. The search for a reservation plan is a heuristic: it may not find again, for the
+// running jobs alone, a plan that it found while others waited for a reclaim.
+func (d *decision) verify() {
+	if len(d.snapshot.Guarantees) == 0 {
+		return
+	}
+	runs := slices.DeleteFunc(d.c.runs, func(r *run) bool { return r.pending })
+	for len(d.plan.Placements) > 0 {
+		d.c.runs = runs
+		after := d.c.reserve(d.snapshot.Guarantees)
+		kept := true
+		for i := range after.missing {
+			kept = kept && after.missing[i] <= d.missing[i]
+		}
+		if kept {
+			return
+		}
+		last := d.plan.Placements[len(d.plan.Placements)-1]
+		d.plan.Placements = d.plan.Placements[:len(d.plan.Placements)-1]
+		runs = slices.DeleteFunc(runs, func(r *run) bool { return r.placed && r.job == last.Job })
+		d.wait(last.Job, ReasonReservation, "other jobs end", "no reservation plan for all guarantees was found with the job")
+	}
+}
+
 // claim holds units for a job that cannot start yet.
 type claim struct {
 	job   string
@@ -130,6 +156,8 @@
 	// hasty is set while guaranteed and urgent jobs are placed.
 	hasty     bool
 	weightSum float64
+	// missing counts the gangs without a place at the begin, by guarantee.
+	missing []int
 	// capacity is the units of the usable nodes.
 	capacity int
 }
@@ -159,6 +187,7 @@
 			d.capacity += c.nodes[n].accel
 		}
 	}
+	d.missing = d.res.missing
 	d.sumWeights()
 	return d
 }
@@ -467,6 +496,7 @@
 	}
 	// The waiting job uses the guarantee from now on, so that no other job reclaims for the
 	// same part of it.
+	next.added.pending = true
 	d.c.runs = append(d.c.runs, next.added)
 	d.res = next
 	d.reclaimFor(j, best, "the job is within its organisation's guarantee")
