--- a/scenarios/capacity_test.go
+++ b/scenarios/capacity_test.go
@@ -54,7 +54,7 @@
 			}
 		})
 	}
-	for _, n := range []int{200, 400, 600, 800} {
+	for _, n := range []int{200, 400, 800, 1600} {
 		b.Run(fmt.Sprintf("tasks=%d", n), func(b *testing.B) {
 			for range b.N {
 				benchmarkProcess(b, binary, processSize{instances: 5, workersPerZone: 40, tasks: n})
