--- a/scenarios/capacity_test.go
+++ b/scenarios/capacity_test.go
@@ -204,3 +204,47 @@
 	require.NoError(b, err)
 	return n
 }
+
+// BenchmarkCapacityClient measures a stand-alone `oleanderbend watch` process while jobs are
+// created. The first job runs, the others wait for its accelerators.
+func BenchmarkCapacityClient(b *testing.B) {
+	binary := filepath.Join(b.TempDir(), "oleanderbend")
+	out, err := exec.Command("go", "build", "-o", binary, "../cmd/oleanderbend").CombinedOutput()
+	require.NoError(b, err, string(out))
+	for _, n := range []int{100, 200, 400, 800} {
+		b.Run(fmt.Sprintf("jobs=%d", n), func(b *testing.B) {
+			for range b.N {
+				benchmarkClient(b, binary, n)
+			}
+		})
+	}
+}
+
+func benchmarkClient(b *testing.B, binary string, jobs int) {
+	const settle = 2 * time.Second
+	zones := []string{"a"}
+	c, err := newCluster(b.TempDir(), binary, 1, zones)
+	require.NoError(b, err)
+	defer func() { require.NoError(b, c.close()) }()
+	require.NoError(b, c.writeStandinSettings(zones, fleetSize{Workers: 8, Targets: 2, Retention: "1h"}))
+	require.NoError(b, c.writeSettings())
+	require.NoError(b, c.start("standin", "standin", "--config", c.settingsFile("standin")))
+	require.NoError(b, waitFor(func() error { return c.control(http.MethodGet, "/faults/", nil, nil) }))
+	in := c.instances[0]
+	require.NoError(b, c.start(in.ID, "serve", "--first-start", "--config", c.settingsFile(in.ID)))
+	require.NoError(b, waitFor(func() error { return ready(in) }))
+	c.put(b, "organisations/org", `{"spec":{"weight":1}}`)
+	require.NoError(b, c.start("watch", "watch", "--server", in.Operator, "jobs"))
+	time.Sleep(settle)
+	pid := c.processes["watch"].cmd.Process.Pid
+	before := readUsage(b, pid)
+	for i := range jobs {
+		c.put(b, fmt.Sprintf("jobs/job-%d", i),
+			`{"spec":{"organisation":"org","members":8,"acceleratorsPerMember":8,"urgency":3,"payload":"duration=1h"}}`)
+	}
+	time.Sleep(settle)
+	after := readUsage(b, pid)
+	b.ReportMetric((after.read-before.read)/1024, "read_KiB")
+	b.ReportMetric((after.processor-before.processor).Seconds()*1e3, "cpu_ms")
+	b.ReportMetric(after.residentKiB/1024, "resident_MiB")
+}
