--- a/internal/placement/zone.go
+++ b/internal/placement/zone.go
@@ -427,6 +427,7 @@
 	s.Running = append(s.Running, scheduler.Running{
 		Job: z.withStatus(job), Workers: workers, StartedAt: startedAt,
 		CheckpointAge: r.CheckpointAge(),
+		Reclaimable:   r.Spec().Task.Reclaimable,
 		Reclaiming:    r.reclaim != nil || r.Phase() == gang.Stopping,
 	})
 }
