--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -204,6 +205,13 @@
 	q               *Queue
 	now             time.Time
 	queued, running map[*Request]bool
+	// arrived has all requests in order, so that a choice among them is the same in every run.
+	arrived []*Request
+}
+
+// among returns the requests of a set in the order of their arrival.
+func (l *ledger) among(set map[*Request]bool) []*Request {
+	return slices.DeleteFunc(slices.Clone(l.arrived), func(r *Request) bool { return !set[r] })
 }
 
 const ledgerSlots = 8
@@ -227,6 +235,7 @@
 	deadline := l.now.Add(time.Duration(rapid.IntRange(1, 60_000).Draw(t, "ms")) * time.Millisecond)
 	r := &Request{Flow: f, Urgency: rapid.IntRange(0, 7).Draw(t, "urgency"), Deadline: deadline}
 	l.queued[r] = true
+	l.arrived = append(l.arrived, r)
 	l.refuse(t, l.q.Arrive(l.now, r, ledgerSlots))
 }
 
@@ -240,11 +249,21 @@
 }
 
 func (l *ledger) finish(held time.Duration) {
-	for r := range l.running {
-		l.q.Finish(l.now, r, held, true)
-		delete(l.running, r)
-		return
+	if running := l.among(l.running); len(running) > 0 {
+		l.q.Finish(l.now, running[0], held, true)
+		delete(l.running, running[0])
+	}
+}
+
+// cancel withdraws a queued request, as when its caller goes away.
+func (l *ledger) cancel(t *rapid.T) {
+	queued := l.among(l.queued)
+	if len(queued) == 0 {
+		t.Skip()
 	}
+	r := rapid.SampledFrom(queued).Draw(t, "cancelled")
+	l.q.Cancel(r)
+	l.decide(t, r)
 }
 
 // Guards against requests that are lost or decided twice, and against queued requests that
@@ -260,6 +279,7 @@
 			},
 			"arrive":   l.arrive,
 			"dispatch": l.dispatch,
+			"cancel":   l.cancel,
 			"finish": func(t *rapid.T) {
 				l.finish(time.Duration(rapid.IntRange(0, 5000).Draw(t, "held")) * time.Millisecond)
 			},
