Share certificates of listeners and the parsing of commands on a kind

The caller listener read its certificate from disk at each handshake, beside a reloading source that only the operators' listener had. Both use certs now. delete and watch parsed their kind in the same lines.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -14,6 +14,7 @@
 	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 
+	"github.com/oleanderbend/oleanderbend/internal/certs"
 	"github.com/oleanderbend/oleanderbend/internal/kernel"
 	"github.com/oleanderbend/oleanderbend/internal/membership"
 	"github.com/oleanderbend/oleanderbend/internal/peer"
@@ -179,11 +180,12 @@
 func (a *API) serveOn(ctx context.Context, listener net.Listener) (func(context.Context) error, error) {
 	limited := limitListener(listener, maxConnections)
 	if a.deps.TLS.CertFile != "" {
-		certificates := newCertificates(a.deps.TLS, a.deps.Now)
-		if _, err := certificates.get(nil); err != nil {
+		config, err := certs.ServerConfig(a.deps.TLS, a.deps.Now)
+		if err != nil {
 			return nil, err
 		}
-		limited = tls.NewListener(limited, &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: certificates.get, NextProtos: []string{"http/1.1"}})
+		config.NextProtos = []string{"http/1.1"}
+		limited = tls.NewListener(limited, config)
 	}
 	a.server = &http.Server{
 		Handler: a.handler, ReadHeaderTimeout: headTimeout, ReadTimeout: bodyTimeout,
--- a/internal/api/hostile_test.go
+++ b/internal/api/hostile_test.go
@@ -25,6 +25,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/oleanderbend/oleanderbend/internal/certs"
 	"github.com/oleanderbend/oleanderbend/internal/logging"
 	"github.com/oleanderbend/oleanderbend/internal/resource"
 	"github.com/oleanderbend/oleanderbend/internal/settings"
@@ -232,10 +233,10 @@
 	}
 	require.Equal(t, int64(1), serial())
 	writePair(t, files, 2, now.Add(-time.Minute))
-	now = now.Add(certificateCheckPeriod)
+	now = now.Add(certs.CheckPeriod)
 	require.Equal(t, int64(2), serial())
 	require.NoError(t, os.WriteFile(files.KeyFile, []byte("half"), 0o600))
-	now = now.Add(certificateCheckPeriod)
+	now = now.Add(certs.CheckPeriod)
 	require.Equal(t, int64(2), serial(), "the last valid pair stays in use")
 	require.NoError(t, a.Stop(context.Background()))
 	files.CertFile = "/does/not/exist"
--- /dev/null
+++ b/internal/certs/certs.go
@@ -0,0 +1,83 @@
+// Package certs gives listeners certificates that can be replaced without a restart.
+package certs
+
+import (
+	"crypto/tls"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/oleanderbend/oleanderbend/internal/settings"
+)
+
+// CheckPeriod is how often the certificate files are looked at for a change.
+const CheckPeriod = 10 * time.Second
+
+// Source holds a certificate and loads it again when its files change. It is safe for
+// concurrent use.
+type Source struct {
+	files settings.TLS
+	now   func() time.Time
+
+	mu       sync.Mutex
+	current  *tls.Certificate
+	modified time.Time
+	checked  time.Time
+}
+
+// New returns a source of the named files. They are first read at the first handshake.
+func New(files settings.TLS, now func() time.Time) *Source {
+	return &Source{files: files, now: now}
+}
+
+// ServerConfig returns the configuration of a listener, or an error if the files are not a
+// valid pair now.
+func ServerConfig(files settings.TLS, now func() time.Time) (*tls.Config, error) {
+	source := New(files, now)
+	if _, err := source.Get(nil); err != nil {
+		return nil, err
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: source.Get}, nil
+}
+
+// Get returns the current certificate. While the files on disk are not a valid pair, for
+// example because only one of them has been replaced, the last valid one stays in use.
+func (c *Source) Get(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	if c.current != nil && now.Sub(c.checked) < CheckPeriod {
+		return c.current, nil
+	}
+	c.checked = now
+	modified, err := newest(c.files.CertFile, c.files.KeyFile)
+	if err == nil && c.current != nil && modified.Equal(c.modified) {
+		return c.current, nil
+	}
+	pair, err := tls.LoadX509KeyPair(c.files.CertFile, c.files.KeyFile)
+	if err != nil {
+		if c.current != nil {
+			return c.current, nil
+		}
+		return nil, eris.Wrap(err, "load the certificate")
+	}
+	c.current, c.modified = &pair, modified
+	return c.current, nil
+}
+
+// newest returns the later modification time of the files.
+func newest(files ...string) (time.Time, error) {
+	var latest time.Time
+	for _, file := range files {
+		info, err := os.Stat(file)
+		if err != nil {
+			return time.Time{}, err
+		}
+		if info.ModTime().After(latest) {
+			latest = info.ModTime()
+		}
+	}
+	return latest, nil
+}
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -21,6 +21,7 @@
 
 	"github.com/oleanderbend/oleanderbend/internal/api"
 	"github.com/oleanderbend/oleanderbend/internal/platform"
+	"github.com/oleanderbend/oleanderbend/internal/resource"
 )
 
 // errUnknownOutcome is wrapped by the errors of writes that may have taken effect.
@@ -108,6 +109,31 @@
 	return c, nil
 }
 
+// operand is what a command on a kind of resource works on.
+type operand struct {
+	client *client
+	kind   resource.Kind
+	// args are the arguments, the kind first.
+	args []string
+}
+
+// parseOperand reads exactly n arguments, of which the first is a kind. Its errors wrap errUsage.
+func (f *clientFlags) parseOperand(fs *flag.FlagSet, args []string, n int, need string) (operand, error) {
+	args, err := parseInterleaved(fs, args)
+	if err != nil {
+		return operand{}, err
+	}
+	if len(args) != n {
+		return operand{}, eris.Wrap(errUsage, need)
+	}
+	kind, err := parseKind(args[0])
+	if err != nil {
+		return operand{}, err
+	}
+	c, err := f.newClient()
+	return operand{client: c, kind: kind, args: args}, err
+}
+
 // call is one request to the API.
 type call struct {
 	method string
--- a/internal/cli/delete.go
+++ b/internal/cli/delete.go
@@ -6,7 +6,6 @@
 	"net/http"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
-	"github.com/rotisserie/eris"
 
 	"github.com/oleanderbend/oleanderbend/internal/api"
 	"github.com/oleanderbend/oleanderbend/internal/resource"
@@ -31,22 +30,11 @@
 ` + exitHelp,
 		FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			args, err := parseInterleaved(fs, args)
+			operand, err := flags.parseOperand(fs, args, 2, "delete needs a kind and a name")
 			if err != nil {
 				return err
 			}
-			if len(args) != 2 {
-				return eris.Wrap(errUsage, "delete needs a kind and a name")
-			}
-			kind, err := parseKind(args[0])
-			if err != nil {
-				return err
-			}
-			c, err := flags.newClient()
-			if err != nil {
-				return err
-			}
-			return runDelete(ctx, env, c, writes, kind, args[1])
+			return runDelete(ctx, env, operand.client, writes, operand.kind, operand.args[1])
 		},
 	}
 }
--- a/internal/cli/watch.go
+++ b/internal/cli/watch.go
@@ -40,22 +40,11 @@
 ` + exitHelp,
 		FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			args, err := parseInterleaved(fs, args)
+			operand, err := flags.parseOperand(fs, args, 1, "watch needs a kind")
 			if err != nil {
 				return err
 			}
-			if len(args) != 1 {
-				return eris.Wrap(errUsage, "watch needs a kind")
-			}
-			kind, err := parseKind(args[0])
-			if err != nil {
-				return err
-			}
-			c, err := flags.newClient()
-			if err != nil {
-				return err
-			}
-			w := &watchRun{env: env, client: c, kind: kind, selector: *selector, version: *from, resumes: *from != 0}
+			w := &watchRun{env: env, client: operand.client, kind: operand.kind, selector: *selector, version: *from, resumes: *from != 0}
 			return w.run(ctx)
 		},
 	}
--- a/internal/instance/adapters.go
+++ b/internal/instance/adapters.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/oleanderbend/oleanderbend/internal/certs"
 	"github.com/oleanderbend/oleanderbend/internal/inventory"
 	"github.com/oleanderbend/oleanderbend/internal/placement"
 	"github.com/oleanderbend/oleanderbend/internal/platform"
@@ -141,15 +142,9 @@
 }
 
 // callerTLS returns the configuration of the caller listener, or nil for plain HTTP.
-func callerTLS(files settings.TLS, _ func() time.Time) *tls.Config {
+func callerTLS(files settings.TLS, now func() time.Time) (*tls.Config, error) {
 	if files.CertFile == "" {
-		return nil
-	}
-	return &tls.Config{
-		MinVersion: tls.VersionTLS12,
-		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
-			pair, err := tls.LoadX509KeyPair(files.CertFile, files.KeyFile)
-			return &pair, err
-		},
+		return nil, nil
 	}
+	return certs.ServerConfig(files, now)
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -145,7 +145,9 @@
 		NewScheduler: func() scheduler.Scheduler { return newScheduler(s.ID) },
 		Now:          i.now, Log: i.logger, Timeline: i.recorder,
 	})
-	i.gateway = i.newGateway(instances)
+	if i.gateway, err = i.newGateway(instances); err != nil {
+		return err
+	}
 	i.metrics.RegisterMetricsWriter(i.gateway.Metrics().WritePrometheus)
 	i.metrics.RegisterMetricsWriter(metrics.WriteProcessMetrics)
 	i.api = i.newAPI(instances)
@@ -175,15 +177,19 @@
 	})
 }
 
-func (i *Instance) newGateway(instances *inventory.Cache) *gateway.Gateway {
+func (i *Instance) newGateway(instances *inventory.Cache) (*gateway.Gateway, error) {
 	s := i.settings
+	callers, err := callerTLS(s.TLS, i.now)
+	if err != nil {
+		return nil, err
+	}
 	return gateway.New(gateway.Config{
-		ID: s.ID, Addr: s.CallerAddr, TLS: callerTLS(s.TLS, i.now),
+		ID: s.ID, Addr: s.CallerAddr, TLS: callers,
 		Instances: instances, Targets: httpclient.NewTargets(httpclient.Options{}),
 		View: i.members, Caller: i.peers, Registrar: i.peers, State: i.replica,
 		Recorder: i.recorder, Logger: i.logger, Now: i.now, Seed: seed(s.ID),
 		NoEarlierKeys: i.noEarlierKeys,
-	})
+	}), nil
 }
 
 func (i *Instance) newAPI(instances *inventory.Cache) *api.API {
