Give new work to targets that restart under their ids

Cause: a target that was once seen leaving stayed out under its id, so a rolling restart of all targets would have left none. Change: it is back when the list has shown that it left and shows it as live again, or 60 s after its own notice, far above the lag of the list. The instance then stops telling the others that it leaves.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -75,9 +75,13 @@
 // target is the state of one target.
 type target struct {
 	instance platform.Instance
-	// leaving is set once and never cleared: a target does not come back under its id.
-	leaving bool
-	gone    bool
+	// leaving is set at the first notice. It is cleared when the target is back under its id, as
+	// after a restart.
+	leaving   bool
+	leavingAt time.Time
+	// listedLeaving is set once the list showed the target as leaving.
+	listedLeaving bool
+	gone          bool
 	// allowance is the number of slots that this instance may use.
 	allowance int
 	inUse     int
@@ -136,18 +140,38 @@
 	t.policy = resource.PolicySpec{Dispatch: p}.WithDefaults().Dispatch
 }
 
-// Update takes the platform's list. It returns the ids of targets that newly leave.
-func (t *Table) Update(list []platform.Instance) []string {
+// ReturnGrace is how long a target's own notice that it leaves outweighs a list that shows it as
+// live. It is far above the list's lag of about a second; a target that restarts under its id
+// without the list having shown it gets new work after it.
+const ReturnGrace = time.Minute
+
+// Changes are what a new list changed.
+type Changes struct {
+	// Leaving has the targets that the list shows as leaving for the first time.
+	Leaving []string
+	// Returned has the targets that left and are back.
+	Returned []string
+}
+
+// Update takes the platform's list and returns what it changed.
+func (t *Table) Update(now time.Time, list []platform.Instance) Changes {
 	listed := make(map[string]bool)
-	var leaving []string
+	var changes Changes
 	for _, row := range list {
 		if row.Kind != platform.KindTarget {
 			continue
 		}
 		listed[row.ID] = true
 		entry := t.entry(row)
-		if row.State == platform.StateLeaving && t.MarkLeaving(row.ID) {
-			leaving = append(leaving, row.ID)
+		switch {
+		case row.State == platform.StateLeaving:
+			if t.MarkLeaving(now, row.ID) {
+				changes.Leaving = append(changes.Leaving, row.ID)
+			}
+			entry.listedLeaving = true
+		case entry.isBack(now):
+			entry.leaving, entry.listedLeaving = false, false
+			changes.Returned = append(changes.Returned, row.ID)
 		}
 		entry.instance = row
 		entry.gone = false
@@ -157,7 +181,13 @@
 	}
 	t.forget()
 	t.Refresh()
-	return leaving
+	return changes
+}
+
+// isBack reports whether a target that is listed as live has returned since it left: the list
+// showed it leaving or gone before, or the notice is older than any lag of the list.
+func (e *target) isBack(now time.Time) bool {
+	return e.leaving && (e.listedLeaving || e.gone || now.Sub(e.leavingAt) >= ReturnGrace)
 }
 
 func (t *Table) entry(row platform.Instance) *target {
@@ -190,12 +220,12 @@
 }
 
 // MarkLeaving stops new requests to a target. It reports whether this is news.
-func (t *Table) MarkLeaving(id string) bool {
+func (t *Table) MarkLeaving(now time.Time, id string) bool {
 	e, known := t.targets[id]
 	if !known || e.leaving {
 		return false
 	}
-	e.leaving = true
+	e.leaving, e.leavingAt = true, now
 	return true
 }
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -12,7 +12,7 @@
 
 func newTable(targets int) *Table {
 	t := New(1, nil)
-	t.Update(targetRows(targets))
+	t.Update(epoch, targetRows(targets))
 	return t
 }
 
@@ -87,15 +87,40 @@
 		table.Pick(epoch, "", true)
 	}
 	rows[0].State = platform.StateLeaving
-	require.Equal(t, []string{"t00"}, table.Update(rows))
+	require.Equal(t, []string{"t00"}, table.Update(epoch, rows).Leaving)
 	require.Equal(t, 8, table.InUse()["t00"])
-	table.Update(rows[1:])
+	table.Update(epoch, rows[1:])
 	require.Equal(t, 8, table.InUse()["t00"])
 	table.Finish(epoch, "t00", Result{Verdict: Answered})
 	_, ok := table.Pick(epoch, "", true)
 	require.False(t, ok)
 }
 
+// Guards against targets that are restarted under their ids one after another and never get new
+// work again, and against trusting a list that still shows a leaving target as live.
+func TestRestartedTargetReturns(t *testing.T) {
+	live, leaving := targetRows(1), targetRows(1)
+	leaving[0].State = platform.StateLeaving
+	picked := func(table *Table, now time.Time) bool {
+		_, ok := table.Pick(now, "", true)
+		return ok
+	}
+
+	table := newTable(1)
+	table.Update(epoch, leaving)
+	require.False(t, picked(table, epoch))
+	require.Equal(t, []string{"t00"}, table.Update(epoch, live).Returned)
+	require.True(t, picked(table, epoch), "the list showed it leaving and live again")
+
+	table = newTable(1)
+	require.True(t, table.MarkLeaving(epoch, "t00"))
+	late := epoch.Add(ReturnGrace)
+	require.Empty(t, table.Update(late.Add(-1), live).Returned)
+	require.False(t, picked(table, late.Add(-1)), "the list lags behind the target's own notice")
+	require.Equal(t, []string{"t00"}, table.Update(late, live).Returned)
+	require.True(t, picked(table, late))
+}
+
 // Guards against retries beyond the budget and against retries that come in waves.
 func TestRetriesAreBudgetedAndSpread(t *testing.T) {
 	table := newTable(1)
@@ -117,7 +142,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		allowed := rapid.IntRange(0, 8).Draw(t, "allowed")
 		table := New(1, func(platform.Instance) int { return allowed })
-		table.Update(targetRows(3))
+		table.Update(epoch, targetRows(3))
 		now := epoch
 		running := make(map[string]int)
 		t.Repeat(map[string]func(*rapid.T){
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -53,20 +53,23 @@
 		return
 	}
 	g.core.mu.Lock()
-	leaving := g.core.table.Update(list)
+	changes := g.core.table.Update(g.now(), list)
 	g.slots.setTargets(g.core.table.Targets())
 	g.core.table.Refresh()
 	g.core.pumpLocked(g.now())
 	g.core.mu.Unlock()
-	for _, id := range leaving {
+	for _, id := range changes.Leaving {
 		g.targetLeaves(id, "platform-list")
 	}
+	for _, id := range changes.Returned {
+		g.targetReturns(id)
+	}
 }
 
 // noticeLeaving handles a target's own announcement that it leaves.
 func (g *Gateway) noticeLeaving(id string) {
 	g.core.mu.Lock()
-	news := g.core.table.MarkLeaving(id)
+	news := g.core.table.MarkLeaving(g.now(), id)
 	g.core.mu.Unlock()
 	if news {
 		g.targetLeaves(id, "target-header")
@@ -86,12 +89,21 @@
 	})
 }
 
+// targetReturns stops telling the other instances that a target leaves.
+func (g *Gateway) targetReturns(id string) {
+	g.event(timeline.TypeDecision, "target-returned", "", id)
+	g.log.Info().Str("target", id).Msg("target-returned")
+	g.cfg.View.Publish(func(info *membership.Info) {
+		info.LeavingTargets = slices.DeleteFunc(slices.Clone(info.LeavingTargets), func(other string) bool { return other == id })
+	})
+}
+
 func (g *Gateway) readMembers() {
 	g.core.mu.Lock()
 	defer g.core.mu.Unlock()
 	for _, m := range g.cfg.View.Members() {
 		for _, id := range m.Info.LeavingTargets {
-			g.core.table.MarkLeaving(id)
+			g.core.table.MarkLeaving(g.now(), id)
 		}
 	}
 }
--- a/internal/measure/request_policy.go
+++ b/internal/measure/request_policy.go
@@ -128,7 +128,7 @@
 			}
 			return p.holder.Allowance(s.now, t.ID)
 		})
-		p.table.Update(rows)
+		p.table.Update(s.now, rows)
 		for _, t := range rows {
 			if owner := p.holder.OwnerOf(t.ID); !slices.Contains(p.owners, owner) {
 				p.owners = append(p.owners, owner)
