Let settings change the limits of the caller listener

Behind a balancer all connections come from its few addresses, so the default of 1,024 for each address has to be raised there, and only a new build could do that.

--- a/internal/instance/adapters.go
+++ b/internal/instance/adapters.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/oleanderbend/oleanderbend/internal/certs"
+	"github.com/oleanderbend/oleanderbend/internal/gateway"
 	"github.com/oleanderbend/oleanderbend/internal/inventory"
 	"github.com/oleanderbend/oleanderbend/internal/placement"
 	"github.com/oleanderbend/oleanderbend/internal/platform"
@@ -148,3 +149,16 @@
 	}
 	return certs.ServerConfig(files, now)
 }
+
+func callerLimits(l settings.CallerLimits) gateway.Limits {
+	return gateway.Limits{
+		Connections:           l.Connections,
+		ConnectionsPerAddress: l.ConnectionsPerAddress,
+		HeaderBytes:           l.HeaderBytes,
+		BodyBytes:             l.BodyBytes,
+		HeaderTimeout:         time.Duration(l.HeaderTimeout),
+		ReadIdle:              time.Duration(l.ReadIdle),
+		WriteIdle:             time.Duration(l.WriteIdle),
+		KeepAliveIdle:         time.Duration(l.KeepAliveIdle),
+	}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -188,7 +188,7 @@
 		Instances: instances, Targets: httpclient.NewTargets(httpclient.Options{}),
 		View: i.members, Caller: i.peers, Registrar: i.peers, State: i.replica,
 		Recorder: i.recorder, Logger: i.logger, Now: i.now, Seed: seed(s.ID),
-		NoEarlierKeys: i.noEarlierKeys,
+		NoEarlierKeys: i.noEarlierKeys, Limits: callerLimits(s.CallerLimits),
 	}), nil
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -92,6 +92,23 @@
 	KeyFile  string `toml:"key_file"`
 }
 
+// CallerLimits protect the caller listener. A key that is left out has its default.
+type CallerLimits struct {
+	// Connections and ConnectionsPerAddress are the most open connections in all and of one
+	// remote IP. Behind a balancer all connections come from few addresses.
+	Connections           int `toml:"connections"`
+	ConnectionsPerAddress int `toml:"connections_per_address"`
+	// HeaderBytes and BodyBytes bound a request.
+	HeaderBytes int   `toml:"header_bytes"`
+	BodyBytes   int64 `toml:"body_bytes"`
+	// HeaderTimeout bounds the time to send the headers, ReadIdle and WriteIdle the wait for the
+	// next part of a body or of an answer, KeepAliveIdle the wait for the next request.
+	HeaderTimeout Duration `toml:"header_timeout"`
+	ReadIdle      Duration `toml:"read_idle"`
+	WriteIdle     Duration `toml:"write_idle"`
+	KeepAliveIdle Duration `toml:"keep_alive_idle"`
+}
+
 // Serve holds the settings of one instance.
 type Serve struct {
 	ID     string `toml:"id"`
@@ -107,6 +124,8 @@
 	Platform Platform `toml:"platform"`
 	Tokens   []Token  `toml:"tokens"`
 	TLS      TLS      `toml:"tls"`
+	// CallerLimits protect the caller listener.
+	CallerLimits CallerLimits `toml:"caller_limits"`
 	// StopTimeout bounds a graceful stop; default 10 minutes.
 	StopTimeout Duration `toml:"stop_timeout"`
 	// LogLevel is debug, info, warn or error; default info.
@@ -212,6 +231,7 @@
 		p.require(false, "log_level", "must be debug, info, warn or error")
 	}
 	p.peers(s)
+	p.callerLimits(s.CallerLimits)
 	for i, token := range s.Tokens {
 		key := fmt.Sprintf("tokens[%d]", i)
 		p.require(token.Role == "read" || token.Role == "operate", key+".role", "must be read or operate")
@@ -221,6 +241,20 @@
 	return p
 }
 
+func (p *problems) callerLimits(l CallerLimits) {
+	notNegative := func(key string, value int64) {
+		p.require(value >= 0, "caller_limits."+key, "must not be negative")
+	}
+	notNegative("connections", int64(l.Connections))
+	notNegative("connections_per_address", int64(l.ConnectionsPerAddress))
+	notNegative("header_bytes", int64(l.HeaderBytes))
+	notNegative("body_bytes", l.BodyBytes)
+	notNegative("header_timeout", int64(l.HeaderTimeout))
+	notNegative("read_idle", int64(l.ReadIdle))
+	notNegative("write_idle", int64(l.WriteIdle))
+	notNegative("keep_alive_idle", int64(l.KeepAliveIdle))
+}
+
 func (p *problems) peers(s Serve) {
 	seen := map[string]bool{s.ID: true}
 	for i, peer := range s.Peers {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -58,6 +59,15 @@
 	require.ErrorContains(t, err, "zone: must be set")
 }
 
+// Guards against limits of the caller listener that cannot be set, or that are set to nonsense.
+func TestCallerLimits(t *testing.T) {
+	s, err := ReadServe(write(t, valid+"\n[caller_limits]\nconnections_per_address = 4096\nread_idle = \"5s\"\n"))
+	require.NoError(t, err)
+	require.Equal(t, CallerLimits{ConnectionsPerAddress: 4096, ReadIdle: Duration(5 * time.Second)}, s.CallerLimits)
+	_, err = ReadServe(write(t, valid+"\n[caller_limits]\nbody_bytes = -1\n"))
+	require.ErrorContains(t, err, "caller_limits.body_bytes: must not be negative")
+}
+
 // Guards against a syntax error without its position.
 func TestSyntaxErrorHasPosition(t *testing.T) {
 	_, err := ReadServe(write(t, "id = \n"))
