Name the causing instance in events of membership, leadership and configuration

Cause: the time line could draw arrows between lanes, but no event named its cause. Change: a member's own messages, the holder that a claim replaces and the writer of a policy are named.

--- a/internal/leadership/service.go
+++ b/internal/leadership/service.go
@@ -130,7 +130,7 @@
 	record := state.Record{Release: &state.Release{Zone: term.Zone, Epoch: term.Epoch, Successor: successor}}
 	_, err := s.config.Writer.Write(ctx, record)
 	releases.Inc()
-	s.report("zone-released", term.Zone, term.Epoch, "graceful stop, successor "+successor, err)
+	s.report("zone-released", term.Zone, term.Epoch, "", "graceful stop, successor "+successor, err)
 }
 
 func zoneOf(zones []Zone, name string) Zone {
@@ -180,7 +180,7 @@
 		delete(s.core.terms, action.Zone)
 		s.notify()
 		stepDowns.Inc()
-		s.report("stepped-down", term.Zone, term.Epoch, action.Reason, nil)
+		s.report("stepped-down", term.Zone, term.Epoch, "", action.Reason, nil)
 		return
 	}
 	s.core.pending[action.Zone] = true
@@ -199,7 +199,7 @@
 // claim claims a zone in the log or, if the log is down, provisionally.
 func (s *Service) claim(ctx context.Context, action Action) {
 	if action.Verify != "" && s.config.Peers.Reachable(ctx, action.Verify) {
-		s.report("claim-dropped", action.Zone, action.Epoch, action.Verify+" answers", nil)
+		s.report("claim-dropped", action.Zone, action.Epoch, action.Verify, action.Verify+" answers", nil)
 		return
 	}
 	if !s.logUp() {
@@ -220,7 +220,7 @@
 		s.take(action, true)
 	default:
 		claimsRefused.Inc()
-		s.report("claim-refused", action.Zone, action.Epoch, verdict.Message, nil)
+		s.report("claim-refused", action.Zone, action.Epoch, "", verdict.Message, nil)
 		s.pause(ctx)
 	}
 }
@@ -239,7 +239,7 @@
 		s.notify()
 	}
 	s.mu.Unlock()
-	s.report(name, action.Zone, action.Epoch, action.Reason, nil)
+	s.report(name, action.Zone, action.Epoch, action.Expected.Holder, action.Reason, nil)
 	s.publishEpochs(s.input())
 }
 
@@ -268,7 +268,7 @@
 	term.Recorded = true
 	s.core.terms[action.Zone] = term
 	s.notify()
-	s.report("claim-recorded", action.Zone, action.Epoch, action.Reason, nil)
+	s.report("claim-recorded", action.Zone, action.Epoch, "", action.Reason, nil)
 }
 
 // write appends a record and repeats it once, with the same id, if the answer was lost.
@@ -347,7 +347,7 @@
 	}
 	s.notify()
 	stepDowns.Inc()
-	s.report("stepped-down", zone, epoch, "the epoch was refused", nil)
+	s.report("stepped-down", zone, epoch, "", "the epoch was refused", nil)
 }
 
 // Leader returns the newest known epoch of a zone; its Holder is the leader.
@@ -430,14 +430,16 @@
 	}
 }
 
-func (s *Service) report(name, zone string, epoch platform.Epoch, reason string, err error) {
+// report logs and records a change of leadership. cause is the instance whose message led to it,
+// or empty.
+func (s *Service) report(name, zone string, epoch platform.Epoch, cause, reason string, err error) {
 	entry := s.config.Log.Info().Str("event", name).Str("zone", zone).Uint64("epoch", epoch.Number).
 		Str("holder", epoch.Holder).Str("reason", reason)
 	if err != nil {
 		entry = entry.Str("error", err.Error())
 	}
 	entry.Msg("")
-	s.config.Timeline.Record(timeline.Event{Type: timeline.TypeLeadership, Name: name, Zone: zone, Reason: reason})
+	s.config.Timeline.Record(timeline.Event{Type: timeline.TypeLeadership, Name: name, Zone: zone, Reason: reason, Cause: cause})
 }
 
 // notify is called with the lock held.
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -313,9 +313,12 @@
 	}
 	s.config.Log.Info().Str("event", "member-status").Str("member", m.Info.ID).
 		Str("status", string(m.Status)).Uint64("incarnation", m.Info.Incarnation).Msg("")
-	s.config.Timeline.Record(timeline.Event{
-		Type: timeline.TypeMembership, Name: "member-" + string(m.Status), Reason: "member " + m.Info.ID,
-	})
+	event := timeline.Event{Type: timeline.TypeMembership, Name: "member-" + string(m.Status), Reason: "member " + m.Info.ID}
+	if m.Status == Alive || m.Status == Left {
+		// Both follow a message of the member; the others follow from its silence.
+		event.Cause = m.Info.ID
+	}
+	s.config.Timeline.Record(event)
 }
 
 // notify is called with the lock held.
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -31,7 +31,7 @@
 	r.changed = make(chan struct{})
 	applied, policy := r.state.Applied, r.state.PolicyVersion
 	r.mu.Unlock()
-	r.announce(applied, policyBefore, policy)
+	r.announce(applied, policyBefore, policy, r.policyWriter.Load())
 	return err
 }
 
@@ -67,6 +67,9 @@
 	default:
 		verdict := r.state.Apply(entry.Offset, record)
 		r.deliver(record.ID, verdict)
+		if r.state.PolicyVersion == entry.Offset {
+			r.policyWriter.Store(&record.Writer)
+		}
 		if record.SnapshotPart != nil {
 			r.parts.add(*record.SnapshotPart, record.Time, r.deps.Now())
 		} else {
@@ -100,16 +103,21 @@
 	applied, policy := s.Applied, s.PolicyVersion
 	r.mu.Unlock()
 	r.deps.Logger.Info().Str("event", "state-installed").Str("source", source).Uint64("applied", uint64(applied)).Msg("")
-	r.announce(applied, policyBefore, policy)
+	r.announce(applied, policyBefore, policy, nil)
 	return true
 }
 
-// announce tells the members and the timeline how far the state has come.
-func (r *Replica) announce(applied, policyBefore, policy platform.Offset) {
+// announce tells the members and the timeline how far the state has come. writer is the instance
+// that wrote the policy, nil if the state came from a snapshot.
+func (r *Replica) announce(applied, policyBefore, policy platform.Offset, writer *string) {
 	if policy != policyBefore {
-		r.deps.Events.Record(timeline.Event{
+		event := timeline.Event{
 			Type: timeline.TypeConfiguration, Name: "policy-in-force", Reason: fmt.Sprintf("version %d", policy),
-		})
+		}
+		if writer != nil {
+			event.Cause = *writer
+		}
+		r.deps.Events.Record(event)
 	}
 	if r.deps.View == nil {
 		return
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -8,6 +8,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -72,6 +73,8 @@
 	recovered bool
 	// failure is ErrNewerVersion or ErrHistoryLost while one of them stops the replica.
 	failure error
+	// policyWriter is the instance that wrote the policy in force.
+	policyWriter atomic.Pointer[string]
 	// jumps counts replacements of the state by a snapshot.
 	jumps int
 
