--- a/internal/scheduler/cluster.go
+++ b/internal/scheduler/cluster.go
@@ -84,8 +84,8 @@
 	shape shape
 	// nodes has the index of each member's worker, -1 if the worker is not known.
 	nodes []int
-	// feet has what the run holds, by node in ascending order, without unknown workers.
-	feet      []foot
+	// footprint has what the run holds, by node in ascending order, without unknown workers.
+	footprint []nodeUnits
 	unknown   bool
 	startedAt time.Time
 	// order is the time of the start in nanoseconds.
@@ -103,12 +103,12 @@
 	pending bool
 }
 
-// foot is the units of a node that a gang holds.
-type foot struct{ node, units int }
+// nodeUnits is the units of a node that a gang holds.
+type nodeUnits struct{ node, units int }
 
-// setFeet computes the feet from the nodes.
-func (c *cluster) setFeet(r *run) {
-	r.feet = make([]foot, 0, min(len(r.nodes), 8))
+// setFootprint computes the footprint from the nodes.
+func (c *cluster) setFootprint(r *run) {
+	r.footprint = make([]nodeUnits, 0, min(len(r.nodes), 8))
 	sorted := r.nodes
 	if !slices.IsSorted(sorted) {
 		sorted = slices.Clone(sorted)
@@ -120,11 +120,11 @@
 			continue
 		}
 		units := c.nodes[n].units(r.shape)
-		if k := len(r.feet); k > 0 && r.feet[k-1].node == n {
-			r.feet[k-1].units += units
+		if k := len(r.footprint); k > 0 && r.footprint[k-1].node == n {
+			r.footprint[k-1].units += units
 			continue
 		}
-		r.feet = append(r.feet, foot{n, units})
+		r.footprint = append(r.footprint, nodeUnits{n, units})
 	}
 }
 
@@ -255,7 +255,7 @@
 		out := c.known[r.Job.Name]
 		if out == nil || !c.unchanged(out, r) {
 			out = &run{name: r.Job.Name, shape: jobShape(&r.Job.Spec), nodes: c.indexes(r.Workers), org: c.orgNumber(r.Job)}
-			c.setFeet(out)
+			c.setFootprint(out)
 			c.known[out.name] = out
 		}
 		out.job, out.startedAt, out.lost = r.Job, r.StartedAt, r.CheckpointAge
@@ -302,10 +302,10 @@
 	return i
 }
 
-// occupy adds a run with its feet to the index and takes its units.
+// occupy adds a run with its footprint to the index and takes its units.
 func (c *cluster) occupy(r *run) {
 	c.runs = append(c.runs, r)
-	for _, f := range r.feet {
+	for _, f := range r.footprint {
 		c.free[f.node] -= f.units
 		if !r.reclaiming {
 			c.soon[f.node] -= f.units
@@ -337,7 +337,7 @@
 // yield marks a run as asked to stop: its units become free soon.
 func (c *cluster) yield(r *run) {
 	r.reclaiming = true
-	for _, f := range r.feet {
+	for _, f := range r.footprint {
 		c.soon[f.node] += f.units
 	}
 }
--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -268,7 +268,7 @@
 }
 
 func (e *evictor) gain(v *run, sign int) {
-	for _, f := range v.feet {
+	for _, f := range v.footprint {
 		e.gained[f.node] += sign * f.units
 	}
 }
@@ -299,7 +299,7 @@
 
 // holds reports whether the members still fit on the nodes of the victim.
 func (e *evictor) holds(v *run) bool {
-	for _, f := range v.feet {
+	for _, f := range v.footprint {
 		n := f.node
 		if e.spent[n] > 0 && e.spent[n] > e.avail[n]+e.gained[n] {
 			return false
@@ -310,9 +310,9 @@
 
 // unitsOn returns the units that a run holds on a node.
 func (c *cluster) unitsOn(r *run, n int) int {
-	i, ok := slices.BinarySearchFunc(r.feet, n, func(f foot, n int) int { return cmp.Compare(f.node, n) })
+	i, ok := slices.BinarySearchFunc(r.footprint, n, func(f nodeUnits, n int) int { return cmp.Compare(f.node, n) })
 	if !ok {
 		return 0
 	}
-	return r.feet[i].units
+	return r.footprint[i].units
 }
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -16,7 +16,7 @@
 	// nodes has the worker of each member; nil if the slot has no place.
 	nodes []int
 	// used has the units that covered runs hold in the slot, by node in ascending order.
-	used []foot
+	used []nodeUnits
 	runs []*run
 }
 
@@ -202,13 +202,13 @@
 }
 
 func (c *cluster) takeRoom(r *reservation, run *run) {
-	for _, f := range run.feet {
+	for _, f := range run.footprint {
 		r.room[f.node] -= f.units
 	}
 }
 
 func (c *cluster) giveRoom(r *reservation, run *run) {
-	for _, f := range run.feet {
+	for _, f := range run.footprint {
 		r.room[f.node] += f.units
 	}
 }
@@ -260,7 +260,7 @@
 		members += membersFor(f.units, s.shape.accel)
 		held += f.units
 	}
-	for _, f := range run.feet {
+	for _, f := range run.footprint {
 		if !c.nodes[f.node].usable || !c.adjacent(s.shape.adjacency, &first, f.node) {
 			return 0, false
 		}
@@ -298,10 +298,10 @@
 func membersFor(units, accel int) int { return (units + accel - 1) / accel }
 
 func (c *cluster) join(r *reservation, s *slot, run *run) {
-	for _, f := range run.feet {
-		i, ok := slices.BinarySearchFunc(s.used, f.node, func(f foot, n int) int { return cmp.Compare(f.node, n) })
+	for _, f := range run.footprint {
+		i, ok := slices.BinarySearchFunc(s.used, f.node, func(f nodeUnits, n int) int { return cmp.Compare(f.node, n) })
 		if !ok {
-			s.used = slices.Insert(s.used, i, foot{node: f.node})
+			s.used = slices.Insert(s.used, i, nodeUnits{node: f.node})
 		}
 		before := membersFor(s.used[i].units, s.shape.accel)
 		s.used[i].units += f.units
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -376,7 +376,7 @@
 		startedAt: d.now, order: d.now.UnixNano(), org: d.c.orgNumber(j),
 		movable: j.Spec.Restart != resource.RestartNever, placed: true,
 	}
-	d.c.setFeet(r)
+	d.c.setFootprint(r)
 	return r
 }
 
--- a/internal/scheduler/validate.go
+++ b/internal/scheduler/validate.go
@@ -208,7 +208,7 @@
 			order: last + 1, org: c.orgNumber(p.Job), beyond: p.Reclaimable, placed: true,
 			movable: p.Job.Spec.Restart != resource.RestartNever,
 		}
-		c.setFeet(r)
+		c.setFootprint(r)
 		c.occupy(r)
 	}
 	after := c.reserve(snapshot.Guarantees)
@@ -234,7 +234,7 @@
 		if run.movable || r.covered[run] != nil {
 			continue
 		}
-		for _, f := range run.feet {
+		for _, f := range run.footprint {
 			taken[f.node] += f.units
 		}
 	}
