Count the load of zones from jobs in one place

The choice of a zone for new jobs and the move out of a lost zone counted the running and queued jobs of each zone in the same loop. Both call zoning.CountJobs now.

--- a/internal/instance/adapters.go
+++ b/internal/instance/adapters.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"maps"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,7 +40,7 @@
 	}
 	z.reader.Read(func(s *state.State) {
 		loads := zoning.Inventory(list, quarantined(s))
-		addJobs(s, loads)
+		zoning.CountJobs(loads, maps.Values(s.Jobs))
 		zone = zoning.ChooseForJob(job, loads, s.Guarantees)
 		// Quarantined workers return, so they count for what can ever run.
 		refusal = zoning.Refusal(job, zoning.Inventory(list, func(string) bool { return false }))
@@ -69,29 +70,6 @@
 	return zone, result, nil
 }
 
-// addJobs counts the accelerators that the jobs of each zone hold or wait for. The state has
-// every accepted job at once, so a burst of jobs spreads over the zones; what the leaders
-// report is older and would send a whole burst to one zone.
-func addJobs(s *state.State, loads map[string]zoning.Load) {
-	for zone, load := range loads {
-		load.Free = load.Total
-		loads[zone] = load
-	}
-	for _, job := range s.Jobs {
-		load, found := loads[job.Status.Zone]
-		if !found {
-			continue
-		}
-		switch job.Status.Phase {
-		case resource.PhaseRunning:
-			load.Free -= job.Spec.Accelerators()
-		case resource.PhaseQueued:
-			load.Queued += job.Spec.Accelerators()
-		}
-		loads[job.Status.Zone] = load
-	}
-}
-
 func quarantined(s *state.State) func(string) bool {
 	return func(worker string) bool { return s.Workers[worker].Quarantined }
 }
--- a/internal/placement/moves.go
+++ b/internal/placement/moves.go
@@ -70,22 +70,7 @@
 func (z *zone) otherLoads() map[string]zoning.Load {
 	loads := zoning.Inventory(z.view.Instances, func(id string) bool { return z.view.Health[id].Quarantined })
 	delete(loads, z.name)
-	for zone, load := range loads {
-		load.Free = load.Total
-		loads[zone] = load
-	}
-	for _, job := range z.view.Others {
-		load, found := loads[job.Status.Zone]
-		if !found {
-			continue
-		}
-		if job.Status.Phase == resource.PhaseRunning {
-			load.Free -= job.Spec.Accelerators()
-		} else {
-			load.Queued += job.Spec.Accelerators()
-		}
-		loads[job.Status.Zone] = load
-	}
+	zoning.CountJobs(loads, slices.Values(z.view.Others))
 	return loads
 }
 
--- a/internal/zoning/zoning.go
+++ b/internal/zoning/zoning.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"fmt"
+	"iter"
 	"slices"
 
 	"github.com/oleanderbend/oleanderbend/internal/platform"
@@ -45,6 +46,29 @@
 	return loads
 }
 
+// CountJobs sets the free and queued accelerators of each zone from the jobs that run and wait
+// there, as the log has them. The log has every accepted job at once, so a burst of jobs spreads
+// over the zones; what the leaders report is older and would send a whole burst to one zone.
+func CountJobs(loads map[string]Load, jobs iter.Seq[*resource.Job]) {
+	for zone, load := range loads {
+		load.Free = load.Total
+		loads[zone] = load
+	}
+	for job := range jobs {
+		load, found := loads[job.Status.Zone]
+		if !found {
+			continue
+		}
+		switch job.Status.Phase {
+		case resource.PhaseRunning:
+			load.Free -= job.Spec.Accelerators()
+		case resource.PhaseQueued:
+			load.Queued += job.Spec.Accelerators()
+		}
+		loads[job.Status.Zone] = load
+	}
+}
+
 // fits reports whether a gang could ever be placed in the zone when it is empty.
 func (l Load) fits(adjacency resource.Adjacency, member, total int) bool {
 	if member > l.LargestWorker {
