Keep peers' old notices from taking a returned target out again

A target that was back was marked again by a peer that had not read the new list yet, and then stayed out for 60 s. Change: for 5 s after a return the notices of peers do not count; the list and the target's own header do.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -81,7 +81,9 @@
 	leavingAt time.Time
 	// listedLeaving is set once the list showed the target as leaving.
 	listedLeaving bool
-	gone          bool
+	// returnedAt is when the target was last found to be back.
+	returnedAt time.Time
+	gone       bool
 	// allowance is the number of slots that this instance may use.
 	allowance int
 	inUse     int
@@ -145,6 +147,10 @@
 // without the list having shown it gets new work after it.
 const ReturnGrace = time.Minute
 
+// ReturnSettle is how long after a return the notices of peers do not count. A peer repeats its
+// notice until it has read the new list itself, a second or two later.
+const ReturnSettle = 5 * time.Second
+
 // Changes are what a new list changed.
 type Changes struct {
 	// Leaving has the targets that the list shows as leaving for the first time.
@@ -170,7 +176,7 @@
 			}
 			entry.listedLeaving = true
 		case entry.isBack(now):
-			entry.leaving, entry.listedLeaving = false, false
+			entry.leaving, entry.listedLeaving, entry.returnedAt = false, false, now
 			changes.Returned = append(changes.Returned, row.ID)
 		}
 		entry.instance = row
@@ -219,6 +225,14 @@
 	}
 }
 
+// HearLeaving takes the notice of a peer that a target leaves.
+func (t *Table) HearLeaving(now time.Time, id string) {
+	e, known := t.targets[id]
+	if known && (e.returnedAt.IsZero() || now.Sub(e.returnedAt) >= ReturnSettle) {
+		t.MarkLeaving(now, id)
+	}
+}
+
 // MarkLeaving stops new requests to a target. It reports whether this is news.
 func (t *Table) MarkLeaving(now time.Time, id string) bool {
 	e, known := t.targets[id]
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -103,7 +103,7 @@
 	defer g.core.mu.Unlock()
 	for _, m := range g.cfg.View.Members() {
 		for _, id := range m.Info.LeavingTargets {
-			g.core.table.MarkLeaving(g.now(), id)
+			g.core.table.HearLeaving(g.now(), id)
 		}
 	}
 }
