--- /dev/null
+++ b/internal/boottime/boottime.go
@@ -0,0 +1,32 @@
+// Package boottime reads a steady clock that goes on while the machine is suspended.
+//
+// Leases between machines must not be stretched by a suspension, which Go's monotonic clock
+// does not count.
+package boottime
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Instant is a reading of the clock, as the time since the machine was started.
+type Instant time.Duration
+
+// Now reads the clock. The call cannot fail on Linux, where CLOCK_BOOTTIME always exists.
+func Now() Instant {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic("boottime: " + err.Error())
+	}
+	return Instant(ts.Nano())
+}
+
+// Add returns the instant that is d later.
+func (i Instant) Add(d time.Duration) Instant { return i + Instant(d) }
+
+// Sub returns the time from earlier to i.
+func (i Instant) Sub(earlier Instant) time.Duration { return time.Duration(i - earlier) }
+
+// Since returns the time that has passed since i.
+func Since(i Instant) time.Duration { return Now().Sub(i) }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -88,6 +88,7 @@
 			demoCommand(env),
 			loadCommand(env),
 			serveCommand(env),
+			instanceCommand(env),
 			standinCommand(env),
 			applyCommand(env),
 			getCommand(env),
--- /dev/null
+++ b/internal/cli/instance.go
@@ -0,0 +1,65 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"runtime/debug"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/oleanderbend/oleanderbend/internal/intake"
+	"github.com/oleanderbend/oleanderbend/internal/logging"
+	"github.com/oleanderbend/oleanderbend/internal/node"
+	"github.com/oleanderbend/oleanderbend/platform"
+)
+
+// memoryShare is the part of an instance's memory that the heap may fill before the collector
+// works harder.
+const memoryShare = 0.6
+
+func instanceCommand(env Env) *ffcli.Command {
+	fs := newFlagSet("instance", env)
+	file := fs.String("settings", os.Getenv(platform.SettingsEnv), "settings `FILE` of the platform")
+	level := fs.String("log-level", "info", "least `LEVEL` of the log lines: debug, info, warn or error")
+	return &ffcli.Command{
+		Name:       "instance",
+		ShortUsage: "oleanderbend instance [--settings FILE] [--log-level LEVEL]",
+		ShortHelp:  "run one instance on the platform until interrupted, then stop gracefully",
+		LongHelp: "Runs one instance behind the platform's balancer. The settings file is the platform's; its path\n" +
+			"is read from " + platform.SettingsEnv + " if the flag is not given.",
+		FlagSet: fs,
+		Exec: func(ctx context.Context, args []string) error {
+			if *file == "" || len(args) > 0 {
+				return fmt.Errorf("%w: instance needs a settings file and no arguments", errUsage)
+			}
+			return runInstance(ctx, env, *file, *level)
+		},
+	}
+}
+
+func runInstance(ctx context.Context, env Env, file, level string) error {
+	s, err := platform.ReadSettings(file)
+	if err != nil {
+		return err
+	}
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
+	}
+	p := node.Platform{
+		Log:           platform.NewStore(s.StoreAddress),
+		Workers:       platform.NewWorkers(),
+		OperatorTopic: platform.OperatorTopic, WorkersTopic: platform.WorkersTopic, StatusTopic: platform.StatusTopic,
+		IsConfig: platform.IsConfig, DecodeConfig: platform.DecodeConfig, DecodeWave: platform.DecodeWave,
+		DecodeWorker: platform.DecodeWorker, WaveStatus: platform.WaveStatus,
+		Front: func(i *intake.Service) http.Handler { return platform.NewFront(i) },
+	}
+	if s.Advice != "" {
+		p.Advisor = platform.NewAdvice(s.Advice)
+	}
+	if s.Machines != "" {
+		p.Machines = platform.NewMachines(s.Machines)
+	}
+	return node.New(s, p, logging.New(env.Stdout, level, s.Name)).Run(ctx)
+}
--- /dev/null
+++ b/internal/controller/leader.go
@@ -0,0 +1,274 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/oleanderbend/oleanderbend/internal/batch"
+	"github.com/oleanderbend/oleanderbend/internal/boottime"
+	"github.com/oleanderbend/oleanderbend/internal/election"
+	"github.com/oleanderbend/oleanderbend/internal/ledger"
+)
+
+const (
+	// inboxSize bounds the outcomes of calls that wait for the owner of the state.
+	inboxSize = 1024
+	// tickEvery is the step at which time-outs and due occurrences are checked.
+	tickEvery = 50 * time.Millisecond
+	// planEvery is the least time between two rounds of planning, so that a burst of events
+	// is planned together.
+	planEvery = 15 * time.Millisecond
+	// producer names the leader's appends; its epochs are those of the election.
+	producer = "scheduler"
+	// workersWait is how long a read of the workers' entries waits for news.
+	workersWait = time.Second
+	// recoverPause is the pause before a failed step of a takeover is tried again.
+	recoverPause = 50 * time.Millisecond
+)
+
+// leader is the state of one term. Only its own goroutine uses it, except where noted.
+type leader struct {
+	c      *Controller
+	ctx    context.Context
+	cancel context.CancelFunc
+	term   election.Term
+	logger *log.Logger
+
+	// inbox receives outcomes of calls; any goroutine may post.
+	inbox chan func()
+	tasks *ledger.Writer
+	jobs  *ledger.Writer
+
+	byID  map[string]*job
+	links map[string]*link
+
+	planDue  bool
+	lastPlan boottime.Instant
+	tookOver boottime.Instant
+	lastTidy boottime.Instant
+	nextUnit int
+	advising bool
+	upkeep   *upkeepState
+}
+
+func newLeader(c *Controller, ctx context.Context, cancel context.CancelFunc, term election.Term) *leader {
+	l := &leader{
+		c: c, ctx: ctx, cancel: cancel, term: term, logger: c.cfg.Logger,
+		inbox: make(chan func(), inboxSize),
+		byID:  make(map[string]*job), links: make(map[string]*link),
+		upkeep: newUpkeepState(),
+	}
+	l.tasks = l.writer(batch.TasksTopic)
+	l.jobs = l.writer(batch.JobsTopic)
+	return l
+}
+
+func (l *leader) writer(topic string) *ledger.Writer {
+	return ledger.NewWriter(ledger.WriterConfig{
+		Log: l.c.cfg.Log, Topic: topic, Producer: producer, Epoch: l.term.Epoch, Persist: true, Logger: l.logger,
+	})
+}
+
+// post hands an outcome to the owner of the state. It gives up when the term ends.
+func (l *leader) post(f func()) {
+	select {
+	case l.inbox <- f:
+	case <-l.ctx.Done():
+	}
+}
+
+// stepDown ends the term.
+func (l *leader) stepDown(reason string) {
+	l.logger.Warn().Str("reason", reason).Int64("epoch", l.term.Epoch).Msg("stepping down")
+	l.cancel()
+}
+
+// takeOver fences earlier leaders, reads what they stored and finds the workers that may run
+// something.
+func (l *leader) takeOver() error {
+	l.tookOver = boottime.Now()
+	if _, err := l.fence(l.tasks); err != nil {
+		return err
+	}
+	end, err := l.fence(l.jobs)
+	if err != nil {
+		return err
+	}
+	records, err := l.readTasks()
+	if err != nil {
+		return err
+	}
+	for l.c.cfg.JobsPosition() < end {
+		if l.ctx.Err() != nil {
+			return l.ctx.Err()
+		}
+		time.Sleep(recoverPause / 10)
+	}
+	for _, state := range l.c.cfg.Jobs.SnapshotAll() {
+		l.load(state, records[state.Job.ID])
+	}
+	l.logger.Info().Int64("epoch", l.term.Epoch).Int("jobs", len(l.byID)).Int("jobs_with_tasks", len(records)).
+		Int("workers", len(l.links)).Dur("took", boottime.Since(l.tookOver)).Msg("took over")
+	return nil
+}
+
+func (l *leader) fence(w *ledger.Writer) (int64, error) {
+	for {
+		end, err := w.Fence(l.ctx)
+		if err == nil || errors.Is(err, ledger.ErrFenced) {
+			return end, err
+		}
+		if err := l.pauseInTerm(err); err != nil {
+			return 0, err
+		}
+	}
+}
+
+func (l *leader) readTasks() (map[string]taskRecords, error) {
+	records := make(map[string]taskRecords)
+	for after := ""; ; {
+		ctx, cancel := context.WithTimeout(l.ctx, time.Second)
+		page, err := l.c.cfg.Log.Newest(ctx, batch.TasksTopic, after)
+		cancel()
+		if err != nil {
+			if err := l.pauseInTerm(err); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		for _, entry := range page.Entries {
+			id, record, err := batch.ParseTask(entry)
+			if err != nil {
+				l.logger.Error().Err(err).Str("key", entry.Key).Msg("record of a task passed over")
+				continue
+			}
+			if records[id.Job] == nil {
+				records[id.Job] = make(taskRecords)
+			}
+			records[id.Job][id] = record
+		}
+		if !page.More || len(page.Entries) == 0 {
+			return records, nil
+		}
+		after = page.Entries[len(page.Entries)-1].Key
+	}
+}
+
+// pauseInTerm waits before another try, or returns an error if the term is over.
+func (l *leader) pauseInTerm(cause error) error {
+	select {
+	case <-l.ctx.Done():
+		return eris.Wrap(l.ctx.Err(), cause.Error())
+	case <-time.After(recoverPause):
+	}
+	if !l.term.Valid() {
+		return eris.Wrap(cause, "term lost")
+	}
+	return nil
+}
+
+// run owns the state until the term ends.
+func (l *leader) run() {
+	for _, w := range []*ledger.Writer{l.tasks, l.jobs} {
+		go func() {
+			if err := w.Run(l.ctx); err != nil {
+				l.post(func() { l.stepDown(err.Error()) })
+			}
+		}()
+	}
+	workers := ledger.NewFollower(ledger.FollowerConfig{
+		Log: l.c.cfg.Log, Topic: l.c.cfg.WorkersTopic, Wait: workersWait,
+		Pause:  func() time.Duration { return workersPause },
+		Apply:  func(u ledger.Update) { l.post(func() { l.applyWorkers(u) }) },
+		Logger: l.logger,
+	})
+	go workers.Run(l.ctx)
+	l.adoptAll()
+	l.planDue = true
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case f := <-l.inbox:
+			f()
+		case <-l.c.wake:
+			l.applyJobs(l.c.takeChanged())
+		case <-ticker.C:
+			l.tick()
+		}
+		l.drainInbox()
+		l.planIfDue()
+	}
+}
+
+// drainInbox handles what waits already, so that one round of planning sees all of it.
+func (l *leader) drainInbox() {
+	for range inboxSize {
+		select {
+		case f := <-l.inbox:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+func (l *leader) planIfDue() {
+	if !l.planDue || !l.term.Valid() {
+		return
+	}
+	if wait := planEvery - boottime.Since(l.lastPlan); wait > 0 {
+		time.AfterFunc(wait, func() { l.post(func() {}) })
+		return
+	}
+	l.planDue = false
+	l.lastPlan = boottime.Now()
+	l.plan()
+}
+
+// tick checks time-outs.
+func (l *leader) tick() {
+	now := boottime.Now()
+	for _, k := range l.links {
+		l.checkLink(k, now)
+	}
+	l.checkJobs()
+	l.checkUpkeep()
+	l.requestAdvice()
+	if l.hasWaiting() {
+		l.planDue = true
+	}
+	if boottime.Since(l.lastTidy) > tidyEvery {
+		l.lastTidy = now
+		l.tidy()
+	}
+}
+
+// store appends records of tasks and runs then once they are stored.
+func (l *leader) store(records []ledger.Record, then func()) {
+	l.enqueue(l.tasks, records, then)
+}
+
+// storeJobs appends records of jobs and runs then once they are stored.
+func (l *leader) storeJobs(records []ledger.Record, then func()) {
+	l.enqueue(l.jobs, records, then)
+}
+
+func (l *leader) enqueue(w *ledger.Writer, records []ledger.Record, then func()) {
+	taken := w.Enqueue(records, func(err error) {
+		if err != nil {
+			l.post(func() { l.stepDown(err.Error()) })
+			return
+		}
+		l.post(then)
+	})
+	if !taken {
+		l.stepDown("too many writes wait")
+	}
+}
--- /dev/null
+++ b/internal/controller/link.go
@@ -0,0 +1,417 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/batch"
+	"github.com/oleanderbend/oleanderbend/internal/boottime"
+	"github.com/oleanderbend/oleanderbend/internal/ledger"
+	"github.com/oleanderbend/oleanderbend/internal/planner"
+	"github.com/oleanderbend/oleanderbend/internal/worker"
+)
+
+const (
+	// preferredLease outlives a takeover and short cuts; a longer one keeps the tasks of a lost
+	// worker waiting.
+	preferredLease = 5 * time.Second
+	// lookEvery is how long a look at a worker waits for an end. Leases are renewed as often.
+	lookEvery = 900 * time.Millisecond
+	// lookTimeout is added to it for the answer.
+	lookTimeout = 700 * time.Millisecond
+	// lookRetry is the pause after a look without an answer.
+	lookRetry = 150 * time.Millisecond
+	// clockDrift is how much slower a worker's clock may run.
+	clockDrift = 0.02
+	// lapseMargin covers rounding to milliseconds.
+	lapseMargin = 30 * time.Millisecond
+	// workersPause collects the entries that workers write one by one.
+	workersPause = 100 * time.Millisecond
+	// shunAfter is how many jobs must fail in a row on a worker before it gets no more work.
+	shunAfter = 2
+	// shunFor is how long it gets none, the length of a usual disturbance.
+	shunFor = 6 * time.Second
+	// unhealthyPause is how long a worker that refused an order gets no more.
+	unhealthyPause = time.Second
+)
+
+// link is what the leader knows of a worker.
+type link struct {
+	id      string
+	address string
+	info    worker.Info
+	// present says that the registry has an entry for the worker.
+	present bool
+	born    int64
+	runs    map[batch.TaskID]*run
+
+	// clock is the worker's clock in ms at the instant clockAt, or a little later.
+	clock   int64
+	clockAt boottime.Instant
+	// maxDue is the latest due time sent in this term, on the worker's clock.
+	maxDue int64
+	// adoptUntil bounds the leases that an earlier leader may have given out.
+	adoptUntil boottime.Instant
+
+	// answered says that the worker has answered a look in this term.
+	answered bool
+	// resample asks for a look that reads the clock again.
+	resample bool
+	looking  bool
+	lookDue  boottime.Instant
+	// silentSince is when the worker stopped answering; 0 while it answers.
+	silentSince boottime.Instant
+	// processed is the highest end taken, unstored how many of their records are under way,
+	// acked what the worker was told it may forget.
+	processed, acked int64
+	unstored         int
+
+	closedUntil boottime.Instant
+	// failedJobs are the jobs that failed since the last success.
+	failedJobs map[string]bool
+	drainingAt boottime.Instant
+}
+
+// linkOf returns the link of a worker that a stored record names.
+func (l *leader) linkOf(id, address string, born int64) *link {
+	k := l.links[id]
+	if k == nil {
+		k = &link{id: id, address: address, born: born, runs: make(map[batch.TaskID]*run), failedJobs: make(map[string]bool)}
+		l.links[id] = k
+	}
+	bound := l.term.FormerValid + l.c.cfg.Bounds.MaxLease
+	k.adoptUntil = l.tookOver.Add(bound + time.Duration(clockDrift*float64(bound)) + lapseMargin)
+	return k
+}
+
+// applyWorkers takes changes of the registry.
+func (l *leader) applyWorkers(u ledger.Update) {
+	seen := make(map[string]bool)
+	for _, entry := range u.Entries {
+		seen[entry.Key] = true
+		l.applyWorker(entry.Record)
+	}
+	if u.Reset {
+		for id, k := range l.links {
+			if !seen[id] && k.present {
+				l.workerGone(k)
+			}
+		}
+	}
+	l.planDue = true
+}
+
+func (l *leader) applyWorker(r ledger.Record) {
+	k := l.links[r.Key]
+	if len(r.Value) == 0 {
+		if k != nil && k.present {
+			l.workerGone(k)
+		}
+		return
+	}
+	info, err := l.c.cfg.DecodeWorker(r)
+	if err != nil {
+		l.logger.Info().Err(err).Str("worker", r.Key).Msg("worker's entry passed over")
+		return
+	}
+	if k == nil {
+		k = &link{id: info.ID, born: info.Born, runs: make(map[batch.TaskID]*run), failedJobs: make(map[string]bool)}
+		l.links[info.ID] = k
+	}
+	if info.Born < k.born {
+		return
+	}
+	l.noteBirth(k, info.Born)
+	if !k.present || k.info.State != info.State {
+		l.logger.Info().Str("worker", k.id).Str("rack", info.Rack).Int("state", int(info.State)).
+			Int64("born", info.Born).Int("runs", len(k.runs)).Msg("worker's state changed")
+	}
+	if info.State == worker.Draining && k.drainingAt == 0 {
+		k.drainingAt = boottime.Now()
+	}
+	if info.State == worker.Ready {
+		k.drainingAt = 0
+	}
+	k.present, k.info, k.address = true, info, info.Address
+	if now := boottime.Now(); k.clockAt == 0 || info.ClockMS > k.clock+now.Sub(k.clockAt).Milliseconds() {
+		k.clock, k.clockAt = info.ClockMS, now
+	}
+	l.leaveDraining(k)
+}
+
+// workerGone takes the loss of an entry: the worker has left, or does not reach the registry.
+func (l *leader) workerGone(k *link) {
+	l.logger.Info().Str("worker", k.id).Int("runs", len(k.runs)).Msg("worker's entry gone")
+	k.present = false
+	if len(k.runs) == 0 {
+		delete(l.links, k.id)
+	}
+}
+
+// noteBirth takes the birth time that a worker reports. A later one means that the worker was
+// started again: its runs are over.
+func (l *leader) noteBirth(k *link, born int64) {
+	if born == k.born || born == 0 {
+		return
+	}
+	before := k.born
+	k.born = born
+	if before == 0 {
+		return
+	}
+	l.logger.Info().Str("worker", k.id).Int64("born", born).Int("runs", len(k.runs)).Msg("worker started again")
+	k.processed, k.acked = 0, 0
+	k.clock, k.clockAt = 0, boottime.Now()
+	k.maxDue = l.c.cfg.Bounds.MaxLease.Milliseconds()
+	for _, r := range k.list() {
+		if r.unanswered > 0 && r.state != adopting {
+			// A start that never got an answer may still arrive in the worker's new life.
+			r.lostLife = true
+			l.stopRun(r, "worker started again")
+			continue
+		}
+		l.resolve(r, endLost, "")
+	}
+}
+
+// list copies the runs, for loops that change them.
+func (k *link) list() []*run {
+	runs := make([]*run, 0, len(k.runs))
+	for _, r := range k.runs {
+		runs = append(runs, r)
+	}
+	return runs
+}
+
+// clockLow is the least that the worker's clock can show now.
+func (k *link) clockLow(now boottime.Instant) int64 {
+	passed := float64(now.Sub(k.clockAt).Milliseconds()) * (1 - clockDrift)
+	return k.clock + int64(passed)
+}
+
+// lapsed says whether every lease on the worker has certainly run out.
+func (k *link) lapsed(now boottime.Instant) bool {
+	if !k.answered && now < k.adoptUntil {
+		return false
+	}
+	return k.maxDue == 0 || (k.clockAt != 0 && k.clockLow(now) > k.maxDue+lapseMargin.Milliseconds())
+}
+
+func (k *link) adopting() bool {
+	for _, r := range k.runs {
+		if r.state == adopting {
+			return true
+		}
+	}
+	return false
+}
+
+// due returns the due time to send, and remembers it. While the log is failing the longest
+// lease is given, so that runs outlive the time without a valid leader.
+func (l *leader) due(k *link, now boottime.Instant) int64 {
+	lease := min(preferredLease, l.c.cfg.Bounds.MaxLease)
+	if !l.term.Fresh() {
+		lease = l.c.cfg.Bounds.MaxLease
+	}
+	due := k.clock + now.Sub(k.clockAt).Milliseconds() + lease.Milliseconds()
+	k.maxDue = max(k.maxDue, due)
+	return due
+}
+
+// open says whether the planner may use a worker.
+func (k *link) open(now boottime.Instant) bool {
+	return k.present && k.info.State == worker.Ready && k.silentSince == 0 && !k.resample && now >= k.closedUntil
+}
+
+// used sums what runs on a worker, and what of it is being stopped.
+func (k *link) used() (all, releasing planner.Resources) {
+	for _, r := range k.runs {
+		need := needOf(r.task.unit.step)
+		all = all.Add(need)
+		if r.state == stopping {
+			releasing = releasing.Add(need)
+		}
+	}
+	return all, releasing
+}
+
+// needOf is what a task takes of a worker's capacity.
+func needOf(s *batch.Step) planner.Resources {
+	need := planner.Resources{CPU: s.CPU, MemoryMB: s.MemoryMB, GPU: s.GPU}
+	if s.Filler {
+		need.CPU = 0
+	}
+	return need
+}
+
+// checkLink looks at a worker that needs it, and gives up runs whose leases have run out.
+func (l *leader) checkLink(k *link, now boottime.Instant) {
+	if len(k.runs) > 0 && k.silentSince != 0 && k.lapsed(now) {
+		l.logger.Warn().Str("worker", k.id).Int("runs", len(k.runs)).
+			Dur("silent", now.Sub(k.silentSince)).Msg("leases have run out")
+		for _, r := range k.list() {
+			l.resolve(r, endLost, "")
+		}
+	}
+	for _, r := range k.list() {
+		l.checkRun(r, now)
+	}
+	if !k.present && len(k.runs) == 0 {
+		delete(l.links, k.id)
+		return
+	}
+	l.look(k)
+}
+
+// look asks a worker for its lists, unless a look is under way or nothing is expected.
+func (l *leader) look(k *link) {
+	now := boottime.Now()
+	if k.looking || now < k.lookDue || k.unstored > 0 || !l.term.Valid() {
+		return
+	}
+	if len(k.runs) == 0 && k.processed == k.acked && !k.resample {
+		return
+	}
+	order := worker.HoldOrder{Token: l.term.Epoch, AckedThrough: k.processed}
+	switch {
+	case k.clockAt == 0 || k.adopting():
+		// The first look only raises the fence and reads the clock.
+	case len(k.runs) > 0:
+		order.DueMS = l.due(k, now)
+		order.Wait = lookEvery
+		if k.waitsForStop() {
+			order.Wait = stopLook
+		}
+	}
+	if !l.term.Valid() {
+		return
+	}
+	k.looking = true
+	l.c.metrics.holds.Inc()
+	target := worker.Target{ID: k.id, Address: k.address}
+	go func() {
+		ctx, cancel := context.WithTimeout(l.ctx, order.Wait+lookTimeout)
+		defer cancel()
+		lists, err := l.c.cfg.Workers.Hold(ctx, target, order)
+		l.post(func() { l.looked(k, now, order, lists, err) })
+	}()
+}
+
+// looked takes the outcome of a look that was sent at the given instant.
+func (l *leader) looked(k *link, sent boottime.Instant, o worker.HoldOrder, lists worker.Lists, err error) {
+	k.looking = false
+	if l.links[k.id] != k {
+		return
+	}
+	if err != nil {
+		l.lookFailed(k, err)
+		return
+	}
+	if k.silentSince != 0 {
+		l.logger.Info().Str("worker", k.id).Dur("silent", boottime.Since(k.silentSince)).Msg("worker answers again")
+		k.silentSince = 0
+		l.planDue = true
+	}
+	if lists.Born != 0 && lists.Born < k.born {
+		return
+	}
+	l.noteBirth(k, lists.Born)
+	k.clock, k.clockAt, k.resample = lists.ClockMS, boottime.Now(), false
+	if !k.answered {
+		// An earlier leader may have given out the longest lease just before.
+		k.answered = true
+		k.maxDue = max(k.maxDue, k.clock+l.c.cfg.Bounds.MaxLease.Milliseconds())
+	}
+	k.acked = max(k.acked, o.AckedThrough)
+	l.takeEnds(k, lists.Ended)
+	l.takeRunning(k, sent, lists)
+	l.look(k)
+}
+
+func (l *leader) lookFailed(k *link, err error) {
+	var refused *worker.RefusedError
+	now := boottime.Now()
+	k.lookDue = now.Add(lookRetry)
+	if errors.As(err, &refused) {
+		switch refused.Reason {
+		case worker.RefusedFence:
+			l.stepDown("worker has seen a newer leader")
+			return
+		case worker.RefusedInstance:
+			l.replaced(k)
+			return
+		}
+	}
+	if k.silentSince == 0 {
+		k.silentSince = now
+		l.logger.Warn().Str("worker", k.id).Err(err).Int("runs", len(k.runs)).Msg("worker does not answer")
+	}
+}
+
+// replaced takes that another incarnation has the worker's address: this one runs nothing.
+func (l *leader) replaced(k *link) {
+	l.logger.Info().Str("worker", k.id).Int("runs", len(k.runs)).Msg("worker replaced at its address")
+	for _, r := range k.list() {
+		l.resolve(r, endLost, "")
+	}
+	k.processed = k.acked
+	k.present = false
+}
+
+// takeEnds takes the ends that were not taken before.
+func (l *leader) takeEnds(k *link, ends []worker.End) {
+	for _, e := range ends {
+		if e.Number <= k.processed {
+			continue
+		}
+		k.processed = e.Number
+		if r := k.runs[e.Task]; r != nil && r.number == e.Run.Number {
+			l.resolve(r, e.Kind, e.Checkpoint)
+		}
+	}
+}
+
+// takeRunning compares the runs in progress with those expected.
+func (l *leader) takeRunning(k *link, sent boottime.Instant, lists worker.Lists) {
+	listed := make(map[batch.TaskID]bool, len(lists.Running))
+	for i := range lists.Running {
+		s := &lists.Running[i]
+		r := k.runs[s.Task]
+		if r == nil || r.number != s.Number {
+			l.stopStray(k, s.Run)
+			continue
+		}
+		listed[s.Task] = true
+		l.seenRunning(r, s)
+	}
+	for _, r := range k.list() {
+		if !listed[r.task.id] && r.settled != 0 && sent > r.settled {
+			// The order was answered before the look was sent: the run is over, and was not
+			// listed as ended because it never began or its end was forgotten.
+			l.resolve(r, endLost, "")
+		} else if !listed[r.task.id] && r.state == adopting {
+			l.resolve(r, endLost, "")
+		}
+	}
+}
+
+// stopStray ends a run that the leader does not know.
+func (l *leader) stopStray(k *link, r worker.Run) {
+	l.logger.Warn().Str("worker", k.id).Str("task", r.Task.String()).Int64("run", r.Number).Msg("stopping unknown run")
+	target, token := worker.Target{ID: k.id, Address: k.address}, l.term.Epoch
+	go func() {
+		ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
+		defer cancel()
+		if err := l.c.cfg.Workers.Stop(ctx, target, r, token); err != nil {
+			l.logger.Warn().Str("worker", target.ID).Str("task", r.Task.String()).Err(err).Msg("unknown run not stopped")
+		}
+	}()
+}
+
+// adoptAll looks at every worker that an earlier leader may have given work.
+func (l *leader) adoptAll() {
+	for _, k := range l.links {
+		l.look(k)
+	}
+}
--- /dev/null
+++ b/internal/controller/plan.go
@@ -0,0 +1,323 @@
+package controller
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/batch"
+	"github.com/oleanderbend/oleanderbend/internal/boottime"
+	"github.com/oleanderbend/oleanderbend/internal/ledger"
+	"github.com/oleanderbend/oleanderbend/internal/planner"
+	"github.com/oleanderbend/oleanderbend/internal/worker"
+)
+
+const (
+	// overdueFactor times its objective, a job is worth nothing to its submitter any more.
+	overdueFactor = 3
+	// gpuCores is how many cores an accelerator counts for, in work that is thrown away.
+	gpuCores = 8
+	// patience is how long tasks wait for their rack before they run elsewhere, slower.
+	patience = 4 * time.Second
+)
+
+// plan decides a round and carries it out.
+func (l *leader) plan() {
+	started := time.Now()
+	snapshot, links, units := l.snapshot()
+	if len(units) == 0 || len(links) == 0 {
+		return
+	}
+	decided := planner.Decide(snapshot)
+	for _, group := range decided.Stops {
+		l.preempt(group)
+	}
+	for _, s := range decided.Starts {
+		l.startUnit(units[s.Unit], s.Workers, links, snapshot.Units[s.Unit].Entitled)
+	}
+	l.c.metrics.planTime.UpdateDuration(started)
+}
+
+// snapshot describes the workers and the waiting units to the planner.
+func (l *leader) snapshot() (planner.Snapshot, []*link, []*unit) {
+	var s planner.Snapshot
+	now := boottime.Now()
+	ids := slices.Sorted(maps.Keys(l.links))
+	links := make([]*link, 0, len(ids))
+	for _, id := range ids {
+		k := l.links[id]
+		if !k.present {
+			continue
+		}
+		links = append(links, k)
+		s.Workers = append(s.Workers, l.describeWorker(k, now))
+	}
+	entitled := l.entitlements()
+	var units []*unit
+	for _, id := range slices.Sorted(maps.Keys(l.byID)) {
+		j := l.byID[id]
+		if !j.live() {
+			continue
+		}
+		for _, u := range j.units {
+			n := u.waiting()
+			if n == 0 || now < u.notBefore {
+				continue
+			}
+			if u.readySince == 0 {
+				u.readySince = now
+			}
+			d, ok := l.describeUnit(u, n, now, entitled[j])
+			if ok {
+				units = append(units, u)
+				s.Units = append(s.Units, d)
+			}
+		}
+	}
+	return s, links, units
+}
+
+func (l *leader) describeWorker(k *link, now boottime.Instant) planner.Worker {
+	capacity := planner.Resources{CPU: k.info.CPU, MemoryMB: k.info.MemoryMB, GPU: k.info.GPU}
+	used, releasing := k.used()
+	w := planner.Worker{
+		ID: k.id, Service: k.info.Service, Rack: k.info.Rack, Labels: k.info.Labels, Open: k.open(now) && !l.upkeep.holds(k.id),
+		Free: capacity.Sub(used), Releasing: releasing, Suspicion: len(k.failedJobs),
+	}
+	for _, r := range k.runs {
+		step := r.task.unit.step
+		w.Serving = w.Serving || step.TailTargetMS > 0
+		w.Filling = w.Filling || step.Filler
+		if r.state == stopping {
+			continue
+		}
+		w.Runs = append(w.Runs, planner.Run{
+			Group: r.group(), Need: needOf(step), Priority: r.task.unit.job.spec.Terms.Priority,
+			Entitled: r.entitled, Kept: step.Lasting || r.state == adopting, Loss: r.groupLoss(now),
+		})
+	}
+	return w
+}
+
+// groupBase separates the groups of single tasks from those of gangs.
+const groupBase = 1 << 20
+
+// group numbers what is stopped together: the unit of a gang, or a single task.
+func (r *run) group() int {
+	u := r.task.unit
+	if u.gang() {
+		return u.id * groupBase
+	}
+	return u.id*groupBase + r.task.id.Index + 1
+}
+
+// groupLoss is the work that stopping a run throws away, in weighted core-seconds.
+func (r *run) groupLoss(now boottime.Instant) float64 {
+	u := r.task.unit
+	if u.step.Checkpoints {
+		return 0
+	}
+	weight := float64(u.step.CPU)/1000 + gpuCores*float64(u.step.GPU)
+	loss := weight * now.Sub(r.began).Seconds()
+	if u.gang() {
+		loss *= float64(len(u.tasks))
+	}
+	return loss
+}
+
+// describeUnit returns the planner's view of a unit; false while it must not be placed.
+func (l *leader) describeUnit(u *unit, waiting int, now boottime.Instant, entitled bool) (planner.Unit, bool) {
+	j := u.job
+	d := planner.Unit{
+		Service: j.spec.Terms.Service, Priority: j.spec.Terms.Priority, Entitled: entitled,
+		Tasks: waiting, Need: needOf(u.step), Gang: u.gang(), RackBound: u.step.RackBound && u.step.Count > 1,
+		DataRack: u.step.DataRack, Label: u.step.Label, MaxPerWorker: u.step.MaxPerWorker,
+		Filler: u.step.Filler, Serving: u.step.TailTargetMS > 0,
+		Patient: now.Sub(u.readySince) < patience,
+	}
+	d.Urgency, d.Deadline = u.urgency()
+	if u.step.MaxPerWorker > 0 {
+		d.Present = make(map[string]int)
+		for _, t := range u.tasks {
+			if t.run != nil {
+				d.Present[t.run.link.id]++
+			}
+		}
+	}
+	d.Avoid = u.avoided()
+	if q := l.queueOf(j); q != nil && q.Advice != nil {
+		allowed, ok := u.advice.workers(now)
+		if !ok {
+			return d, false
+		}
+		d.Allowed = allowed
+	}
+	return d, true
+}
+
+func (u *unit) avoided() map[string]bool {
+	var avoid map[string]bool
+	for _, t := range u.tasks {
+		if t.rec.Done || len(t.avoid) == 0 {
+			continue
+		}
+		if avoid == nil {
+			avoid = make(map[string]bool)
+		}
+		maps.Copy(avoid, t.avoid)
+	}
+	return avoid
+}
+
+// urgency tells what the job can still reach if the unit is started now, and its objective in
+// Unix milliseconds.
+func (u *unit) urgency() (planner.Urgency, int64) {
+	j := u.job
+	from := j.spec.AcceptedMS
+	if j.spec.Repeat > 0 {
+		from = j.spec.StartAtMS + int64(u.occurrence)*j.spec.IntervalMS
+	}
+	chain := longestChain(j.spec.Steps, -1)
+	objective := int64(j.spec.Terms.Stretch*float64(chain)) + j.spec.Terms.TargetMS
+	finish := time.Now().UnixMilli() + longestChain(j.spec.Steps, u.index)
+	switch {
+	case u.step.Lasting || finish <= from+objective:
+		return planner.OnTime, from + objective
+	case finish <= from+overdueFactor*objective:
+		return planner.Late, from + objective
+	default:
+		return planner.Overdue, from + objective
+	}
+}
+
+// longestChain is the estimated time of the longest chain of steps, in milliseconds: of all
+// steps, or of those that begin with the given one.
+func longestChain(steps []batch.Step, from int) int64 {
+	ends := make([]int64, len(steps))
+	longest := int64(0)
+	for i := range steps {
+		if i < from {
+			continue
+		}
+		begin, reached := int64(0), from < 0 || i == from
+		for _, earlier := range steps[i].After {
+			if ends[earlier] > 0 {
+				begin, reached = max(begin, ends[earlier]), true
+			}
+		}
+		if reached {
+			ends[i] = begin + max(1, steps[i].EstimateMS)
+			longest = max(longest, ends[i])
+		}
+	}
+	return longest
+}
+
+// entitlements tells which jobs of priority 0 are covered by their organisation's guarantee,
+// in the order of their acceptance.
+func (l *leader) entitlements() map[*job]bool {
+	config := l.c.cfg.Settings()
+	if config == nil {
+		return nil
+	}
+	var jobs []*job
+	for _, j := range l.byID {
+		if j.live() && j.spec.Terms.Priority == 0 && j.spec.Org != "" && len(j.units) > 0 {
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortFunc(jobs, func(a, b *job) int { return int(a.spec.AcceptedMS - b.spec.AcceptedMS) })
+	left := make(map[string]int64)
+	for i := range config.Orgs {
+		left[config.Orgs[i].Name] = config.Orgs[i].GuaranteedGPU
+	}
+	entitled := make(map[*job]bool)
+	for _, j := range jobs {
+		need := j.pendingGPU()
+		if need > 0 && need <= left[j.spec.Org] {
+			left[j.spec.Org] -= need
+			entitled[j] = true
+		}
+	}
+	for _, k := range l.links {
+		for _, r := range k.runs {
+			r.entitled = entitled[r.task.unit.job]
+		}
+	}
+	return entitled
+}
+
+// pendingGPU is what the job's widest unfinished step takes.
+func (j *job) pendingGPU() int64 {
+	widest := int64(0)
+	for _, u := range j.units {
+		if !u.done() {
+			widest = max(widest, u.step.GPU*int64(u.step.Count))
+		}
+	}
+	return widest
+}
+
+// preempt stops the runs of a group.
+func (l *leader) preempt(group int) {
+	for _, k := range l.links {
+		for _, r := range k.list() {
+			if r.group() == group {
+				l.stopRun(r, "preempted")
+			}
+		}
+	}
+}
+
+// startUnit stores the places of tasks and orders them once they are stored.
+func (l *leader) startUnit(u *unit, workers []int, links []*link, entitled bool) {
+	number := int64(0)
+	for _, t := range u.tasks {
+		number = max(number, t.rec.Run+1)
+	}
+	var runs []*run
+	var records []ledger.Record
+	for _, t := range u.tasks {
+		if len(runs) == len(workers) {
+			break
+		}
+		if t.rec.Done || t.run != nil {
+			continue
+		}
+		n := t.rec.Run + 1
+		if u.gang() {
+			n = number
+		}
+		k := links[workers[len(runs)]]
+		r, record := l.begin(t, k, n, u.advice.ticket(k.id), entitled)
+		runs = append(runs, r)
+		records = append(records, record)
+	}
+	l.c.metrics.startDelay.Update(boottime.Since(u.readySince).Seconds())
+	l.logger.Info().Str("step", u.tasks[0].id.StepName()).Int("tasks", len(runs)).Int64("run", number).
+		Bool("entitled", entitled).Dur("waited", boottime.Since(u.readySince)).Msg("step placed")
+	l.store(records, func() {
+		for _, r := range runs {
+			l.sendStart(r)
+		}
+	})
+	if u.job.phase == batch.Queued {
+		l.setPhase(u.job, batch.Running, nil)
+	}
+}
+
+// leaveDraining moves tasks off a worker that is about to leave, if they cannot finish there.
+func (l *leader) leaveDraining(k *link) {
+	if k.info.State != worker.Draining {
+		return
+	}
+	for _, r := range k.list() {
+		if r.state != running {
+			continue
+		}
+		left := time.Duration(r.task.unit.step.EstimateMS)*time.Millisecond - boottime.Since(r.began)
+		if r.task.unit.step.Lasting || left > k.info.Leaving {
+			l.stopRun(r, "worker is leaving")
+		}
+	}
+}
--- /dev/null
+++ b/internal/election/election.go
@@ -0,0 +1,344 @@
+// Package election chooses the one instance that schedules. A claim is a conditional append to
+// a topic of the platform's log; its offset is the leader's epoch and fencing token.
+package election
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/oleanderbend/oleanderbend/internal/boottime"
+	"github.com/oleanderbend/oleanderbend/internal/ledger"
+)
+
+// Topic and key of the leader's record.
+const (
+	Topic = "keyed.leader"
+	key   = "scheduler"
+)
+
+// Timing of the election.
+const (
+	// Validity is how long a leader considers itself leader after sending a renewal.
+	Validity = 2 * time.Second
+	// renewEvery leaves two more tries within Validity.
+	renewEvery = 600 * time.Millisecond
+	// claimAfter exceeds Validity by the drift of two clocks over it.
+	claimAfter = Validity + 200*time.Millisecond
+	// claimSpread keeps candidates from claiming at the same moment.
+	claimSpread = 250 * time.Millisecond
+	// freshFor is the age of a renewal after which the log counts as failing: one is overdue.
+	freshFor = 900 * time.Millisecond
+	// tick is the step at which the state is checked.
+	tick = 50 * time.Millisecond
+	// appendTimeout leaves time for another renewal within Validity.
+	appendTimeout = 700 * time.Millisecond
+)
+
+// Identity names one life of an instance.
+type Identity struct {
+	// Instance is the address of the instance: at most one process at a time has it.
+	Instance string
+	// Life differs for each start of the process.
+	Life string
+}
+
+// record is the leader's record as stored.
+type record struct {
+	Instance string `json:"instance"`
+	Life     string `json:"life"`
+	Epoch    int64  `json:"epoch"`
+	Renewal  int64  `json:"renewal"`
+	Released bool   `json:"released,omitempty"`
+}
+
+// Term is a period of leadership.
+type Term struct {
+	Epoch int64
+	// FormerValid is how long the former leader may still consider itself leader.
+	FormerValid time.Duration
+	elector     *Elector
+}
+
+// Valid says whether the term still holds at this moment.
+func (t Term) Valid() bool { return t.elector.validAt(t.Epoch, boottime.Now()) }
+
+// Fresh says whether the last renewal is recent, so that the log takes renewals.
+func (t Term) Fresh() bool {
+	t.elector.mu.Lock()
+	defer t.elector.mu.Unlock()
+	return t.elector.validUntil.Sub(boottime.Now()) > Validity-freshFor
+}
+
+// Config describes an elector.
+type Config struct {
+	Log      ledger.Log
+	Identity Identity
+	// Eligible says whether this instance should stand for election now.
+	Eligible func() bool
+	// Lead runs while this instance leads. Its context ends with the term.
+	Lead   func(ctx context.Context, term Term)
+	Logger *log.Logger
+}
+
+// Elector stands for election and renews the claim that it holds.
+type Elector struct {
+	cfg Config
+
+	mu         sync.Mutex
+	current    record
+	known      bool
+	seen       boottime.Instant
+	position   int64
+	sent       map[int64]boottime.Instant
+	validUntil boottime.Instant
+	epoch      int64
+	resigned   bool
+}
+
+// New returns an elector; Run starts it.
+func New(cfg Config) *Elector {
+	return &Elector{cfg: cfg, sent: make(map[int64]boottime.Instant)}
+}
+
+// Observe takes an update of Topic.
+func (e *Elector) Observe(u ledger.Update) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	known := e.position
+	e.position = max(known, u.Position)
+	e.known = true
+	for _, entry := range u.Entries {
+		if entry.Key != key || entry.Offset < known {
+			continue
+		}
+		var r record
+		if err := json.Unmarshal(entry.Value, &r); err != nil {
+			e.cfg.Logger.Error().Err(err).Int64("offset", entry.Offset).Msg("leader record not readable")
+			continue
+		}
+		if r.Epoch == 0 {
+			r.Epoch = entry.Offset + 1
+		}
+		e.observeLocked(r)
+	}
+}
+
+func (e *Elector) observeLocked(r record) {
+	if r.Epoch != e.current.Epoch {
+		e.cfg.Logger.Info().Str("holder", r.Instance).Int64("epoch", r.Epoch).Msg("leader observed")
+	}
+	e.current = r
+	e.seen = boottime.Now()
+	if !e.isOurs(r) {
+		return
+	}
+	if sent, ok := e.sent[r.Renewal]; ok {
+		e.confirmLocked(r.Epoch, sent)
+		delete(e.sent, r.Renewal)
+	}
+}
+
+func (e *Elector) isOurs(r record) bool {
+	return r.Instance == e.cfg.Identity.Instance && r.Life == e.cfg.Identity.Life && !r.Released
+}
+
+func (e *Elector) confirmLocked(epoch int64, sent boottime.Instant) {
+	e.epoch = epoch
+	if until := sent.Add(Validity); until > e.validUntil {
+		e.validUntil = until
+	}
+}
+
+func (e *Elector) validAt(epoch int64, now boottime.Instant) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.epoch == epoch && now < e.validUntil && e.isOurs(e.current)
+}
+
+// Leader returns the address of the last observed leader, and whether it is this process.
+func (e *Elector) Leader() (instance string, self bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current.Instance, e.isOurs(e.current) && boottime.Now() < e.validUntil
+}
+
+// Resign keeps this instance from leading again, for a graceful stop.
+func (e *Elector) Resign() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.resigned = true
+}
+
+// Run stands for election until ctx is done.
+func (e *Elector) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if term, won := e.tryClaim(ctx); won {
+			e.hold(ctx, term)
+			continue
+		}
+		sleep(ctx, tick)
+	}
+}
+
+// tryClaim appends a claim if the last one has run out or was given up.
+func (e *Elector) tryClaim(ctx context.Context) (Term, bool) {
+	wait, former, ok := e.claimable()
+	if !ok || !e.cfg.Eligible() {
+		return Term{}, false
+	}
+	sleep(ctx, time.Duration(rand.Int64N(int64(wait)+1)))
+	if _, _, ok := e.claimable(); !ok || ctx.Err() != nil {
+		return Term{}, false
+	}
+	epoch, err := e.append(ctx, record{Renewal: 1})
+	if err != nil {
+		e.cfg.Logger.Info().Err(err).Msg("claim of leadership not won")
+		return Term{}, false
+	}
+	return Term{Epoch: epoch, FormerValid: former, elector: e}, true
+}
+
+// claimable says whether the leadership can be claimed, how long at most to hold back, and how
+// long the former leader may still act.
+func (e *Elector) claimable() (spread, former time.Duration, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.known || e.resigned {
+		return 0, 0, false
+	}
+	if e.current.Epoch == 0 || e.current.Released {
+		return claimSpread / 4, 0, true
+	}
+	if e.current.Instance == e.cfg.Identity.Instance {
+		// The holder is an earlier life of this instance, or this life after a lost term.
+		return 0, max(0, e.validUntil.Sub(boottime.Now())), true
+	}
+	return claimSpread, 0, boottime.Since(e.seen) > claimAfter
+}
+
+// hold renews the claim and runs Lead until the term is lost or ctx is done.
+func (e *Elector) hold(ctx context.Context, term Term) {
+	e.cfg.Logger.Info().Int64("epoch", term.Epoch).Msg("leadership won")
+	leadCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		e.cfg.Lead(leadCtx, term)
+	}()
+	e.renew(ctx, term, ended)
+	cancel()
+	<-ended
+	if e.releasable(term) {
+		e.release(term)
+	}
+	e.cfg.Logger.Info().Int64("epoch", term.Epoch).Msg("leadership ended")
+}
+
+func (e *Elector) renew(ctx context.Context, term Term, ended <-chan struct{}) {
+	last := boottime.Now()
+	for number := int64(2); ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ended:
+			return
+		case <-time.After(tick):
+		}
+		if !term.Valid() || e.isResigned() {
+			return
+		}
+		if boottime.Since(last) < renewEvery {
+			continue
+		}
+		last = boottime.Now()
+		_, err := e.append(ctx, record{Epoch: term.Epoch, Renewal: number})
+		number++
+		if err != nil {
+			e.cfg.Logger.Warn().Err(err).Int64("epoch", term.Epoch).Msg("renewal failed")
+			last = last.Add(2*tick - renewEvery)
+		}
+	}
+}
+
+func (e *Elector) isResigned() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.resigned
+}
+
+// releasable says whether the record still is this term's, so that it can be given up.
+func (e *Elector) releasable(term Term) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.isOurs(e.current) && e.current.Epoch == term.Epoch
+}
+
+func (e *Elector) release(term Term) {
+	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
+	defer cancel()
+	if _, err := e.append(ctx, record{Epoch: term.Epoch, Released: true}); err != nil {
+		e.cfg.Logger.Warn().Err(err).Msg("leadership not released")
+	}
+	e.mu.Lock()
+	e.validUntil = 0
+	e.mu.Unlock()
+}
+
+// append writes a record on the condition that none was written since the last observed one,
+// and returns its epoch. An append without an answer counts once it is observed.
+func (e *Elector) append(ctx context.Context, r record) (int64, error) {
+	r.Instance, r.Life = e.cfg.Identity.Instance, e.cfg.Identity.Life
+	value, err := json.Marshal(r)
+	if err != nil {
+		return 0, err
+	}
+	sent := boottime.Now()
+	e.mu.Lock()
+	end := e.position
+	e.sent[r.Renewal] = sent
+	e.mu.Unlock()
+	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	done, err := e.cfg.Log.Append(callCtx, ledger.Append{
+		Topic: Topic, IfEnd: end, Records: []ledger.Record{{Key: key, Value: value}},
+	})
+	if err != nil {
+		if !errors.Is(err, ledger.ErrUnknown) {
+			e.forget(r.Renewal)
+		}
+		return 0, err
+	}
+	if r.Epoch == 0 {
+		r.Epoch = done.Offset + 1
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if done.End > e.position {
+		e.position = done.End
+		e.current, e.seen = r, boottime.Now()
+	}
+	if !r.Released {
+		e.confirmLocked(r.Epoch, sent)
+	}
+	return r.Epoch, nil
+}
+
+func (e *Elector) forget(renewal int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.sent, renewal)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/ledger/follower.go
@@ -0,0 +1,191 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/oleanderbend/oleanderbend/internal/boottime"
+)
+
+// Limits of a follower.
+const (
+	// callMargin is added to the time that a read waits at the log. A slow log takes some
+	// hundred milliseconds; past this the connection counts as silent.
+	callMargin = 1200 * time.Millisecond
+	// retryPause is the pause after a failed call, short against the bounds of configuration.
+	retryPause = 60 * time.Millisecond
+)
+
+// Update is a change of the mirrored topic.
+type Update struct {
+	// Reset says that the entries are all newest records, and that other keys are gone.
+	Reset   bool
+	Entries []Entry
+	// Position is the offset up to which the mirror is complete.
+	Position int64
+}
+
+// FollowerConfig describes a follower.
+type FollowerConfig struct {
+	Log   Log
+	Topic string
+	// Wait is how long a read waits at the log. It bounds the age of a confirmation.
+	Wait time.Duration
+	// Pause is the least time between two reads that found records. It bounds the number of
+	// reads while records come one by one.
+	Pause func() time.Duration
+	// Apply receives each update, in order. It must not block.
+	Apply  func(Update)
+	Logger *log.Logger
+}
+
+// Follower mirrors one topic.
+type Follower struct {
+	cfg FollowerConfig
+
+	mu        sync.Mutex
+	synced    bool
+	position  int64
+	confirmed boottime.Instant
+	failing   bool
+}
+
+// NewFollower returns a follower; Run starts it.
+func NewFollower(cfg FollowerConfig) *Follower {
+	if cfg.Pause == nil {
+		cfg.Pause = func() time.Duration { return 0 }
+	}
+	return &Follower{cfg: cfg}
+}
+
+// Run follows the topic until ctx is done.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		if errors.Is(err, ErrExpired) {
+			f.cfg.Logger.Info().Str("topic", f.cfg.Topic).Int64("position", f.Position()).
+				Msg("history expired, reading newest records")
+			f.mu.Lock()
+			f.synced = false
+			f.mu.Unlock()
+			continue
+		}
+		f.report(err)
+		if err != nil {
+			pause(ctx, retryPause)
+		}
+	}
+}
+
+func (f *Follower) step(ctx context.Context) error {
+	f.mu.Lock()
+	synced, position := f.synced, f.position
+	f.mu.Unlock()
+	if !synced {
+		return f.sync(ctx)
+	}
+	sent := boottime.Now()
+	callCtx, cancel := context.WithTimeout(ctx, f.cfg.Wait+callMargin)
+	defer cancel()
+	page, err := f.cfg.Log.Read(callCtx, f.cfg.Topic, position, f.cfg.Wait)
+	if err != nil {
+		return err
+	}
+	if n := len(page.Entries); n > 0 {
+		position = page.Entries[n-1].Offset + 1
+	}
+	f.accept(Update{Entries: page.Entries, Position: position}, sent, position >= page.End)
+	if len(page.Entries) > 0 {
+		pause(ctx, f.cfg.Pause())
+	}
+	return nil
+}
+
+// sync reads the newest records. Pages are no snapshot: following from the end that the first
+// page reported replays what changed meanwhile.
+func (f *Follower) sync(ctx context.Context) error {
+	sent := boottime.Now()
+	var entries []Entry
+	end := int64(-1)
+	for after, more := "", true; more; {
+		callCtx, cancel := context.WithTimeout(ctx, callMargin)
+		page, err := f.cfg.Log.Newest(callCtx, f.cfg.Topic, after)
+		cancel()
+		if err != nil {
+			return err
+		}
+		if end < 0 {
+			end = page.End
+		}
+		entries = append(entries, page.Entries...)
+		more = page.More && len(page.Entries) > 0
+		if more {
+			after = page.Entries[len(page.Entries)-1].Key
+		}
+	}
+	f.accept(Update{Reset: true, Entries: entries, Position: end}, sent, true)
+	f.cfg.Logger.Info().Str("topic", f.cfg.Topic).Int("records", len(entries)).Int64("position", end).
+		Msg("newest records read")
+	return nil
+}
+
+func (f *Follower) accept(u Update, sent boottime.Instant, complete bool) {
+	if u.Reset || len(u.Entries) > 0 {
+		f.cfg.Apply(u)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.synced = true
+	f.position = u.Position
+	if complete {
+		f.confirmed = sent
+	}
+}
+
+// report logs the loss and the return of the topic, once each.
+func (f *Follower) report(err error) {
+	f.mu.Lock()
+	failing := f.failing
+	f.failing = err != nil
+	f.mu.Unlock()
+	switch {
+	case err != nil && !failing:
+		f.cfg.Logger.Warn().Str("topic", f.cfg.Topic).Err(err).Msg("topic lost")
+	case err == nil && failing:
+		f.cfg.Logger.Info().Str("topic", f.cfg.Topic).Int64("position", f.Position()).Msg("topic regained")
+	}
+}
+
+// Position is the offset up to which the mirror is complete.
+func (f *Follower) Position() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.position
+}
+
+// Age is the time since the mirror was last known to be complete. It is unknown (false) before
+// the first read.
+func (f *Follower) Age() (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.synced || f.confirmed == 0 {
+		return 0, false
+	}
+	return boottime.Since(f.confirmed), true
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/ledger/writer.go
@@ -0,0 +1,201 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+)
+
+// Limits of a writer.
+const (
+	// writeTimeout bounds one append. An answer of the log takes some milliseconds, some
+	// hundred when it is slow.
+	writeTimeout = 1500 * time.Millisecond
+	// repeatPause is the pause before an append is repeated.
+	repeatPause = 60 * time.Millisecond
+	// writerQueue is how many writes may wait; callers are refused beyond it.
+	writerQueue = 2048
+	// maxBatchRecords bounds the records of one append.
+	maxBatchRecords = 400
+	// maxBatchBytes keeps an append under the platform's limit of bytes for a call.
+	maxBatchBytes = 1 << 20
+	// maxWaitForSend is how long a write may wait to be sent before it is refused, so that
+	// callers hear of an outage well before their deadlines.
+	maxWaitForSend = 700 * time.Millisecond
+)
+
+// Writer appends records of several callers to one topic. Each append is repeated under its
+// sequence number until its outcome is known, so that it takes effect exactly once.
+type Writer struct {
+	cfg      WriterConfig
+	queue    chan *write
+	sequence int64
+}
+
+// WriterConfig describes a writer.
+type WriterConfig struct {
+	Log   Log
+	Topic string
+	// Producer must be unique to this life of the process, unless its epochs are.
+	Producer string
+	Epoch    int64
+	// Persist repeats appends that the log refused. Otherwise their callers get ErrUnavailable.
+	Persist bool
+	Logger  *log.Logger
+}
+
+type write struct {
+	records []Record
+	queued  time.Time
+	done    func(error)
+}
+
+// NewWriter returns a writer; Run starts it.
+func NewWriter(cfg WriterConfig) *Writer {
+	return &Writer{cfg: cfg, queue: make(chan *write, writerQueue)}
+}
+
+// Fence sets the producer's epoch at the log without adding a record, and returns the end of
+// the topic. Appends of lower epochs are refused from then on.
+func (w *Writer) Fence(ctx context.Context) (int64, error) {
+	callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	done, err := w.cfg.Log.Append(callCtx, w.append(nil))
+	if err != nil {
+		return 0, eris.Wrap(err, "set the producer's epoch")
+	}
+	w.sequence++
+	return done.End, nil
+}
+
+// Write adds records and returns when they are stored. It returns ErrUnavailable if they
+// certainly are not, and ErrUnknown if ctx ended first; they may then still be stored.
+func (w *Writer) Write(ctx context.Context, records []Record) error {
+	outcome := make(chan error, 1)
+	if !w.Enqueue(records, func(err error) { outcome <- err }) {
+		return eris.Wrap(ErrUnavailable, "too many writes wait")
+	}
+	select {
+	case err := <-outcome:
+		return err
+	case <-ctx.Done():
+		return eris.Wrap(ErrUnknown, "deadline reached")
+	}
+}
+
+// Enqueue adds records behind those of earlier calls and reports their outcome to done, which
+// must not block. It returns false, and takes nothing, if too many writes wait.
+func (w *Writer) Enqueue(records []Record, done func(error)) bool {
+	select {
+	case w.queue <- &write{records: records, queued: time.Now(), done: done}:
+		return true
+	default:
+		return false
+	}
+}
+
+// Run sends writes until ctx is done or the writer is fenced; it returns ErrFenced then.
+func (w *Writer) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case first := <-w.queue:
+			batch := w.collect(first)
+			if len(batch) == 0 {
+				continue
+			}
+			err := w.send(ctx, batch)
+			for _, item := range batch {
+				item.done(err)
+			}
+			if errors.Is(err, ErrFenced) {
+				return err
+			}
+		}
+	}
+}
+
+// collect adds to the first write those that wait behind it. Writes that have waited too long
+// are refused: none of their bytes has left the process.
+func (w *Writer) collect(first *write) []*write {
+	var batch []*write
+	count, bytes := 0, 0
+	for item := first; item != nil; {
+		if !w.cfg.Persist && time.Since(item.queued) > maxWaitForSend {
+			item.done(eris.Wrap(ErrUnavailable, "the log is not answering"))
+		} else {
+			batch = append(batch, item)
+			count += len(item.records)
+			bytes += sizeOf(item.records)
+		}
+		item = nil
+		if count < maxBatchRecords && bytes < maxBatchBytes {
+			select {
+			case item = <-w.queue:
+			default:
+			}
+		}
+	}
+	return batch
+}
+
+func sizeOf(records []Record) int {
+	total := 0
+	for _, r := range records {
+		total += len(r.Key) + len(r.Value)
+	}
+	return total
+}
+
+// send appends a batch. Once an attempt is without an answer, a later refusal says nothing
+// about it, so the batch is repeated until the log knows its sequence.
+func (w *Writer) send(ctx context.Context, batch []*write) error {
+	var records []Record
+	for _, item := range batch {
+		records = append(records, item.records...)
+	}
+	unresolved := false
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+		_, err := w.cfg.Log.Append(callCtx, w.append(records))
+		cancel()
+		var seq *SequenceError
+		switch {
+		case err == nil:
+			w.sequence++
+			return nil
+		case errors.As(err, &seq) && seq.Expected == w.sequence+1 && unresolved:
+			w.sequence++
+			return nil
+		case errors.As(err, &seq):
+			w.cfg.Logger.Error().Int64("sequence", w.sequence).Int64("expected", seq.Expected).Msg("sequence out of step")
+			w.sequence = seq.Expected
+		case errors.Is(err, ErrFenced), errors.Is(err, ErrRejected):
+			return err
+		case errors.Is(err, ErrUnavailable) && !unresolved && !w.cfg.Persist:
+			return err
+		case errors.Is(err, ErrUnavailable):
+		default:
+			if !unresolved {
+				w.cfg.Logger.Warn().Str("topic", w.cfg.Topic).Int64("sequence", w.sequence).Err(err).
+					Msg("append without an answer, repeating")
+			}
+			unresolved = true
+		}
+		pause(ctx, repeatPause)
+		if ctx.Err() != nil {
+			return eris.Wrap(ErrUnknown, "stopped")
+		}
+	}
+}
+
+func (w *Writer) append(records []Record) Append {
+	return Append{
+		Topic: w.cfg.Topic, Records: records, IfEnd: AnyEnd,
+		Producer: w.cfg.Producer, Epoch: w.cfg.Epoch, Sequence: w.sequence,
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,299 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/oleanderbend/oleanderbend/internal/batch"
+	"github.com/oleanderbend/oleanderbend/internal/controller"
+	"github.com/oleanderbend/oleanderbend/internal/election"
+	"github.com/oleanderbend/oleanderbend/internal/intake"
+	"github.com/oleanderbend/oleanderbend/internal/ledger"
+	"github.com/oleanderbend/oleanderbend/internal/opconfig"
+	"github.com/oleanderbend/oleanderbend/internal/worker"
+)
+
+const (
+	// configWait is how long a read of the configuration waits for news. It bounds the age of
+	// a confirmation, so it is well under the time in which revoked keys must be refused.
+	configWait = time.Second
+	// jobsWait is the same for the table of jobs, which tells that a job does not exist.
+	jobsWait = time.Second
+	// jobsPause collects changes of the table on instances that only answer status requests.
+	jobsPause = 60 * time.Millisecond
+	// leaderWait is how long a read of the leader's record waits.
+	leaderWait = time.Second
+	// settleTime lets the balancer see that the instance is not ready, after two probes a
+	// second apart.
+	settleTime = 2500 * time.Millisecond
+	// stopMargin is kept from the time between the signals to stop and to be killed.
+	stopMargin = 1200 * time.Millisecond
+	// headerTimeout bounds how long a caller may take to send a header.
+	headerTimeout = 3 * time.Second
+	// connectionIdle is how long a caller's connection may be idle.
+	connectionIdle = 60 * time.Second
+)
+
+// Platform is what the instance needs of the platform it runs on.
+type Platform struct {
+	Log     ledger.Log
+	Workers worker.Client
+	// Advisor and Machines are nil where the platform has no such service.
+	Advisor  worker.Advisor
+	Machines worker.Machines
+	// Names of the topics that the operator and the workers write, and of the one for reports.
+	OperatorTopic, WorkersTopic, StatusTopic string
+	IsConfig                                 func(ledger.Record) bool
+	DecodeConfig                             func(ledger.Record) (*opconfig.Config, error)
+	DecodeWave                               func(ledger.Record) (worker.Wave, bool, error)
+	DecodeWorker                             func(ledger.Record) (worker.Info, error)
+	WaveStatus                               func(wave int64, completed bool) ledger.Record
+	// Front makes the handler of the callers' requests.
+	Front func(*intake.Service) http.Handler
+}
+
+// Node is one instance.
+type Node struct {
+	settings Settings
+	platform Platform
+	logger   *log.Logger
+	metrics  *metrics.Set
+
+	intake     *intake.Service
+	elector    *election.Elector
+	controller *controller.Controller
+	writer     *ledger.Writer
+	config     *ledger.Follower
+	jobs       *ledger.Follower
+	leader     *ledger.Follower
+
+	mu    sync.Mutex
+	waves map[int64]worker.Wave
+}
+
+// New wires an instance.
+func New(s Settings, p Platform, logger *log.Logger) *Node {
+	life := uuid.NewString()
+	n := &Node{settings: s, platform: p, logger: logger, metrics: metrics.NewSet(), waves: make(map[int64]worker.Wave)}
+	n.writer = ledger.NewWriter(ledger.WriterConfig{
+		Log: p.Log, Topic: batch.JobsTopic, Producer: life, Epoch: 1, Logger: logger,
+	})
+	n.config = n.follower(p.OperatorTopic, configWait, 0, n.applyOperator)
+	n.jobs = ledger.NewFollower(ledger.FollowerConfig{
+		Log: p.Log, Topic: batch.JobsTopic, Wait: jobsWait, Pause: n.jobsPause, Apply: n.applyJobs, Logger: logger,
+	})
+	n.intake = intake.New(intake.Config{
+		Writer: n.writer, ConfigAge: n.config, JobsAge: n.jobs, Metrics: n.metrics, Logger: logger,
+	})
+	n.controller = controller.New(controller.Config{
+		Log: p.Log, Workers: p.Workers, Advisor: p.Advisor, Machines: p.Machines,
+		Jobs: n.intake, JobsPosition: n.jobs.Position,
+		Settings: n.intake.CurrentConfig, Waves: n.openWaves,
+		WorkersTopic: p.WorkersTopic, DecodeWorker: p.DecodeWorker,
+		StatusTopic: p.StatusTopic, WaveStatus: p.WaveStatus, Holder: s.Name,
+		Bounds: controller.Bounds{
+			MaxLease: s.Bounds.MaxLease, GangWait: s.Bounds.GangWait, KeepFinal: s.Bounds.KeepFinal,
+			HolderTurn: s.Bounds.HolderTurn,
+		},
+		Metrics: n.metrics, Logger: logger,
+	})
+	n.elector = election.New(election.Config{
+		Log: p.Log, Identity: election.Identity{Instance: s.IP, Life: life},
+		Eligible: n.eligible, Lead: n.controller.Lead, Logger: logger,
+	})
+	n.leader = n.follower(election.Topic, leaderWait, 0, n.elector.Observe)
+	return n
+}
+
+func (n *Node) follower(topic string, wait, pause time.Duration, apply func(ledger.Update)) *ledger.Follower {
+	return ledger.NewFollower(ledger.FollowerConfig{
+		Log: n.platform.Log, Topic: topic, Wait: wait, Pause: func() time.Duration { return pause },
+		Apply: apply, Logger: n.logger,
+	})
+}
+
+// jobsPause is short on the leader, which starts new jobs at once.
+func (n *Node) jobsPause() time.Duration {
+	if _, self := n.elector.Leader(); self {
+		return 0
+	}
+	return jobsPause
+}
+
+// eligible says whether the instance knows enough to lead.
+func (n *Node) eligible() bool { return n.intake.Ready() }
+
+func (n *Node) applyJobs(u ledger.Update) {
+	n.controller.JobsChanged(n.intake.Apply(u))
+}
+
+func (n *Node) applyOperator(u ledger.Update) {
+	for _, entry := range u.Entries {
+		if n.platform.IsConfig(entry.Record) {
+			n.applyConfig(entry)
+			continue
+		}
+		wave, is, err := n.platform.DecodeWave(entry.Record)
+		switch {
+		case err != nil:
+			n.logger.Error().Err(err).Msg("wave passed over")
+		case is:
+			n.mu.Lock()
+			n.waves[wave.Number] = wave
+			n.mu.Unlock()
+		}
+	}
+}
+
+func (n *Node) applyConfig(entry ledger.Entry) {
+	if len(entry.Value) == 0 {
+		return
+	}
+	config, err := n.platform.DecodeConfig(entry.Record)
+	if err != nil {
+		n.logger.Error().Err(err).Int64("offset", entry.Offset).Msg("configuration passed over")
+		return
+	}
+	if n.intake.SetConfig(config) {
+		n.logger.Info().Int64("version", config.Version).Int("queues", len(config.Queues)).
+			Int("orgs", len(config.Orgs)).Msg("configuration in force")
+	}
+}
+
+func (n *Node) openWaves() []worker.Wave {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	waves := make([]worker.Wave, 0, len(n.waves))
+	for _, w := range n.waves {
+		waves = append(waves, w)
+	}
+	return waves
+}
+
+// Run serves until ctx is done and then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	n.logger.Info().Str("zone", n.settings.Zone).Str("front", n.settings.Front).Msg("instance starts")
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	var duties sync.WaitGroup
+	leading, stopLeading := context.WithCancel(work)
+	defer stopLeading()
+	elected := make(chan struct{})
+	for _, duty := range []func(context.Context){
+		n.config.Run, n.jobs.Run, n.leader.Run, n.runWriter,
+	} {
+		duties.Go(func() { duty(work) })
+	}
+	duties.Go(func() {
+		defer close(elected)
+		n.elector.Run(leading)
+	})
+	servers, err := n.listen()
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+	case err = <-servers.failed:
+	}
+	n.stop(servers, stopLeading, elected)
+	stopWork()
+	duties.Wait()
+	n.logger.Info().Err(err).Msg("instance stops")
+	return err
+}
+
+func (n *Node) runWriter(ctx context.Context) {
+	if err := n.writer.Run(ctx); err != nil {
+		n.logger.Error().Err(err).Msg("writer of jobs ended")
+	}
+}
+
+// stop hands over the leadership, lets the balancer move callers away and finishes what is in
+// progress.
+func (n *Node) stop(s *servers, stopLeading func(), elected <-chan struct{}) {
+	started := time.Now()
+	n.logger.Info().Msg("stopping gracefully")
+	n.intake.Drain()
+	n.elector.Resign()
+	stopLeading()
+	<-elected
+	time.Sleep(max(0, settleTime-time.Since(started)))
+	s.front.SetKeepAlivesEnabled(false)
+	limit := max(time.Second, n.settings.Bounds.Grace-stopMargin-time.Since(started))
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	if err := s.front.Shutdown(ctx); err != nil {
+		n.logger.Warn().Err(err).Msg("requests in progress were cut")
+	}
+	s.ready.Close()
+}
+
+type servers struct {
+	front, ready *http.Server
+	failed       chan error
+}
+
+func (n *Node) listen() (*servers, error) {
+	ready := http.NewServeMux()
+	ready.HandleFunc("/", n.serveReady)
+	s := &servers{
+		front:  n.server(n.platform.Front(n.intake)),
+		ready:  n.server(ready),
+		failed: make(chan error, 3),
+	}
+	if err := serve(s.front, n.settings.Front, s.failed); err != nil {
+		return nil, err
+	}
+	if err := serve(s.ready, n.settings.Ready, s.failed); err != nil {
+		return nil, err
+	}
+	if n.settings.MetricsPort == 0 {
+		return s, nil
+	}
+	address := net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.MetricsPort))
+	return s, serve(n.server(http.HandlerFunc(n.serveMetrics)), address, s.failed)
+}
+
+func (n *Node) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: connectionIdle,
+		ErrorLog: stdlog.New(io.Discard, "", 0),
+	}
+}
+
+func serve(s *http.Server, address string, failed chan<- error) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", address)
+	}
+	go func() {
+		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			failed <- err
+		}
+	}()
+	return nil
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !n.intake.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain")
+	n.metrics.WritePrometheus(w)
+}
--- /dev/null
+++ b/internal/planner/planner.go
@@ -0,0 +1,436 @@
+// Package planner decides which waiting tasks start where, and which runs give way. It is pure:
+// a snapshot goes in, a plan comes out.
+package planner
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Resources is a request or a capacity.
+type Resources struct {
+	// CPU is in thousandths of a core.
+	CPU      int64
+	MemoryMB int64
+	GPU      int64
+}
+
+// Add returns the sum.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.CPU + o.CPU, r.MemoryMB + o.MemoryMB, r.GPU + o.GPU}
+}
+
+// Sub returns the difference; fields may become negative.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.CPU - o.CPU, r.MemoryMB - o.MemoryMB, r.GPU - o.GPU}
+}
+
+// Times says how often r fits into free, at most limit times.
+func (r Resources) Times(free Resources, limit int) int {
+	n := int64(limit)
+	for _, pair := range [][2]int64{{r.CPU, free.CPU}, {r.MemoryMB, free.MemoryMB}, {r.GPU, free.GPU}} {
+		if pair[0] > 0 {
+			n = min(n, max(0, pair[1])/pair[0])
+		}
+	}
+	return int(n)
+}
+
+// least returns the smaller value of each field.
+func least(a, b Resources) Resources {
+	return Resources{min(a.CPU, b.CPU), min(a.MemoryMB, b.MemoryMB), min(a.GPU, b.GPU)}
+}
+
+// Urgency says what a unit can still reach.
+type Urgency int
+
+// Urgencies, the best first.
+const (
+	// OnTime units can still meet their objective.
+	OnTime Urgency = iota
+	// Late units have missed it but are still worth something.
+	Late
+	// Overdue units are worth nothing any more but must still be finished.
+	Overdue
+)
+
+// Run is a run on a worker.
+type Run struct {
+	// Group is shared by the runs that can only be stopped together: the members of a gang.
+	Group int
+	// Need is what becomes free when the run ends.
+	Need     Resources
+	Priority int
+	// Entitled runs are covered by their organisation's guarantee.
+	Entitled bool
+	// Kept runs are never stopped for others.
+	Kept bool
+	// Loss is the work of the whole group that a stop throws away, in weighted core-seconds.
+	Loss float64
+}
+
+// Worker is a worker with its free resources.
+type Worker struct {
+	ID      string
+	Service string
+	Rack    string
+	Labels  []string
+	// Open workers take new work.
+	Open bool
+	Free Resources
+	// Releasing is held by runs that are being stopped.
+	Releasing Resources
+	// Suspicion orders workers of equal fit: lower ones are tried first.
+	Suspicion int
+	// Serving and Filling say whether tasks that serve and fillers run there.
+	Serving, Filling bool
+	Runs             []Run
+}
+
+// Unit is a step's waiting tasks, or a whole gang.
+type Unit struct {
+	Service  string
+	Priority int
+	Urgency  Urgency
+	// Deadline orders units of equal priority and urgency, in milliseconds.
+	Deadline int64
+	// Entitled units are covered by their organisation's guarantee.
+	Entitled bool
+	Tasks    int
+	Need     Resources
+	Gang     bool
+	// RackBound tasks are slow when spread over several racks.
+	RackBound bool
+	// DataRack is the rack where the tasks are fast; empty for any.
+	DataRack string
+	Label    string
+	// MaxPerWorker bounds the step's tasks on one worker; 0 for no bound.
+	MaxPerWorker int
+	// Present counts the step's tasks that are on a worker already.
+	Present map[string]int
+	// Avoid names workers to use only if there is no other.
+	Avoid map[string]bool
+	// Allowed names the only workers that may be used; nil for all.
+	Allowed map[string]bool
+	Filler  bool
+	Serving bool
+	// Patient units wait for a rack of their own; others are spread when none has room.
+	Patient bool
+}
+
+// Snapshot is the input of a round.
+type Snapshot struct {
+	Workers []Worker
+	Units   []Unit
+}
+
+// Start places tasks of a unit: one worker, by index, for each task.
+type Start struct {
+	Unit    int
+	Workers []int
+}
+
+// Plan is the outcome of a round.
+type Plan struct {
+	Starts []Start
+	// Stops names the groups whose runs give way.
+	Stops []int
+}
+
+// maxReservations is how many blocked gangs hold back workers from units of lower rank. More
+// would leave too much capacity idle while they wait.
+const maxReservations = 2
+
+// cheapLoss is the loss up to which a run gives way to any more urgent queue: saved work
+// costs a restart only.
+const cheapLoss = 1.0
+
+// Decide plans one round.
+func Decide(s Snapshot) Plan {
+	r := newRound(s)
+	order := make([]int, len(s.Units))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return compareUnits(&s.Units[a], &s.Units[b]) })
+	for _, i := range order {
+		r.serve(i)
+	}
+	return r.plan
+}
+
+// compareUnits orders units by what starting them first is worth: guarantees, then anything
+// that still counts, then the queue's priority, then what can still be on time.
+func compareUnits(a, b *Unit) int {
+	return cmp.Or(
+		boolOrder(a.Entitled, b.Entitled),
+		boolOrder(a.Urgency != Overdue, b.Urgency != Overdue),
+		cmp.Compare(a.Priority, b.Priority),
+		cmp.Compare(a.Urgency, b.Urgency),
+		cmp.Compare(a.Deadline, b.Deadline),
+	)
+}
+
+// boolOrder puts true first.
+func boolOrder(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// round is the state of one decision.
+type round struct {
+	snapshot Snapshot
+	// free is what is free now, soon what will be when the runs being stopped have ended.
+	free, soon []Resources
+	// groups finds the workers of a group's runs.
+	groups       map[int][]int
+	stopped      map[int]bool
+	racks        [][]int
+	reservations int
+	plan         Plan
+}
+
+func newRound(s Snapshot) *round {
+	r := &round{
+		snapshot: s, free: make([]Resources, len(s.Workers)), soon: make([]Resources, len(s.Workers)),
+		groups: make(map[int][]int), stopped: make(map[int]bool),
+	}
+	byRack := make(map[string]int)
+	for i := range s.Workers {
+		w := &s.Workers[i]
+		r.free[i] = w.Free
+		r.soon[i] = w.Free.Add(w.Releasing)
+		for _, run := range w.Runs {
+			r.groups[run.Group] = append(r.groups[run.Group], i)
+		}
+		n, ok := byRack[w.Rack]
+		if !ok {
+			n = len(r.racks)
+			byRack[w.Rack] = n
+			r.racks = append(r.racks, nil)
+		}
+		r.racks[n] = append(r.racks[n], i)
+	}
+	return r
+}
+
+// serve places a unit, makes room for it or holds room for it.
+func (r *round) serve(index int) {
+	u := &r.snapshot.Units[index]
+	places := r.place(u, r.free)
+	if len(places) > 0 && (len(places) == u.Tasks || !u.Gang) {
+		r.start(index, places)
+		if len(places) == u.Tasks {
+			return
+		}
+	}
+	rest := *u
+	if !u.Gang {
+		rest.Tasks -= len(places)
+	}
+	if claim := r.place(&rest, r.soon); len(claim) == rest.Tasks {
+		r.claim(&rest, claim)
+		return
+	}
+	if r.preempt(&rest) {
+		return
+	}
+	if u.Gang && u.Urgency != Overdue && r.reservations < maxReservations {
+		r.reserve(&rest)
+	}
+}
+
+func (r *round) start(index int, places []int) {
+	u := &r.snapshot.Units[index]
+	for _, w := range places {
+		r.free[w] = r.free[w].Sub(u.Need)
+		r.soon[w] = r.soon[w].Sub(u.Need)
+		r.mark(u, w)
+	}
+	r.plan.Starts = append(r.plan.Starts, Start{Unit: index, Workers: places})
+}
+
+// mark keeps tasks that serve and fillers apart within the round.
+func (r *round) mark(u *Unit, worker int) {
+	w := &r.snapshot.Workers[worker]
+	w.Serving = w.Serving || u.Serving
+	w.Filling = w.Filling || u.Filler
+	if u.MaxPerWorker > 0 && u.Present != nil {
+		u.Present[w.ID]++
+	}
+}
+
+// claim keeps room that becomes free for a unit: units of lower rank cannot use it.
+func (r *round) claim(u *Unit, places []int) {
+	for _, w := range places {
+		r.soon[w] = r.soon[w].Sub(u.Need)
+		r.free[w] = least(r.free[w], r.soon[w])
+	}
+}
+
+// usable says whether a worker may run tasks of a unit at all.
+func (r *round) usable(u *Unit, worker int) bool {
+	w := &r.snapshot.Workers[worker]
+	switch {
+	case !w.Open || w.Service != u.Service:
+		return false
+	case u.Label != "" && !slices.Contains(w.Labels, u.Label):
+		return false
+	case u.Allowed != nil && !u.Allowed[w.ID]:
+		return false
+	case u.Filler && w.Serving, u.Serving && w.Filling:
+		return false
+	}
+	return true
+}
+
+// place finds workers for the tasks of a unit within the given resources: for all tasks of a
+// gang, for as many as possible otherwise.
+func (r *round) place(u *Unit, free []Resources) []int {
+	if u.DataRack != "" {
+		if places := r.placeWithin(u, r.rack(u.DataRack), free); len(places) == u.Tasks || (len(places) > 0 && !u.Gang) {
+			return places
+		}
+		if u.Patient && r.couldFit(u, r.rack(u.DataRack)) {
+			return nil
+		}
+	}
+	if u.RackBound && u.Tasks > 1 {
+		if places := r.placeInOneRack(u, free); places != nil {
+			return places
+		}
+		if u.Patient && r.couldFitOneRack(u) {
+			return nil
+		}
+	}
+	return r.placeWithin(u, r.all(), free)
+}
+
+func (r *round) all() []int {
+	all := make([]int, len(r.snapshot.Workers))
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
+func (r *round) rack(name string) []int {
+	for _, members := range r.racks {
+		if r.snapshot.Workers[members[0]].Rack == name {
+			return members
+		}
+	}
+	return nil
+}
+
+// placeInOneRack chooses, of the racks with room for all tasks, the one that is left with the
+// least: roomier racks stay whole for wider gangs.
+func (r *round) placeInOneRack(u *Unit, free []Resources) []int {
+	var best []int
+	var bestLeft int64
+	for _, members := range r.racks {
+		places := r.placeWithin(u, members, free)
+		if len(places) != u.Tasks {
+			continue
+		}
+		left := int64(0)
+		for _, w := range members {
+			left += max(0, free[w].GPU)
+		}
+		if best == nil || left < bestLeft {
+			best, bestLeft = places, left
+		}
+	}
+	return best
+}
+
+// couldFit says whether empty workers of the group would have room for all tasks.
+func (r *round) couldFit(u *Unit, members []int) bool {
+	room := 0
+	for _, i := range members {
+		if !r.usable(u, i) {
+			continue
+		}
+		w := &r.snapshot.Workers[i]
+		capacity := w.Free.Add(w.Releasing)
+		for _, run := range w.Runs {
+			capacity = capacity.Add(run.Need)
+		}
+		room += u.Need.Times(capacity, u.perWorker(w.ID))
+	}
+	return room >= u.Tasks
+}
+
+func (r *round) couldFitOneRack(u *Unit) bool {
+	for _, members := range r.racks {
+		if r.couldFit(u, members) {
+			return true
+		}
+	}
+	return false
+}
+
+// perWorker is how many more tasks of the unit a worker may get.
+func (u *Unit) perWorker(worker string) int {
+	if u.MaxPerWorker == 0 {
+		return u.Tasks
+	}
+	return max(0, u.MaxPerWorker-u.Present[worker])
+}
+
+type candidate struct {
+	worker int
+	room   int
+	avoid  bool
+	rank   int
+	left   int64
+}
+
+// placeWithin fills workers one after the other, the fullest first, so that empty ones stay
+// whole for wide tasks.
+func (r *round) placeWithin(u *Unit, members []int, free []Resources) []int {
+	var candidates []candidate
+	total := 0
+	for _, i := range members {
+		if !r.usable(u, i) {
+			continue
+		}
+		w := &r.snapshot.Workers[i]
+		room := u.Need.Times(free[i], u.perWorker(w.ID))
+		if room == 0 {
+			continue
+		}
+		total += room
+		candidates = append(candidates, candidate{
+			worker: i, room: room, avoid: u.Avoid[w.ID], rank: w.Suspicion, left: leftOver(u, free[i]),
+		})
+	}
+	if u.Gang && total < u.Tasks {
+		return nil
+	}
+	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(boolOrder(!a.avoid, !b.avoid), cmp.Compare(a.rank, b.rank), cmp.Compare(a.left, b.left))
+	})
+	var places []int
+	for _, c := range candidates {
+		for n := 0; n < c.room && len(places) < u.Tasks; n++ {
+			places = append(places, c.worker)
+		}
+	}
+	return places
+}
+
+// leftOver weighs what a task leaves free on a worker. Fillers go where processors idle.
+func leftOver(u *Unit, free Resources) int64 {
+	if u.Filler {
+		return -free.CPU
+	}
+	left := free.Sub(u.Need)
+	return left.GPU<<32 + left.MemoryMB
+}
--- /dev/null
+++ b/internal/planner/preempt.go
@@ -0,0 +1,225 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+)
+
+// gives says whether a run gives way to a unit.
+func gives(run *Run, u *Unit) bool {
+	switch {
+	case run.Kept:
+		return false
+	case u.Entitled:
+		return !run.Entitled
+	case run.Entitled || run.Priority <= u.Priority || u.Urgency == Overdue:
+		return false
+	case u.Priority == 0:
+		return true
+	default:
+		return run.Loss <= cheapLoss
+	}
+}
+
+// preempt stops runs so that all tasks of the unit get room, and claims that room. It reports
+// false, and stops nothing, if that is not possible.
+func (r *round) preempt(u *Unit) bool {
+	best := r.cheapest(u)
+	if best == nil {
+		return false
+	}
+	for group := range best.groups {
+		r.stopped[group] = true
+		r.plan.Stops = append(r.plan.Stops, group)
+	}
+	for w, freed := range best.freed {
+		r.soon[w] = r.soon[w].Add(freed)
+	}
+	r.claim(u, best.places)
+	return true
+}
+
+// eviction is a way to make room.
+type eviction struct {
+	groups map[int]bool
+	freed  map[int]Resources
+	places []int
+	loss   float64
+}
+
+// cheapest finds the way that throws away the least work: within one rack where that
+// matters, over all workers otherwise.
+func (r *round) cheapest(u *Unit) *eviction {
+	if u.DataRack != "" {
+		if e := r.evict(u, r.rack(u.DataRack)); e != nil {
+			return e
+		}
+	}
+	if !u.RackBound || u.Tasks == 1 {
+		return r.evict(u, r.all())
+	}
+	var best *eviction
+	for _, members := range r.racks {
+		if e := r.evict(u, members); e != nil && (best == nil || e.loss < best.loss) {
+			best = e
+		}
+	}
+	if best == nil && (u.Entitled || !u.Patient) {
+		return r.evict(u, r.all())
+	}
+	return best
+}
+
+// evict makes room on the given workers, the cheapest worker first.
+func (r *round) evict(u *Unit, members []int) *eviction {
+	e := &eviction{groups: make(map[int]bool), freed: make(map[int]Resources)}
+	for len(e.places) < u.Tasks {
+		worker, victims, loss := r.cheapestWorker(u, members, e)
+		if worker < 0 {
+			return nil
+		}
+		e.loss += loss
+		for _, group := range victims {
+			r.free1(e, group)
+		}
+		e.places = append(e.places, worker)
+	}
+	return e
+}
+
+// free1 counts what stopping a group frees, on all of its workers.
+func (r *round) free1(e *eviction, group int) {
+	if e.groups[group] {
+		return
+	}
+	e.groups[group] = true
+	seen := make(map[int]bool)
+	for _, w := range r.groups[group] {
+		if seen[w] {
+			continue
+		}
+		seen[w] = true
+		for _, run := range r.snapshot.Workers[w].Runs {
+			if run.Group == group {
+				e.freed[w] = e.freed[w].Add(run.Need)
+			}
+		}
+	}
+}
+
+// cheapestWorker finds the worker on which one more task costs the least, and the groups to
+// stop there.
+func (r *round) cheapestWorker(u *Unit, members []int, e *eviction) (worker int, victims []int, loss float64) {
+	worker = -1
+	for _, i := range members {
+		if !r.usable(u, i) {
+			continue
+		}
+		placed := 0
+		for _, p := range e.places {
+			if p == i {
+				placed++
+			}
+		}
+		if placed >= u.perWorker(r.snapshot.Workers[i].ID) {
+			continue
+		}
+		free := r.soon[i].Add(e.freed[i])
+		for range placed {
+			free = free.Sub(u.Need)
+		}
+		groups, cost, ok := r.victims(u, i, free, e)
+		if ok && (worker < 0 || cost < loss) {
+			worker, victims, loss = i, groups, cost
+		}
+	}
+	return worker, victims, loss
+}
+
+// victims chooses runs on one worker that free enough for one task.
+func (r *round) victims(u *Unit, worker int, free Resources, e *eviction) (groups []int, loss float64, ok bool) {
+	if u.Need.Times(free, 1) == 1 {
+		return nil, 0, true
+	}
+	runs := slices.Clone(r.snapshot.Workers[worker].Runs)
+	slices.SortStableFunc(runs, func(a, b Run) int {
+		return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(a.Loss, b.Loss))
+	})
+	for i := range runs {
+		run := &runs[i]
+		if !gives(run, u) || r.stopped[run.Group] || e.groups[run.Group] || slices.Contains(groups, run.Group) {
+			continue
+		}
+		groups = append(groups, run.Group)
+		loss += run.Loss + restartLoss
+		for _, other := range runs {
+			if other.Group == run.Group {
+				free = free.Add(other.Need)
+			}
+		}
+		if u.Need.Times(free, 1) == 1 {
+			return groups, loss, true
+		}
+	}
+	return nil, 0, false
+}
+
+// restartLoss stands for the cost of another start, in weighted core-seconds: it keeps the
+// number of stopped runs small where their work is saved.
+const restartLoss = 5.0
+
+// reserve holds room for a blocked gang on the workers that have the most of it, so that units
+// of lower rank do not fill every gap for ever.
+func (r *round) reserve(u *Unit) {
+	members := r.all()
+	if u.RackBound && u.Patient {
+		members = r.roomiestRack(u)
+	}
+	var candidates []int
+	for _, i := range members {
+		if r.usable(u, i) {
+			candidates = append(candidates, i)
+		}
+	}
+	if len(candidates) == 0 {
+		return
+	}
+	slices.SortStableFunc(candidates, func(a, b int) int { return cmp.Compare(r.soon[b].GPU, r.soon[a].GPU) })
+	r.reservations++
+	held := 0
+	for _, w := range candidates {
+		if held >= u.Tasks {
+			return
+		}
+		worker := &r.snapshot.Workers[w]
+		capacity := worker.Free.Add(worker.Releasing)
+		for _, run := range worker.Runs {
+			capacity = capacity.Add(run.Need)
+		}
+		n := min(u.Need.Times(capacity, u.perWorker(worker.ID)), u.Tasks-held)
+		for range n {
+			r.soon[w] = r.soon[w].Sub(u.Need)
+		}
+		r.free[w] = least(r.free[w], r.soon[w])
+		held += n
+	}
+}
+
+// roomiestRack is the rack with the most free accelerators among those that could hold the gang.
+func (r *round) roomiestRack(u *Unit) []int {
+	var best []int
+	bestFree := int64(-1)
+	for _, members := range r.racks {
+		if !r.couldFit(u, members) {
+			continue
+		}
+		free := int64(0)
+		for _, w := range members {
+			free += max(0, r.soon[w].GPU)
+		}
+		if free > bestFree {
+			best, bestFree = members, free
+		}
+	}
+	return best
+}
