Give up silent workers, keep tasks until their job's end is stored, take SIGHUP

Ruled out: the writer's repeats, the fence at the takeover; - SIGHUP ended the process (exits of its own).

--- a/internal/cli/instance.go
+++ b/internal/cli/instance.go
@@ -61,5 +61,20 @@
 	if s.Machines != "" {
 		p.Machines = platform.NewMachines(s.Machines)
 	}
-	return node.New(s, p, logging.New(env.Stdout, level, s.Name)).Run(ctx)
+	logger := logging.New(env.Stdout, level, s.Name)
+	reload := func() error { return reloadSettings(file, s) }
+	return node.New(s, p, logger).Run(ctx, reload)
+}
+
+// reloadSettings checks a changed settings file. Addresses hold for the life of a process, so
+// the file is in force from the next start on.
+func reloadSettings(file string, current node.Settings) error {
+	changed, err := platform.ReadSettings(file)
+	if err != nil {
+		return err
+	}
+	if changed.Front != current.Front || changed.StoreAddress != current.StoreAddress {
+		return fmt.Errorf("%w: addresses change at the next start only", node.ErrSettings)
+	}
+	return nil
 }
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -22,8 +22,10 @@
 type job struct {
 	spec *batch.Job
 	// phase is the phase as stored or about to be stored.
-	phase     batch.Phase
-	finalAt   int64
+	phase   batch.Phase
+	finalAt int64
+	// settled says that the final phase is stored: only then may its tasks be forgotten.
+	settled   bool
 	cancelled bool
 	// made is how many occurrences have their units.
 	made  int
@@ -121,6 +123,7 @@
 	if j.phase == "" {
 		j.phase = batch.Queued
 	}
+	j.settled = j.phase.Final()
 	l.refreshTerms(j)
 	l.byID[j.spec.ID] = j
 	switch {
@@ -298,6 +301,7 @@
 	l.logJob(j, "phase changed")
 	l.storeJobs([]ledger.Record{record}, func() {
 		if phase.Final() {
+			j.settled = true
 			l.dropTasks(j)
 		}
 		if then != nil {
@@ -367,7 +371,7 @@
 func (l *leader) tidy() {
 	horizon := time.Now().Add(-keepFactor * l.c.cfg.Bounds.KeepFinal).UnixMilli()
 	for id, j := range l.byID {
-		if !j.phase.Final() || j.busy() {
+		if !j.settled || j.busy() {
 			continue
 		}
 		if j.units != nil {
--- a/internal/controller/link.go
+++ b/internal/controller/link.go
@@ -277,6 +277,8 @@
 	switch {
 	case k.clockAt == 0 || k.adopting():
 		// The first look only raises the fence and reads the clock.
+	case k.silentSince != 0:
+		// A due time that may or may not arrive would keep the runs from ever being given up.
 	case len(k.runs) > 0:
 		order.DueMS = l.due(k, now)
 		order.Wait = lookEvery
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,8 +7,11 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"os"
+	"os/signal"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -182,8 +185,9 @@
 	return waves
 }
 
-// Run serves until ctx is done and then stops gracefully.
-func (n *Node) Run(ctx context.Context) error {
+// Run serves until ctx is done and then stops gracefully. It calls reload when the process is
+// told that its settings have changed.
+func (n *Node) Run(ctx context.Context, reload func() error) error {
 	n.logger.Info().Str("zone", n.settings.Zone).Str("front", n.settings.Front).Msg("instance starts")
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
@@ -200,6 +204,7 @@
 		defer close(elected)
 		n.elector.Run(leading)
 	})
+	duties.Go(func() { n.watchSettings(work, reload) })
 	servers, err := n.listen()
 	if err != nil {
 		return err
@@ -215,6 +220,21 @@
 	return err
 }
 
+// watchSettings takes the signal that the settings file has changed.
+func (n *Node) watchSettings(ctx context.Context, reload func() error) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			n.logger.Info().Err(reload()).Msg("settings read again")
+		}
+	}
+}
+
 func (n *Node) runWriter(ctx context.Context) {
 	if err := n.writer.Run(ctx); err != nil {
 		n.logger.Error().Err(err).Msg("writer of jobs ended")
