Plan overloaded fleets in milliseconds, and lead on the largest instance

Each task of each blocked unit sorted the runs of every worker again. Claims of small instances wait.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -22,6 +22,11 @@
 	// planEvery is the least time between two rounds of planning, so that a burst of events
 	// is planned together.
 	planEvery = 15 * time.Millisecond
+	// planShare bounds the part of the time that is spent on planning: a round is followed by
+	// a pause of that many times its length.
+	planShare = 6
+	// replanEvery is how often units that found no room are tried without any news.
+	replanEvery = 250 * time.Millisecond
 	// producer names the leader's appends; its epochs are those of the election.
 	producer = "scheduler"
 	// workersWait is how long a read of the workers' entries waits for news.
@@ -46,13 +51,16 @@
 	byID  map[string]*job
 	links map[string]*link
 
-	planDue  bool
-	lastPlan boottime.Instant
-	tookOver boottime.Instant
-	lastTidy boottime.Instant
-	nextUnit int
-	advising bool
-	upkeep   *upkeepState
+	planDue bool
+	// planPause is the time between two rounds, planTimed says that its end is waited for.
+	planPause time.Duration
+	planTimed bool
+	lastPlan  boottime.Instant
+	tookOver  boottime.Instant
+	lastTidy  boottime.Instant
+	nextUnit  int
+	advising  bool
+	upkeep    *upkeepState
 }
 
 func newLeader(c *Controller, ctx context.Context, cancel context.CancelFunc, term election.Term) *leader {
@@ -223,13 +231,18 @@
 	if !l.planDue || !l.term.Valid() {
 		return
 	}
-	if wait := planEvery - boottime.Since(l.lastPlan); wait > 0 {
-		time.AfterFunc(wait, func() { l.post(func() {}) })
+	if wait := l.planPause - boottime.Since(l.lastPlan); wait > 0 {
+		if !l.planTimed {
+			l.planTimed = true
+			time.AfterFunc(wait, func() { l.post(func() { l.planTimed = false }) })
+		}
 		return
 	}
 	l.planDue = false
-	l.lastPlan = boottime.Now()
+	started := boottime.Now()
 	l.plan()
+	l.lastPlan = boottime.Now()
+	l.planPause = max(planEvery, planShare*l.lastPlan.Sub(started))
 }
 
 // tick checks time-outs.
@@ -241,7 +254,7 @@
 	l.checkJobs()
 	l.checkUpkeep()
 	l.requestAdvice()
-	if l.hasWaiting() {
+	if boottime.Since(l.lastPlan) > replanEvery && l.hasWaiting() {
 		l.planDue = true
 	}
 	if boottime.Since(l.lastTidy) > tidyEvery {
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -31,7 +31,7 @@
 	// claimAfter exceeds Validity by the drift of two clocks over it.
 	claimAfter = Validity + 200*time.Millisecond
 	// claimSpread keeps candidates from claiming at the same moment.
-	claimSpread = 250 * time.Millisecond
+	claimSpread = 100 * time.Millisecond
 	// freshFor is the age of a renewal after which the log counts as failing: one is overdue.
 	freshFor = 900 * time.Millisecond
 	// tick is the step at which the state is checked.
@@ -79,6 +79,8 @@
 type Config struct {
 	Log      ledger.Log
 	Identity Identity
+	// Handicap delays claims: instances with more processor time get ahead of others.
+	Handicap time.Duration
 	// Eligible says whether this instance should stand for election now.
 	Eligible func() bool
 	// Lead runs while this instance leads. Its context ends with the term.
@@ -192,7 +194,7 @@
 	if !ok || !e.cfg.Eligible() {
 		return Term{}, false
 	}
-	sleep(ctx, time.Duration(rand.Int64N(int64(wait)+1)))
+	sleep(ctx, wait+rand.N(claimSpread))
 	if _, _, ok := e.claimable(); !ok || ctx.Err() != nil {
 		return Term{}, false
 	}
@@ -204,22 +206,22 @@
 	return Term{Epoch: epoch, FormerValid: former, elector: e}, true
 }
 
-// claimable says whether the leadership can be claimed, how long at most to hold back, and how
-// long the former leader may still act.
-func (e *Elector) claimable() (spread, former time.Duration, ok bool) {
+// claimable says whether the leadership can be claimed, how long to hold back, and how long the
+// former leader may still act.
+func (e *Elector) claimable() (delay, former time.Duration, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.known || e.resigned {
 		return 0, 0, false
 	}
 	if e.current.Epoch == 0 || e.current.Released {
-		return claimSpread / 4, 0, true
+		return e.cfg.Handicap, 0, true
 	}
 	if e.current.Instance == e.cfg.Identity.Instance {
 		// The holder is an earlier life of this instance, or this life after a lost term.
-		return 0, max(0, e.validUntil.Sub(boottime.Now())), true
+		return -claimSpread, max(0, e.validUntil.Sub(boottime.Now())), true
 	}
-	return claimSpread, 0, boottime.Since(e.seen) > claimAfter
+	return e.cfg.Handicap, 0, boottime.Since(e.seen) > claimAfter
 }
 
 // hold renews the claim and runs Lead until the term is lost or ctx is done.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -114,12 +114,24 @@
 	})
 	n.elector = election.New(election.Config{
 		Log: p.Log, Identity: election.Identity{Instance: s.IP, Life: life},
-		Eligible: n.eligible, Lead: n.controller.Lead, Logger: logger,
+		Handicap: handicap(s.Cores), Eligible: n.eligible, Lead: n.controller.Lead, Logger: logger,
 	})
 	n.leader = n.follower(election.Topic, leaderWait, 0, n.elector.Observe)
 	return n
 }
 
+// handicapUnit is the delay of an instance of half a core before it claims the leadership, long
+// enough for one of a whole core to be first.
+const handicapUnit = 120 * time.Millisecond
+
+// handicap delays the claims of instances with little processor time.
+func handicap(cores float64) time.Duration {
+	if cores <= 0 {
+		return 0
+	}
+	return time.Duration(max(0, 1/cores-1) * float64(handicapUnit))
+}
+
 func (n *Node) follower(topic string, wait, pause time.Duration, apply func(ledger.Update)) *ledger.Follower {
 	return ledger.NewFollower(ledger.FollowerConfig{
 		Log: n.platform.Log, Topic: topic, Wait: wait, Pause: func() time.Duration { return pause },
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -48,7 +48,9 @@
 	// Front, Ready are the addresses for callers and for the balancer's probes.
 	Front, Ready string
 	// MetricsPort serves metrics; 0 for none.
-	MetricsPort  int
+	MetricsPort int
+	// Cores is the processor time of the instance, in cores; 0 if unknown.
+	Cores        float64
 	MemoryMB     int64
 	StoreAddress string
 	// Advice and Machines are addresses of services; empty where there is none.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -189,26 +189,55 @@
 	// free is what is free now, soon what will be when the runs being stopped have ended.
 	free, soon []Resources
 	// groups finds the workers of a group's runs.
-	groups       map[int][]int
-	stopped      map[int]bool
-	racks        [][]int
+	groups   map[int][]int
+	stopped  map[int]bool
+	racks    [][]int
+	everyone []int
+	// refused holds, for each shape of unit, the fewest tasks for which no room was found.
+	refused      map[shape]int
+	preemptions  int
 	reservations int
 	plan         Plan
 }
 
+// shape is what decides whether a unit finds room: a later unit of the same shape and no fewer
+// tasks finds none either.
+type shape struct {
+	service, label, dataRack string
+	need                     Resources
+	priority                 int
+	urgency                  Urgency
+	entitled, gang           bool
+	rackBound, patient       bool
+	filler, serving          bool
+}
+
+// shapeOf returns the shape of a unit; false if its own limits decide as well.
+func shapeOf(u *Unit) (shape, bool) {
+	return shape{
+		service: u.Service, label: u.Label, dataRack: u.DataRack, need: u.Need, priority: u.Priority,
+		urgency: u.Urgency, entitled: u.Entitled, gang: u.Gang, rackBound: u.RackBound, patient: u.Patient,
+		filler: u.Filler, serving: u.Serving,
+	}, u.Allowed == nil && u.MaxPerWorker == 0
+}
+
 func newRound(s Snapshot) *round {
 	r := &round{
 		snapshot: s, free: make([]Resources, len(s.Workers)), soon: make([]Resources, len(s.Workers)),
-		groups: make(map[int][]int), stopped: make(map[int]bool),
+		groups: make(map[int][]int), stopped: make(map[int]bool), refused: make(map[shape]int),
 	}
 	byRack := make(map[string]int)
 	for i := range s.Workers {
 		w := &s.Workers[i]
 		r.free[i] = w.Free
 		r.soon[i] = w.Free.Add(w.Releasing)
+		slices.SortStableFunc(w.Runs, compareVictims)
 		for _, run := range w.Runs {
-			r.groups[run.Group] = append(r.groups[run.Group], i)
+			if at := r.groups[run.Group]; len(at) == 0 || at[len(at)-1] != i {
+				r.groups[run.Group] = append(at, i)
+			}
 		}
+		r.everyone = append(r.everyone, i)
 		n, ok := byRack[w.Rack]
 		if !ok {
 			n = len(r.racks)
@@ -223,6 +252,10 @@
 // serve places a unit, makes room for it or holds room for it.
 func (r *round) serve(index int) {
 	u := &r.snapshot.Units[index]
+	kind, comparable := shapeOf(u)
+	if fewest, known := r.refused[kind]; known && comparable && (!u.Gang || u.Tasks >= fewest) {
+		return
+	}
 	places := r.place(u, r.free)
 	if len(places) > 0 && (len(places) == u.Tasks || !u.Gang) {
 		r.start(index, places)
@@ -241,6 +274,7 @@
 	if r.preempt(&rest) {
 		return
 	}
+	r.refused[kind] = u.Tasks
 	if u.Gang && u.Urgency != Overdue && r.reservations < maxReservations {
 		r.reserve(&rest)
 	}
@@ -312,13 +346,7 @@
 	return r.placeWithin(u, r.all(), free)
 }
 
-func (r *round) all() []int {
-	all := make([]int, len(r.snapshot.Workers))
-	for i := range all {
-		all[i] = i
-	}
-	return all
-}
+func (r *round) all() []int { return r.everyone }
 
 func (r *round) rack(name string) []int {
 	for _, members := range r.racks {
--- /dev/null
+++ b/internal/planner/planner_test.go
@@ -0,0 +1,143 @@
+package planner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// makeWorkers returns empty workers with 8 accelerators each.
+func makeWorkers(count, perRack int) []Worker {
+	workers := make([]Worker, count)
+	for i := range workers {
+		workers[i] = Worker{
+			ID: fmt.Sprintf("w%03d", i), Service: "s", Rack: fmt.Sprintf("r%02d", i/perRack), Open: true,
+			Free: Resources{CPU: 128000, MemoryMB: 256000, GPU: 8},
+		}
+	}
+	return workers
+}
+
+// occupy puts a run on a worker.
+func occupy(w *Worker, r Run) {
+	w.Free = w.Free.Sub(r.Need)
+	w.Runs = append(w.Runs, r)
+}
+
+func gpus(n int64) Resources { return Resources{CPU: 1000 * n, MemoryMB: 1000, GPU: n} }
+
+// Guards against gangs that are placed in part.
+func TestGangIsPlacedWholeOrNotAtAll(t *testing.T) {
+	unit := Unit{Service: "s", Priority: 1, Tasks: 3, Need: gpus(8), Gang: true}
+	plan := Decide(Snapshot{Workers: makeWorkers(2, 2), Units: []Unit{unit}})
+	require.Empty(t, plan.Starts)
+	plan = Decide(Snapshot{Workers: makeWorkers(3, 3), Units: []Unit{unit}})
+	require.Len(t, plan.Starts[0].Workers, 3)
+}
+
+// Guards against gangs that are spread over racks although one rack has room.
+func TestRackBoundGangStaysInOneRack(t *testing.T) {
+	workers := makeWorkers(6, 3)
+	occupy(&workers[0], Run{Group: 1, Need: gpus(8)})
+	plan := Decide(Snapshot{Workers: workers, Units: []Unit{
+		{Service: "s", Tasks: 3, Need: gpus(8), Gang: true, RackBound: true, Patient: true},
+	}})
+	require.Equal(t, []int{3, 4, 5}, plan.Starts[0].Workers)
+}
+
+// Guards against small tasks that break up empty workers while partly used ones have room.
+func TestSmallTasksFillUsedWorkers(t *testing.T) {
+	workers := makeWorkers(3, 3)
+	occupy(&workers[1], Run{Group: 1, Need: gpus(5)})
+	plan := Decide(Snapshot{Workers: workers, Units: []Unit{{Service: "s", Tasks: 2, Need: gpus(1)}}})
+	require.Equal(t, []int{1, 1}, plan.Starts[0].Workers)
+}
+
+// Guards the guarantee when everything is full: covered work takes the place of the runs that
+// lose the least, and keeps that place while they stop.
+func TestEntitledUnitReclaimsTheCheapestRuns(t *testing.T) {
+	workers := makeWorkers(2, 2)
+	occupy(&workers[0], Run{Group: 1, Need: gpus(8), Priority: 2, Loss: 500})
+	occupy(&workers[1], Run{Group: 2, Need: gpus(8), Priority: 2, Loss: 20})
+	unit := Unit{Service: "s", Entitled: true, Tasks: 1, Need: gpus(8)}
+	plan := Decide(Snapshot{Workers: workers, Units: []Unit{unit}})
+	require.Equal(t, []int{2}, plan.Stops)
+	require.Empty(t, plan.Starts)
+
+	workers[1].Releasing, workers[1].Runs = gpus(8), nil
+	greedy := Unit{Service: "s", Priority: 1, Tasks: 1, Need: gpus(1)}
+	plan = Decide(Snapshot{Workers: workers, Units: []Unit{greedy, unit}})
+	require.Empty(t, plan.Stops, "the room that is being freed is enough")
+	require.Empty(t, plan.Starts, "nobody else takes it")
+}
+
+// Guards against work of one guarantee that is stopped for another.
+func TestEntitledRunsAreNotStopped(t *testing.T) {
+	workers := makeWorkers(1, 1)
+	occupy(&workers[0], Run{Group: 1, Need: gpus(8), Entitled: true})
+	plan := Decide(Snapshot{Workers: workers, Units: []Unit{{Service: "s", Entitled: true, Tasks: 1, Need: gpus(8)}}})
+	require.Empty(t, plan.Stops)
+}
+
+// Guards against a wide gang that waits for ever while small work takes every gap.
+func TestBlockedGangHoldsRoom(t *testing.T) {
+	workers := makeWorkers(2, 2)
+	occupy(&workers[0], Run{Group: 1, Need: gpus(4), Priority: 1, Kept: true})
+	plan := Decide(Snapshot{Workers: workers, Units: []Unit{
+		{Service: "s", Priority: 1, Tasks: 2, Need: gpus(8), Gang: true},
+		{Service: "s", Priority: 2, Tasks: 8, Need: gpus(1)},
+	}})
+	require.Empty(t, plan.Starts)
+}
+
+// overload is the load at which decisions matter most: a full fleet, many waiting gangs of the
+// most urgent queue, and a flood of the least urgent one.
+func overload(workers, urgent, flood int) Snapshot {
+	random := rand.New(rand.NewPCG(1, 1))
+	s := Snapshot{Workers: makeWorkers(workers, 12)}
+	for i := range s.Workers {
+		for n := range 6 {
+			occupy(&s.Workers[i], Run{Group: i*8 + n + 1, Need: gpus(1), Priority: 1 + n%2, Loss: float64(random.IntN(500))})
+		}
+		occupy(&s.Workers[i], Run{Group: -1 - i/4, Need: gpus(2), Priority: 0, Entitled: i%2 == 0, Loss: 100})
+	}
+	for n := range urgent {
+		s.Units = append(s.Units, Unit{
+			Service: "s", Priority: 0, Urgency: Urgency(n % 3), Deadline: int64(n), Entitled: n%4 == 0, Tasks: 1 + random.IntN(12),
+			Need: gpus([]int64{1, 2, 4, 8}[random.IntN(4)]), Gang: true, RackBound: n%4 != 1, Patient: true,
+		})
+	}
+	for n := range flood {
+		s.Units = append(s.Units, Unit{Service: "s", Priority: 2, Deadline: int64(n), Tasks: 40, Need: gpus(1)})
+	}
+	return s
+}
+
+// Guards against plans that use more than a worker has.
+func TestOverloadedPlanFits(t *testing.T) {
+	s := overload(48, 60, 20)
+	free := make([]Resources, len(s.Workers))
+	for i := range s.Workers {
+		free[i] = s.Workers[i].Free
+	}
+	for _, start := range Decide(s).Starts {
+		for _, w := range start.Workers {
+			free[w] = free[w].Sub(s.Units[start.Unit].Need)
+			require.GreaterOrEqual(t, free[w].GPU, int64(0))
+			require.GreaterOrEqual(t, free[w].MemoryMB, int64(0))
+		}
+	}
+}
+
+// BenchmarkDecideOverload measures a round at the worst load.
+func BenchmarkDecideOverload(b *testing.B) {
+	for _, workers := range []int{48, 350} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			for b.Loop() {
+				Decide(overload(workers, 150, 50))
+			}
+		})
+	}
+}
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -5,6 +5,15 @@
 	"slices"
 )
 
+// maxPreemptions bounds the units for which room is made in one round: each looks at every
+// worker, and the next round follows within milliseconds.
+const maxPreemptions = 8
+
+// compareVictims puts the runs that give way first at the front.
+func compareVictims(a, b Run) int {
+	return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(a.Loss, b.Loss))
+}
+
 // gives says whether a run gives way to a unit.
 func gives(run *Run, u *Unit) bool {
 	switch {
@@ -24,6 +33,10 @@
 // preempt stops runs so that all tasks of the unit get room, and claims that room. It reports
 // false, and stops nothing, if that is not possible.
 func (r *round) preempt(u *Unit) bool {
+	if r.preemptions == maxPreemptions {
+		return false
+	}
+	r.preemptions++
 	best := r.cheapest(u)
 	if best == nil {
 		return false
@@ -70,35 +83,71 @@
 	return best
 }
 
+// offer is what one more task on a worker costs.
+type offer struct {
+	worker int
+	placed int
+	// groups must be stopped for it.
+	groups []int
+	loss   float64
+}
+
 // evict makes room on the given workers, the cheapest worker first.
 func (r *round) evict(u *Unit, members []int) *eviction {
 	e := &eviction{groups: make(map[int]bool), freed: make(map[int]Resources)}
+	offers := make([]offer, 0, len(members))
+	for _, i := range members {
+		if o, ok := r.offer(u, offer{worker: i}, e); ok {
+			offers = append(offers, o)
+		}
+	}
 	for len(e.places) < u.Tasks {
-		worker, victims, loss := r.cheapestWorker(u, members, e)
-		if worker < 0 {
+		if len(offers) == 0 {
 			return nil
 		}
-		e.loss += loss
-		for _, group := range victims {
-			r.free1(e, group)
+		best := 0
+		for i := range offers {
+			if offers[i].loss < offers[best].loss {
+				best = i
+			}
+		}
+		o := offers[best]
+		e.loss += o.loss
+		for _, group := range o.groups {
+			r.count(e, group)
+		}
+		e.places = append(e.places, o.worker)
+		next, ok := r.offer(u, offer{worker: o.worker, placed: o.placed + 1}, e)
+		if ok {
+			offers[best] = next
+		} else {
+			offers = slices.Delete(offers, best, best+1)
 		}
-		e.places = append(e.places, worker)
 	}
 	return e
 }
 
-// free1 counts what stopping a group frees, on all of its workers.
-func (r *round) free1(e *eviction, group int) {
+// offer finds what one more task on a worker costs; false if it has no room for one.
+func (r *round) offer(u *Unit, o offer, e *eviction) (offer, bool) {
+	if !r.usable(u, o.worker) || o.placed >= u.perWorker(r.snapshot.Workers[o.worker].ID) {
+		return o, false
+	}
+	free := r.soon[o.worker].Add(e.freed[o.worker])
+	for range o.placed {
+		free = free.Sub(u.Need)
+	}
+	var ok bool
+	o.groups, o.loss, ok = r.victims(u, o.worker, free, e)
+	return o, ok
+}
+
+// count adds what stopping a group frees, on all of its workers.
+func (r *round) count(e *eviction, group int) {
 	if e.groups[group] {
 		return
 	}
 	e.groups[group] = true
-	seen := make(map[int]bool)
 	for _, w := range r.groups[group] {
-		if seen[w] {
-			continue
-		}
-		seen[w] = true
 		for _, run := range r.snapshot.Workers[w].Runs {
 			if run.Group == group {
 				e.freed[w] = e.freed[w].Add(run.Need)
@@ -107,44 +156,12 @@
 	}
 }
 
-// cheapestWorker finds the worker on which one more task costs the least, and the groups to
-// stop there.
-func (r *round) cheapestWorker(u *Unit, members []int, e *eviction) (worker int, victims []int, loss float64) {
-	worker = -1
-	for _, i := range members {
-		if !r.usable(u, i) {
-			continue
-		}
-		placed := 0
-		for _, p := range e.places {
-			if p == i {
-				placed++
-			}
-		}
-		if placed >= u.perWorker(r.snapshot.Workers[i].ID) {
-			continue
-		}
-		free := r.soon[i].Add(e.freed[i])
-		for range placed {
-			free = free.Sub(u.Need)
-		}
-		groups, cost, ok := r.victims(u, i, free, e)
-		if ok && (worker < 0 || cost < loss) {
-			worker, victims, loss = i, groups, cost
-		}
-	}
-	return worker, victims, loss
-}
-
 // victims chooses runs on one worker that free enough for one task.
 func (r *round) victims(u *Unit, worker int, free Resources, e *eviction) (groups []int, loss float64, ok bool) {
 	if u.Need.Times(free, 1) == 1 {
 		return nil, 0, true
 	}
-	runs := slices.Clone(r.snapshot.Workers[worker].Runs)
-	slices.SortStableFunc(runs, func(a, b Run) int {
-		return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(a.Loss, b.Loss))
-	})
+	runs := r.snapshot.Workers[worker].Runs
 	for i := range runs {
 		run := &runs[i]
 		if !gives(run, u) || r.stopped[run.Group] || e.groups[run.Group] || slices.Contains(groups, run.Group) {
