Finish begun jobs first, keep headroom for the most urgent queue, bound losses

Change: runs that lose the least give way first, unguaranteed units may throw away twice their own work at most, begun jobs come before others of their queue, and what the most urgent queue used at its recent peak stays free of work that cannot be saved.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -51,6 +51,10 @@
 	byID  map[string]*job
 	links map[string]*link
 
+	// peaks is the recent peak of accelerators used by the most urgent queue of each service.
+	peaks  map[string]float64
+	peakAt boottime.Instant
+
 	planDue bool
 	// planPause is the time between two rounds, planTimed says that its end is waited for.
 	planPause time.Duration
@@ -68,7 +72,7 @@
 		c: c, ctx: ctx, cancel: cancel, term: term, logger: c.cfg.Logger,
 		inbox: make(chan func(), inboxSize),
 		byID:  make(map[string]*job), links: make(map[string]*link),
-		upkeep: newUpkeepState(),
+		upkeep: newUpkeepState(), peaks: make(map[string]float64), peakAt: boottime.Now(),
 	}
 	l.tasks = l.writer(batch.TasksTopic)
 	l.jobs = l.writer(batch.JobsTopic)
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -19,6 +20,9 @@
 	gpuCores = 8
 	// patience is how long tasks wait for their rack before they run elsewhere, slower.
 	patience = 4 * time.Second
+	// headroomHalf is the time in which the headroom for the most urgent queue halves when
+	// its load falls; it bridges the gaps between jobs, not the time after a burst.
+	headroomHalf = 3 * time.Second
 )
 
 // plan decides a round and carries it out.
@@ -52,6 +56,7 @@
 		links = append(links, k)
 		s.Workers = append(s.Workers, l.describeWorker(k, now))
 	}
+	s.Headroom = l.headroom(now)
 	entitled := l.entitlements()
 	var units []*unit
 	for _, id := range slices.Sorted(maps.Keys(l.byID)) {
@@ -77,6 +82,32 @@
 	return s, links, units
 }
 
+// headroom is how many accelerators to keep free in each service: what the most urgent queue
+// used at its recent peak, less what it uses now. Other work would be stopped for its next job.
+func (l *leader) headroom(now boottime.Instant) map[string]int64 {
+	used := make(map[string]float64)
+	for _, k := range l.links {
+		for _, r := range k.runs {
+			if r.task.unit.job.spec.Terms.Priority == 0 {
+				used[k.info.Service] += float64(r.task.unit.step.GPU)
+			}
+		}
+	}
+	fade := math.Exp2(-now.Sub(l.peakAt).Seconds() / headroomHalf.Seconds())
+	l.peakAt = now
+	headroom := make(map[string]int64)
+	for service := range l.peaks {
+		l.peaks[service] *= fade
+	}
+	for service, n := range used {
+		l.peaks[service] = max(l.peaks[service], n)
+	}
+	for service, peak := range l.peaks {
+		headroom[service] = int64(peak - used[service])
+	}
+	return headroom
+}
+
 func (l *leader) describeWorker(k *link, now boottime.Instant) planner.Worker {
 	capacity := planner.Resources{CPU: k.info.CPU, MemoryMB: k.info.MemoryMB, GPU: k.info.GPU}
 	used, releasing := k.used()
@@ -117,24 +148,29 @@
 	if u.step.Checkpoints {
 		return 0
 	}
-	weight := float64(u.step.CPU)/1000 + gpuCores*float64(u.step.GPU)
-	loss := weight * now.Sub(r.began).Seconds()
+	loss := u.weight() * now.Sub(r.began).Seconds()
 	if u.gang() {
 		loss *= float64(len(u.tasks))
 	}
 	return loss
 }
 
+// weight is what a task of the unit works in a second, in weighted core-seconds.
+func (u *unit) weight() float64 {
+	return float64(u.step.CPU)/1000 + gpuCores*float64(u.step.GPU)
+}
+
 // describeUnit returns the planner's view of a unit; false while it must not be placed.
 func (l *leader) describeUnit(u *unit, waiting int, now boottime.Instant, entitled bool) (planner.Unit, bool) {
 	j := u.job
 	d := planner.Unit{
 		Service: j.spec.Terms.Service, Priority: j.spec.Terms.Priority, Entitled: entitled,
-		Tasks: waiting, Need: needOf(u.step), Gang: u.gang(), RackBound: u.step.RackBound && u.step.Count > 1,
+		Tasks: waiting, Need: needOf(u.step), Work: u.weight() * float64(u.step.EstimateMS) / 1000 * float64(waiting), Gang: u.gang(), RackBound: u.step.RackBound && u.step.Count > 1,
 		DataRack: u.step.DataRack, Label: u.step.Label, MaxPerWorker: u.step.MaxPerWorker,
-		Filler: u.step.Filler, Serving: u.step.TailTargetMS > 0,
+		Saves: u.step.Checkpoints, Filler: u.step.Filler, Serving: u.step.TailTargetMS > 0,
 		Patient: now.Sub(u.readySince) < patience,
 	}
+	d.Begun = u.job.begun(u.occurrence)
 	d.Urgency, d.Deadline = u.urgency()
 	if u.step.MaxPerWorker > 0 {
 		d.Present = make(map[string]int)
@@ -155,6 +191,18 @@
 	return d, true
 }
 
+// begun says whether a task of the occurrence is done or running.
+func (j *job) begun(occurrence int) bool {
+	for i := range j.spec.Steps {
+		for _, t := range j.unitOf(occurrence, i).tasks {
+			if t.rec.Done || t.run != nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (u *unit) avoided() map[string]bool {
 	var avoid map[string]bool
 	for _, t := range u.tasks {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -94,11 +94,18 @@
 	Urgency  Urgency
 	// Deadline orders units of equal priority and urgency, in milliseconds.
 	Deadline int64
+	// Begun says that work of the job is done or running: a job is worth something only when all
+	// of it is done, so that under overload few jobs are finished rather than many begun.
+	Begun bool
 	// Entitled units are covered by their organisation's guarantee.
 	Entitled bool
 	Tasks    int
 	Need     Resources
-	Gang     bool
+	// Saves says that stopping the tasks loses no work.
+	Saves bool
+	// Work is the estimated work of the tasks, in weighted core-seconds.
+	Work float64
+	Gang bool
 	// RackBound tasks are slow when spread over several racks.
 	RackBound bool
 	// DataRack is the rack where the tasks are fast; empty for any.
@@ -122,6 +129,9 @@
 type Snapshot struct {
 	Workers []Worker
 	Units   []Unit
+	// Headroom is the number of accelerators of each service to keep free for the most urgent
+	// queue. Only work that can be stopped without a loss may use them.
+	Headroom map[string]int64
 }
 
 // Start places tasks of a unit: one worker, by index, for each task.
@@ -160,13 +170,15 @@
 }
 
 // compareUnits orders units by what starting them first is worth: guarantees, then anything
-// that still counts, then the queue's priority, then what can still be on time.
+// that still counts, then the queue's priority, then what can still be on time, and jobs that
+// have begun before others.
 func compareUnits(a, b *Unit) int {
 	return cmp.Or(
 		boolOrder(a.Entitled, b.Entitled),
 		boolOrder(a.Urgency != Overdue, b.Urgency != Overdue),
 		cmp.Compare(a.Priority, b.Priority),
 		cmp.Compare(a.Urgency, b.Urgency),
+		boolOrder(a.Begun, b.Begun),
 		cmp.Compare(a.Deadline, b.Deadline),
 	)
 }
@@ -189,8 +201,10 @@
 	// free is what is free now, soon what will be when the runs being stopped have ended.
 	free, soon []Resources
 	// groups finds the workers of a group's runs.
-	groups   map[int][]int
-	stopped  map[int]bool
+	groups  map[int][]int
+	stopped map[int]bool
+	// spare is what each service has free beyond its headroom.
+	spare    map[string]int64
 	racks    [][]int
 	everyone []int
 	// refused holds, for each shape of unit, the fewest tasks for which no room was found.
@@ -227,8 +241,15 @@
 		groups: make(map[int][]int), stopped: make(map[int]bool), refused: make(map[shape]int),
 	}
 	byRack := make(map[string]int)
+	r.spare = make(map[string]int64)
+	for service, headroom := range s.Headroom {
+		r.spare[service] = -headroom
+	}
 	for i := range s.Workers {
 		w := &s.Workers[i]
+		if w.Open {
+			r.spare[w.Service] += max(0, w.Free.GPU)
+		}
 		r.free[i] = w.Free
 		r.soon[i] = w.Free.Add(w.Releasing)
 		slices.SortStableFunc(w.Runs, compareVictims)
@@ -256,10 +277,15 @@
 	if fewest, known := r.refused[kind]; known && comparable && (!u.Gang || u.Tasks >= fewest) {
 		return
 	}
+	limit := r.limit(u)
+	if limit == 0 || (u.Gang && limit < u.Tasks) {
+		return
+	}
 	places := r.place(u, r.free)
 	if len(places) > 0 && (len(places) == u.Tasks || !u.Gang) {
+		places = places[:min(len(places), limit)]
 		r.start(index, places)
-		if len(places) == u.Tasks {
+		if len(places) == u.Tasks || len(places) == limit {
 			return
 		}
 	}
@@ -280,8 +306,17 @@
 	}
 }
 
+// limit is how many tasks of the unit may start without using the headroom.
+func (r *round) limit(u *Unit) int {
+	if u.Priority == 0 || u.Saves || u.Need.GPU == 0 || r.snapshot.Headroom[u.Service] == 0 {
+		return u.Tasks
+	}
+	return int(min(int64(u.Tasks), max(0, r.spare[u.Service])/u.Need.GPU))
+}
+
 func (r *round) start(index int, places []int) {
 	u := &r.snapshot.Units[index]
+	r.spare[u.Service] -= u.Need.GPU * int64(len(places))
 	for _, w := range places {
 		r.free[w] = r.free[w].Sub(u.Need)
 		r.soon[w] = r.soon[w].Sub(u.Need)
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -141,3 +141,28 @@
 		})
 	}
 }
+
+// Guards against an overload in which many jobs are begun and none is finished.
+func TestBegunJobGoesFirst(t *testing.T) {
+	workers := makeWorkers(1, 1)
+	plan := Decide(Snapshot{Workers: workers, Units: []Unit{
+		{Service: "s", Priority: 2, Deadline: 1, Tasks: 8, Need: gpus(1)},
+		{Service: "s", Priority: 2, Deadline: 2, Tasks: 8, Need: gpus(1), Begun: true},
+	}})
+	require.Len(t, plan.Starts, 1)
+	require.Equal(t, 1, plan.Starts[0].Unit)
+}
+
+// Guards against work that is started only to be stopped for the next urgent job: between two
+// urgent jobs their room stays free, except for work that loses nothing by a stop.
+func TestHeadroomIsKeptForUrgentWork(t *testing.T) {
+	s := Snapshot{Workers: makeWorkers(2, 2), Headroom: map[string]int64{"s": 10}, Units: []Unit{
+		{Service: "s", Priority: 2, Tasks: 16, Need: gpus(1)},
+	}}
+	plan := Decide(s)
+	require.Len(t, plan.Starts[0].Workers, 6)
+	s.Workers, s.Units[0].Saves = makeWorkers(2, 2), true
+	require.Len(t, Decide(s).Starts[0].Workers, 16)
+	s.Workers, s.Units[0].Saves, s.Units[0].Priority = makeWorkers(2, 2), false, 0
+	require.Len(t, Decide(s).Starts[0].Workers, 16)
+}
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -9,11 +9,15 @@
 // worker, and the next round follows within milliseconds.
 const maxPreemptions = 8
 
-// compareVictims puts the runs that give way first at the front.
+// compareVictims puts the runs that give way first at the front: those that lose the least.
 func compareVictims(a, b Run) int {
-	return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(a.Loss, b.Loss))
+	return cmp.Or(cmp.Compare(a.Loss, b.Loss), cmp.Compare(b.Priority, a.Priority))
 }
 
+// lossFactor times its own work, a unit that no guarantee covers may throw away. More would cost
+// the others more than the unit gains.
+const lossFactor = 2
+
 // gives says whether a run gives way to a unit.
 func gives(run *Run, u *Unit) bool {
 	switch {
@@ -38,7 +42,7 @@
 	}
 	r.preemptions++
 	best := r.cheapest(u)
-	if best == nil {
+	if best == nil || (!u.Entitled && best.loss > lossFactor*u.Work+restartLoss*float64(len(best.groups))) {
 		return false
 	}
 	for group := range best.groups {
