Start the tasks of a worker that has left elsewhere at once, and shorten leases

Ruled out: the gang's other members, which were listed as broken at once. Change: an entry that is taken back within two heartbeats while draining means that the worker has left; tasks that save are stopped just before; leases last 4 s, not 5.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -91,7 +91,7 @@
 		Log: client, Workers: c.fleet, Jobs: i.intake, JobsPosition: jobs.Position,
 		Settings: i.intake.CurrentConfig, Waves: func() []worker.Wave { return nil },
 		WorkersTopic: workersTopic, DecodeWorker: decodeWorker,
-		Bounds:  Bounds{MaxLease: 6 * time.Second, GangWait: 3 * time.Second, KeepFinal: time.Minute},
+		Bounds:  Bounds{MaxLease: 6 * time.Second, GangWait: 3 * time.Second, KeepFinal: time.Minute, Heartbeat: 1500 * time.Millisecond},
 		Metrics: set, Logger: logger,
 	})
 	i.elector = election.New(election.Config{
@@ -132,9 +132,10 @@
 }
 
 // addWorker starts a worker and registers it.
-func (c *cluster) addWorker(id, rack string) {
+func (c *cluster) addWorker(id, rack string) worker.Info {
 	info := c.fleet.Add(worker.Info{ID: id, Service: "s", Rack: rack, CPU: 8000, MemoryMB: 8000, GPU: 8}, 0.98)
 	c.register(info)
+	return info
 }
 
 func (c *cluster) register(info worker.Info) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -32,6 +32,8 @@
 	MaxLease time.Duration
 	// GangWait is how long a member of a gang waits for the others.
 	GangWait time.Duration
+	// Heartbeat is the time between two entries of a worker.
+	Heartbeat time.Duration
 	// KeepFinal is how long the state of a finished job can be asked for.
 	KeepFinal time.Duration
 	// HolderTurn is the least time between orders of two holders for one machine.
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/oleanderbend/oleanderbend/internal/batch"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
+	"github.com/oleanderbend/oleanderbend/internal/worker"
 	"github.com/oleanderbend/oleanderbend/internal/worker/workertest"
 )
 
@@ -40,6 +41,25 @@
 	})
 }
 
+// Guards against gangs that wait for the leases of a worker that has said that it leaves.
+func TestTaskOfLeavingWorkerStartsElsewhereAtOnce(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(20*time.Second), func(c *cluster) {
+		info := c.addWorker("w1", "r1")
+		c.startInstance("a")
+		c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 1, EstimateMS: 100})
+		task := batch.TaskID{Job: jobID(1)}
+		c.waitFor(4*time.Second, "started", func() bool { return c.fleet.Starts(task) == 1 })
+		c.addWorker("w2", "r1")
+		info.State, info.Leaving = worker.Draining, time.Second
+		c.register(info)
+		time.Sleep(time.Second)
+		c.fleet.Remove("w1")
+		c.write(workersTopic, ledger.Record{Key: "w1"})
+		c.waitFor(time.Second, "started again", func() bool { return c.fleet.Starts(task) == 2 })
+		require.Empty(t, c.fleet.Broken())
+	})
+}
+
 // Guards against tasks that were forgotten before the end of their job was stored: a new leader
 // ran the job again.
 func TestTasksAreKeptUntilTheEndIsStored(t *testing.T) {
--- a/internal/controller/link.go
+++ b/internal/controller/link.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// preferredLease outlives a takeover and short cuts; a longer one keeps the tasks of a lost
-	// worker waiting.
-	preferredLease = 5 * time.Second
+	// preferredLease outlives a takeover: a look's length, the time until a claim, and the way to
+	// the workers. A longer one keeps the tasks of a lost worker waiting.
+	preferredLease = 4 * time.Second
 	// lookEvery is how long a look at a worker waits for an end. Leases are renewed as often.
 	lookEvery = 900 * time.Millisecond
 	// lookTimeout is added to it for the answer.
@@ -34,6 +34,11 @@
 	shunFor = 6 * time.Second
 	// looseFor is how long an order without an answer may be on its way.
 	looseFor = 15 * time.Second
+	// leftWithin times the heartbeat is the age of an entry up to which its end means that the
+	// worker has left; silent workers keep theirs for three.
+	leftWithin = 2
+	// saveMargin is kept from the time at which a draining worker may be gone, for a stop.
+	saveMargin = 700 * time.Millisecond
 	// unhealthyPause is how long a worker that refused an order gets no more.
 	unhealthyPause = time.Second
 )
@@ -77,7 +82,8 @@
 	closedUntil boottime.Instant
 	// failedJobs are the jobs that failed since the last success.
 	failedJobs map[string]bool
-	drainingAt boottime.Instant
+	// beatAt is when the entry last changed, leaves when a draining worker may be gone.
+	beatAt, leaves boottime.Instant
 }
 
 func newLink(id, address string, born int64) *link {
@@ -141,12 +147,8 @@
 		l.logger.Info().Str("worker", k.id).Str("rack", info.Rack).Int("state", int(info.State)).
 			Int64("born", info.Born).Int("runs", len(k.runs)).Msg("worker's state changed")
 	}
-	if info.State == worker.Draining && k.drainingAt == 0 {
-		k.drainingAt = boottime.Now()
-	}
-	if info.State == worker.Ready {
-		k.drainingAt = 0
-	}
+	k.beatAt = boottime.Now()
+	k.leaves = k.beatAt.Add(info.Leaving)
 	k.present, k.info, k.address = true, info, info.Address
 	if now := boottime.Now(); k.clockAt == 0 || info.ClockMS > k.clock+now.Sub(k.clockAt).Milliseconds() {
 		k.clock, k.clockAt = info.ClockMS, now
@@ -154,10 +156,19 @@
 	l.leaveDraining(k)
 }
 
-// workerGone takes the loss of an entry: the worker has left, or does not reach the registry.
+// workerGone takes the loss of an entry. Entries of silent workers are kept for several
+// heartbeats: one that goes sooner was taken back by a worker that has left.
 func (l *leader) workerGone(k *link) {
-	l.logger.Info().Str("worker", k.id).Int("runs", len(k.runs)).Msg("worker's entry gone")
+	age := boottime.Since(k.beatAt)
+	left := k.info.State == worker.Draining && age < leftWithin*l.c.cfg.Bounds.Heartbeat
+	l.logger.Info().Str("worker", k.id).Int("runs", len(k.runs)).Dur("beat_age", age).Bool("left", left).
+		Msg("worker's entry gone")
 	k.present = false
+	if left {
+		for _, r := range k.list() {
+			l.resolve(r, endLost, "")
+		}
+	}
 	if len(k.runs) == 0 {
 		delete(l.links, k.id)
 	}
@@ -286,6 +297,9 @@
 	for _, r := range k.list() {
 		l.checkRun(r, now)
 	}
+	if k.info.State == worker.Draining {
+		l.saveDraining(k, now)
+	}
 	if !k.present && len(k.runs) == 0 {
 		delete(l.links, k.id)
 		return
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -369,3 +369,15 @@
 		}
 	}
 }
+
+// saveDraining stops tasks that save their work just before their worker may be gone.
+func (l *leader) saveDraining(k *link, now boottime.Instant) {
+	if now < k.leaves.Add(-saveMargin) {
+		return
+	}
+	for _, r := range k.list() {
+		if r.state == running && r.task.unit.step.Checkpoints {
+			l.stopRun(r, "worker is leaving")
+		}
+	}
+}
