Keep a tenth of the fleet for each queue

Change: a queue that uses less than a tenth of its service's accelerators goes ahead of the queues above with as many tasks as fit into that tenth, and what runs there gives way to guarantees only.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -121,6 +121,8 @@
 	Allowed map[string]bool
 	Filler  bool
 	Serving bool
+	// lifted units use the share that every queue keeps under overload.
+	lifted bool
 	// Patient units wait for a rack of their own; others are spread when none has room.
 	Patient bool
 }
@@ -155,20 +157,24 @@
 // costs a restart only.
 const cheapLoss = 1.0
 
-// Decide plans one round.
+// Decide plans one round. It may reorder the runs of the snapshot.
 func Decide(s Snapshot) Plan {
 	r := newRound(s)
-	order := make([]int, len(s.Units))
-	for i := range order {
-		order[i] = i
-	}
-	slices.SortStableFunc(order, func(a, b int) int { return compareUnits(&s.Units[a], &s.Units[b]) })
-	for _, i := range order {
-		r.serve(i)
+	requests := r.requests()
+	slices.SortStableFunc(requests, func(a, b request) int { return compareUnits(&a.unit, &b.unit) })
+	for i := range requests {
+		r.serve(&requests[i])
 	}
 	return r.plan
 }
 
+// request is a unit, or a part of one, in the order of a round.
+type request struct {
+	// index is the unit's place in the snapshot.
+	index int
+	unit  Unit
+}
+
 // compareUnits orders units by what starting them first is worth: guarantees, then anything
 // that still counts, then the queue's priority, then what can still be on time, and jobs that
 // have begun before others.
@@ -176,13 +182,22 @@
 	return cmp.Or(
 		boolOrder(a.Entitled, b.Entitled),
 		boolOrder(a.Urgency != Overdue, b.Urgency != Overdue),
-		cmp.Compare(a.Priority, b.Priority),
+		cmp.Compare(a.rank(), b.rank()),
 		cmp.Compare(a.Urgency, b.Urgency),
 		boolOrder(a.Begun, b.Begun),
 		cmp.Compare(a.Deadline, b.Deadline),
 	)
 }
 
+// rank orders queues; units that use their queue's kept share come right after the most urgent
+// queue.
+func (u *Unit) rank() int {
+	if u.lifted {
+		return 1
+	}
+	return 2 * u.Priority
+}
+
 // boolOrder puts true first.
 func boolOrder(a, b bool) int {
 	switch {
@@ -208,7 +223,9 @@
 	racks    [][]int
 	everyone []int
 	// refused holds, for each shape of unit, the fewest tasks for which no room was found.
-	refused      map[shape]int
+	refused map[shape]int
+	// low holds the queues that use no more than their kept share.
+	low          map[queueKey]bool
 	preemptions  int
 	reservations int
 	plan         Plan
@@ -271,8 +288,8 @@
 }
 
 // serve places a unit, makes room for it or holds room for it.
-func (r *round) serve(index int) {
-	u := &r.snapshot.Units[index]
+func (r *round) serve(q *request) {
+	u := &q.unit
 	kind, comparable := shapeOf(u)
 	if fewest, known := r.refused[kind]; known && comparable && (!u.Gang || u.Tasks >= fewest) {
 		return
@@ -284,7 +301,7 @@
 	places := r.place(u, r.free)
 	if len(places) > 0 && (len(places) == u.Tasks || !u.Gang) {
 		places = places[:min(len(places), limit)]
-		r.start(index, places)
+		r.start(q, places)
 		if len(places) == u.Tasks || len(places) == limit {
 			return
 		}
@@ -308,21 +325,21 @@
 
 // limit is how many tasks of the unit may start without using the headroom.
 func (r *round) limit(u *Unit) int {
-	if u.Priority == 0 || u.Saves || u.Need.GPU == 0 || r.snapshot.Headroom[u.Service] == 0 {
+	if u.Priority == 0 || u.lifted || u.Saves || u.Need.GPU == 0 || r.snapshot.Headroom[u.Service] == 0 {
 		return u.Tasks
 	}
 	return int(min(int64(u.Tasks), max(0, r.spare[u.Service])/u.Need.GPU))
 }
 
-func (r *round) start(index int, places []int) {
-	u := &r.snapshot.Units[index]
+func (r *round) start(q *request, places []int) {
+	u := &q.unit
 	r.spare[u.Service] -= u.Need.GPU * int64(len(places))
 	for _, w := range places {
 		r.free[w] = r.free[w].Sub(u.Need)
 		r.soon[w] = r.soon[w].Sub(u.Need)
 		r.mark(u, w)
 	}
-	r.plan.Starts = append(r.plan.Starts, Start{Unit: index, Workers: places})
+	r.plan.Starts = append(r.plan.Starts, Start{Unit: q.index, Workers: places})
 }
 
 // mark keeps tasks that serve and fillers apart within the round.
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -19,12 +19,14 @@
 const lossFactor = 2
 
 // gives says whether a run gives way to a unit.
-func gives(run *Run, u *Unit) bool {
+func (r *round) gives(run *Run, u *Unit) bool {
 	switch {
 	case run.Kept:
 		return false
 	case u.Entitled:
 		return !run.Entitled
+	case r.low[queueKey{u.Service, run.Priority}]:
+		return false
 	case run.Entitled || run.Priority <= u.Priority || u.Urgency == Overdue:
 		return false
 	case u.Priority == 0:
@@ -168,11 +170,11 @@
 	runs := r.snapshot.Workers[worker].Runs
 	for i := range runs {
 		run := &runs[i]
-		if !gives(run, u) || r.stopped[run.Group] || e.groups[run.Group] || slices.Contains(groups, run.Group) {
+		if !r.gives(run, u) || r.stopped[run.Group] || e.groups[run.Group] || slices.Contains(groups, run.Group) {
 			continue
 		}
 		groups = append(groups, run.Group)
-		loss += run.Loss + restartLoss
+		loss += r.lossOf(run, u) + restartLoss
 		for _, other := range runs {
 			if other.Group == run.Group {
 				free = free.Add(other.Need)
@@ -185,6 +187,14 @@
 	return nil, 0, false
 }
 
+// lossOf weighs what stopping a run for a unit throws away.
+func (r *round) lossOf(run *Run, u *Unit) float64 {
+	if r.low[queueKey{u.Service, run.Priority}] {
+		return keptLoss * run.Loss
+	}
+	return run.Loss
+}
+
 // restartLoss stands for the cost of another start, in weighted core-seconds: it keeps the
 // number of stopped runs small where their work is saved.
 const restartLoss = 5.0
