--- a/internal/api/write.go
+++ b/internal/api/write.go
@@ -288,7 +288,8 @@
 	a.deps.Events.Record(event)
 }
 
-// answerPut answers with the resource as it is now. Status 201 is for a create.
+// answerPut answers with the resource as this write made it, even if another write has followed.
+// Status 201 is for a create.
 func (a *API) answerPut(w http.ResponseWriter, req request, written resource.Object, v state.Verdict) error {
 	if p := verdictProblem(req.id, v, isVersionConflict(v, req) && *req.version != 0); p != nil {
 		a.refused(req, v.Message)
@@ -296,8 +297,10 @@
 	}
 	w.Header().Set(platform.HeaderRequestID, req.id)
 	object := written
+	object.Meta().ResourceVersion = v.Version
 	a.deps.Reader.Read(func(s *state.State) {
-		if current, found := s.Lookup(req.kind, req.name); found {
+		current, found := s.Lookup(req.kind, req.name)
+		if found && current.Meta().ResourceVersion == v.Version {
 			object = current
 		}
 	})
--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -112,12 +112,7 @@
 	if err != nil {
 		return result, err
 	}
-	got, err := c.do(ctx, call{
-		method: http.MethodPut, path: objectPath(object.Kind(), object.Meta().Name), body: body, header: writes.header(result.Request),
-	})
-	if err == nil {
-		err = got.err()
-	}
+	got, before, err := c.putRead(ctx, writes, result.Request, object, before, body)
 	if err != nil {
 		result.Result, result.Error = "refused", err.Error()
 		if isUnknown(err) {
@@ -134,6 +129,56 @@
 	return result, nil
 }
 
+// maxRereads bounds how often a write is tried again because the status of its resource changed
+// after it was read.
+const maxRereads = 5
+
+// putRead writes a resource on the condition that it still is as it was read, so that another
+// operator's change is not undone silently. Changes of its status alone do not count. It returns
+// the state that was replaced.
+func (c *client) putRead(ctx context.Context, writes writeFlags, id string, object, before resource.Object, body []byte) (answer, resource.Object, error) {
+	named := writes.ifVersion != 0 || object.Meta().ResourceVersion != 0
+	for tries := 0; ; tries++ {
+		header := writes.header(id)
+		if tries > 0 {
+			header.Set(platform.HeaderIdempotencyKey, fmt.Sprintf("%s-%d", id, tries))
+		}
+		bindVersion(header, object, before)
+		got, err := c.do(ctx, call{
+			method: http.MethodPut, path: objectPath(object.Kind(), object.Meta().Name), body: body, header: header,
+		})
+		if err == nil {
+			err = got.err()
+		}
+		if err == nil || tries == maxRereads || named || before == nil || !isStale(err) {
+			return got, before, err
+		}
+		current, fetchErr := c.fetch(ctx, object)
+		if fetchErr != nil || current == nil || current.Meta().Generation != before.Meta().Generation {
+			return got, before, err
+		}
+		before = current
+	}
+}
+
+// bindVersion makes a write conditional on what was read, unless the operator or the file names
+// a version.
+func bindVersion(header http.Header, object, before resource.Object) {
+	switch {
+	case header.Get("If-Match") != "" || object.Meta().ResourceVersion != 0:
+	case before == nil:
+		header.Set("If-None-Match", "*")
+	default:
+		header.Set("If-Match", strconv.Quote(strconv.FormatUint(before.Meta().ResourceVersion, 10)))
+	}
+}
+
+// isStale says whether a write was refused because its resource has changed.
+func isStale(err error) bool {
+	var p *api.Problem
+	return errors.As(err, &p) && (p.Status == http.StatusPreconditionFailed || p.Status == http.StatusConflict)
+}
+
 // describe says what the write changed.
 func (r *applyResult) describe(before, after resource.Object, status int) {
 	switch {
--- a/internal/cli/commands_test.go
+++ b/internal/cli/commands_test.go
@@ -100,6 +100,32 @@
 	require.Contains(t, stdout, "accepted at version 1")
 }
 
+// TestApplyDoesNotUndoAnotherOperatorsChange guards against two operators of whom one silently
+// undoes the other's change: it falls between the read and the write of apply.
+func TestApplyDoesNotUndoAnotherOperatorsChange(t *testing.T) {
+	i := newInstance(t, "a", standin.NewLog(standin.LogConfig{}))
+	organisation := func(weight string) string {
+		return writeFile(t, "w"+weight+".toml", "[[organisations]]\n[organisations.metadata]\nname = \"tumaini\"\n[organisations.spec]\nweight = "+weight+"\n")
+	}
+	code, _, stderr := run(t, "", "apply", "-f", organisation("1"), "--server", i.server.URL)
+	require.Equal(t, ExitOK, code, stderr)
+	other := organisation("3")
+	between := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPut {
+			code, _, stderr := run(t, "", "apply", "-f", other, "--server", i.server.URL)
+			require.Equal(t, ExitOK, code, stderr)
+		}
+		i.server.Config.Handler.ServeHTTP(w, r)
+	}))
+	defer between.Close()
+	code, _, stderr = run(t, "", "apply", "-f", organisation("2"), "--server", between.URL)
+	require.Equal(t, ExitFailure, code)
+	require.Contains(t, stderr, "expected version")
+	code, stdout, _ := run(t, "", "get", "organisations", "--server", i.server.URL)
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, stdout, "3")
+}
+
 // TestRefusalAfterALostAnswer guards against a write that counts as refused although the
 // attempt before the refusal may have taken effect.
 func TestRefusalAfterALostAnswer(t *testing.T) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -140,7 +140,7 @@
 	defer cancel()
 	c.setLeading(true)
 	defer c.setLeading(false)
-	l := newLeader(c, ctx, cancel, term)
+	l := newLeader(ctx, c, cancel, term)
 	if err := l.takeOver(); err != nil {
 		c.cfg.Logger.Warn().Err(err).Int64("epoch", term.Epoch).Msg("takeover failed")
 		return
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -67,7 +67,7 @@
 	upkeep    *upkeepState
 }
 
-func newLeader(c *Controller, ctx context.Context, cancel context.CancelFunc, term election.Term) *leader {
+func newLeader(ctx context.Context, c *Controller, cancel context.CancelFunc, term election.Term) *leader {
 	l := &leader{
 		c: c, ctx: ctx, cancel: cancel, term: term, logger: c.cfg.Logger,
 		inbox: make(chan func(), inboxSize),
--- a/internal/controller/link.go
+++ b/internal/controller/link.go
@@ -320,7 +320,7 @@
 	if k.processed > k.acked {
 		// Ends are acknowledged once only: a late order must not acknowledge ends of a new life
 		// of the worker.
-		order.AckedThrough = k.processed
+		order.Acknowledged = k.processed
 	}
 	switch {
 	case k.clockAt == 0 || k.adopting():
@@ -355,7 +355,7 @@
 		return
 	}
 	if err != nil {
-		if o.AckedThrough > 0 && errors.Is(err, worker.ErrUnknown) {
+		if o.Acknowledged > 0 && errors.Is(err, worker.ErrUnknown) {
 			k.looseAck = sent.Add(looseFor)
 		}
 		l.lookFailed(k, err)
@@ -376,7 +376,7 @@
 		k.answered = true
 		k.maxDue = max(k.maxDue, k.clock+l.c.cfg.Bounds.MaxLease.Milliseconds())
 	}
-	k.acked = max(k.acked, o.AckedThrough)
+	k.acked = max(k.acked, o.Acknowledged)
 	l.takeEnds(k, lists.Ended)
 	l.takeRunning(k, sent, lists)
 	l.look(k)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -290,8 +290,8 @@
 // serve places a unit, makes room for it or holds room for it.
 func (r *round) serve(q *request) {
 	u := &q.unit
-	kind, comparable := shapeOf(u)
-	if fewest, known := r.refused[kind]; known && comparable && (!u.Gang || u.Tasks >= fewest) {
+	kind, shared := shapeOf(u)
+	if fewest, known := r.refused[kind]; known && shared && (!u.Gang || u.Tasks >= fewest) {
 		return
 	}
 	limit := r.limit(u)
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -118,8 +118,8 @@
 	// DueMS is the new end of the leases on the worker's clock; 0 leaves it as it is.
 	DueMS int64
 	Token int64
-	// AckedThrough is the highest end that the worker may forget.
-	AckedThrough int64
+	// Acknowledged is the highest end that the worker may forget.
+	Acknowledged int64
 	// Wait is how long the answer may wait for an end.
 	Wait time.Duration
 }
--- a/internal/worker/workertest/fleet.go
+++ b/internal/worker/workertest/fleet.go
@@ -402,7 +402,7 @@
 			return refused(worker.RefusedFence)
 		}
 		w.due = max(w.due, o.DueMS)
-		f.acknowledge(w, o.AckedThrough)
+		f.acknowledge(w, o.Acknowledged)
 		changed = w.changed
 		return nil
 	})
