Empty machines before their upkeep one by one, pace fillers, log who makes room

The wave emptied every machine at once (test: TestWaveOfUpkeep failed with 4 machines without work); a machine being emptied now counts against the cap, and tasks that do not save may finish for a part of the wave's time. Tests with stand-ins of the advice service and of the machines.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -24,7 +24,14 @@
 	"github.com/oleanderbend/oleanderbend/internal/worker/workertest"
 )
 
-const workersTopic = "keyed.workers"
+const (
+	workersTopic = "keyed.workers"
+	statusTopic  = "keyed.reports"
+)
+
+func waveStatus(wave int64, completed bool) ledger.Record {
+	return ledger.Record{Key: fmt.Sprint(wave), Value: []byte(fmt.Sprint(completed))}
+}
 
 // cluster is a set of instances on stand-ins of the platform, in virtual time.
 type cluster struct {
@@ -34,6 +41,11 @@
 	fleet  *workertest.Fleet
 	lives  int
 	alive  []*instance
+	// Further parts of the platform, for the instances that start after they are set.
+	config   *opconfig.Config
+	advisor  worker.Advisor
+	machines worker.Machines
+	waves    []worker.Wave
 }
 
 // instance is one life of an instance.
@@ -51,7 +63,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		defer boottime.Simulate()()
-		c := &cluster{t: t, log: ledgertest.New(seed), fleet: workertest.NewFleet(seed, plan)}
+		c := &cluster{t: t, log: ledgertest.New(seed), fleet: workertest.NewFleet(seed, plan), config: testConfig}
 		c.writer = c.log.Client()
 		defer c.killAll()
 		run(c)
@@ -86,11 +98,12 @@
 	set := metrics.NewSet()
 	writer := ledger.NewWriter(ledger.WriterConfig{Log: client, Topic: batch.JobsTopic, Producer: life, Epoch: 1, Logger: logger})
 	i.intake = intake.New(intake.Config{Writer: writer, ConfigAge: jobs, JobsAge: jobs, Metrics: set, Logger: logger})
-	i.intake.SetConfig(testConfig)
+	i.intake.SetConfig(c.config)
 	control = New(Config{
-		Log: client, Workers: c.fleet, Jobs: i.intake, JobsPosition: jobs.Position,
-		Settings: i.intake.CurrentConfig, Waves: func() []worker.Wave { return nil },
-		WorkersTopic: workersTopic, DecodeWorker: decodeWorker,
+		Log: client, Workers: c.fleet, Advisor: c.advisor, Machines: c.machines, Jobs: i.intake, JobsPosition: jobs.Position,
+		Settings: i.intake.CurrentConfig, Waves: func() []worker.Wave { return c.waves },
+		WorkersTopic: workersTopic, DecodeWorker: decodeWorker, Holder: name,
+		StatusTopic: statusTopic, WaveStatus: waveStatus,
 		Bounds:  Bounds{MaxLease: 6 * time.Second, GangWait: 3 * time.Second, KeepFinal: time.Minute, Heartbeat: 1500 * time.Millisecond},
 		Metrics: set, Logger: logger,
 	})
--- a/internal/controller/link.go
+++ b/internal/controller/link.go
@@ -379,6 +379,7 @@
 	k.acked = max(k.acked, o.Acknowledged)
 	l.takeEnds(k, lists.Ended)
 	l.takeRunning(k, sent, lists)
+	l.paceFillers(k)
 	l.look(k)
 }
 
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -72,8 +72,8 @@
 	checkpoint       string
 	percent          int64
 	usage            int64
-	// progressed is when the run last made progress.
-	progressed boottime.Instant
+	// pace is the share of its speed that the run was last set to, in percent.
+	pace int
 }
 
 func (r *run) order() worker.Run { return worker.Run{Task: r.task.id, Number: r.number} }
@@ -83,7 +83,7 @@
 // begin gives a task a place. The start is sent once the place is stored.
 func (l *leader) begin(t *task, k *link, number int64, ticket string, entitled bool) (*run, ledger.Record) {
 	now := boottime.Now()
-	r := &run{task: t, link: k, number: number, state: storing, began: now, progressed: now, ticket: ticket, entitled: entitled}
+	r := &run{task: t, link: k, number: number, state: storing, began: now, ticket: ticket, entitled: entitled, pace: fullSpeed}
 	t.run = r
 	k.runs[t.id] = r
 	t.rec.Run, t.rec.Worker, t.rec.Address, t.rec.Born = number, k.id, k.address, k.born
@@ -286,9 +286,6 @@
 // seenRunning takes a row of a worker's list of runs.
 func (l *leader) seenRunning(r *run, s *worker.RunStatus) {
 	now := boottime.Now()
-	if s.Percent != r.percent || s.Checkpoint != r.checkpoint {
-		r.progressed = now
-	}
 	r.percent, r.usage = s.Percent, s.Usage
 	if s.Checkpoint != "" {
 		r.checkpoint = s.Checkpoint
@@ -296,6 +293,7 @@
 	switch r.state {
 	case adopting:
 		r.state = running
+		r.pace = unknownPace
 		r.settled = now
 		l.logRun(r, "task adopted")
 		if !r.task.unit.job.live() {
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -33,8 +33,8 @@
 		return
 	}
 	decided := planner.Decide(snapshot)
-	for _, group := range decided.Stops {
-		l.preempt(group)
+	for _, stop := range decided.Stops {
+		l.preempt(stop.Group, units[stop.Unit], snapshot.Units[stop.Unit].Entitled)
 	}
 	for _, s := range decided.Starts {
 		l.startUnit(units[s.Unit], s.Workers, links, snapshot.Units[s.Unit].Entitled)
@@ -306,15 +306,19 @@
 	return widest
 }
 
-// preempt stops the runs of a group.
-func (l *leader) preempt(group int) {
+// preempt stops the runs of a group to make room for a unit.
+func (l *leader) preempt(group int, u *unit, entitled bool) {
+	stopped := 0
 	for _, k := range l.links {
 		for _, r := range k.list() {
 			if r.group() == group {
 				l.stopRun(r, "preempted")
+				stopped++
 			}
 		}
 	}
+	l.logger.Info().Str("step", u.tasks[0].id.StepName()).Int("priority", u.job.spec.Terms.Priority).
+		Bool("entitled", entitled).Int("group", group).Int("runs", stopped).Msg("making room")
 }
 
 // startUnit stores the places of tasks and orders them once they are stored.
--- /dev/null
+++ b/internal/controller/services_test.go
@@ -0,0 +1,125 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/batch"
+	"github.com/oleanderbend/oleanderbend/internal/ledger"
+	"github.com/oleanderbend/oleanderbend/internal/opconfig"
+	"github.com/oleanderbend/oleanderbend/internal/worker"
+	"github.com/oleanderbend/oleanderbend/internal/worker/workertest"
+)
+
+// Guards queues with an advice service: tasks run on permitted workers only, with tickets that
+// are renewed when they run out.
+func TestAdvisedStepRunsWherePermitted(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(1500*time.Millisecond), func(c *cluster) {
+		for _, id := range []string{"w1", "w2", "w3", "w4"} {
+			c.addWorker(id, "r1")
+		}
+		config := *testConfig
+		config.Queues = []opconfig.Queue{testConfig.Queues[0]}
+		config.Queues[0].Advice = &opconfig.Advice{Decide: 20 * time.Millisecond, PerWorker: 2 * time.Millisecond, Valid: time.Second}
+		config.Index()
+		c.config = &config
+		advisor := workertest.NewAdvisor(c.fleet, time.Second, "w2", "w3")
+		c.advisor = advisor
+		c.startInstance("a")
+		c.submit(jobID(1), batch.Step{Count: 6, CPU: 1000, GPU: 4})
+		c.waitFor(10*time.Second, "completed", func() bool { return c.phase(jobID(1)) == batch.Completed })
+		require.Equal(t, 1, c.fleet.Starts(batch.TaskID{Job: jobID(1), Index: 5}))
+		require.Greater(t, advisor.Calls(), 1, "tickets were renewed")
+		require.Less(t, advisor.Calls(), 6)
+		require.Empty(t, c.fleet.Broken())
+	})
+}
+
+// Guards waves of upkeep: each machine goes down once, no more than the cap at once, tasks are
+// not lost by it, and the wave is reported as completed at its end only.
+func TestWaveOfUpkeep(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(3*time.Second), func(c *cluster) {
+		var names []string
+		for _, id := range []string{"w1", "w2", "w3", "w4"} {
+			c.addWorker(id, "r1")
+			names = append(names, "m-"+id)
+		}
+		machines := workertest.NewMachines(c.fleet, 2*time.Second,
+			func(id string) { c.write(workersTopic, ledger.Record{Key: id}) }, func(info worker.Info) { c.register(info) })
+		c.machines = machines
+		c.waves = []worker.Wave{{Number: 7, Machines: names, Within: 40 * time.Second, Cap: 1}}
+		c.startInstance("a")
+		for n := range 6 {
+			c.submit(jobID(n), batch.Step{Count: 2, CPU: 1000, GPU: 4, Checkpoints: n%2 == 0})
+		}
+		c.waitFor(60*time.Second, "wave completed", func() bool {
+			return string(c.log.NewestOf(statusTopic)["7"]) == "true"
+		})
+		most, served := machines.MostDown()
+		require.Equal(t, 1, most)
+		require.Equal(t, 4, served)
+		for n := range 6 {
+			c.waitFor(30*time.Second, "completed", func() bool { return c.phase(jobID(n)) == batch.Completed })
+			starts := c.fleet.Starts(batch.TaskID{Job: jobID(n)})
+			if n%2 == 0 {
+				require.LessOrEqual(t, starts, len(names), "saved tasks move on at most once a machine")
+			} else {
+				require.Equal(t, 1, starts, "tasks that do not save may finish")
+			}
+		}
+		require.Empty(t, c.fleet.Broken())
+	})
+}
+
+// Guards tasks that last: they start again however they end, a wave takes no more of them away
+// than their step allows, and cancelling ends them.
+func TestLastingTasks(t *testing.T) {
+	plan := func(id batch.TaskID) workertest.Work {
+		if id.Index == 0 {
+			return workertest.Work{Takes: 2 * time.Second, Fails: true}
+		}
+		return workertest.Work{Takes: time.Hour}
+	}
+	inVirtualTime(t, 1, plan, func(c *cluster) {
+		c.addWorker("w1", "r1")
+		machines := workertest.NewMachines(c.fleet, 2*time.Second, func(string) {}, func(worker.Info) {})
+		c.machines = machines
+		c.waves = []worker.Wave{{Number: 1, Machines: []string{"m-w1"}, Within: 10 * time.Second, Cap: 1}}
+		c.startInstance("a")
+		c.submit(jobID(1), batch.Step{Count: 2, CPU: 1000, GPU: 1, Lasting: true})
+		time.Sleep(15 * time.Second)
+		require.GreaterOrEqual(t, c.fleet.Starts(batch.TaskID{Job: jobID(1)}), 4, "more often than the limit of attempts")
+		require.Equal(t, 1, c.fleet.Starts(batch.TaskID{Job: jobID(1), Index: 1}))
+		require.Equal(t, batch.Running, c.phase(jobID(1)))
+		_, served := machines.MostDown()
+		require.Zero(t, served, "no task may be away")
+		c.write(batch.JobsTopic, batch.CancelRecord(jobID(1)))
+		c.waitFor(2*time.Second, "stopped", func() bool { return c.fleet.RunsOn("w1") == 0 })
+	})
+}
+
+// Guards schedules: each occurrence runs once, when it is due.
+func TestScheduledJob(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(500*time.Millisecond), func(c *cluster) {
+		c.addWorker("w1", "r1")
+		c.startInstance("a")
+		j := &batch.Job{
+			ID: jobID(1), Queue: "q", Org: "o", Steps: []batch.Step{{Count: 1, CPU: 1000, GPU: 1}},
+			Terms: batch.Terms{Service: "s", MaxAttempts: 3, Stretch: 2}, Repeat: 3,
+			StartAtMS: time.Now().Add(2 * time.Second).UnixMilli(), IntervalMS: 1000,
+		}
+		record, err := batch.JobRecord(j)
+		require.NoError(t, err)
+		c.write(batch.JobsTopic, record)
+		starts := func(n int) int { return c.fleet.Starts(batch.TaskID{Job: jobID(1), Occurrence: n}) }
+		time.Sleep(1900 * time.Millisecond)
+		require.Zero(t, starts(0))
+		time.Sleep(300 * time.Millisecond)
+		require.Equal(t, 1, starts(0))
+		require.Zero(t, starts(1))
+		c.waitFor(4*time.Second, "completed", func() bool { return c.phase(jobID(1)) == batch.Completed })
+		require.Equal(t, 1, starts(2))
+	})
+}
--- a/internal/controller/upkeep.go
+++ b/internal/controller/upkeep.go
@@ -1,8 +1,10 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/oleanderbend/oleanderbend/internal/boottime"
@@ -15,6 +17,9 @@
 	upkeepEvery = 500 * time.Millisecond
 	// upkeepTimeout bounds a call about machines.
 	upkeepTimeout = time.Second
+	// finishShare is the part of a wave's time, for each round of machines, in which tasks may
+	// finish before they are stopped.
+	finishShare = 0.4
 )
 
 // upkeepState is the progress of the operator's waves.
@@ -23,22 +28,25 @@
 	done, reported map[int64]bool
 	// served holds the machines of each wave whose upkeep has begun.
 	served map[int64]map[string]bool
-	// down holds the machines that were sent away and are not up again.
-	down    map[string]boottime.Instant
-	workers map[string]bool
-	listing bool
-	lastRun boottime.Instant
+	// preparing holds the workers that get no new work because their machine goes down next,
+	// and since when.
+	preparing map[string]boottime.Instant
+	listing   bool
+	lastRun   boottime.Instant
 }
 
 func newUpkeepState() *upkeepState {
 	return &upkeepState{
 		done: make(map[int64]bool), reported: make(map[int64]bool), served: make(map[int64]map[string]bool),
-		down: make(map[string]boottime.Instant), workers: make(map[string]bool),
+		preparing: make(map[string]boottime.Instant),
 	}
 }
 
 // holds says whether a worker gets no new work because its machine goes down next.
-func (s *upkeepState) holds(id string) bool { return s.workers[id] }
+func (s *upkeepState) holds(id string) bool {
+	_, preparing := s.preparing[id]
+	return preparing
+}
 
 // checkUpkeep goes on with the open waves.
 func (l *leader) checkUpkeep() {
@@ -117,42 +125,71 @@
 		if away >= w.Cap {
 			return
 		}
-		if !l.spared(m.Worker) {
+		if !l.sparable(m.Worker) {
 			continue
 		}
 		away++
-		l.takeDown(w, m)
+		if l.emptied(w, m.Worker) {
+			l.takeDown(w, m)
+		}
 	}
 }
 
-// leastLoaded orders machines by the work that their upkeep would end.
+// leastLoaded orders machines: those that are being emptied, then idle ones, then the others.
 func (l *leader) leastLoaded(machines []worker.Machine) []worker.Machine {
-	var idle, busy []worker.Machine
-	for _, m := range machines {
-		if k := l.links[m.Worker]; k == nil || len(k.runs) == 0 {
-			idle = append(idle, m)
-		} else {
-			busy = append(busy, m)
+	rank := func(m worker.Machine) int {
+		k := l.links[m.Worker]
+		switch {
+		case l.upkeep.holds(m.Worker):
+			return 0
+		case k == nil || len(k.runs) == 0:
+			return 1
+		default:
+			return 1 + len(k.runs)
 		}
 	}
-	return append(idle, busy...)
+	slices.SortStableFunc(machines, func(a, b worker.Machine) int { return cmp.Compare(rank(a), rank(b)) })
+	return machines
 }
 
-// spared says whether the worker of a machine can go: no lasting task on it may be missed
-// beyond what its step allows. Other tasks are stopped first, so that they are saved.
-func (l *leader) spared(id string) bool {
+// sparable says whether the lasting tasks on a worker may be away: their steps allow for it.
+func (l *leader) sparable(id string) bool {
+	k := l.links[id]
+	if k == nil || l.upkeep.holds(id) {
+		return true
+	}
+	leaving := make(map[*unit]int)
+	for _, r := range k.runs {
+		if u := r.task.unit; u.step.Lasting {
+			leaving[u]++
+			if u.absent()+leaving[u] > u.step.MaxAbsent {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// emptied prepares a worker for the upkeep of its machine and says whether nothing runs there
+// any more. Tasks that save or last are stopped, others may finish for a part of the wave's time.
+func (l *leader) emptied(w worker.Wave, id string) bool {
 	k := l.links[id]
 	if k == nil {
 		return true
 	}
-	l.upkeep.workers[id] = true
+	now := boottime.Now()
+	since, preparing := l.upkeep.preparing[id]
+	if !preparing {
+		since = now
+		l.upkeep.preparing[id] = now
+	}
+	rounds := (len(w.Machines) + max(1, w.Cap) - 1) / max(1, w.Cap)
+	patience := time.Duration(finishShare * float64(w.Within) / float64(max(1, rounds)))
 	for _, r := range k.list() {
-		u := r.task.unit
-		if u.step.Lasting && u.absent()+1 > u.step.MaxAbsent {
-			l.upkeep.workers[id] = false
-			return false
+		step := r.task.unit.step
+		if step.Lasting || step.Checkpoints || now.Sub(since) >= patience {
+			l.stopRun(r, "upkeep")
 		}
-		l.stopRun(r, "upkeep")
 	}
 	return len(k.runs) == 0
 }
@@ -180,7 +217,7 @@
 		defer cancel()
 		err := l.c.cfg.Machines.Upkeep(ctx, m.ID, w.Number, holder, token)
 		l.post(func() {
-			delete(s.workers, m.Worker)
+			delete(s.preparing, m.Worker)
 			l.logger.Info().Str("machine", m.ID).Str("worker", m.Worker).Int64("wave", w.Number).Err(err).Msg("upkeep ordered")
 			var refused *worker.RefusedError
 			switch {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -146,7 +146,14 @@
 type Plan struct {
 	Starts []Start
 	// Stops names the groups whose runs give way.
-	Stops []int
+	Stops []Stop
+}
+
+// Stop makes the runs of a group give way to a unit.
+type Stop struct {
+	Group int
+	// Unit is the index of the unit that gets the room.
+	Unit int
 }
 
 // maxReservations is how many blocked gangs hold back workers from units of lower rank. More
@@ -314,7 +321,7 @@
 		r.claim(&rest, claim)
 		return
 	}
-	if r.preempt(&rest) {
+	if r.preempt(q.index, &rest) {
 		return
 	}
 	r.refused[kind] = u.Tasks
@@ -370,12 +377,16 @@
 		return false
 	case u.Allowed != nil && !u.Allowed[w.ID]:
 		return false
-	case u.Filler && w.Serving, u.Serving && w.Filling:
-		return false
 	}
 	return true
 }
 
+// disturbs says whether tasks that serve and fillers would share the worker. They do so only
+// where there is no other room.
+func disturbs(u *Unit, w *Worker) bool {
+	return (u.Filler && w.Serving) || (u.Serving && w.Filling)
+}
+
 // place finds workers for the tasks of a unit within the given resources: for all tasks of a
 // gang, for as many as possible otherwise.
 func (r *round) place(u *Unit, free []Resources) []int {
@@ -488,7 +499,7 @@
 		}
 		total += room
 		candidates = append(candidates, candidate{
-			worker: i, room: room, avoid: u.Avoid[w.ID], rank: w.Suspicion, left: leftOver(u, free[i]),
+			worker: i, room: room, avoid: u.Avoid[w.ID] || disturbs(u, w), rank: w.Suspicion, left: leftOver(u, free[i]),
 		})
 	}
 	if u.Gang && total < u.Tasks {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -72,7 +72,7 @@
 	occupy(&workers[1], Run{Group: 2, Need: gpus(8), Priority: 2, Loss: 20})
 	unit := Unit{Service: "s", Entitled: true, Tasks: 1, Need: gpus(8)}
 	plan := Decide(Snapshot{Workers: workers, Units: []Unit{unit}})
-	require.Equal(t, []int{2}, plan.Stops)
+	require.Equal(t, []Stop{{Group: 2}}, plan.Stops)
 	require.Empty(t, plan.Starts)
 
 	workers[1].Releasing, workers[1].Runs = gpus(8), nil
@@ -196,5 +196,16 @@
 		occupy(&full[i], Run{Group: i, Need: gpus(8), Priority: min(2, 1+i/19), Loss: float64(1000 * (19 - i))})
 	}
 	plan := Decide(Snapshot{Workers: full, Units: []Unit{urgent}})
-	require.Equal(t, []int{18}, plan.Stops, "the cheapest run but the only one of its queue")
+	require.Equal(t, []Stop{{Group: 18}}, plan.Stops, "the cheapest run but the only one of its queue")
+}
+
+// Guards against fillers beside tasks that serve while there is other room, and against fillers
+// that wait for ever because tasks that serve are everywhere.
+func TestFillersKeepAwayFromServingTasks(t *testing.T) {
+	workers := makeWorkers(2, 2)
+	workers[0].Serving = true
+	filler := Unit{Service: "s", Priority: 2, Tasks: 1, Need: Resources{MemoryMB: 1000}, Filler: true}
+	require.Equal(t, []int{1}, Decide(Snapshot{Workers: workers, Units: []Unit{filler}}).Starts[0].Workers)
+	workers[1].Serving = true
+	require.Equal(t, 1, countStarts(Decide(Snapshot{Workers: workers, Units: []Unit{filler}})))
 }
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -38,7 +38,7 @@
 
 // preempt stops runs so that all tasks of the unit get room, and claims that room. It reports
 // false, and stops nothing, if that is not possible.
-func (r *round) preempt(u *Unit) bool {
+func (r *round) preempt(index int, u *Unit) bool {
 	if r.preemptions == maxPreemptions {
 		return false
 	}
@@ -49,7 +49,7 @@
 	}
 	for group := range best.groups {
 		r.stopped[group] = true
-		r.plan.Stops = append(r.plan.Stops, group)
+		r.plan.Stops = append(r.plan.Stops, Stop{Group: group, Unit: index})
 	}
 	for w, freed := range best.freed {
 		r.soon[w] = r.soon[w].Add(freed)
--- a/internal/worker/workertest/fleet.go
+++ b/internal/worker/workertest/fleet.go
@@ -45,9 +45,11 @@
 	latency time.Duration
 	late    float64
 
-	done   map[batch.TaskID]bool
-	starts map[batch.TaskID]int
-	broken []string
+	// tickets holds the valid tickets by step and worker; nil if none are needed.
+	tickets map[string]string
+	done    map[batch.TaskID]bool
+	starts  map[batch.TaskID]int
+	broken  []string
 }
 
 type fakeWorker struct {
@@ -276,6 +278,9 @@
 	if w.clock() > o.DueMS {
 		return refused(worker.RefusedLate)
 	}
+	if f.tickets != nil && f.tickets[o.Task.StepName()+" "+w.info.ID] != o.Ticket {
+		return refused(worker.RefusedTicket)
+	}
 	w.due = max(w.due, o.DueMS)
 	f.checkStart(w, o)
 	work := f.plan(o.Task)
