--- a/internal/cli/instance.go
+++ b/internal/cli/instance.go
@@ -61,7 +61,8 @@
 	if s.Machines != "" {
 		p.Machines = platform.NewMachines(s.Machines)
 	}
-	logger := logging.New(env.Stdout, level, s.Name)
+	logger, closeLog := logging.NewAsync(env.Stdout, level, s.Name)
+	defer closeLog()
 	reload := func() error { return reloadSettings(file, s) }
 	return node.New(s, p, logger).Run(ctx, reload)
 }
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -16,10 +16,22 @@
 	return &log.Logger{
 		Level:   log.ParseLevel(level),
 		Context: log.NewContext(nil).Str("instance", instance).Value(),
-		Writer: &log.ConsoleWriter{
-			Formatter: format,
-			Writer:    out,
-		},
+		Writer:  &log.ConsoleWriter{Formatter: format, Writer: out},
+	}
+}
+
+// pendingLines is how many lines may wait for a slow reader, a few seconds of a busy leader.
+const pendingLines = 8192
+
+// NewAsync returns a logger whose lines never wait for their reader: what it does not take in
+// time is dropped. Close writes the lines that wait.
+func NewAsync(out io.Writer, level, instance string) (logger *log.Logger, closeLog func()) {
+	logger = New(out, level, instance)
+	async := &log.AsyncWriter{ChannelSize: pendingLines, DiscardOnFull: true, Writer: logger.Writer}
+	logger.Writer = async
+	return logger, func() {
+		// The lines are lost with the process if this fails; nobody can be told.
+		_ = async.Close()
 	}
 }
 
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -19,3 +19,22 @@
 	require.Contains(t, out.String(), "epoch=3")
 	require.NotContains(t, out.String(), "hidden")
 }
+
+// stuckWriter never takes a line.
+type stuckWriter struct{ taken chan struct{} }
+
+func (w stuckWriter) Write(p []byte) (int, error) {
+	<-w.taken
+	return len(p), nil
+}
+
+// Guards against a process that stands still because nobody reads its log.
+func TestStuckReaderDoesNotBlock(t *testing.T) {
+	out := stuckWriter{taken: make(chan struct{})}
+	logger, closeLog := NewAsync(out, "info", "n1")
+	for n := range 3 * pendingLines {
+		logger.Info().Int("line", n).Msg("event")
+	}
+	close(out.taken)
+	closeLog()
+}
