Honour guarantees in the order of acceptance

Ruled out: a change of leader, the bound on units for which room is made in a round. Test fails without the change.

--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -164,7 +164,7 @@
 func (l *leader) describeUnit(u *unit, waiting int, now boottime.Instant, entitled bool) (planner.Unit, bool) {
 	j := u.job
 	d := planner.Unit{
-		Service: j.spec.Terms.Service, Priority: j.spec.Terms.Priority, Entitled: entitled,
+		Service: j.spec.Terms.Service, Priority: j.spec.Terms.Priority, Entitled: entitled, Accepted: j.spec.AcceptedMS,
 		Tasks: waiting, Need: needOf(u.step), Work: u.weight() * float64(u.step.EstimateMS) / 1000 * float64(waiting), Gang: u.gang(), RackBound: u.step.RackBound && u.step.Count > 1,
 		DataRack: u.step.DataRack, Label: u.step.Label, MaxPerWorker: u.step.MaxPerWorker,
 		Saves: u.step.Checkpoints, Filler: u.step.Filler, Serving: u.step.TailTargetMS > 0,
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -94,6 +94,8 @@
 	Urgency  Urgency
 	// Deadline orders units of equal priority and urgency, in milliseconds.
 	Deadline int64
+	// Accepted is when the job was accepted, in milliseconds.
+	Accepted int64
 	// Begun says that work of the job is done or running: a job is worth something only when all
 	// of it is done, so that under overload few jobs are finished rather than many begun.
 	Begun bool
@@ -182,10 +184,14 @@
 	unit  Unit
 }
 
-// compareUnits orders units by what starting them first is worth: guarantees, then anything
+// compareUnits orders units by what starting them first is worth: guarantees, in the order of
+// acceptance, since a guarantee has to be honoured within a time however wide the job is; then anything
 // that still counts, then the queue's priority, then what can still be on time, and jobs that
 // have begun before others.
 func compareUnits(a, b *Unit) int {
+	if a.Entitled && b.Entitled {
+		return cmp.Compare(a.Accepted, b.Accepted)
+	}
 	return cmp.Or(
 		boolOrder(a.Entitled, b.Entitled),
 		boolOrder(a.Urgency != Overdue, b.Urgency != Overdue),
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -209,3 +209,16 @@
 	workers[1].Serving = true
 	require.Equal(t, 1, countStarts(Decide(Snapshot{Workers: workers, Units: []Unit{filler}})))
 }
+
+// Guards a wide guaranteed job in a burst of short guaranteed ones: later ones do not take the
+// room that is made for it.
+func TestGuaranteesAreServedInTheOrderOfAcceptance(t *testing.T) {
+	workers := makeWorkers(4, 4)
+	for i := range workers {
+		workers[i].Free, workers[i].Releasing = workers[i].Free.Sub(gpus(8)), gpus(8)
+	}
+	workers[0].Free, workers[0].Releasing = workers[0].Free.Add(gpus(8)), Resources{}
+	wide := Unit{Service: "s", Entitled: true, Accepted: 1, Deadline: 9000, Urgency: Late, Tasks: 4, Need: gpus(8), Gang: true, RackBound: true}
+	short := Unit{Service: "s", Entitled: true, Accepted: 2, Deadline: 3000, Tasks: 1, Need: gpus(2), Gang: true}
+	require.Empty(t, Decide(Snapshot{Workers: workers, Units: []Unit{short, wide}}).Starts)
+}
