Store records of all instances in common appends of the leader

Change: instances hand records to the leader by net/rpc, which stores them together; without an answer in 1.5 s they store them by themselves, which has the same effect since keys name jobs. Followers read changes every 120 ms, not 60.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -60,7 +60,7 @@
 
 // Service answers callers.
 type Service struct {
-	writer *ledger.Writer
+	writer ledger.Storer
 	config Aged
 	jobs   Aged
 	logger *log.Logger
@@ -82,7 +82,7 @@
 // Config describes a service.
 type Config struct {
 	// Writer stores jobs and cancellations.
-	Writer *ledger.Writer
+	Writer ledger.Storer
 	// ConfigAge and JobsAge tell how current the mirrors are.
 	ConfigAge, JobsAge Aged
 	Metrics            *metrics.Set
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -101,3 +101,9 @@
 	// ErrUnavailable.
 	Newest(ctx context.Context, topic, after string) (NewestPage, error)
 }
+
+// Storer stores records. It returns ErrUnavailable if they certainly are not stored, and
+// ErrUnknown if they may be.
+type Storer interface {
+	Write(ctx context.Context, records []Record) error
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/oleanderbend/oleanderbend/internal/intake"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
 	"github.com/oleanderbend/oleanderbend/internal/opconfig"
+	"github.com/oleanderbend/oleanderbend/internal/relay"
 	"github.com/oleanderbend/oleanderbend/internal/worker"
 )
 
@@ -35,7 +36,7 @@
 	// jobsWait is the same for the table of jobs, which tells that a job does not exist.
 	jobsWait = time.Second
 	// jobsPause collects changes of the table on instances that only answer status requests.
-	jobsPause = 60 * time.Millisecond
+	jobsPause = 120 * time.Millisecond
 	// leaderWait is how long a read of the leader's record waits.
 	leaderWait = time.Second
 	// settleTime lets the balancer see that the instance is not ready, after two probes a
@@ -98,7 +99,7 @@
 		Log: p.Log, Topic: batch.JobsTopic, Wait: jobsWait, Pause: n.jobsPause, Apply: n.applyJobs, Logger: logger,
 	})
 	n.intake = intake.New(intake.Config{
-		Writer: n.writer, ConfigAge: n.config, JobsAge: n.jobs, Metrics: n.metrics, Logger: logger,
+		Writer: relay.NewWriter(n.writer, n.leaderRelay, logger), ConfigAge: n.config, JobsAge: n.jobs, Metrics: n.metrics, Logger: logger,
 	})
 	n.controller = controller.New(controller.Config{
 		Log: p.Log, Workers: p.Workers, Advisor: p.Advisor, Machines: p.Machines,
@@ -141,12 +142,26 @@
 
 // jobsPause is short on the leader, which starts new jobs at once.
 func (n *Node) jobsPause() time.Duration {
-	if _, self := n.elector.Leader(); self {
+	if n.leads() {
 		return 0
 	}
 	return jobsPause
 }
 
+// leaderRelay returns the address at which another instance that leads stores records.
+func (n *Node) leaderRelay() string {
+	leader, self := n.elector.Leader()
+	if self || leader == "" || n.settings.RelayPort == 0 {
+		return ""
+	}
+	return net.JoinHostPort(leader, strconv.Itoa(n.settings.RelayPort))
+}
+
+func (n *Node) leads() bool {
+	_, self := n.elector.Leader()
+	return self
+}
+
 // eligible says whether the instance knows enough to lead.
 func (n *Node) eligible() bool { return n.intake.Ready() }
 
@@ -292,6 +307,15 @@
 	if err := serve(s.ready, n.settings.Ready, s.failed); err != nil {
 		return nil, err
 	}
+	if n.settings.RelayPort != 0 {
+		listener, err := net.Listen("tcp", net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.RelayPort)))
+		if err != nil {
+			return nil, eris.Wrap(err, "listen for other instances")
+		}
+		if err := relay.Serve(listener, n.writer, n.leads); err != nil {
+			return nil, err
+		}
+	}
 	if n.settings.MetricsPort == 0 {
 		return s, nil
 	}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -49,6 +49,9 @@
 	Front, Ready string
 	// MetricsPort serves metrics; 0 for none.
 	MetricsPort int
+	// RelayPort is where the leader stores records for other instances, the same on all; 0 for
+	// none.
+	RelayPort int
 	// Cores is the processor time of the instance, in cores; 0 if unknown.
 	Cores        float64
 	MemoryMB     int64
