Keep to a leader that is slow to store but answers

Ruled out: a leader that was gone. Change: a leader is given up when it has answered no call for 1.5 s; the first try of an append waits 0.8 s. Test: TestSlowLeaderIsNotGivenUp.

--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -14,7 +14,7 @@
 	// writeTimeout bounds the first try of an append. An answer of the log takes some
 	// milliseconds, some hundred when it is slow; each further try may take twice as long, so
 	// that repeats do not add to the queue of a slow log.
-	writeTimeout    = 500 * time.Millisecond
+	writeTimeout    = 800 * time.Millisecond
 	maxWriteTimeout = 2 * time.Second
 	// repeatPause is the pause before an append is repeated.
 	repeatPause = 60 * time.Millisecond
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,9 +22,11 @@
 	service = "Relay"
 	// dialTimeout is some hundred times the way between zones.
 	dialTimeout = 300 * time.Millisecond
-	// hubTimeout is how long the leader may take. A slow log takes some hundred milliseconds for
-	// an append, and a record may have to wait for the one before.
+	// hubTimeout is how long the leader may answer no call at all. A slow log takes some hundred
+	// milliseconds for an append, and a record may have to wait for the one before.
 	hubTimeout = 1500 * time.Millisecond
+	// storeTimeout bounds a store at the leader, past the deadlines of callers.
+	storeTimeout = 4 * time.Second
 	// hubPause is how long a leader that did not answer is left out.
 	hubPause = time.Second
 )
@@ -65,7 +67,7 @@
 		reply.Outcome = NotLeader
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), hubTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	err := s.store.Write(ctx, args.Records)
 	switch {
@@ -100,6 +102,8 @@
 	address string
 	client  *rpc.Client
 	badTill time.Time
+	// replied is when the leader last answered a call: one that answers others is slow, not gone.
+	replied time.Time
 }
 
 // NewWriter returns a writer without a connection.
@@ -137,23 +141,47 @@
 	if client == nil {
 		return NotLeader
 	}
-	ctx, cancel := context.WithTimeout(ctx, hubTimeout)
-	defer cancel()
 	var reply StoreReply
 	call := client.Go(service+".Store", StoreArgs{Records: records}, &reply, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-		if call.Error != nil {
-			w.drop(client, call.Error)
+	silence := time.NewTimer(hubTimeout)
+	defer silence.Stop()
+	for {
+		select {
+		case <-call.Done:
+			if call.Error != nil {
+				w.drop(client, call.Error)
+				return Unknown
+			}
+			w.noteReply()
+			return reply.Outcome
+		case <-ctx.Done():
 			return Unknown
+		case <-silence.C:
+			left := hubTimeout - w.sinceReply()
+			if left <= 0 {
+				w.drop(client, errSilent)
+				return Unknown
+			}
+			silence.Reset(left)
 		}
-		return reply.Outcome
-	case <-ctx.Done():
-		w.drop(client, ctx.Err())
-		return Unknown
 	}
 }
 
+// errSilent means that the leader has answered nobody for too long.
+var errSilent = errors.New("relay: leader is silent")
+
+func (w *Writer) noteReply() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.replied = time.Now()
+}
+
+func (w *Writer) sinceReply() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Since(w.replied)
+}
+
 // connect returns a connection to the leader; nil while it is left out.
 func (w *Writer) connect(address string) (*rpc.Client, error) {
 	w.mu.Lock()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -71,3 +71,29 @@
 	require.ErrorIs(t, writeVia(t, start(t, hub, true), direct), ledger.ErrUnavailable)
 	require.Zero(t, direct.writes, "a definite refusal is passed on")
 }
+
+// slowStore answers after a while.
+type slowStore struct{ takes time.Duration }
+
+func (s slowStore) Write(context.Context, []ledger.Record) error {
+	time.Sleep(s.takes)
+	return nil
+}
+
+// Guards against instances that all store by themselves, and make a slow log slower, while the
+// leader still answers.
+func TestSlowLeaderIsNotGivenUp(t *testing.T) {
+	direct := &fakeStore{}
+	address := start(t, slowStore{takes: hubTimeout / 2}, true)
+	w := NewWriter(direct, func() string { return address }, logging.Discard())
+	outcomes := make(chan error, 4)
+	for n := range 4 {
+		time.AfterFunc(time.Duration(n)*hubTimeout/4, func() {
+			outcomes <- w.Write(context.Background(), []ledger.Record{{Key: "k"}})
+		})
+	}
+	for range 4 {
+		require.NoError(t, <-outcomes)
+	}
+	require.Zero(t, direct.writes)
+}
