Keep late answers of peers out of the caller's variable

The answer is now decoded apart and copied on success. The election test read the recorded epochs without their lock.

--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -42,6 +43,13 @@
 	return names
 }
 
+// seenEpochs returns the epochs of all terms so far.
+func (s *terms) seenEpochs() []int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.epochs)
+}
+
 func start(log *ledgertest.Log, s *terms, name, life string) *candidate {
 	c := &candidate{name: name, log: log.Client()}
 	c.elector = New(Config{
@@ -96,7 +104,7 @@
 		}
 		require.Len(t, s.valid(), 1)
 		require.NotEqual(t, first, s.valid())
-		require.IsIncreasing(t, s.epochs)
+		require.IsIncreasing(t, s.seenEpochs())
 	})
 }
 
@@ -128,7 +136,7 @@
 		a = start(log, s, "a", "2")
 		defer a.stop()
 		time.Sleep(300 * time.Millisecond)
-		require.Len(t, s.epochs, 2)
+		require.Len(t, s.seenEpochs(), 2)
 		require.Equal(t, []string{"a"}, s.valid())
 	})
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"time"
 
@@ -33,9 +34,15 @@
 	if err != nil {
 		return err
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	// An answer that comes after ctx is done is still decoded, so it must not reach the caller's
+	// variable.
+	received := reflect.New(reflect.TypeOf(reply).Elem())
+	call := client.Go(method, args, received.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
+		if call.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(received.Elem())
+		}
 		return l.finish(client, call.Error)
 	case <-ctx.Done():
 		l.dropIfDead(client)
--- a/internal/peer/service_test.go
+++ b/internal/peer/service_test.go
@@ -22,6 +22,16 @@
 	return nil
 }
 
+// slow answers when it is released.
+type slow struct{ release chan struct{} }
+
+// Echo returns its argument late.
+func (s slow) Echo(in string, out *string) error {
+	<-s.release
+	*out = in
+	return nil
+}
+
 // Fail returns an error of the method itself.
 func (echo) Fail(string, *string) error { return rpc.ServerError("refused") }
 
@@ -82,6 +92,25 @@
 	require.ErrorIs(t, caller.Call(context.Background(), "c", "Echo.Echo", "", &reply), ErrUnknownPeer)
 }
 
+// Guards against an answer that is written into the caller's variable after the call was given
+// up, while the caller reads it (found by the race detector in the gateway's reports of slots).
+func TestLateAnswerDoesNotReachTheCaller(t *testing.T) {
+	server, addr := start(t, testKey, newClock(), map[string]string{"a": "127.0.0.1:1"})
+	release := make(chan struct{})
+	require.NoError(t, server.Register("Slow", slow{release}))
+	caller, _ := start(t, testKey, newClock(), map[string]string{"b": addr})
+	ctx, cancel := context.WithCancel(context.Background())
+	reply := "untouched"
+	result := make(chan error, 1)
+	go func() { result <- caller.Call(ctx, "b", "Slow.Echo", "late", &reply) }()
+	time.AfterFunc(50*time.Millisecond, cancel)
+	require.Error(t, <-result)
+	close(release)
+	var other string
+	require.NoError(t, caller.Call(context.Background(), "b", "Slow.Echo", "next", &other))
+	require.Equal(t, "untouched", reply)
+}
+
 // Guards against accepting a process that does not have the shared key.
 func TestWrongKeyIsRefused(t *testing.T) {
 	_, addr := start(t, testKey, newClock(), map[string]string{"a": "127.0.0.1:1"})
