--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -30,8 +30,6 @@
 type Bounds struct {
 	// MaxLease is the longest lease that workers grant.
 	MaxLease time.Duration
-	// GangWait is how long a member of a gang waits for the others.
-	GangWait time.Duration
 	// Heartbeat is the time between two entries of a worker.
 	Heartbeat time.Duration
 	// KeepFinal is how long the state of a finished job can be asked for.
--- a/internal/controller/link.go
+++ b/internal/controller/link.go
@@ -170,10 +170,16 @@
 		}
 	}
 	if len(k.runs) == 0 {
-		delete(l.links, k.id)
+		l.unlink(k)
 	}
 }
 
+// unlink forgets a worker that is gone and runs nothing.
+func (l *leader) unlink(k *link) {
+	delete(l.links, k.id)
+	l.c.cfg.Workers.Forget(k.address)
+}
+
 // noteBirth takes the birth time that a worker reports. A later one means that the worker was
 // started again: it runs nothing of what it ran before.
 func (l *leader) noteBirth(k *link, born int64) {
@@ -301,7 +307,7 @@
 		l.saveDraining(k, now)
 	}
 	if !k.present && len(k.runs) == 0 {
-		delete(l.links, k.id)
+		l.unlink(k)
 		return
 	}
 	l.look(k)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,7 +108,7 @@
 		WorkersTopic: p.WorkersTopic, DecodeWorker: p.DecodeWorker,
 		StatusTopic: p.StatusTopic, WaveStatus: p.WaveStatus, Holder: s.Name,
 		Bounds: controller.Bounds{
-			MaxLease: s.Bounds.MaxLease, GangWait: s.Bounds.GangWait, KeepFinal: s.Bounds.KeepFinal,
+			MaxLease: s.Bounds.MaxLease, KeepFinal: s.Bounds.KeepFinal,
 			HolderTurn: s.Bounds.HolderTurn, Heartbeat: s.Heartbeat,
 		},
 		Metrics: n.metrics, Logger: logger,
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -8,36 +8,16 @@
 	"time"
 )
 
-// Bounds are the operator's promises and the workers' timing that the instance relies on.
+// Bounds are the platform's timing that the instance relies on.
 type Bounds struct {
-	// Revoke is how soon a key that was taken away must be refused everywhere.
-	Revoke time.Duration
 	// Grace is the time between the signals to stop and to be killed.
 	Grace time.Duration
 	// MaxLease is the longest lease that workers grant.
 	MaxLease time.Duration
-	// Stop is the longest time that a worker takes to stop a run.
-	Stop time.Duration
-	// GangWait is how long a member of a gang waits for the others.
-	GangWait time.Duration
-	// CancelAllowed is the time after a cancellation within which runs must end.
-	CancelAllowed time.Duration
-	// Visible is how soon an accepted job must be known everywhere.
-	Visible time.Duration
 	// KeepFinal is how long the state of a finished job can be asked for.
 	KeepFinal time.Duration
-	// RemoteFactor is how much slower tasks are away from their data or their gang.
-	RemoteFactor float64
-	// Checkpoint is the time of work between checkpoints, Restore the time to resume.
-	Checkpoint, Restore time.Duration
-	// Notice is how long a lasting task must be away to count as absent.
-	Notice time.Duration
-	// Upkeep is how long a machine is away for its upkeep.
-	Upkeep time.Duration
 	// HolderTurn is the least time between orders of two holders for one machine.
 	HolderTurn time.Duration
-	// Harm is how long a serving task may be disturbed, Reclaim how long guaranteed work waits.
-	Harm, Reclaim time.Duration
 }
 
 // Settings are the settings of one process.
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -173,6 +173,8 @@
 	Start(ctx context.Context, to Target, o StartOrder) error
 	// Stop ends a run, or keeps it from ever starting. It returns *RefusedError or ErrUnknown.
 	Stop(ctx context.Context, to Target, r Run, token int64) error
+	// Forget releases what is kept for a worker's address that is no longer used.
+	Forget(address string)
 	// Pace sets the share of its speed at which a run works, in percent.
 	Pace(ctx context.Context, to Target, r Run, percent int, token int64) error
 }
--- a/internal/worker/workertest/fleet.go
+++ b/internal/worker/workertest/fleet.go
@@ -389,6 +389,9 @@
 	})
 }
 
+// Forget implements worker.Client.
+func (f *Fleet) Forget(string) {}
+
 // Pace implements worker.Client.
 func (f *Fleet) Pace(ctx context.Context, to worker.Target, _ worker.Run, _ int, token int64) error {
 	return f.deliver(ctx, to, func(w *fakeWorker) error {
