--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -22,8 +22,9 @@
 	// configTrust keeps keyed calls within the time in which revoked keys must be refused,
 	// with the time of a read and of an answer to spare.
 	configTrust = 3 * time.Second
-	// tableTrust is how current the table must be to say that a job does not exist.
-	tableTrust = 1500 * time.Millisecond
+	// tableTrust is how current the table must be to say that a job does not exist: the age of
+	// an idle mirror reaches two waits of a read, and jobs must be known within three seconds.
+	tableTrust = 2500 * time.Millisecond
 	// readyTrust is the age of the configuration at which the instance asks for no new
 	// connections, before calls have to be refused.
 	readyTrust = 2500 * time.Millisecond
--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,145 @@
+package intake
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/batch"
+	"github.com/oleanderbend/oleanderbend/internal/ledger"
+	"github.com/oleanderbend/oleanderbend/internal/logging"
+	"github.com/oleanderbend/oleanderbend/internal/opconfig"
+)
+
+// fakeAge is the age of a mirror.
+type fakeAge struct {
+	age   time.Duration
+	known bool
+}
+
+func (a *fakeAge) Age() (time.Duration, bool) { return a.age, a.known }
+
+// fakeStore keeps records, or answers with an error.
+type fakeStore struct {
+	records []ledger.Record
+	err     error
+}
+
+func (s *fakeStore) Write(_ context.Context, records []ledger.Record) error {
+	s.records = append(s.records, records...)
+	return s.err
+}
+
+type fixture struct {
+	service *Service
+	store   *fakeStore
+	config  *fakeAge
+	jobs    *fakeAge
+}
+
+func config(version int64, keys ...string) *opconfig.Config {
+	c := &opconfig.Config{
+		Version: version,
+		Queues: []opconfig.Queue{
+			{Name: "q", Host: "h", Prefix: "/q/", Service: "s", MaxAttempts: 3},
+			{Name: "p", Host: "h", Prefix: "/p/", Service: "s", Public: true},
+		},
+		Orgs: []opconfig.Org{{Name: "o", Keys: keys}, {Name: "other", Keys: []string{"k9"}}},
+	}
+	c.Index()
+	return c
+}
+
+func newFixture() *fixture {
+	f := &fixture{store: &fakeStore{}, config: &fakeAge{known: true}, jobs: &fakeAge{known: true}}
+	f.service = New(Config{
+		Writer: f.store, ConfigAge: f.config, JobsAge: f.jobs, Metrics: metrics.NewSet(), Logger: logging.Discard(),
+	})
+	f.service.SetConfig(config(1, "k1", "k2"))
+	return f
+}
+
+const id = "5c0e7a21d94b36f8"
+
+func job() *batch.Job { return &batch.Job{ID: id, Steps: []batch.Step{{Count: 1}}} }
+
+// mirror applies what was stored to the table.
+func (f *fixture) mirror() {
+	u := ledger.Update{}
+	for n, r := range f.store.records {
+		u.Entries = append(u.Entries, ledger.Entry{Record: r, Offset: int64(n)})
+	}
+	f.service.Apply(u)
+}
+
+// Guards keys: one that was taken away, or may have been, is refused, and no older configuration
+// comes back.
+func TestKeys(t *testing.T) {
+	f := newFixture()
+	access, err := f.service.Admit("H", "/q/"+id, "k2")
+	require.NoError(t, err)
+	require.Equal(t, "o", access.Org)
+	_, err = f.service.Admit("h", "/q/"+id, "")
+	require.ErrorIs(t, err, ErrKey)
+	_, err = f.service.Admit("h", "/x/"+id, "k1")
+	require.ErrorIs(t, err, ErrNoQueue)
+	require.True(t, f.service.SetConfig(config(3, "k1")))
+	require.False(t, f.service.SetConfig(config(2, "k1", "k2")))
+	_, err = f.service.Admit("h", "/q/"+id, "k2")
+	require.ErrorIs(t, err, ErrKey)
+	f.config.age = configTrust + time.Millisecond
+	_, err = f.service.Admit("h", "/q/"+id, "k1")
+	require.ErrorIs(t, err, ErrNoConfig, "the key may have been taken away since")
+	_, err = f.service.Admit("h", "/p/"+id, "")
+	require.NoError(t, err, "public queues need no key")
+	require.False(t, f.service.Ready())
+}
+
+// Guards repeated submits and the truth of refusals.
+func TestSubmit(t *testing.T) {
+	f := newFixture()
+	access, err := f.service.Admit("h", "/q/"+id, "k1")
+	require.NoError(t, err)
+	var refusal *NotAcceptedError
+	f.store.err = ledger.ErrUnavailable
+	require.ErrorAs(t, f.service.Submit(t.Context(), access, job()), &refusal)
+	require.Positive(t, refusal.RetryAfter)
+	f.store.err = ledger.ErrUnknown
+	require.ErrorIs(t, f.service.Submit(t.Context(), access, job()), ledger.ErrUnknown)
+	f.store.err, f.store.records = nil, nil
+	require.NoError(t, f.service.Submit(t.Context(), access, job()))
+	f.mirror()
+	require.NoError(t, f.service.Submit(t.Context(), access, job()))
+	require.Len(t, f.store.records, 1, "a repeated submit stores nothing")
+	require.ErrorIs(t, f.service.Submit(t.Context(), access, &batch.Job{ID: "0000000000000001"}), batch.ErrInvalid)
+}
+
+// Guards what callers are told of a job: its phase, nothing of other organisations' jobs, and no
+// denial from a table that is too old.
+func TestStatusAndCancel(t *testing.T) {
+	f := newFixture()
+	access, _ := f.service.Admit("h", "/q/"+id, "k1")
+	_, err := f.service.Status(access, id)
+	require.ErrorIs(t, err, ErrNoJob)
+	f.jobs.age = tableTrust + time.Millisecond
+	_, err = f.service.Status(access, id)
+	require.ErrorIs(t, err, ErrNoConfig)
+	require.NoError(t, f.service.Submit(t.Context(), access, job()))
+	f.mirror()
+	phase, err := f.service.Status(access, id)
+	require.NoError(t, err)
+	require.Equal(t, batch.Queued, phase)
+	require.Equal(t, 1, f.service.Unstarted("q"))
+	other, _ := f.service.Admit("h", "/q/"+id, "k9")
+	_, err = f.service.Status(other, id)
+	require.ErrorIs(t, err, ErrNoJob)
+	require.ErrorIs(t, f.service.Cancel(t.Context(), other, id), ErrNoJob)
+	require.NoError(t, f.service.Cancel(t.Context(), access, id))
+	f.mirror()
+	phase, _ = f.service.Status(access, id)
+	require.Equal(t, batch.Cancelled, phase)
+	require.Zero(t, f.service.Unstarted("q"))
+}
