--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -220,7 +220,7 @@
 		j := l.byID[id]
 		switch {
 		case !known:
-			// The record was dropped; runs of unknown jobs were ended before.
+			// The job was dropped some time after its end.
 		case j == nil:
 			l.load(state, nil)
 			l.logJob(l.byID[id], "job taken")
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -25,7 +25,7 @@
 	Service string
 	Address string
 	Zone    string
-	// Rack and Kind are the worker's labels.
+	// Rack is one of the labels.
 	Rack   string
 	Labels []string
 	State  State
@@ -128,9 +128,10 @@
 type RunStatus struct {
 	Run
 	Checkpoint string
-	// Percent is how much of its full speed the run works at.
+	// Percent is how much of its work the run has done; a lasting task is at work at 100.
 	Percent int64
-	// TailMS is the tail of the response times of a serving task, CPU the use of any other.
+	// Usage is a rough figure of the last half second: the tail of the response times of a serving
+	// task in milliseconds, the processor time of any other in thousandths of a core.
 	Usage int64
 }
 
