--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -118,8 +118,9 @@
 
 // load takes a job of an earlier leader, or a new one.
 func (l *leader) load(state batch.JobState, records taskRecords) {
+	spec := *state.Job // The mirror keeps its own copy of the terms.
 	j := &job{
-		spec: state.Job, phase: state.Phase.Phase, finalAt: state.Phase.AtMS, cancelled: state.Cancelled,
+		spec: &spec, phase: state.Phase.Phase, finalAt: state.Phase.AtMS, cancelled: state.Cancelled,
 		records: records,
 	}
 	if j.phase == "" {
