Keep tasks of crashed workers from starting while a late start may still arrive

Cause: traces of TestNoTaskRunsTwiceWithLateOrdersAndRestarts. A start without an answer arrived in a new life of its worker, which has seen no fence and no stop, after the task had been started elsewhere. Two ways led there: the leases of the crashed worker had run out, so its runs were given up although a start was still on its way; and a new leader adopted a run that the worker did not list, without counting the former leader's start as still on its way. Ruled out: waiting after every lost answer (a repeat of the start on the same worker resolves nearly all), and withholding acknowledgements (the users' rules count an end as noted 100 ms after it is listed). Change: runs with such a start are resolved after the start can no longer arrive, or once they are stopped in the new life; adopted runs that are not listed count as starts on their way. The log line of a lapsed lease names the task. Before: both new tests failed.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -146,11 +146,25 @@
 
 // addWorker starts a worker and registers it.
 func (c *cluster) addWorker(id, rack string) worker.Info {
-	info := c.fleet.Add(worker.Info{ID: id, Service: "s", Rack: rack, CPU: 8000, MemoryMB: 8000, GPU: 8}, 0.98)
+	info := c.fleet.Add(workerInfo(id, rack), clockRate)
 	c.register(info)
 	return info
 }
 
+// restartWorker starts a worker again under its id; its entry follows after a time.
+func (c *cluster) restartWorker(id string, registersAfter time.Duration) {
+	info := c.fleet.Add(workerInfo(id, "r1"), clockRate)
+	time.Sleep(registersAfter)
+	c.register(info)
+}
+
+// clockRate is the speed of the workers' clocks: as slow as they may be.
+const clockRate = 0.98
+
+func workerInfo(id, rack string) worker.Info {
+	return worker.Info{ID: id, Service: "s", Rack: rack, CPU: 8000, MemoryMB: 8000, GPU: 8}
+}
+
 func (c *cluster) register(info worker.Info) {
 	value, err := json.Marshal(info)
 	require.NoError(c.t, err)
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -146,6 +146,52 @@
 	})
 }
 
+// Guards against a start that reaches a new life of a crashed worker, which knows of no fence and no
+// stop, while the task runs elsewhere: until the start can no longer arrive, the task waits for
+// the new life, where the run is stopped for ever.
+func TestLateStartInNewLifeOfWorker(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(20*time.Second), func(c *cluster) {
+		c.addWorker("w1", "r1")
+		c.startInstance("a")
+		time.Sleep(4 * time.Second)
+		c.fleet.SetLate(1, 10*time.Second)
+		c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 1})
+		time.Sleep(time.Second)
+		c.fleet.Cut("w1", true)
+		c.fleet.SetLate(0, 0)
+		c.addWorker("w2", "r1")
+		time.Sleep(8 * time.Second)
+		c.restartWorker("w1", 1500*time.Millisecond)
+		task := batch.TaskID{Job: jobID(1)}
+		c.waitFor(10*time.Second, "started", func() bool { return c.fleet.Starts(task) > 0 })
+		time.Sleep(5 * time.Second)
+		require.Empty(t, c.fleet.Broken())
+	})
+}
+
+// The same after a takeover: the new leader does not know which starts of the former one got no
+// answer.
+func TestLateStartOfFormerLeaderInNewLifeOfWorker(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(20*time.Second), func(c *cluster) {
+		info := c.addWorker("w1", "r1")
+		a := c.startInstance("a")
+		time.Sleep(4 * time.Second)
+		c.fleet.SetLate(1, 9*time.Second)
+		c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 1})
+		time.Sleep(200 * time.Millisecond)
+		a.kill()
+		info.State, info.Leaving = worker.Draining, time.Minute
+		c.register(info)
+		c.fleet.SetLate(0, 0)
+		c.startInstance("b")
+		c.addWorker("w2", "r1")
+		time.Sleep(6 * time.Second)
+		c.restartWorker("w1", 0)
+		time.Sleep(5 * time.Second)
+		require.Empty(t, c.fleet.Broken())
+	})
+}
+
 // Guards the safety of takeovers over random orders of faults: kills, cuts, losses of answers,
 // late orders and history that is dropped.
 func TestNoTaskRunsTwiceWithLateOrders(t *testing.T) {
@@ -169,6 +215,9 @@
 	}
 }
 
+// lateBy is how late the workers carry out orders without an answer.
+const lateBy = 2 * time.Second
+
 // chaosSeeds is the number of orders that every run of the tests plays.
 const chaosSeeds = 30
 
@@ -231,7 +280,7 @@
 	case cutWorker:
 		c.fleet.Cut(id, true)
 	case lateOrders:
-		c.fleet.SetLate(0.15)
+		c.fleet.SetLate(0.15, lateBy)
 	case restartWorker:
 		c.addWorker(id, "r1")
 	case dropHistory:
@@ -250,5 +299,5 @@
 	for _, id := range ids {
 		c.fleet.Cut(id, false)
 	}
-	c.fleet.SetLate(0)
+	c.fleet.SetLate(0, lateBy)
 }
--- a/internal/controller/link.go
+++ b/internal/controller/link.go
@@ -293,12 +293,8 @@
 
 // checkLink looks at a worker that needs it, and gives up runs whose leases have run out.
 func (l *leader) checkLink(k *link, now boottime.Instant) {
-	if len(k.runs) > 0 && k.silentSince != 0 && k.lapsed(now) {
-		l.logger.Warn().Str("worker", k.id).Int("runs", len(k.runs)).
-			Dur("silent", now.Sub(k.silentSince)).Msg("leases have run out")
-		for _, r := range k.list() {
-			l.resolve(r, endLost, "")
-		}
+	if k.silentSince != 0 && k.lapsed(now) {
+		l.giveUpLapsed(k, now)
 	}
 	for _, r := range k.list() {
 		l.checkRun(r, now)
@@ -313,6 +309,20 @@
 	l.look(k)
 }
 
+// giveUpLapsed resolves the runs of a worker whose leases have run out. A start that is still on its
+// way could begin its run in a new life of the worker: that task waits until the run is stopped
+// there, or the start can no longer arrive.
+func (l *leader) giveUpLapsed(k *link, now boottime.Instant) {
+	for _, r := range k.list() {
+		if now < k.loose[r.order()] {
+			continue
+		}
+		l.logger.Warn().Str("worker", k.id).Str("task", r.task.id.String()).
+			Dur("silent", now.Sub(k.silentSince)).Msg("lease has run out")
+		l.resolve(r, endLost, "")
+	}
+}
+
 // look asks a worker for its lists, unless a look is under way or nothing is expected.
 func (l *leader) look(k *link) {
 	now := boottime.Now()
@@ -451,6 +461,8 @@
 			// listed as ended because it never began or its end was forgotten.
 			l.resolve(r, endLost, "")
 		} else if !listed[r.task.id] && r.state == adopting {
+			// The former leader's start may still be on its way.
+			k.loose[r.order()] = boottime.Now().Add(looseFor)
 			l.resolve(r, endLost, "")
 		}
 	}
--- a/internal/worker/workertest/fleet.go
+++ b/internal/worker/workertest/fleet.go
@@ -41,9 +41,10 @@
 	// Plan says how the run of a task goes.
 	plan func(batch.TaskID) Work
 	// latency is the time that an answer takes, late the share of orders that get none and are
-	// carried out seconds later.
+	// carried out lateBy later.
 	latency time.Duration
 	late    float64
+	lateBy  time.Duration
 
 	// tickets holds the valid tickets by step and worker; nil if none are needed.
 	tickets map[string]string
@@ -87,11 +88,11 @@
 	}
 }
 
-// SetLate makes a share of the orders get no answer; they are carried out 2 s later.
-func (f *Fleet) SetLate(share float64) {
+// SetLate makes a share of the orders get no answer; they are carried out some time later.
+func (f *Fleet) SetLate(share float64, by time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.late = share
+	f.late, f.lateBy = share, by
 }
 
 // Add starts a worker, or starts it again under its id.
@@ -226,7 +227,7 @@
 	}
 	if w.cut || late {
 		if late && !w.cut {
-			time.AfterFunc(2*time.Second, func() { f.carryOut(to, order) })
+			time.AfterFunc(f.lateBy, func() { f.carryOut(to, order) })
 		}
 		f.mu.Unlock()
 		<-ctx.Done()
