Remove fields of the operator's configuration that nothing reads

Services, their health paths and capacity guards, the limits of headers and idle time and the number of a worker's entry were decoded and then unused; a reader had to look for their use. The bound of a body is the only limit left.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -71,10 +71,9 @@
 }
 
 var testConfig = &opconfig.Config{
-	Version:  1,
-	Queues:   []opconfig.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s", MaxAttempts: 3, Stretch: 3, Target: time.Second}},
-	Services: []opconfig.Service{{Name: "s"}},
-	Orgs:     []opconfig.Org{{Name: "o", Keys: []string{"k"}, GuaranteedGPU: 8}},
+	Version: 1,
+	Queues:  []opconfig.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s", MaxAttempts: 3, Stretch: 3, Target: time.Second}},
+	Orgs:    []opconfig.Org{{Name: "o", Keys: []string{"k"}, GuaranteedGPU: 8}},
 }
 
 func init() { testConfig.Index() }
--- a/internal/opconfig/opconfig.go
+++ b/internal/opconfig/opconfig.go
@@ -1,5 +1,5 @@
-// Package opconfig holds the operator's configuration as the system uses it: queues, services,
-// organisations with their keys and guarantees, and limits of requests.
+// Package opconfig holds the operator's configuration as the system uses it: queues,
+// organisations with their keys and guarantees, and the limit of a request's body.
 package opconfig
 
 import (
@@ -35,16 +35,6 @@
 	Advice *Advice
 }
 
-// Service is a pool of workers.
-type Service struct {
-	Name string
-	// GuardsCapacity says that the workers refuse what does not fit.
-	GuardsCapacity bool
-	// Spare pools hold machines that are switched off.
-	Spare      bool
-	HealthPath string
-}
-
 // Org is an organisation.
 type Org struct {
 	Name string
@@ -53,21 +43,13 @@
 	GuaranteedGPU int64
 }
 
-// Limits bounds the requests that instances take.
-type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
-}
-
 // Config is one version of the configuration. It is not changed once published.
 type Config struct {
-	Version  int64
-	Queues   []Queue
-	Services []Service
-	Orgs     []Org
-	Limits   Limits
+	Version int64
+	Queues  []Queue
+	Orgs    []Org
+	// MaxBodyBytes bounds the body of a request; 0 if the operator sets no limit.
+	MaxBodyBytes int64
 
 	byName map[string]*Queue
 	byKey  map[string]string
@@ -118,13 +100,3 @@
 	}
 	return best
 }
-
-// Service finds a service by name, or nil.
-func (c *Config) Service(name string) *Service {
-	for i := range c.Services {
-		if c.Services[i].Name == name {
-			return &c.Services[i]
-		}
-	}
-	return nil
-}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -39,8 +39,6 @@
 	Born int64
 	// ClockMS is the worker's steady clock when the entry was written.
 	ClockMS int64
-	// Beat numbers the entries of one life.
-	Beat int64
 }
 
 // HasLabel says whether the worker has a label.
