Look again at workers whose leases ran out, and keep the leader when many tasks end at once

All runs of the fleet had ended at once, one write each, and the queue took 2,048. The test for it, with one worker of 4,000 tasks, then showed a second fault: a worker that was cut off until its leases had run out got no more work for the rest of the term, since a silent worker without runs was never looked at again. Change: the leader's queue of writes holds twice the runs of 3,000 workers; silent workers without runs are looked at once a second. TestManyEndsAtOnceKeepTheLeader and TestWorkerIsUsedAgainAfterItsLeasesRanOut failed before and pass.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -195,6 +195,15 @@
 	return p.Phase
 }
 
+// epoch reads the epoch of the last claim of the leadership.
+func (c *cluster) epoch() int64 {
+	var claim struct{ Epoch int64 }
+	for _, value := range c.log.NewestOf(election.Topic) {
+		require.NoError(c.t, json.Unmarshal(value, &claim))
+	}
+	return claim.Epoch
+}
+
 // waitFor waits until a condition holds, at most for the given time.
 func (c *cluster) waitFor(limit time.Duration, what string, holds func() bool) {
 	c.t.Helper()
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -170,6 +170,23 @@
 	})
 }
 
+// Guards against a worker that gets no more work once its leases have run out while it was cut off:
+// nothing ran there any more, so nobody looked at it again.
+func TestWorkerIsUsedAgainAfterItsLeasesRanOut(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(20*time.Second), func(c *cluster) {
+		c.addWorker("w1", "r1")
+		c.startInstance("a")
+		c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 1})
+		task := batch.TaskID{Job: jobID(1)}
+		c.waitFor(4*time.Second, "started", func() bool { return c.fleet.Starts(task) == 1 })
+		c.fleet.Cut("w1", true)
+		time.Sleep(8 * time.Second)
+		c.fleet.Cut("w1", false)
+		c.waitFor(3*time.Second, "started again", func() bool { return c.fleet.Starts(task) == 2 })
+		require.Empty(t, c.fleet.Broken())
+	})
+}
+
 // Guards against tasks that wait for a start which never reached their worker, because the worker
 // was cut off already.
 func TestStartLostWithItsWorkerIsNotWaitedFor(t *testing.T) {
@@ -209,6 +226,27 @@
 	})
 }
 
+// Guards against a leader that steps down, and its successors after it, because more tasks ended at
+// once than its queue of writes took: all runs of a large fleet whose leases had run out.
+func TestManyEndsAtOnceKeepTheLeader(t *testing.T) {
+	const tasks = 4000
+	inVirtualTime(t, 1, fixedWork(time.Minute), func(c *cluster) {
+		large := worker.Info{ID: "w1", Service: "s", Rack: "r1", CPU: tasks * 1000, MemoryMB: tasks, GPU: tasks}
+		c.register(c.fleet.Add(large, clockRate))
+		c.startInstance("a")
+		c.submit(jobID(1), batch.Step{Count: tasks, CPU: 1000, GPU: 1})
+		c.waitFor(20*time.Second, "started", func() bool { return c.fleet.RunsOn("w1") == tasks })
+		time.Sleep(time.Second) // The claim is renewed.
+		epoch := c.epoch()
+		c.fleet.Cut("w1", true)
+		time.Sleep(8 * time.Second)
+		c.fleet.Cut("w1", false)
+		c.waitFor(20*time.Second, "started again", func() bool { return c.fleet.Starts(batch.TaskID{Job: jobID(1)}) == 2 })
+		require.Equal(t, epoch, c.epoch())
+		require.Empty(t, c.fleet.Broken())
+	})
+}
+
 // Guards the safety of takeovers over random orders of faults: kills, cuts, losses of answers,
 // late orders and history that is dropped.
 func TestNoTaskRunsTwiceWithLateOrders(t *testing.T) {
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -27,6 +27,9 @@
 	planShare = 6
 	// replanEvery is how often units that found no room are tried without any news.
 	replanEvery = 250 * time.Millisecond
+	// writeLimit bounds the writes that wait for the log. All runs of a fleet may end at once, when
+	// their leases have run out, with one write each: twice those of 3,000 workers of 8 accelerators.
+	writeLimit = 1 << 16
 	// producer names the leader's appends; its epochs are those of the election.
 	producer = "scheduler"
 	// workersWait is how long a read of the workers' entries waits for news.
@@ -81,7 +84,8 @@
 
 func (l *leader) writer(topic string) *ledger.Writer {
 	return ledger.NewWriter(ledger.WriterConfig{
-		Log: l.c.cfg.Log, Topic: topic, Producer: producer, Epoch: l.term.Epoch, Persist: true, Logger: l.logger,
+		Log: l.c.cfg.Log, Topic: topic, Producer: producer, Epoch: l.term.Epoch, Persist: true, QueueLimit: writeLimit,
+		Logger: l.logger,
 	})
 }
 
--- a/internal/controller/link.go
+++ b/internal/controller/link.go
@@ -22,6 +22,9 @@
 	lookTimeout = 700 * time.Millisecond
 	// lookRetry is the pause after a look without an answer.
 	lookRetry = 150 * time.Millisecond
+	// idleLookRetry is the same for a worker that runs nothing: each look has its price, and a worker
+	// that was cut off is usually away for some seconds.
+	idleLookRetry = time.Second
 	// clockDrift is how much slower a worker's clock may run.
 	clockDrift = 0.02
 	// lapseMargin covers rounding to milliseconds.
@@ -338,7 +341,7 @@
 	if k.looking || now < k.lookDue || k.unstored > 0 || !l.term.Valid() {
 		return
 	}
-	if len(k.runs) == 0 && k.processed == k.acked && !k.resample {
+	if len(k.runs) == 0 && k.processed == k.acked && !k.resample && k.silentSince == 0 {
 		return
 	}
 	order := worker.HoldOrder{Token: l.term.Epoch}
@@ -413,6 +416,9 @@
 	var refused *worker.RefusedError
 	now := boottime.Now()
 	k.lookDue = now.Add(lookRetry)
+	if len(k.runs) == 0 {
+		k.lookDue = now.Add(idleLookRetry)
+	}
 	if errors.As(err, &refused) {
 		switch refused.Reason {
 		case worker.RefusedFence:
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -18,8 +18,9 @@
 	maxWriteTimeout = 2 * time.Second
 	// repeatPause is the pause before an append is repeated.
 	repeatPause = 60 * time.Millisecond
-	// writerQueue is how many writes may wait; callers are refused beyond it.
-	writerQueue = 2048
+	// defaultQueueLimit suits writes of callers, who are refused beyond it: some seconds of a
+	// log that takes several hundred appends a second.
+	defaultQueueLimit = 2048
 	// maxBatchRecords bounds the records of one append.
 	maxBatchRecords = 400
 	// maxBatchBytes keeps an append under the platform's limit of bytes for a call.
@@ -46,7 +47,9 @@
 	Epoch    int64
 	// Persist repeats appends that the log refused. Otherwise their callers get ErrUnavailable.
 	Persist bool
-	Logger  *log.Logger
+	// QueueLimit is how many writes may wait; 0 for a limit that suits writes of callers.
+	QueueLimit int
+	Logger     *log.Logger
 }
 
 type write struct {
@@ -57,7 +60,11 @@
 
 // NewWriter returns a writer; Run starts it.
 func NewWriter(cfg WriterConfig) *Writer {
-	return &Writer{cfg: cfg, queue: make(chan *write, writerQueue)}
+	limit := cfg.QueueLimit
+	if limit == 0 {
+		limit = defaultQueueLimit
+	}
+	return &Writer{cfg: cfg, queue: make(chan *write, limit)}
 }
 
 // Fence sets the producer's epoch at the log without adding a record, and returns the end of
