Hold candidates back that are behind the topic of claims

Change: after a conflict a candidate waits until it has read the records in question, or until a claim would have run out.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -100,6 +100,9 @@
 	known    bool
 	seen     boottime.Instant
 	position int64
+	// conflictEnd is an end of the topic beyond what was read, which a claim ran into at conflictAt.
+	conflictEnd int64
+	conflictAt  boottime.Instant
 	// sent holds the records of this life whose outcome is not known.
 	sent       map[int64]pending
 	renewal    int64
@@ -217,12 +220,24 @@
 	}
 	epoch, err := e.append(ctx, record{})
 	if err != nil {
+		e.noteConflict(err)
 		e.cfg.Logger.Info().Err(err).Msg("claim of leadership not won")
 		return Term{}, false
 	}
 	return Term{Epoch: epoch, FormerValid: former, elector: e}, true
 }
 
+// noteConflict takes that a claim found records that were not read yet.
+func (e *Elector) noteConflict(err error) {
+	var conflict *ledger.ConflictError
+	if !errors.As(err, &conflict) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.conflictEnd, e.conflictAt = conflict.End, boottime.Now()
+}
+
 // claimable says whether the leadership can be claimed, how long to hold back, and how long the
 // former leader may still act.
 func (e *Elector) claimable() (delay, former time.Duration, ok bool) {
@@ -231,6 +246,10 @@
 	if !e.known || e.resigned {
 		return 0, 0, false
 	}
+	if e.position < e.conflictEnd && boottime.Since(e.conflictAt) <= claimAfter {
+		// Another claim would run into the same records.
+		return 0, 0, false
+	}
 	if e.current.Epoch == 0 || e.current.Released {
 		return e.cfg.Handicap, 0, true
 	}
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -140,3 +141,35 @@
 		require.Equal(t, []string{"a"}, s.valid())
 	})
 }
+
+// countingLog counts the appends that reach the log.
+type countingLog struct {
+	ledger.Log
+	appends atomic.Int64
+}
+
+func (l *countingLog) Append(ctx context.Context, a ledger.Append) (ledger.Appended, error) {
+	l.appends.Add(1)
+	return l.Log.Append(ctx, a)
+}
+
+// Guards against candidates that claim ten times a second while they cannot read the topic: some hundred
+// of them kept the log from answering, after all instances were lost.
+func TestCandidateBehindTheTopicHoldsBack(t *testing.T) {
+	elect(t, func(log *ledgertest.Log, s *terms) {
+		leader := start(log, s, "a", "a1")
+		defer leader.stop()
+		time.Sleep(time.Second)
+		counting := &countingLog{Log: log.Client()}
+		behind := New(Config{
+			Log: counting, Identity: Identity{Instance: "b", Life: "b1"}, Eligible: func() bool { return true },
+			Logger: logging.Discard(), Lead: func(context.Context, Term) {},
+		})
+		behind.Observe(ledger.Update{Reset: true}) // It knows the topic as it was before any claim.
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		behind.Run(ctx)
+		require.LessOrEqual(t, counting.appends.Load(), int64(10*time.Second/claimAfter)+1)
+		require.Equal(t, []string{"a"}, s.valid())
+	})
+}
