Read the newest records of a topic page by page across failures

Ruled out: the leader alone reading it (status requests are answered everywhere). Change: a scan keeps the pages that it has, and waits up to 10 s for a page once one was given up; the leader's reading of tasks uses the same scan. TestSlowPagesAreReadOnce: the table was not read in 9 s before; one page is given up now.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -145,33 +145,28 @@
 }
 
 func (l *leader) readTasks() (map[string]taskRecords, error) {
-	records := make(map[string]taskRecords)
-	for after := ""; ; {
-		ctx, cancel := context.WithTimeout(l.ctx, time.Second)
-		page, err := l.c.cfg.Log.Newest(ctx, batch.TasksTopic, after)
-		cancel()
-		if err != nil {
+	scan := ledger.NewScan(l.c.cfg.Log, batch.TasksTopic)
+	for done := false; !done; {
+		var err error
+		if done, err = scan.Step(l.ctx); err != nil {
 			if err := l.pauseInTerm(err); err != nil {
 				return nil, err
 			}
-			continue
 		}
-		for _, entry := range page.Entries {
-			id, record, err := batch.ParseTask(entry)
-			if err != nil {
-				l.logger.Error().Err(err).Str("key", entry.Key).Msg("record of a task passed over")
-				continue
-			}
-			if records[id.Job] == nil {
-				records[id.Job] = make(taskRecords)
-			}
-			records[id.Job][id] = record
+	}
+	records := make(map[string]taskRecords)
+	for _, entry := range scan.Entries {
+		id, record, err := batch.ParseTask(entry)
+		if err != nil {
+			l.logger.Error().Err(err).Str("key", entry.Key).Msg("record of a task passed over")
+			continue
 		}
-		if !page.More || len(page.Entries) == 0 {
-			return records, nil
+		if records[id.Job] == nil {
+			records[id.Job] = make(taskRecords)
 		}
-		after = page.Entries[len(page.Entries)-1].Key
+		records[id.Job][id] = record
 	}
+	return records, nil
 }
 
 // pauseInTerm waits before another try, or returns an error if the term is over.
--- a/internal/ledger/follower.go
+++ b/internal/ledger/follower.go
@@ -11,14 +11,8 @@
 	"github.com/oleanderbend/oleanderbend/internal/boottime"
 )
 
-// Limits of a follower.
-const (
-	// callMargin is added to the time that a read waits at the log. A slow log takes some
-	// hundred milliseconds; past this the connection counts as silent.
-	callMargin = 1200 * time.Millisecond
-	// retryPause is the pause after a failed call, short against the bounds of configuration.
-	retryPause = 60 * time.Millisecond
-)
+// retryPause is the pause after a failed call, short against the bounds of configuration.
+const retryPause = 60 * time.Millisecond
 
 // Update is a change of the mirrored topic.
 type Update struct {
@@ -46,6 +40,10 @@
 // Follower mirrors one topic.
 type Follower struct {
 	cfg FollowerConfig
+	// scan is the reading of the newest records that is under way. Only Run uses it.
+	scan *Scan
+	// readTimeout is how long a read may take beyond its wait. Only Run uses it.
+	readTimeout time.Duration
 
 	mu        sync.Mutex
 	synced    bool
@@ -59,7 +57,7 @@
 	if cfg.Pause == nil {
 		cfg.Pause = func() time.Duration { return 0 }
 	}
-	return &Follower{cfg: cfg}
+	return &Follower{cfg: cfg, readTimeout: scanTimeout}
 }
 
 // Run follows the topic until ctx is done.
@@ -89,12 +87,16 @@
 		return f.sync(ctx)
 	}
 	sent := boottime.Now()
-	callCtx, cancel := context.WithTimeout(ctx, f.cfg.Wait+callMargin)
+	callCtx, cancel := context.WithTimeout(ctx, f.cfg.Wait+f.readTimeout)
 	defer cancel()
 	page, err := f.cfg.Log.Read(callCtx, f.cfg.Topic, position, f.cfg.Wait)
 	if err != nil {
+		if callCtx.Err() != nil {
+			f.readTimeout = min(2*f.readTimeout, maxScanTimeout)
+		}
 		return err
 	}
+	f.readTimeout = scanTimeout
 	if n := len(page.Entries); n > 0 {
 		position = page.Entries[n-1].Offset + 1
 	}
@@ -105,30 +107,19 @@
 	return nil
 }
 
-// sync reads the newest records. Pages are no snapshot: following from the end that the first
-// page reported replays what changed meanwhile.
+// sync reads a page of the newest records, and starts to follow the topic after the last one.
 func (f *Follower) sync(ctx context.Context) error {
-	sent := boottime.Now()
-	var entries []Entry
-	end := int64(-1)
-	for after, more := "", true; more; {
-		callCtx, cancel := context.WithTimeout(ctx, callMargin)
-		page, err := f.cfg.Log.Newest(callCtx, f.cfg.Topic, after)
-		cancel()
-		if err != nil {
-			return err
-		}
-		if end < 0 {
-			end = page.End
-		}
-		entries = append(entries, page.Entries...)
-		more = page.More && len(page.Entries) > 0
-		if more {
-			after = page.Entries[len(page.Entries)-1].Key
-		}
+	if f.scan == nil {
+		f.scan = NewScan(f.cfg.Log, f.cfg.Topic)
+	}
+	done, err := f.scan.Step(ctx)
+	if err != nil || !done {
+		return err
 	}
-	f.accept(Update{Reset: true, Entries: entries, Position: end}, sent, true)
-	f.cfg.Logger.Info().Str("topic", f.cfg.Topic).Int("records", len(entries)).Int64("position", end).
+	scan := f.scan
+	f.scan = nil
+	f.accept(Update{Reset: true, Entries: scan.Entries, Position: scan.End}, scan.Began, true)
+	f.cfg.Logger.Info().Str("topic", f.cfg.Topic).Int("records", len(scan.Entries)).Int64("position", scan.End).
 		Msg("newest records read")
 	return nil
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -140,3 +140,28 @@
 		require.False(t, mirror["k000"])
 	})
 }
+
+// Guards against instances that never learn the table after all of them were lost: their reads share the
+// log's bandwidth, and each page that was given up made the reading begin again.
+func TestSlowPagesAreReadOnce(t *testing.T) {
+	inVirtualTime(t, func(ctx context.Context, log *ledgertest.Log, c *ledgertest.Client) {
+		w := newWriter(ctx, log.Client(), "w", 1, true)
+		for n := range 1200 {
+			require.NoError(t, w.Write(ctx, record(fmt.Sprintf("k%04d", n))))
+		}
+		c.SetPageTime(2 * time.Second)
+		records := make(chan int, 1)
+		f := ledger.NewFollower(ledger.FollowerConfig{
+			Log: c, Topic: topic, Wait: time.Second, Logger: logging.Discard(),
+			Apply: func(u ledger.Update) { records <- len(u.Entries) },
+		})
+		go f.Run(ctx)
+		select {
+		case n := <-records:
+			require.Equal(t, 1200, n)
+		case <-time.After(9 * time.Second):
+			require.Fail(t, "the table was not read")
+		}
+		require.Equal(t, 4, c.SetPageTime(0), "one page was given up")
+	})
+}
--- a/internal/ledger/ledgertest/log.go
+++ b/internal/ledger/ledgertest/log.go
@@ -83,6 +83,9 @@
 	down bool
 	lose float64
 	late bool
+	// pageTime is the time that a page of newest records takes beyond the latency, pages counts those asked for.
+	pageTime time.Duration
+	pages    int
 }
 
 // Client returns a view of the log with faults of its own.
@@ -102,6 +105,22 @@
 	c.lose, c.late = share, late
 }
 
+// SetPageTime sets how long a page of newest records takes, as it does when many readers share the log's
+// bandwidth, and returns how many were asked for so far.
+func (c *Client) SetPageTime(d time.Duration) (pages int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pageTime = d
+	return c.pages
+}
+
+func (c *Client) countPage() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pages++
+	return c.pageTime
+}
+
 func (c *Client) faults() (down bool, lose float64, late bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -239,7 +258,7 @@
 	if down, _, _ := c.faults(); down {
 		return ledger.NewestPage{}, eris.Wrap(ledger.ErrUnavailable, "down")
 	}
-	if err := wait(ctx, c.log.Latency); err != nil {
+	if err := wait(ctx, c.log.Latency+c.countPage()); err != nil {
 		return ledger.NewestPage{}, err
 	}
 	c.log.mu.Lock()
