Store only the state of closed jobs

Change: once nothing of a job can run, the leader replaces its record by one without steps and specification; instances drop these from memory as well. A repeated submit of such a job changes nothing. TestClosedJobKeepsOnlyItsState failed before; the table has tests of its own now.

--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -68,6 +68,13 @@
 // JobRecord returns the record of a submitted job.
 func JobRecord(j *Job) (ledger.Record, error) { return encode(jobPrefix+j.ID, j) }
 
+// ClosedJobRecord returns the record that replaces a job's description once nothing of the job can run
+// any more: what its callers may still ask needs neither its steps nor its specification, and
+// each instance reads the whole table when it starts.
+func ClosedJobRecord(j *Job) (ledger.Record, error) {
+	return JobRecord(&Job{ID: j.ID, Queue: j.Queue, Org: j.Org, Repeat: j.Repeat, AcceptedMS: j.AcceptedMS})
+}
+
 // CancelRecord returns the record of a cancellation.
 func CancelRecord(id string) ledger.Record {
 	return ledger.Record{Key: cancelPrefix + id, Value: []byte("{}")}
@@ -204,19 +211,19 @@
 	return id, nil
 }
 
-// applyJob keeps the first description of a job: a repeated submit does not change it.
+// applyJob keeps the first description of a job: a repeated submit does not change it. Only the
+// record of a closed job, which has no steps, replaces it.
 func (t *Table) applyJob(id string, s *JobState, value []byte) error {
 	if len(value) == 0 {
 		delete(t.jobs, id)
 		return nil
 	}
-	if s.Job != nil {
-		return nil
-	}
 	var j Job
 	if err := json.Unmarshal(value, &j); err != nil {
 		return eris.Wrapf(err, "decode job %s", id)
 	}
-	s.Job = &j
+	if s.Job == nil || len(j.Steps) == 0 {
+		s.Job = &j
+	}
 	return nil
 }
--- /dev/null
+++ b/internal/batch/record_test.go
@@ -0,0 +1,72 @@
+package batch
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/ledger"
+)
+
+func apply(t *testing.T, table *Table, records ...ledger.Record) {
+	t.Helper()
+	var u ledger.Update
+	for _, r := range records {
+		u.Entries = append(u.Entries, ledger.Entry{Record: r})
+	}
+	_, errs := table.Apply(u)
+	require.Empty(t, errs)
+}
+
+func jobRecord(t *testing.T, spec string) ledger.Record {
+	t.Helper()
+	r, err := JobRecord(&Job{ID: "1", Queue: "q", Org: "o", Spec: spec, Steps: []Step{{Count: 1}}})
+	require.NoError(t, err)
+	return r
+}
+
+// Guards against a repeated submit that changes a job, and against a closed job that keeps its
+// description in memory or comes back to life.
+func TestTableKeepsTheFirstDescriptionUntilTheJobIsClosed(t *testing.T) {
+	table := NewTable()
+	apply(t, table, jobRecord(t, "first"), jobRecord(t, "second"))
+	require.Equal(t, "first", table.Get("1").Job.Spec)
+	phase, err := PhaseChange("1", PhaseRecord{Phase: Completed})
+	require.NoError(t, err)
+	closed, err := ClosedJobRecord(table.Get("1").Job)
+	require.NoError(t, err)
+	apply(t, table, phase, closed)
+	require.Empty(t, table.Get("1").Job.Spec)
+	require.Equal(t, "o", table.Get("1").Job.Org)
+	apply(t, table, jobRecord(t, "late"))
+	require.Equal(t, Completed, table.Get("1").Visible())
+	require.Empty(t, table.Get("1").Job.Spec)
+	apply(t, table, DropJob("1")...)
+	require.Nil(t, table.Get("1"))
+}
+
+// Guards the phase that callers see: a cancellation shows before it is carried out, and not after
+// another end.
+func TestVisiblePhase(t *testing.T) {
+	table := NewTable()
+	apply(t, table, jobRecord(t, ""))
+	require.Equal(t, Queued, table.Get("1").Visible())
+	apply(t, table, CancelRecord("1"))
+	require.Equal(t, Cancelled, table.Get("1").Visible())
+	phase, err := PhaseChange("1", PhaseRecord{Phase: Completed})
+	require.NoError(t, err)
+	apply(t, table, phase)
+	require.Equal(t, Completed, table.Get("1").Visible())
+}
+
+// Guards the names of tasks, which workers and records carry.
+func TestTaskNames(t *testing.T) {
+	id := TaskID{Job: "5c0e7a21d94b36f8", Occurrence: 2, Step: 1, Index: 17}
+	parsed, err := ParseTaskID(id.String())
+	require.NoError(t, err)
+	require.Equal(t, id, parsed)
+	for _, bad := range []string{"", "a.b", "a.1.2.x", "a.1.2.3.4"} {
+		_, err := ParseTaskID(bad)
+		require.ErrorIs(t, err, ErrInvalid, bad)
+	}
+}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -24,6 +24,26 @@
 	})
 }
 
+// Guards against a table that keeps all that was ever submitted: each instance reads it when it starts.
+// A closed job is still known, also when its submit is repeated, and does not run again.
+func TestClosedJobKeepsOnlyItsState(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(time.Second), func(c *cluster) {
+		c.addWorker("w1", "r1")
+		i := c.startInstance("a")
+		c.submit(jobID(1), batch.Step{Count: 3, CPU: 1000, GPU: 1})
+		c.waitFor(6*time.Second, "completed", func() bool { return c.phase(jobID(1)) == batch.Completed })
+		time.Sleep(time.Second)
+		require.NotContains(t, string(c.log.NewestOf(batch.JobsTopic)["j/"+jobID(1)]), "steps\":[{")
+		require.Empty(t, c.log.NewestOf(batch.TasksTopic))
+		i.kill()
+		i = c.startInstance("a")
+		c.submit(jobID(1), batch.Step{Count: 3, CPU: 1000, GPU: 1})
+		time.Sleep(5 * time.Second)
+		require.Equal(t, batch.Completed, i.intake.Snapshot([]string{jobID(1)})[jobID(1)].Phase.Phase)
+		require.Equal(t, 1, c.fleet.Starts(batch.TaskID{Job: jobID(1)}))
+	})
+}
+
 // Guards against a worker that left with a task: looks that repeated the extension of its
 // leases kept them from ever counting as run out.
 func TestTaskOfLostWorkerStartsElsewhere(t *testing.T) {
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -305,7 +305,7 @@
 	l.storeJobs([]ledger.Record{record}, func() {
 		if phase.Final() {
 			j.settled = true
-			l.dropTasks(j)
+			l.closeJob(j)
 		}
 		if then != nil {
 			then()
@@ -313,8 +313,8 @@
 	})
 }
 
-// dropTasks forgets the progress of the tasks of a finished job.
-func (l *leader) dropTasks(j *job) {
+// closeJob forgets the tasks of a finished job, and all of the job but what callers may ask for.
+func (l *leader) closeJob(j *job) {
 	if j.busy() {
 		return
 	}
@@ -330,6 +330,12 @@
 	if len(records) > 0 {
 		l.store(records, func() {})
 	}
+	closed, err := batch.ClosedJobRecord(j.spec)
+	if err != nil {
+		l.logger.Error().Err(err).Str("job", j.spec.ID).Msg("job not closed")
+		return
+	}
+	l.storeJobs([]ledger.Record{closed}, func() {})
 }
 
 // checkJobs makes occurrences that have come due.
@@ -382,7 +388,7 @@
 			continue
 		}
 		if j.units != nil {
-			l.dropTasks(j)
+			l.closeJob(j)
 		}
 		if j.finalAt > 0 && j.finalAt < horizon {
 			delete(l.byID, id)
