--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -5,6 +5,7 @@
 package boottime
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -44,3 +45,16 @@
 
 // Since returns the time that has passed since i.
 func Since(i Instant) time.Duration { return Now().Sub(i) }
+
+// Sleep waits for a time on Go's clock, or until ctx is done.
+func Sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -34,6 +34,8 @@
 	producer = "scheduler"
 	// workersWait is how long a read of the workers' entries waits for news.
 	workersWait = time.Second
+	// mirrorStep is the step at which a takeover looks whether the mirror of the jobs has caught up.
+	mirrorStep = 5 * time.Millisecond
 	// recoverPause is the pause before a failed step of a takeover is tried again.
 	recoverPause = 50 * time.Millisecond
 )
@@ -122,7 +124,7 @@
 		if l.ctx.Err() != nil {
 			return l.ctx.Err()
 		}
-		time.Sleep(recoverPause / 10)
+		boottime.Sleep(l.ctx, mirrorStep)
 	}
 	for _, state := range l.c.cfg.Jobs.SnapshotAll() {
 		l.load(state, records[state.Job.ID])
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -26,6 +26,12 @@
 	// gangPatience is how long the other members of a gang may take to be listed as ended
 	// after one has ended.
 	gangPatience = 300 * time.Millisecond
+	// shunAfter is how many jobs must fail in a row on a worker before it gets no more work.
+	shunAfter = 2
+	// shunFor is how long it gets none, the length of a usual disturbance.
+	shunFor = 6 * time.Second
+	// unhealthyPause is how long a worker that refused an order gets no more.
+	unhealthyPause = time.Second
 )
 
 // runState is how far a run is.
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -23,6 +23,8 @@
 	// headroomHalf is the time in which the headroom for the most urgent queue halves when
 	// its load falls; it bridges the gaps between jobs, not the time after a burst.
 	headroomHalf = 3 * time.Second
+	// saveMargin is kept from the time at which a draining worker may be gone, for a stop.
+	saveMargin = 700 * time.Millisecond
 )
 
 // plan decides a round and carries it out.
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -204,7 +204,7 @@
 			e.hold(ctx, term)
 			continue
 		}
-		sleep(ctx, tick)
+		boottime.Sleep(ctx, tick)
 	}
 }
 
@@ -214,7 +214,7 @@
 	if !ok || !e.cfg.Eligible() {
 		return Term{}, false
 	}
-	sleep(ctx, wait+rand.N(claimSpread))
+	boottime.Sleep(ctx, wait+rand.N(claimSpread))
 	if _, _, ok := e.claimable(); !ok || ctx.Err() != nil {
 		return Term{}, false
 	}
@@ -327,7 +327,7 @@
 			break
 		}
 		e.cfg.Logger.Warn().Err(err).Msg("leadership not released")
-		sleep(ctx, tick)
+		boottime.Sleep(ctx, tick)
 	}
 	e.mu.Lock()
 	e.validUntil = 0
@@ -395,10 +395,3 @@
 	defer e.mu.Unlock()
 	delete(e.sent, renewal)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/ledger/follower.go
+++ b/internal/ledger/follower.go
@@ -74,7 +74,7 @@
 		}
 		f.report(err)
 		if err != nil {
-			pause(ctx, retryPause)
+			boottime.Sleep(ctx, retryPause)
 		}
 	}
 }
@@ -102,7 +102,7 @@
 	}
 	f.accept(Update{Entries: page.Entries, Position: position}, sent, position >= page.End)
 	if len(page.Entries) > 0 {
-		pause(ctx, f.cfg.Pause())
+		boottime.Sleep(ctx, f.cfg.Pause())
 	}
 	return nil
 }
@@ -168,15 +168,3 @@
 	}
 	return boottime.Since(f.confirmed), true
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -7,6 +7,8 @@
 
 	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
+
+	"github.com/oleanderbend/oleanderbend/internal/boottime"
 )
 
 // Limits of a writer.
@@ -198,7 +200,7 @@
 			}
 			unresolved = true
 		}
-		pause(ctx, repeatPause)
+		boottime.Sleep(ctx, repeatPause)
 		if ctx.Err() != nil {
 			return eris.Wrap(ErrUnknown, "stopped")
 		}
