--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"flag"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -270,31 +271,35 @@
 // Guards the safety of takeovers over random orders of faults: kills, cuts, losses of answers,
 // late orders and history that is dropped.
 func TestNoTaskRunsTwiceWithLateOrders(t *testing.T) {
-	for seed := range uint64(chaosSeeds) {
-		chaos(t, seed, cutWorker, lateOrders, dropHistory, calmDown)
+	for seed := range *orders {
+		chaos(t, *firstOrder+seed, cutWorker, lateOrders, dropHistory, calmDown)
 	}
 }
 
 // The same with workers that are started again under their ids.
 func TestNoTaskRunsTwiceWithRestartedWorkers(t *testing.T) {
-	for seed := range uint64(chaosSeeds) {
-		chaos(t, seed, cutWorker, restartWorker, dropHistory, calmDown)
+	for seed := range *orders {
+		chaos(t, *firstOrder+seed, cutWorker, restartWorker, dropHistory, calmDown)
 	}
 }
 
 // Both together: an acknowledgement that arrives late in a new life of a worker makes it forget
 // an end that nobody has seen (KNOWN-RED.txt).
 func TestNoTaskRunsTwiceWithLateOrdersAndRestarts(t *testing.T) {
-	for seed := range uint64(20 * chaosSeeds) {
-		chaos(t, seed, cutWorker, restartWorker, lateOrders, dropHistory, calmDown)
+	for seed := range 20 * *orders {
+		chaos(t, *firstOrder+seed, cutWorker, restartWorker, lateOrders, dropHistory, calmDown)
 	}
 }
 
 // lateBy is how late the workers carry out orders without an answer.
 const lateBy = 2 * time.Second
 
-// chaosSeeds is the number of orders that every run of the tests plays.
-const chaosSeeds = 30
+// Random orders of faults that a run of the tests plays; by hand, many more are played:
+// go test -run NoTaskRunsTwice -timeout 1h ./internal/controller -args -orders 10000 -first-order 1000
+var (
+	orders     = flag.Uint64("orders", 30, "number of random orders of faults")
+	firstOrder = flag.Uint64("first-order", 0, "seed of the first order")
+)
 
 // fault is a kind of disturbance.
 type fault int
