Start runs again elsewhere whose worker stands still, and keep work away from it

Change: internal/progress (pure) tells a run that stands still from a slow, a long and a badly estimated one by its own pace. Its worker gets no new work, and the run, or its gang, starts again elsewhere once it has stood still for as long as what the restart loses: at once if its progress is saved. TestGangLeavesWorkerThatStandsStill failed before (the stand-in of workers can hang now, and ends gangs together).

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -208,6 +208,28 @@
 	})
 }
 
+// Guards against gangs that wait for a member whose worker stands still, and against new work for
+// such a worker.
+func TestGangLeavesWorkerThatStandsStill(t *testing.T) {
+	plan := func(id batch.TaskID) workertest.Work {
+		return workertest.Work{Takes: 2 * time.Second, Gang: map[string]int{jobID(1): 4}[id.Job], GPU: 4}
+	}
+	inVirtualTime(t, 1, plan, func(c *cluster) {
+		c.addWorker("w1", "r1")
+		c.addWorker("w2", "r1")
+		c.startInstance("a")
+		c.submit(jobID(1), batch.Step{Count: 4, CPU: 1000, GPU: 4, Gang: true, EstimateMS: 2000})
+		c.waitFor(4*time.Second, "started", func() bool { return c.fleet.RunsOn("w1") == 2 && c.fleet.RunsOn("w2") == 2 })
+		time.Sleep(400 * time.Millisecond)
+		c.fleet.Hang("w1", true)
+		c.addWorker("w3", "r1")
+		c.waitFor(5*time.Second, "moved", func() bool { return c.fleet.RunsOn("w1") == 0 && c.fleet.RunsOn("w3") == 2 })
+		c.submit(jobID(2), batch.Step{Count: 1, CPU: 1000, GPU: 4, EstimateMS: 2000})
+		c.waitFor(8*time.Second, "completed", func() bool { return c.phase(jobID(1)) == batch.Completed && c.phase(jobID(2)) == batch.Completed })
+		require.Empty(t, c.fleet.Broken())
+	})
+}
+
 // Guards against tasks that wait for a start which never reached their worker, because the worker
 // was cut off already.
 func TestStartLostWithItsWorkerIsNotWaitedFor(t *testing.T) {
--- a/internal/controller/look.go
+++ b/internal/controller/look.go
@@ -136,6 +136,7 @@
 	k.acked = max(k.acked, o.Acknowledged)
 	l.takeEnds(k, lists.Ended)
 	l.takeRunning(k, sent, lists)
+	l.restartStalled(k)
 	l.paceFillers(k)
 	l.look(k)
 }
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -8,6 +8,7 @@
 	"github.com/oleanderbend/oleanderbend/internal/batch"
 	"github.com/oleanderbend/oleanderbend/internal/boottime"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
+	"github.com/oleanderbend/oleanderbend/internal/progress"
 	"github.com/oleanderbend/oleanderbend/internal/worker"
 )
 
@@ -76,7 +77,7 @@
 	stopSent, stopAt boottime.Instant
 	reason           string
 	checkpoint       string
-	percent          int64
+	track            progress.Track
 	usage            int64
 	// pace is the share of its speed that the run was last set to, in percent.
 	pace int
@@ -90,6 +91,7 @@
 func (l *leader) begin(t *task, k *link, number int64, ticket string, entitled bool) (*run, ledger.Record) {
 	now := boottime.Now()
 	r := &run{task: t, link: k, number: number, state: storing, began: now, ticket: ticket, entitled: entitled, pace: fullSpeed}
+	r.track = progress.Start(now, 0)
 	t.run = r
 	k.runs[t.id] = r
 	t.rec.Run, t.rec.Worker, t.rec.Address, t.rec.Born = number, k.id, k.address, k.born
@@ -293,7 +295,11 @@
 // seenRunning takes a row of a worker's list of runs.
 func (l *leader) seenRunning(r *run, s *worker.RunStatus) {
 	now := boottime.Now()
-	r.percent, r.usage = s.Percent, s.Usage
+	r.usage = s.Usage
+	if r.state == adopting {
+		r.track = progress.Start(now, s.Percent)
+	}
+	r.track.Report(now, s.Percent)
 	if s.Checkpoint != "" {
 		r.checkpoint = s.Checkpoint
 	}
--- a/internal/controller/upkeep.go
+++ b/internal/controller/upkeep.go
@@ -198,7 +198,7 @@
 func (u *unit) absent() int {
 	n := 0
 	for _, t := range u.tasks {
-		if t.run == nil || t.run.state != running || t.run.percent < fullSpeed {
+		if t.run == nil || t.run.state != running || t.run.track.Percent() < fullSpeed {
 			n++
 		}
 	}
--- /dev/null
+++ b/internal/progress/progress_test.go
@@ -0,0 +1,60 @@
+package progress
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/boottime"
+)
+
+// report gives a track reports of 0.9 s distance, as looks give them.
+func report(t *Track, percents ...int64) {
+	at := t.began
+	for _, p := range percents {
+		at = at.Add(900 * time.Millisecond)
+		t.Report(at, p)
+	}
+}
+
+// Guards the load pattern of workers whose tasks stand still for seconds beside healthy, slow and
+// badly estimated ones.
+func TestStalled(t *testing.T) {
+	const second = time.Second
+	for _, c := range []struct {
+		name     string
+		percents []int64
+		estimate time.Duration
+		stalled  bool
+	}{
+		{"healthy", []int64{10, 20, 30}, 9 * second, false},
+		{"stands still", []int64{18, 18}, 5 * second, true},
+		{"never began, short estimate", []int64{0, 0}, 2 * second, true},
+		{"never began, long estimate", []int64{0, 0}, 12 * second, false},
+		{"seven times slower", []int64{8, 16, 17, 18, 19}, 11 * second, false},
+		{"minutes long", []int64{0, 0, 0, 1, 1, 1}, 300 * second, false},
+		{"done, waits for its gang", []int64{60, 100, 100, 100}, second, false},
+		{"goes on again", []int64{18, 18, 18, 28}, 5 * second, false},
+	} {
+		track := Start(boottime.Instant(time.Hour), 0)
+		report(&track, c.percents...)
+		require.Equal(t, c.stalled, track.Stalled(c.estimate) > 0, c.name)
+	}
+}
+
+// Guards against two looks in quick succession that see the same percentage.
+func TestQuickLooksSayNothing(t *testing.T) {
+	track := Start(0, 0)
+	track.Report(boottime.Instant(time.Second), 50)
+	track.Report(boottime.Instant(time.Second+20*time.Millisecond), 50)
+	require.Zero(t, track.Stalled(time.Second))
+}
+
+// Guards against runs that are thrown away for a short pause, or never given up.
+func TestWorthRestarting(t *testing.T) {
+	require.False(t, WorthRestarting(0, 0), "it advances")
+	require.True(t, WorthRestarting(time.Second, 0), "nothing is lost")
+	require.False(t, WorthRestarting(time.Second, 4*time.Second))
+	require.True(t, WorthRestarting(4*time.Second, 4*time.Second))
+}
--- a/internal/worker/workertest/fleet.go
+++ b/internal/worker/workertest/fleet.go
@@ -61,8 +61,10 @@
 	info    worker.Info
 	started time.Time
 	// rate is the speed of the worker's clock.
-	rate  float64
-	cut   bool
+	rate float64
+	cut  bool
+	// hangs makes all runs stand still.
+	hangs bool
 	token int64
 	due   int64
 	// lapses counts how often the lease has run out, lapsed is the due time that ran out last.
@@ -78,10 +80,34 @@
 
 type fakeRun struct {
 	number  int64
-	began   time.Time
 	work    Work
 	working bool
-	timer   *time.Timer
+	// worked is the time spent on the work until resumed, when the run last went on.
+	worked  time.Duration
+	resumed time.Time
+	hangs   bool
+	// complete members of a gang wait for the others.
+	complete bool
+	timer    *time.Timer
+}
+
+// halt ends the timer of the run's next step, if it has one.
+func (r *fakeRun) halt() {
+	if r.timer != nil {
+		r.timer.Stop()
+	}
+}
+
+// percent is how much of its work the run has done.
+func (r *fakeRun) percent() int64 {
+	worked := r.worked
+	if r.working && !r.hangs && !r.complete {
+		worked += time.Since(r.resumed)
+	}
+	if r.work.Takes <= 0 {
+		return 100
+	}
+	return min(100, int64(100*worked/r.work.Takes))
 }
 
 // NewFleet returns an empty fleet.
@@ -223,7 +249,7 @@
 
 func (w *fakeWorker) clear() {
 	for _, r := range w.runs {
-		r.timer.Stop()
+		r.halt()
 	}
 	w.runs = make(map[batch.TaskID]*fakeRun)
 }
@@ -249,7 +275,7 @@
 	if w.runs[id] != r {
 		return
 	}
-	r.timer.Stop()
+	r.halt()
 	delete(w.runs, id)
 	w.refused[id] = max(w.refused[id], r.number)
 	if kind == worker.EndDone {
@@ -338,7 +364,7 @@
 	w.due = max(w.due, o.DueMS)
 	work := f.plan(o.Task)
 	f.checkStart(w, o, work)
-	r := &fakeRun{number: o.Number, began: time.Now(), work: work}
+	r := &fakeRun{number: o.Number, work: work, hangs: w.hangs}
 	w.runs[o.Task] = r
 	f.starts[o.Task]++
 	if work.Gang > 1 {
@@ -373,19 +399,71 @@
 
 func (f *Fleet) work(w *fakeWorker, id batch.TaskID, r *fakeRun) {
 	r.working = true
+	f.goOn(w, id, r)
+}
+
+// goOn makes a run work until its end, unless its worker hangs.
+func (f *Fleet) goOn(w *fakeWorker, id batch.TaskID, r *fakeRun) {
+	r.resumed = time.Now()
+	if r.hangs {
+		return
+	}
 	kind := worker.EndDone
 	if r.work.Fails {
 		kind = worker.EndFailed
 	}
-	r.timer = time.AfterFunc(r.work.Takes, func() {
+	r.timer = time.AfterFunc(r.work.Takes-r.worked, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.expire(w)
-		f.end(w, id, r, kind)
-		if kind == worker.EndFailed && r.work.Gang > 1 {
+		switch {
+		case r.work.Gang <= 1:
+			f.end(w, id, r, kind)
+		case kind == worker.EndFailed:
+			f.end(w, id, r, kind)
 			f.breakGang(id, r.number)
+		default:
+			f.finishMember(id, r)
+		}
+	})
+}
+
+// finishMember ends a gang once all of its members have done their work.
+func (f *Fleet) finishMember(id batch.TaskID, r *fakeRun) {
+	r.worked, r.complete = r.work.Takes, true
+	complete := 0
+	f.members(id, r.number, func(_ *fakeWorker, _ batch.TaskID, member *fakeRun) {
+		if member.complete {
+			complete++
 		}
 	})
+	if complete < r.work.Gang {
+		return
+	}
+	f.members(id, r.number, func(w *fakeWorker, task batch.TaskID, member *fakeRun) {
+		f.end(w, task, member, worker.EndDone)
+	})
+}
+
+// Hang makes all runs on a worker stand still, or lets them go on.
+func (f *Fleet) Hang(id string, hangs bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	if w == nil || w.hangs == hangs {
+		return
+	}
+	w.hangs = hangs
+	for task, r := range w.runs {
+		if r.working && hangs && !r.complete {
+			r.worked += time.Since(r.resumed)
+			r.halt()
+		}
+		r.hangs = hangs
+		if r.working && !hangs && !r.complete {
+			f.goOn(w, task, r)
+		}
+	}
 }
 
 func sameGang(a, b batch.TaskID) bool {
@@ -513,7 +591,7 @@
 func (w *fakeWorker) lists() worker.Lists {
 	l := worker.Lists{ClockMS: w.clock(), Born: w.info.Born, Ended: slices.Clone(w.ends)}
 	for id, r := range w.runs {
-		l.Running = append(l.Running, worker.RunStatus{Run: worker.Run{Task: id, Number: r.number}, Percent: 100})
+		l.Running = append(l.Running, worker.RunStatus{Run: worker.Run{Task: id, Number: r.number}, Percent: r.percent()})
 	}
 	return l
 }
