Make a page over time from the logs of instances

oleanderbend report reads the logs of any number of instances (go-logfmt) and writes one HTML page with charts (gonum) of answers, jobs, runs, queue and waiting times, and the events that explain them, all bounded.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -91,6 +91,7 @@
 			instanceCommand(env),
 			standinCommand(env),
 			soakCommand(env),
+			reportCommand(env),
 			applyCommand(env),
 			getCommand(env),
 			deleteCommand(env),
