--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -97,9 +97,6 @@
 	// leader returns the leader's relay address; empty if there is none or it is this instance.
 	leader func() string
 	logger *log.Logger
-	dial   func(network, address string, timeout time.Duration) (net.Conn, error)
-	// dialing lets one caller at a time make the connection.
-	dialing chan struct{}
 
 	mu      sync.Mutex
 	address string
@@ -111,7 +108,7 @@
 
 // NewWriter returns a writer without a connection.
 func NewWriter(direct ledger.Storer, leader func() string, logger *log.Logger) *Writer {
-	return &Writer{direct: direct, leader: leader, logger: logger, dial: net.DialTimeout, dialing: make(chan struct{}, 1)}
+	return &Writer{direct: direct, leader: leader, logger: logger}
 }
 
 // Write stores records. Records of the system name their subject by key, so that storing them
@@ -136,7 +133,11 @@
 	if address == "" {
 		return NotLeader
 	}
-	client := w.connect(ctx, address)
+	client, err := w.connect(address)
+	if err != nil {
+		w.drop(nil, err)
+		return NotLeader
+	}
 	if client == nil {
 		return NotLeader
 	}
@@ -181,41 +182,26 @@
 	return time.Since(w.replied)
 }
 
-// connect returns a connection to the leader; nil while it is left out. One caller at a time dials, and
-// what it finds holds for those that wait.
-func (w *Writer) connect(ctx context.Context, address string) *rpc.Client {
-	select {
-	case w.dialing <- struct{}{}:
-		defer func() { <-w.dialing }()
-	case <-ctx.Done():
-		return nil
-	}
-	if client, known := w.current(address); known {
-		return client
-	}
-	conn, err := w.dial("tcp", address, dialTimeout)
-	if err != nil {
-		w.drop(nil, err)
-		return nil
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.client = rpc.NewClient(conn)
-	return w.client
-}
-
-// current returns the connection to an address, or nil if it is left out; false if it is to be dialled.
-func (w *Writer) current(address string) (client *rpc.Client, known bool) {
+// connect returns a connection to the leader; nil while it is left out.
+func (w *Writer) connect(address string) (*rpc.Client, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.address == address {
-		return w.client, w.client != nil || time.Now().Before(w.badTill)
+	if w.client != nil && w.address == address {
+		return w.client, nil
+	}
+	if w.address == address && time.Now().Before(w.badTill) {
+		return nil, nil
 	}
 	if w.client != nil {
 		w.client.Close()
 	}
 	w.address, w.client = address, nil
-	return nil, false
+	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	w.client = rpc.NewClient(conn)
+	return w.client, nil
 }
 
 // drop closes a connection on which a call failed and leaves the leader out for a while.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -99,29 +97,3 @@
 	}
 	require.Zero(t, direct.writes)
 }
-
-// Guards against submits that wait one after the other for a leader without power: each dialled it again.
-func TestOneDialForAllThatWait(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		dials := 0
-		w := NewWriter(storeFunc(func(context.Context, []ledger.Record) error { return nil }), func() string { return "10.0.0.1:1" }, logging.Discard())
-		w.dial = func(string, string, time.Duration) (net.Conn, error) {
-			dials++
-			time.Sleep(dialTimeout)
-			return nil, errSilent
-		}
-		began := time.Now()
-		var all sync.WaitGroup
-		for range 10 {
-			all.Go(func() { require.NoError(t, w.Write(context.Background(), nil)) })
-		}
-		all.Wait()
-		require.Equal(t, 1, dials)
-		require.Equal(t, dialTimeout, time.Since(began))
-	})
-}
-
-// storeFunc stores records by a function.
-type storeFunc func(context.Context, []ledger.Record) error
-
-func (f storeFunc) Write(ctx context.Context, records []ledger.Record) error { return f(ctx, records) }
