Test overtaking and unsent orders to gangs and cancelled jobs

The faults of the stand-in fleet so far left each order's time the same, so that no stop overtook a start.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
 	"testing"
@@ -353,6 +354,47 @@
 // lateBy is how late the workers carry out orders without an answer.
 const lateBy = 2 * time.Second
 
+// Guards gangs and cancellations against orders that overtake each other and orders that cannot be sent:
+// no member waits in vain, and nothing of a cancelled job is left.
+func TestOvertakingOrders(t *testing.T) {
+	for n := range *orders {
+		seed := *firstOrder + n
+		random := rand.New(rand.NewPCG(seed, 8))
+		plan := func(id batch.TaskID) workertest.Work {
+			return workertest.Work{Takes: time.Duration(300+400*(id.Index%3)) * time.Millisecond, Gang: 4, GPU: 2}
+		}
+		inVirtualTime(t, seed, plan, func(c *cluster) {
+			for n := range 4 {
+				c.addWorker(fmt.Sprintf("w%d", n), "r1")
+			}
+			c.startInstance("a")
+			time.Sleep(4 * time.Second)
+			c.fleet.SetDisorder(200*time.Millisecond, 0.1)
+			const jobs = 12
+			cancelled := make(map[int]bool)
+			for n := range jobs {
+				c.submit(jobID(n), batch.Step{Count: 4, CPU: 1000, GPU: 2, Gang: true, EstimateMS: 700})
+				time.Sleep(time.Duration(random.IntN(600)) * time.Millisecond)
+				if random.IntN(4) == 0 {
+					cancelled[n] = true
+					c.write(batch.JobsTopic, batch.CancelRecord(jobID(n)))
+				}
+			}
+			for n := range jobs {
+				c.waitFor(60*time.Second, "job ended", func() bool { return c.phase(jobID(n)).Final() })
+				require.True(t, cancelled[n] || c.phase(jobID(n)) == batch.Completed, "seed %d", seed)
+			}
+			time.Sleep(time.Second)
+			for n := range jobs {
+				_, runs := c.fleet.StartsOf(jobID(n))
+				require.Zero(t, runs, "seed %d", seed)
+			}
+			require.Zero(t, c.fleet.Alone(), "seed %d", seed)
+			require.Empty(t, c.fleet.Broken(), "seed %d", seed)
+		})
+	}
+}
+
 // Random orders of faults that a run of the tests plays; by hand, many more are played:
 // go test -run NoTaskRunsTwice -timeout 1h ./internal/controller -args -orders 10000 -first-order 1000
 var (
--- a/internal/worker/workertest/fleet.go
+++ b/internal/worker/workertest/fleet.go
@@ -47,6 +47,12 @@
 	latency time.Duration
 	late    float64
 	lateBy  time.Duration
+	// jitter is added to the latency, up to its value, so that orders overtake each other; unreachable is
+	// the share of orders for which no connection can be made.
+	jitter      time.Duration
+	unreachable float64
+	// alone counts the runs that waited for their gang in vain.
+	alone int
 
 	// tickets holds the valid tickets by step and worker; nil if none are needed.
 	tickets map[string]string
@@ -126,6 +132,20 @@
 	f.late, f.lateBy = share, by
 }
 
+// SetDisorder makes orders take up to a time longer, each another, and some fail to be sent.
+func (f *Fleet) SetDisorder(jitter time.Duration, unreachable float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.jitter, f.unreachable = jitter, unreachable
+}
+
+// Alone returns how many runs waited for their gang in vain.
+func (f *Fleet) Alone() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.alone
+}
+
 // Add starts a worker, or starts it again under its id.
 func (f *Fleet) Add(info worker.Info, rate float64) worker.Info {
 	f.mu.Lock()
@@ -292,8 +312,12 @@
 
 // deliver carries out an order now, or seconds later without an answer.
 func (f *Fleet) deliver(ctx context.Context, to worker.Target, order func(*fakeWorker) error) error {
+	latency, sent := f.disorder()
+	if !sent {
+		return eris.Wrap(worker.ErrUnreachable, "no connection")
+	}
 	select {
-	case <-time.After(f.latency):
+	case <-time.After(latency):
 	case <-ctx.Done():
 		return eris.Wrap(worker.ErrUnknown, "no answer")
 	}
@@ -318,6 +342,17 @@
 	return err
 }
 
+// disorder draws how long an order takes, and whether it can be sent.
+func (f *Fleet) disorder() (latency time.Duration, sent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	latency = f.latency
+	if f.jitter > 0 {
+		latency += time.Duration(f.random.Int64N(int64(f.jitter)))
+	}
+	return latency, f.unreachable == 0 || f.random.Float64() >= f.unreachable
+}
+
 func (f *Fleet) carryOut(to worker.Target, order func(*fakeWorker) error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -368,7 +403,7 @@
 	w.runs[o.Task] = r
 	f.starts[o.Task]++
 	if work.Gang > 1 {
-		r.timer = time.AfterFunc(gangWait, func() { f.alone(w, o.Task, r) })
+		r.timer = time.AfterFunc(gangWait, func() { f.endAlone(w, o.Task, r) })
 		f.joinGang(o.Task, o.Number, work)
 		return nil
 	}
@@ -493,10 +528,11 @@
 	})
 }
 
-func (f *Fleet) alone(w *fakeWorker, id batch.TaskID, r *fakeRun) {
+func (f *Fleet) endAlone(w *fakeWorker, id batch.TaskID, r *fakeRun) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !r.working {
+	if !r.working && w.runs[id] == r {
+		f.alone++
 		f.end(w, id, r, worker.EndAlone)
 	}
 }
