--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -413,11 +413,12 @@
 	lateOrders
 	restartWorker
 	dropHistory
+	disorder
 	calmDown
 )
 
 func chaos(t *testing.T, seed uint64, faults ...fault) {
-	faults = append(faults, killInstance, logDown, answersLost)
+	faults = append(faults, killInstance, logDown, answersLost, disorder)
 	random := rand.New(rand.NewPCG(seed, 7))
 	plan := func(id batch.TaskID) workertest.Work {
 		w := workertest.Work{Takes: time.Duration(500+700*(id.Index%5)) * time.Millisecond, GPU: 2}
@@ -466,6 +467,8 @@
 		c.addWorker(id, "r1")
 	case dropHistory:
 		c.log.Expire(batch.JobsTopic)
+	case disorder:
+		c.fleet.SetDisorder(150*time.Millisecond, 0.1)
 	case calmDown:
 		c.calm(instances, ids)
 	}
@@ -481,4 +484,5 @@
 		c.fleet.Cut(id, false)
 	}
 	c.fleet.SetLate(0, lateBy)
+	c.fleet.SetDisorder(0, 0)
 }
