Give the stops of a finished job their time in the soak

The log of i0 shows that the stop of its other run was sent at 14:17:49.803 and the check came at .850; a stop takes 150 ms at the stand-in, and the users' rules give runs of such jobs cancel_ms and the time of a stop. The check waits for that now.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -27,6 +27,9 @@
 	// settleTimeout bounds the time after the last fault within which all accepted jobs end. It
 	// covers a takeover, leases that run out and late starts, and the backlog of an outage.
 	settleTimeout = 60 * time.Second
+	// goneWithin is the time after which nothing of a finished job may run any more, as for cancelled
+	// jobs on the users' deployments: 3 s and the time of a stop.
+	goneWithin = 3200 * time.Millisecond
 	// pollEvery is the pause between two looks at what is not settled.
 	pollEvery = 100 * time.Millisecond
 	// maxReported bounds the broken promises in a report.
@@ -160,12 +163,12 @@
 // hopeless job was tried too often.
 func (b *book) checkEnd() {
 	for id, t := range b.jobs {
-		starts, runs := b.world.fleet.StartsOf(id)
+		starts, _ := b.world.fleet.StartsOf(id)
 		if t.refused && starts > 0 {
 			b.breach("REFUSED: %s was started %d times", id, starts)
 		}
-		if t.last.Final() && runs > 0 {
-			b.breach("UNASKED: %s is %s and has %d runs", id, t.last, runs)
+		if t.last.Final() && !b.isGone(id) {
+			b.breach("UNASKED: %s is %s and still runs %v later", id, t.last, goneWithin)
 		}
 		if t.last == batch.Completed && t.hopeless {
 			b.breach("MIXED: hopeless %s is shown as completed", id)
@@ -173,6 +176,16 @@
 	}
 }
 
+// isGone waits until a job has no run left: the stops of its runs may be under way.
+func (b *book) isGone(id string) bool {
+	for end := time.Now().Add(goneWithin); time.Now().Before(end); time.Sleep(pollEvery) {
+		if _, runs := b.world.fleet.StartsOf(id); runs == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Write prints a report.
 func (r *Report) Write(out io.Writer) {
 	fmt.Fprintf(out, "seed %d: %d jobs, %d starts, settled after %v\n", r.Seed, r.Jobs, r.Starts, r.Settled.Round(time.Millisecond))
