--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -179,10 +179,12 @@
 
 // submit stores a job as an instance does.
 func (c *cluster) submit(id string, steps ...batch.Step) {
-	j := &batch.Job{
-		ID: id, Queue: "q", Org: "o", Steps: steps, Terms: intake.TermsOf(&testConfig.Queues[0]),
-		AcceptedMS: time.Now().UnixMilli(),
-	}
+	c.submitJob(&batch.Job{ID: id, Steps: steps})
+}
+
+func (c *cluster) submitJob(j *batch.Job) {
+	j.Queue, j.Org, j.Terms = "q", "o", intake.TermsOf(&testConfig.Queues[0])
+	j.AcceptedMS = time.Now().UnixMilli()
 	record, err := batch.JobRecord(j)
 	require.NoError(c.t, err)
 	c.write(batch.JobsTopic, record)
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -395,6 +395,59 @@
 	}
 }
 
+// Guards scheduled jobs and tasks that last over random faults: no occurrence begins early, all of them end,
+// and lasting tasks are at work again soon after the last fault.
+func TestScheduledAndLastingTasksOutliveFaults(t *testing.T) {
+	const (
+		scheduled, lasting = 1, 2
+		occurrences        = 4
+		interval           = 3 * time.Second
+		tolerance          = 250 * time.Millisecond
+	)
+	for n := range *orders {
+		seed := *firstOrder + n
+		random := rand.New(rand.NewPCG(seed, 9))
+		var due time.Time
+		early := ""
+		plan := func(id batch.TaskID) workertest.Work {
+			if id.Job == jobID(lasting) {
+				return workertest.Work{Lasting: true, GPU: 2}
+			}
+			if at := due.Add(time.Duration(id.Occurrence) * interval); time.Now().Before(at.Add(-tolerance)) {
+				early = id.String()
+			}
+			return workertest.Work{Takes: 700 * time.Millisecond, GPU: 1}
+		}
+		inVirtualTime(t, seed, plan, func(c *cluster) {
+			ids := []string{"w1", "w2", "w3"}
+			for _, id := range ids {
+				c.addWorker(id, "r1")
+			}
+			instances := []*instance{c.startInstance("a"), c.startInstance("b")}
+			due = time.Now().Add(4 * time.Second)
+			c.submitJob(&batch.Job{
+				ID: jobID(scheduled), Repeat: occurrences, StartAtMS: due.UnixMilli(), IntervalMS: interval.Milliseconds(),
+				Steps: []batch.Step{{Count: 2, CPU: 1000, GPU: 1, EstimateMS: 700}},
+			})
+			c.submitJob(&batch.Job{ID: jobID(lasting), Steps: []batch.Step{{Count: 3, CPU: 1000, GPU: 2, Lasting: true, MaxAbsent: 1}}})
+			faults := []fault{killInstance, logDown, answersLost, cutWorker, restartWorker, dropHistory, disorder, calmDown}
+			for range 8 {
+				c.disturb(random, faults[random.IntN(len(faults))], instances, ids)
+				time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+			}
+			c.calm(instances, ids)
+			c.waitFor(40*time.Second, "occurrences done", func() bool { return c.phase(jobID(scheduled)) == batch.Completed })
+			c.waitFor(20*time.Second, "lasting tasks at work", func() bool {
+				_, runs := c.fleet.StartsOf(jobID(lasting))
+				return runs == 3
+			})
+			require.Empty(t, early, "seed %d", seed)
+			require.Empty(t, c.fleet.Broken(), "seed %d", seed)
+			require.Equal(t, batch.Running, c.phase(jobID(lasting)), "seed %d", seed)
+		})
+	}
+}
+
 // Random orders of faults that a run of the tests plays; by hand, many more are played:
 // go test -run NoTaskRunsTwice -timeout 1h ./internal/controller -args -orders 10000 -first-order 1000
 var (
--- a/internal/worker/workertest/fleet.go
+++ b/internal/worker/workertest/fleet.go
@@ -20,6 +20,8 @@
 const (
 	// stopTime is how long a stop takes.
 	stopTime = 150 * time.Millisecond
+	// startupTime is how long a lasting run takes until it is at work.
+	startupTime = 300 * time.Millisecond
 	// gangWait is how long a member of a gang waits for the others.
 	gangWait = 3 * time.Second
 )
@@ -31,6 +33,8 @@
 	Fails bool
 	// Gang is the number of members that must be present; 0 for single tasks.
 	Gang int
+	// Lasting runs work until they are stopped, after a short startup. Takes is not used.
+	Lasting bool
 	// GPU is what the run takes of its worker's accelerators.
 	GPU int64
 }
@@ -110,6 +114,9 @@
 	if r.working && !r.hangs && !r.complete {
 		worked += time.Since(r.resumed)
 	}
+	if r.work.Lasting {
+		return min(100, int64(100*worked/startupTime))
+	}
 	if r.work.Takes <= 0 {
 		return 100
 	}
@@ -440,7 +447,7 @@
 // goOn makes a run work until its end, unless its worker hangs.
 func (f *Fleet) goOn(w *fakeWorker, id batch.TaskID, r *fakeRun) {
 	r.resumed = time.Now()
-	if r.hangs {
+	if r.hangs || r.work.Lasting {
 		return
 	}
 	kind := worker.EndDone
