Store the reports of waves in order, and keep a completed wave completed

Reading on, a new leader began each wave from nothing and reported a completed one as running again. Change: reports go through a writer of the leader's own, as its other records do: in order, once, and fenced. Before a leader serves waves it reads what was reported; a completed wave is not served again. The stand-in of machines loses answers and checks the turns of holders and that nothing runs on a machine that goes down.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -105,7 +105,7 @@
 		Settings: i.intake.CurrentConfig, Waves: func() []worker.Wave { return c.waves },
 		WorkersTopic: workersTopic, DecodeWorker: decodeWorker, Holder: name,
 		StatusTopic: statusTopic, WaveStatus: waveStatus,
-		Bounds:  Bounds{MaxLease: 6 * time.Second, KeepFinal: time.Minute, Heartbeat: 1500 * time.Millisecond},
+		Bounds:  Bounds{MaxLease: 6 * time.Second, KeepFinal: time.Minute, Heartbeat: 1500 * time.Millisecond, HolderTurn: 3 * time.Second},
 		Metrics: set, Logger: logger,
 	})
 	i.elector = election.New(election.Config{
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -503,7 +503,10 @@
 // disturb applies a fault to a random instance or worker.
 func (c *cluster) disturb(random *rand.Rand, kind fault, instances []*instance, ids []string) {
 	n := random.IntN(len(instances))
-	id := ids[random.IntN(len(ids))]
+	id := ""
+	if len(ids) > 0 {
+		id = ids[random.IntN(len(ids))]
+	}
 	switch kind {
 	case killInstance:
 		instances[n].kill()
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -52,6 +52,8 @@
 	inbox chan func()
 	tasks *ledger.Writer
 	jobs  *ledger.Writer
+	// reports stores the reports of waves, in their order.
+	reports *ledger.Writer
 
 	byID  map[string]*job
 	links map[string]*link
@@ -81,6 +83,7 @@
 	}
 	l.tasks = l.writer(batch.TasksTopic)
 	l.jobs = l.writer(batch.JobsTopic)
+	l.reports = l.writer(l.c.cfg.StatusTopic)
 	return l
 }
 
@@ -186,7 +189,7 @@
 
 // run owns the state until the term ends.
 func (l *leader) run() {
-	for _, w := range []*ledger.Writer{l.tasks, l.jobs} {
+	for _, w := range []*ledger.Writer{l.tasks, l.jobs, l.reports} {
 		go func() {
 			if err := w.Run(l.ctx); err != nil {
 				l.post(func() { l.stepDown(err.Error()) })
--- a/internal/controller/services_test.go
+++ b/internal/controller/services_test.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -73,6 +75,65 @@
 	})
 }
 
+// Guards against a completed wave that a new leader reports as running again.
+func TestCompletedWaveStaysCompleted(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(time.Second), func(c *cluster) {
+		c.addWorker("w1", "r1")
+		c.machines = workertest.NewMachines(c.fleet, 2*time.Second,
+			func(id string) { c.write(workersTopic, ledger.Record{Key: id}) }, func(info worker.Info) { c.register(info) })
+		c.waves = []worker.Wave{{Number: 7, Machines: []string{"m-w1"}, Within: 30 * time.Second, Cap: 1}}
+		completed := func() bool { return string(c.log.NewestOf(statusTopic)["7"]) == "true" }
+		a := c.startInstance("a")
+		c.waitFor(20*time.Second, "wave completed", completed)
+		a.kill()
+		c.startInstance("b")
+		for range 150 {
+			time.Sleep(100 * time.Millisecond)
+			require.True(t, completed())
+		}
+	})
+}
+
+// Guards a wave over leaders that are killed, a log that fails and orders for machines whose answers are lost:
+// no more machines are down than the wave allows, holders do not take turns on a machine too fast, no
+// machine goes down with tasks on it, and the wave is completed.
+func TestWaveOutlivesFaults(t *testing.T) {
+	for n := range *orders {
+		seed := *firstOrder + n
+		random := rand.New(rand.NewPCG(seed, 10))
+		plan := func(id batch.TaskID) workertest.Work {
+			return workertest.Work{Takes: time.Second, GPU: 2, Lasting: id.Job == jobID(0)}
+		}
+		inVirtualTime(t, seed, plan, func(c *cluster) {
+			var names []string
+			for n := range 5 {
+				id := fmt.Sprintf("w%d", n)
+				c.addWorker(id, "r1")
+				names = append(names, "m-"+id)
+			}
+			machines := workertest.NewMachines(c.fleet, 2*time.Second,
+				func(id string) { c.write(workersTopic, ledger.Record{Key: id}) }, func(info worker.Info) { c.register(info) })
+			c.machines = machines
+			c.waves = []worker.Wave{{Number: 7, Machines: names, Within: 30 * time.Second, Cap: 2}}
+			instances := []*instance{c.startInstance("a"), c.startInstance("b"), c.startInstance("c")}
+			c.submit(jobID(0), batch.Step{Count: 3, CPU: 1000, GPU: 2, Lasting: true, MaxAbsent: 1, MaxPerWorker: 1})
+			machines.SetLosses(0.3)
+			faults := []fault{killInstance, logDown, answersLost, dropHistory, disorder, calmDown}
+			for n := range 8 {
+				c.submit(jobID(n+1), batch.Step{Count: 2, CPU: 1000, GPU: 2, Checkpoints: n%2 == 0, EstimateMS: 1000})
+				c.disturb(random, faults[random.IntN(len(faults))], instances, nil)
+				time.Sleep(time.Duration(random.IntN(3000)) * time.Millisecond)
+			}
+			c.calm(instances, nil)
+			c.waitFor(90*time.Second, "wave completed", func() bool { return string(c.log.NewestOf(statusTopic)["7"]) == "true" })
+			most, served := machines.MostDown()
+			require.LessOrEqual(t, most, 2, "seed %d", seed)
+			require.Equal(t, len(names), served, "seed %d", seed)
+			require.Empty(t, c.fleet.Broken(), "seed %d", seed)
+		})
+	}
+}
+
 // Guards tasks that last: they start again however they end, a wave takes no more of them away
 // than their step allows, and cancelling ends them.
 func TestLastingTasks(t *testing.T) {
--- a/internal/controller/upkeep.go
+++ b/internal/controller/upkeep.go
@@ -24,8 +24,10 @@
 
 // upkeepState is the progress of the operator's waves.
 type upkeepState struct {
-	// done holds the waves that were reported as completed, reported those reported at all.
-	done, reported map[int64]bool
+	// stored says that reported holds what earlier leaders reported.
+	stored bool
+	// reported is the newest report of each wave, by its key.
+	reported map[string]string
 	// served holds the machines of each wave whose upkeep has begun.
 	served map[int64]map[string]bool
 	// preparing holds the workers that get no new work because their machine goes down next,
@@ -37,7 +39,7 @@
 
 func newUpkeepState() *upkeepState {
 	return &upkeepState{
-		done: make(map[int64]bool), reported: make(map[int64]bool), served: make(map[int64]map[string]bool),
+		reported: make(map[string]string), served: make(map[int64]map[string]bool),
 		preparing: make(map[string]boottime.Instant),
 	}
 }
@@ -58,13 +60,21 @@
 	if l.c.cfg.Machines == nil || s.listing || now.Sub(s.lastRun) < upkeepEvery || now < turn || !l.term.Valid() {
 		return
 	}
+	s.lastRun = now
+	waves := l.c.cfg.Waves()
+	if len(waves) == 0 {
+		return
+	}
+	if !s.stored {
+		l.readReports()
+		return
+	}
 	var open []worker.Wave
-	for _, w := range l.c.cfg.Waves() {
-		if !s.done[w.Number] {
+	for _, w := range waves {
+		if !l.isReported(w, true) {
 			open = append(open, w)
 		}
 	}
-	s.lastRun = now
 	if len(open) == 0 {
 		return
 	}
@@ -112,15 +122,11 @@
 			missing++
 		}
 	}
-	if !s.reported[w.Number] {
-		s.reported[w.Number] = true
-		l.reportWave(w, false)
-	}
 	if missing == 0 && away == 0 {
-		s.done[w.Number] = true
 		l.reportWave(w, true)
 		return
 	}
+	l.reportWave(w, false)
 	for _, m := range l.leastLoaded(waiting) {
 		if away >= w.Cap {
 			return
@@ -231,22 +237,42 @@
 	}()
 }
 
-func (l *leader) reportWave(w worker.Wave, completed bool) {
-	record := l.c.cfg.WaveStatus(w.Number, completed)
-	l.logger.Info().Int64("wave", w.Number).Bool("completed", completed).Msg("wave reported")
+// readReports reads what earlier leaders have reported, so that a completed wave is not served again.
+func (l *leader) readReports() {
+	s := l.upkeep
+	s.listing = true
 	go func() {
-		ctx, cancel := context.WithTimeout(l.ctx, upkeepTimeout)
-		defer cancel()
-		_, err := l.c.cfg.Log.Append(ctx, ledger.Append{
-			Topic: l.c.cfg.StatusTopic, IfEnd: ledger.AnyEnd, Records: []ledger.Record{record},
-		})
-		if err == nil {
-			return
+		scan := ledger.NewScan(l.c.cfg.Log, l.c.cfg.StatusTopic)
+		var err error
+		for done := false; !done && err == nil; {
+			done, err = scan.Step(l.ctx)
 		}
 		l.post(func() {
-			l.logger.Warn().Err(err).Int64("wave", w.Number).Msg("wave not reported")
-			delete(l.upkeep.done, w.Number)
-			delete(l.upkeep.reported, w.Number)
+			s.listing = false
+			if err != nil {
+				l.logger.Warn().Err(err).Msg("reports of waves not read")
+				return
+			}
+			s.stored = true
+			for _, e := range scan.Entries {
+				s.reported[e.Key] = string(e.Value)
+			}
 		})
 	}()
 }
+
+func (l *leader) isReported(w worker.Wave, completed bool) bool {
+	record := l.c.cfg.WaveStatus(w.Number, completed)
+	return l.upkeep.reported[record.Key] == string(record.Value)
+}
+
+// reportWave stores how far a wave is, unless the newest report says so already.
+func (l *leader) reportWave(w worker.Wave, completed bool) {
+	if l.isReported(w, completed) {
+		return
+	}
+	record := l.c.cfg.WaveStatus(w.Number, completed)
+	l.upkeep.reported[record.Key] = string(record.Value)
+	l.logger.Info().Int64("wave", w.Number).Bool("completed", completed).Msg("wave reported")
+	l.enqueue(l.reports, []ledger.Record{record}, func() {})
+}
--- a/internal/worker/workertest/services.go
+++ b/internal/worker/workertest/services.go
@@ -69,6 +69,10 @@
 	away     time.Duration
 	machines []worker.Machine
 	token    int64
+	// lose is the share of orders that are carried out without an answer.
+	lose float64
+	// orders holds the last order for each machine.
+	orders   map[string]machineOrder
 	served   map[string]int64
 	down     int
 	mostDown int
@@ -77,10 +81,40 @@
 	gone     func(id string)
 }
 
+// machineOrder is an order for a machine, as its fence knows it.
+type machineOrder struct {
+	holder string
+	token  int64
+	at     time.Time
+}
+
+// holderTurn is the least time between the orders of two holders for one machine.
+const holderTurn = 3 * time.Second
+
+// SetLosses makes a share of the orders get no answer although they are carried out.
+func (m *Machines) SetLosses(share float64) {
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	m.lose = share
+}
+
+// checkOrder notes holders that share a token or take turns too fast.
+func (m *Machines) checkOrder(id, holder string, token int64) {
+	last, before := m.orders[id]
+	m.orders[id] = machineOrder{holder: holder, token: token, at: time.Now()}
+	if !before || last.holder == holder {
+		return
+	}
+	if last.token == token || time.Since(last.at) < holderTurn {
+		m.fleet.broken = append(m.fleet.broken, fmt.Sprintf("ONE: %s by %s with %d, %v after %s with %d",
+			id, holder, token, time.Since(last.at), last.holder, last.token))
+	}
+}
+
 // NewMachines returns a service with one machine for each worker of the fleet. It calls gone and
 // returned as workers leave and come.
 func NewMachines(f *Fleet, away time.Duration, gone func(string), returned func(worker.Info)) *Machines {
-	m := &Machines{fleet: f, away: away, served: make(map[string]int64), gone: gone, returned: returned}
+	m := &Machines{fleet: f, away: away, served: make(map[string]int64), orders: make(map[string]machineOrder), gone: gone, returned: returned}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id := range f.workers {
@@ -104,24 +138,36 @@
 }
 
 // Upkeep implements worker.Machines.
-func (m *Machines) Upkeep(_ context.Context, id string, wave int64, _ string, token int64) error {
+func (m *Machines) Upkeep(_ context.Context, id string, wave int64, holder string, token int64) error {
 	m.fleet.mu.Lock()
 	defer m.fleet.mu.Unlock()
 	if token < m.token {
 		return refused(worker.RefusedFence)
 	}
 	m.token = token
+	m.checkOrder(id, holder, token)
+	err := m.upkeep(id, wave)
+	if m.lose > 0 && m.fleet.random.Float64() < m.lose {
+		return eris.Wrap(worker.ErrUnknown, "answer lost")
+	}
+	return err
+}
+
+func (m *Machines) upkeep(id string, wave int64) error {
 	at := slices.IndexFunc(m.machines, func(x worker.Machine) bool { return x.ID == id })
 	switch {
+	case at >= 0 && m.served[id] == wave:
+		return nil
 	case at < 0 || m.machines[at].State != worker.MachineUp:
 		return eris.Wrap(worker.ErrBusy, id)
-	case m.served[id] == wave:
-		return nil
 	}
 	m.served[id] = wave
 	m.down++
 	m.mostDown = max(m.mostDown, m.down)
 	old := m.fleet.workers[m.machines[at].Worker]
+	if len(old.runs) > 0 {
+		m.fleet.broken = append(m.fleet.broken, fmt.Sprintf("AVAIL: %s goes down with %d runs", id, len(old.runs)))
+	}
 	old.clear()
 	delete(m.fleet.workers, old.info.ID)
 	m.machines[at].State = worker.MachineUpkeep
