Look before a task starts again whose repeated start was refused as old

The refusal was taken to say that the run had never begun, so the task was started elsewhere, and then the first end was taken note of. Change: if an earlier start got no answer, a refusal as old or late settles nothing: the next look lists the end, or tells that the run never began. TestRefusedRepeatOfAFinishedRun: two starts before, one now.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -328,6 +328,45 @@
 	})
 }
 
+// lostStartAnswers carries out starts and loses the answers to the first two, and to all looks until then.
+type lostStartAnswers struct {
+	*workertest.Fleet
+	starts atomic.Int64
+}
+
+func (s *lostStartAnswers) Start(ctx context.Context, to worker.Target, o worker.StartOrder) error {
+	err := s.Fleet.Start(ctx, to, o)
+	if s.starts.Add(1) <= 2 {
+		<-ctx.Done()
+		return worker.ErrUnknown
+	}
+	return err
+}
+
+func (s *lostStartAnswers) Hold(ctx context.Context, to worker.Target, o worker.HoldOrder) (worker.Lists, error) {
+	if s.starts.Load() < 3 {
+		<-ctx.Done()
+		return worker.Lists{}, worker.ErrUnknown
+	}
+	return s.Fleet.Hold(ctx, to, o)
+}
+
+// Guards against a task that runs again after it was done: its starts got no answer, and the worker refused the
+// repeated one because the run had ended there.
+func TestRefusedRepeatOfAFinishedRun(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(300*time.Millisecond), func(c *cluster) {
+		c.workers = &lostStartAnswers{Fleet: c.fleet}
+		c.addWorker("w1", "r1")
+		c.startInstance("a")
+		time.Sleep(4 * time.Second)
+		c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 1})
+		c.waitFor(8*time.Second, "completed", func() bool { return c.phase(jobID(1)) == batch.Completed })
+		time.Sleep(time.Second)
+		require.Equal(t, 1, c.fleet.Starts(batch.TaskID{Job: jobID(1)}))
+		require.Empty(t, c.fleet.Broken())
+	})
+}
+
 // Guards the safety of takeovers over random orders of faults: kills, cuts, losses of answers,
 // late orders and history that is dropped.
 func TestNoTaskRunsTwiceWithLateOrders(t *testing.T) {
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -102,8 +102,12 @@
 	}
 }
 
-// stepDown ends the term.
+// stepDown ends the term. Further reasons of the same end, such as those of all writes that wait, are not
+// logged.
 func (l *leader) stepDown(reason string) {
+	if l.ctx.Err() != nil {
+		return
+	}
 	l.logger.Warn().Str("reason", reason).Int64("epoch", l.term.Epoch).Msg("stepping down")
 	l.cancel()
 }
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -209,7 +209,15 @@
 	case worker.RefusedTicket:
 		u.advice = nil
 	}
-	if r.unanswered > 0 && reason != worker.RefusedOld && reason != worker.RefusedLate {
+	if r.unanswered > 0 {
+		if reason == worker.RefusedOld || reason == worker.RefusedLate {
+			// An earlier order without an answer may have begun the run, and it may have ended since:
+			// the next look lists its end, or tells that it never began.
+			r.settled = now
+			k.lookDue = 0
+			l.look(k)
+			return
+		}
 		// An earlier order without an answer may still begin the run.
 		l.stopRun(r, "start refused")
 		return
