--- a/internal/ledger/follower.go
+++ b/internal/ledger/follower.go
@@ -42,8 +42,6 @@
 	cfg FollowerConfig
 	// scan is the reading of the newest records that is under way. Only Run uses it.
 	scan *Scan
-	// readTimeout is how long a read may take beyond its wait. Only Run uses it.
-	readTimeout time.Duration
 
 	mu        sync.Mutex
 	synced    bool
@@ -57,7 +55,7 @@
 	if cfg.Pause == nil {
 		cfg.Pause = func() time.Duration { return 0 }
 	}
-	return &Follower{cfg: cfg, readTimeout: scanTimeout}
+	return &Follower{cfg: cfg}
 }
 
 // Run follows the topic until ctx is done.
@@ -81,22 +79,23 @@
 
 func (f *Follower) step(ctx context.Context) error {
 	f.mu.Lock()
-	synced, position := f.synced, f.position
+	synced, position, failing := f.synced, f.position, f.failing
 	f.mu.Unlock()
 	if !synced {
 		return f.sync(ctx)
 	}
+	wait := f.cfg.Wait
+	if failing {
+		// The first answer after an outage shall not wait for news.
+		wait = 0
+	}
 	sent := boottime.Now()
-	callCtx, cancel := context.WithTimeout(ctx, f.cfg.Wait+f.readTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	page, err := f.cfg.Log.Read(callCtx, f.cfg.Topic, position, f.cfg.Wait)
+	page, err := f.cfg.Log.Read(callCtx, f.cfg.Topic, position, wait)
 	if err != nil {
-		if callCtx.Err() != nil {
-			f.readTimeout = min(2*f.readTimeout, maxScanTimeout)
-		}
 		return err
 	}
-	f.readTimeout = scanTimeout
 	if n := len(page.Entries); n > 0 {
 		position = page.Entries[n-1].Offset + 1
 	}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -165,3 +165,22 @@
 		require.Equal(t, 4, c.SetPageTime(0), "one page was given up")
 	})
 }
+
+// Guards against a mirror that stays behind for seconds after a silent log is back, because it waits for the
+// answer to a read from before.
+func TestFollowerIsCurrentSoonAfterSilence(t *testing.T) {
+	inVirtualTime(t, func(ctx context.Context, _ *ledgertest.Log, c *ledgertest.Client) {
+		f := ledger.NewFollower(ledger.FollowerConfig{Log: c, Topic: topic, Wait: time.Second, Logger: logging.Discard(), Apply: func(ledger.Update) {}})
+		go f.Run(ctx)
+		for _, silence := range []time.Duration{3 * time.Second, 7 * time.Second, 20 * time.Second} {
+			time.Sleep(3 * time.Second)
+			c.SetSilent(true)
+			time.Sleep(silence)
+			c.SetSilent(false)
+			time.Sleep(2500 * time.Millisecond)
+			age, known := f.Age()
+			require.True(t, known)
+			require.Less(t, age, 2500*time.Millisecond, "%v of silence", silence)
+		}
+	})
+}
--- a/internal/ledger/ledgertest/log.go
+++ b/internal/ledger/ledgertest/log.go
@@ -83,6 +83,8 @@
 	down bool
 	lose float64
 	late bool
+	// silent makes all calls hang.
+	silent bool
 	// pageTime is the time that a page of newest records takes beyond the latency, pages counts those asked for.
 	pageTime time.Duration
 	pages    int
@@ -98,6 +100,25 @@
 	c.down = down
 }
 
+// SetSilent makes calls hang until their callers give up.
+func (c *Client) SetSilent(silent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent = silent
+}
+
+// hang waits for the caller to give up, if the log is silent.
+func (c *Client) hang(ctx context.Context) error {
+	c.mu.Lock()
+	silent := c.silent
+	c.mu.Unlock()
+	if !silent {
+		return nil
+	}
+	<-ctx.Done()
+	return eris.Wrap(ledger.ErrUnknown, "no answer")
+}
+
 // SetLosses makes a share of the appends lose their answers; late ones take effect later.
 func (c *Client) SetLosses(share float64, late bool) {
 	c.mu.Lock()
@@ -140,6 +161,9 @@
 
 // Append implements ledger.Log.
 func (c *Client) Append(ctx context.Context, a ledger.Append) (ledger.Appended, error) {
+	if err := c.hang(ctx); err != nil {
+		return ledger.Appended{}, err
+	}
 	down, lose, late := c.faults()
 	if down {
 		return ledger.Appended{}, eris.Wrap(ledger.ErrUnavailable, "down")
@@ -216,6 +240,9 @@
 
 // Read implements ledger.Log.
 func (c *Client) Read(ctx context.Context, name string, from int64, limit time.Duration) (ledger.Page, error) {
+	if err := c.hang(ctx); err != nil {
+		return ledger.Page{}, err
+	}
 	deadline := time.NewTimer(limit + c.log.Latency)
 	defer deadline.Stop()
 	for expired := false; ; {
@@ -255,6 +282,9 @@
 
 // Newest implements ledger.Log.
 func (c *Client) Newest(ctx context.Context, name, after string) (ledger.NewestPage, error) {
+	if err := c.hang(ctx); err != nil {
+		return ledger.NewestPage{}, err
+	}
 	if down, _, _ := c.faults(); down {
 		return ledger.NewestPage{}, eris.Wrap(ledger.ErrUnavailable, "down")
 	}
