Acknowledge nothing to a worker that was silent until it has answered

The log of i0: w1 crashed and was started again at 14:37:02.741; run 1 began in its new life and ended done; at 03.854 the leader learned of the new life, stopped the run and, after a takeover, found it neither running nor ended, because a look between had acknowledged ends of the old life by their numbers, which the new life took for its own end 1. The task was run again. Ruled out: late orders (the soak has none). The look after a silence was the first one that the new life answered. Change: a look at a worker that was silent acknowledges nothing; the next one does, once it is known which life answers. What is left is a worker that starts again between two answered looks, less than a second apart. TestNoAcknowledgementUntilASilentWorkerAnswers failed before (look 4 acknowledged end 1).

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -351,6 +352,56 @@
 	return s.Fleet.Hold(ctx, to, o)
 }
 
+// recordedHolds keeps the looks that were sent, in their order, and whether they were answered.
+type recordedHolds struct {
+	*workertest.Fleet
+	mu       sync.Mutex
+	acks     []int64
+	answered []bool
+}
+
+func (h *recordedHolds) Hold(ctx context.Context, to worker.Target, o worker.HoldOrder) (worker.Lists, error) {
+	lists, err := h.Fleet.Hold(ctx, to, o)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.acks, h.answered = append(h.acks, o.Acknowledged), append(h.answered, err == nil)
+	return lists, err
+}
+
+// Guards against an acknowledgement of ends of an earlier life that a new life of the worker takes for its
+// own: after a look without an answer, the next one that is answered must not acknowledge anything.
+func TestNoAcknowledgementUntilASilentWorkerAnswers(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(time.Second), func(c *cluster) {
+		holds := &recordedHolds{Fleet: c.fleet}
+		c.workers = holds
+		c.addWorker("w1", "r1")
+		i := c.startInstance("a")
+		time.Sleep(4 * time.Second)
+		c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 1})
+		task := batch.TaskID{Job: jobID(1)}
+		c.waitFor(time.Second, "started", func() bool { return c.fleet.Starts(task) == 1 })
+		i.log.SetLosses(1, false) // The end is stored only after a repeat.
+		c.waitFor(2*time.Second, "finished", func() bool { return c.fleet.Finished(task) })
+		time.Sleep(50 * time.Millisecond)
+		c.fleet.Cut("w1", true)
+		i.log.SetLosses(0, false)
+		time.Sleep(4 * time.Second)
+		c.fleet.Cut("w1", false)
+		time.Sleep(4 * time.Second)
+		holds.mu.Lock()
+		defer holds.mu.Unlock()
+		silent := false
+		for n := range holds.acks {
+			if holds.answered[n] && silent {
+				require.Zero(t, holds.acks[n], "look %d", n)
+			}
+			silent = !holds.answered[n]
+		}
+		require.Contains(t, holds.answered, false)
+		require.Contains(t, holds.acks, int64(1))
+	})
+}
+
 // Guards against a task that runs again after it was done: its starts got no answer, and the worker refused the
 // repeated one because the run had ended there.
 func TestRefusedRepeatOfAFinishedRun(t *testing.T) {
--- a/internal/controller/look.go
+++ b/internal/controller/look.go
@@ -73,9 +73,9 @@
 		return
 	}
 	order := worker.HoldOrder{Token: l.term.Epoch}
-	if k.processed > k.acked {
-		// Ends are acknowledged once only: a late order must not acknowledge ends of a new life
-		// of the worker.
+	if k.processed > k.acked && k.silentSince == 0 {
+		// A worker that was silent may have started again: its new life would take the acknowledgement
+		// for ends of its own, which nobody has seen.
 		order.Acknowledged = k.processed
 	}
 	switch {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -26,6 +26,7 @@
 	cause string
 }{
 	{1, "the library's asynchronous log writer raced in every process, and ended some that logged after it was closed"},
+	{20015, "ends of a worker's earlier life were acknowledged to its new one, which forgot an end that nobody had seen"},
 	{5002, "the soak took a run for left over whose stop was under way"},
 }
 
