Acknowledge ends only soon after a look

The same cause as before, with a log that takes seconds to store an end: no look is under way meanwhile, so that a worker which starts again goes unnoticed, and the acknowledgement reaches its new life. Change: more than a second after the last answered look, a look without an acknowledgement comes first and does not wait for ends. TestNoAcknowledgementLongAfterTheLastLook failed before.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -402,6 +402,33 @@
 	})
 }
 
+// The same for a worker that started again, unnoticed, while the end of a run took seconds to be stored.
+func TestNoAcknowledgementLongAfterTheLastLook(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(time.Second), func(c *cluster) {
+		holds := &recordedHolds{Fleet: c.fleet}
+		c.workers = holds
+		c.addWorker("w1", "r1")
+		i := c.startInstance("a")
+		time.Sleep(4 * time.Second)
+		c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 1})
+		task := batch.TaskID{Job: jobID(1)}
+		c.waitFor(time.Second, "started", func() bool { return c.fleet.Starts(task) == 1 })
+		i.log.SetLosses(1, false)
+		c.waitFor(2*time.Second, "finished", func() bool { return c.fleet.Finished(task) })
+		time.Sleep(1500 * time.Millisecond) // The leader still leads, but the end is not stored.
+		holds.mu.Lock()
+		before := len(holds.acks)
+		holds.mu.Unlock()
+		i.log.SetLosses(0, false)
+		time.Sleep(3 * time.Second)
+		holds.mu.Lock()
+		defer holds.mu.Unlock()
+		require.Zero(t, holds.acks[before])
+		require.Greater(t, len(holds.acks), before+1)
+		require.Contains(t, holds.acks, int64(1))
+	})
+}
+
 // Guards against a task that runs again after it was done: its starts got no answer, and the worker refused the
 // repeated one because the run had ended there.
 func TestRefusedRepeatOfAFinishedRun(t *testing.T) {
--- a/internal/controller/link.go
+++ b/internal/controller/link.go
@@ -39,8 +39,8 @@
 	processed, acked int64
 	unstored         int
 
-	// heard is when the worker last answered an order or a look.
-	heard boottime.Instant
+	// heard is when the worker last answered an order or a look, listed when it last gave its lists.
+	heard, listed boottime.Instant
 	// loose holds starts without an answer, which may still arrive, and until when.
 	loose map[worker.Run]boottime.Instant
 	// looseAck is until when an acknowledgement without an answer may still arrive.
--- a/internal/controller/look.go
+++ b/internal/controller/look.go
@@ -20,6 +20,9 @@
 	// idleLookRetry is the same for a worker that runs nothing: each look has its price, and a worker
 	// that was cut off is usually away for some seconds.
 	idleLookRetry = time.Second
+	// sameLife is the time after a look within which the worker has not started again: a start takes
+	// longer.
+	sameLife = time.Second
 	// looseFor is how long an order without an answer may be on its way.
 	looseFor = 15 * time.Second
 )
@@ -73,9 +76,10 @@
 		return
 	}
 	order := worker.HoldOrder{Token: l.term.Epoch}
-	if k.processed > k.acked && k.silentSince == 0 {
-		// A worker that was silent may have started again: its new life would take the acknowledgement
-		// for ends of its own, which nobody has seen.
+	known := k.silentSince == 0 && now.Sub(k.listed) < sameLife
+	if k.processed > k.acked && known {
+		// A worker that was not heard of for a while may have started again: its new life would take the
+		// acknowledgement for ends of its own, which nobody has seen.
 		order.Acknowledged = k.processed
 	}
 	switch {
@@ -89,6 +93,9 @@
 		if k.waitsForStop() {
 			order.Wait = stopLook
 		}
+		if k.processed > k.acked && !known {
+			order.Wait = 0
+		}
 	}
 	if !l.term.Valid() {
 		return
@@ -118,6 +125,7 @@
 		return
 	}
 	k.heard = boottime.Now()
+	k.listed = k.heard
 	if k.silentSince != 0 {
 		l.logger.Info().Str("worker", k.id).Dur("silent", boottime.Since(k.silentSince)).Msg("worker answers again")
 		k.silentSince = 0
