Log why steps wait, what is acknowledged and which workers are forgotten

Change: the plan says why tasks of a unit were not started, and the leader logs and counts it. Lines for stored final phases, acknowledgements and forgotten workers. No decision changes.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -18,6 +18,7 @@
 	"github.com/oleanderbend/oleanderbend/internal/election"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
 	"github.com/oleanderbend/oleanderbend/internal/opconfig"
+	"github.com/oleanderbend/oleanderbend/internal/planner"
 	"github.com/oleanderbend/oleanderbend/internal/worker"
 )
 
@@ -85,6 +86,8 @@
 type controllerMetrics struct {
 	starts, stops, polls, runsDone, runsNotDone *metrics.Counter
 	planTime, startDelay                        *metrics.Histogram
+	// waiting is the number of steps that wait, as of the last planning round.
+	waiting map[planner.WaitReason]*metrics.Gauge
 }
 
 // New returns a controller. Lead runs it for one leadership term.
@@ -100,6 +103,7 @@
 			runsNotDone: set.GetOrCreateCounter(`oleanderbend_ends_total{kind="other"}`),
 			planTime:    set.GetOrCreateHistogram(`oleanderbend_plan_seconds`),
 			startDelay:  set.GetOrCreateHistogram(`oleanderbend_start_delay_seconds`),
+			waiting:     newWaitGauges(set),
 		},
 	}
 }
@@ -144,6 +148,7 @@
 	defer cancel()
 	c.setLeading(true)
 	defer c.setLeading(false)
+	defer c.metrics.setWaiting(nil)
 	l := newLeader(ctx, c, cancel, term)
 	if err := l.takeOver(); err != nil {
 		c.cfg.Logger.Warn().Err(err).Int64("epoch", term.Epoch).Msg("takeover failed")
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -8,6 +8,7 @@
 	"github.com/oleanderbend/oleanderbend/internal/boottime"
 	"github.com/oleanderbend/oleanderbend/internal/intake"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
+	"github.com/oleanderbend/oleanderbend/internal/planner"
 	"github.com/oleanderbend/oleanderbend/internal/worker"
 )
 
@@ -63,6 +64,9 @@
 	// from it.
 	checkpoint string
 	advice     *advice
+	// loggedWait is the reason of waiting that was last logged, at waitLoggedAt.
+	loggedWait   planner.WaitReason
+	waitLoggedAt boottime.Instant
 }
 
 type task struct {
@@ -317,6 +321,7 @@
 	l.storeJobs([]ledger.Record{record}, func() {
 		if phase.Final() {
 			j.finalStored = true
+			l.logJob(j, "final phase stored")
 			l.closeJob(j)
 		}
 		if onStored != nil {
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -37,9 +37,11 @@
 	started := time.Now()
 	snapshot, workers, units := l.snapshot()
 	if len(units) == 0 || len(workers) == 0 {
+		l.c.metrics.setWaiting(nil)
 		return
 	}
 	decision := planner.Decide(snapshot)
+	l.reportWaits(&snapshot, units, decision.Waits)
 	for _, stop := range decision.Stops {
 		l.preempt(stop.Group, units[stop.Unit], snapshot.Units[stop.Unit].Guaranteed)
 	}
@@ -80,10 +82,12 @@
 				u.readySince = now
 			}
 			d, ok := l.describeUnit(u, n, now, guaranteed[j])
-			if ok {
-				units = append(units, u)
-				s.Units = append(s.Units, d)
+			if !ok {
+				l.logWait(u, waitsForAdvice, "", 0, now)
+				continue
 			}
+			units = append(units, u)
+			s.Units = append(s.Units, d)
 		}
 	}
 	return s, workers, units
--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -159,7 +159,10 @@
 		ws.polledInTerm = true
 		ws.maxExpiryMS = max(ws.maxExpiryMS, ws.clockMS+l.c.cfg.Timing.MaxLease.Milliseconds())
 	}
-	ws.acknowledgedEnd = max(ws.acknowledgedEnd, command.AcknowledgedThrough)
+	if command.AcknowledgedThrough > ws.acknowledgedEnd {
+		ws.acknowledgedEnd = command.AcknowledgedThrough
+		l.logger.Info().Str("worker", ws.id).Int64("through", ws.acknowledgedEnd).Msg("ends acknowledged")
+	}
 	l.applyEnds(ws, response.Ended)
 	l.applyRunning(ws, sent, response)
 	l.restartStalled(ws)
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -91,6 +91,8 @@
 
 // forgetWorker removes the state of a worker that is not registered and has no runs.
 func (l *leader) forgetWorker(ws *workerState) {
+	l.logger.Info().Str("worker", ws.id).Int("unstored_ends", ws.unstoredEnds).Int("unanswered", len(ws.unconfirmedStarts)).
+		Int64("through", ws.processedEnd).Msg("worker forgotten")
 	delete(l.workers, ws.id)
 	l.c.cfg.Workers.CloseConnections(ws.address)
 }
--- /dev/null
+++ b/internal/controller/wait.go
@@ -0,0 +1,72 @@
+package controller
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/oleanderbend/oleanderbend/internal/boottime"
+	"github.com/oleanderbend/oleanderbend/internal/planner"
+)
+
+const (
+	// waitsForAdvice is the reason of units that have no valid ticket of the advice service.
+	waitsForAdvice planner.WaitReason = "advice"
+	// minLoggedWait is how long a unit waits before the reason is logged. Most units wait less.
+	minLoggedWait = time.Second
+	// waitLogInterval is the minimum time between two lines about the same unit.
+	waitLogInterval = 2 * time.Second
+)
+
+// newWaitGauges returns the gauges of the number of waiting units, by reason.
+func newWaitGauges(set *metrics.Set) map[planner.WaitReason]*metrics.Gauge {
+	gauges := make(map[planner.WaitReason]*metrics.Gauge)
+	for _, reason := range planner.WaitReasons {
+		gauges[reason] = set.GetOrCreateGauge(fmt.Sprintf(`oleanderbend_waiting_steps{reason=%q}`, string(reason)), nil)
+	}
+	return gauges
+}
+
+// reportWaits counts and logs the units of which tasks were not started, by reason.
+func (l *leader) reportWaits(s *planner.Snapshot, units []*unit, waits map[int]planner.Wait) {
+	now := boottime.Now()
+	count := make(map[planner.WaitReason]int)
+	for i, wait := range waits {
+		count[wait.Reason]++
+		behind := ""
+		if wait.Behind >= 0 {
+			behind = units[wait.Behind].tasks[0].id.StepName()
+		}
+		l.logWait(units[i], wait.Reason, behind, freeGPUs(s, s.Units[i].Service), now)
+	}
+	l.c.metrics.setWaiting(count)
+}
+
+// setWaiting sets the number of steps that wait for each reason.
+func (m *controllerMetrics) setWaiting(count map[planner.WaitReason]int) {
+	for reason, gauge := range m.waiting {
+		gauge.Set(float64(count[reason]))
+	}
+}
+
+// freeGPUs returns the accelerators that are free on the workers of a service that accept work.
+func freeGPUs(s *planner.Snapshot, service string) int64 {
+	free := int64(0)
+	for i := range s.Workers {
+		if w := &s.Workers[i]; w.AcceptsWork && w.Service == service {
+			free += max(0, w.Free.GPU)
+		}
+	}
+	return free
+}
+
+// logWait logs why a unit waits: first after minLoggedWait, then when the reason has changed.
+func (l *leader) logWait(u *unit, reason planner.WaitReason, behind string, free int64, now boottime.Instant) {
+	if reason == u.loggedWait || now.Sub(u.readySince) < minLoggedWait || now.Sub(u.waitLoggedAt) < waitLogInterval {
+		return
+	}
+	u.loggedWait, u.waitLoggedAt = reason, now
+	l.logger.Info().Str("step", u.tasks[0].id.StepName()).Int("tasks", u.waiting()).Str("reason", string(reason)).Str("behind", behind).
+		Int64("free", free).Dur("waited", now.Sub(u.readySince)).Msg("step waits")
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -173,8 +173,38 @@
 	Starts []Start
 	// Stops lists the groups of runs to preempt.
 	Stops []Stop
+	// Waits has an entry for each unit of which tasks were not started, by the index in Snapshot.Units.
+	Waits map[int]Wait
 }
 
+// Wait says why tasks of a unit were not started.
+type Wait struct {
+	Reason WaitReason
+	// Behind is the index in Snapshot.Units of the first gang whose claim the unit waits behind. It is -1
+	// unless Reason is WaitsBehindGang.
+	Behind int
+}
+
+// WaitReason is the reason why tasks of a unit were not started.
+type WaitReason string
+
+// Reasons why tasks of a unit were not started.
+const (
+	// WaitsForCapacity means that the free resources do not suffice.
+	WaitsForCapacity WaitReason = "capacity"
+	// WaitsForRelease means that runs are being stopped, and the unit has claimed their resources.
+	WaitsForRelease WaitReason = "release"
+	// WaitsForHeadroom means that the unit would use accelerators of Snapshot.Headroom.
+	WaitsForHeadroom WaitReason = "headroom"
+	// WaitsForRack means that the unit fits only into racks that it does not prefer.
+	WaitsForRack WaitReason = "rack"
+	// WaitsBehindGang means that the unit fits into free resources that a blocked gang claims.
+	WaitsBehindGang WaitReason = "gang"
+)
+
+// WaitReasons lists all reasons.
+var WaitReasons = []WaitReason{WaitsForCapacity, WaitsForRelease, WaitsForHeadroom, WaitsForRack, WaitsBehindGang}
+
 // Stop preempts the runs of a group so that the tasks of a unit can start.
 type Stop struct {
 	Group int
@@ -257,6 +287,8 @@
 	// stopped have ended. Claimed resources are subtracted from both. If a blocked gang claims resources
 	// that runs still use, freeAfterStops becomes negative.
 	free, freeAfterStops []Resources
+	// idle is free without any claims; gangClaims is what blocked gangs claim.
+	idle, gangClaims []Resources
 	// groupWorkers is the workers that run members of each group.
 	groupWorkers map[int][]int
 	// stoppedGroups is the groups that the plan preempts.
@@ -268,9 +300,9 @@
 	racks [][]int
 	// workerIndices is the indices of all workers.
 	workerIndices []int
-	// unplaceable is, for each shape, the number of tasks of the last unit that could not be placed.
-	// A unit with limits of its own may replace a lower number by a higher one.
-	unplaceable map[shape]int
+	// unplaceable is, for each shape, the last unit that could not be placed. A unit with limits of its
+	// own may replace one with fewer tasks by one with more.
+	unplaceable map[shape]unplacedUnit
 	// withinShare is the priorities whose queues use no more than their minimum share. It does not
 	// contain priority 0, which has no minimum share.
 	withinShare map[priorityKey]bool
@@ -278,7 +310,15 @@
 	// blocked gangs that claimed resources.
 	preemptionAttempts int
 	blockedGangClaims  int
-	plan               Plan
+	// firstClaimant is the index of the first blocked gang that claimed resources.
+	firstClaimant int
+	plan          Plan
+}
+
+// unplacedUnit is what the round remembers of a unit that could not be placed.
+type unplacedUnit struct {
+	tasks int
+	wait  Wait
 }
 
 // shape is the attributes of a unit that determine whether it can be placed. Once a unit could not be
@@ -308,8 +348,10 @@
 func newRound(s Snapshot) *round {
 	r := &round{
 		snapshot: s, free: make([]Resources, len(s.Workers)), freeAfterStops: make([]Resources, len(s.Workers)),
-		groupWorkers: make(map[int][]int), stoppedGroups: make(map[int]bool), unplaceable: make(map[shape]int),
+		idle: make([]Resources, len(s.Workers)), gangClaims: make([]Resources, len(s.Workers)), groupWorkers: make(map[int][]int), stoppedGroups: make(map[int]bool),
+		unplaceable: make(map[shape]unplacedUnit),
 	}
+	r.plan.Waits = make(map[int]Wait)
 	byRack := make(map[string]int)
 	r.spareGPU = make(map[string]int64)
 	for service, headroom := range s.Headroom {
@@ -320,7 +362,7 @@
 		if w.AcceptsWork {
 			r.spareGPU[w.Service] += max(0, w.Free.GPU)
 		}
-		r.free[i] = w.Free
+		r.free[i], r.idle[i] = w.Free, w.Free
 		r.freeAfterStops[i] = w.Free.Add(w.Releasing)
 		slices.SortStableFunc(w.Runs, compareVictims)
 		for _, run := range w.Runs {
@@ -346,18 +388,24 @@
 func (r *round) schedule(part *unitPart) {
 	u := &part.unit
 	unitShape, shapeDecides := shapeOf(u)
-	if lastUnplacedTasks, known := r.unplaceable[unitShape]; known && shapeDecides && (!u.Gang || u.Tasks >= lastUnplacedTasks) {
+	if last, known := r.unplaceable[unitShape]; known && shapeDecides && (!u.Gang || u.Tasks >= last.tasks) {
+		r.plan.Waits[part.index] = last.wait
 		return
 	}
 	limit := r.startLimit(u)
 	if limit == 0 || (u.Gang && limit < u.Tasks) {
+		r.plan.Waits[part.index] = Wait{WaitsForHeadroom, -1}
 		return
 	}
 	places := r.place(u, r.free)
 	if len(places) > 0 && (len(places) == u.Tasks || !u.Gang) {
 		places = places[:min(len(places), limit)]
 		r.startTasks(part, places)
-		if len(places) == u.Tasks || len(places) == limit {
+		if len(places) == u.Tasks {
+			return
+		}
+		if len(places) == limit {
+			r.plan.Waits[part.index] = Wait{WaitsForHeadroom, -1}
 			return
 		}
 	}
@@ -367,14 +415,32 @@
 	}
 	if claimPlaces := r.place(&rest, r.freeAfterStops); len(claimPlaces) == rest.Tasks {
 		r.claim(&rest, claimPlaces)
+		r.plan.Waits[part.index] = Wait{WaitsForRelease, -1}
 		return
 	}
 	if r.preempt(part.index, &rest) {
+		r.plan.Waits[part.index] = Wait{WaitsForRelease, -1}
 		return
 	}
-	r.unplaceable[unitShape] = u.Tasks
+	wait := r.explainWait(&rest)
+	r.plan.Waits[part.index] = wait
+	r.unplaceable[unitShape] = unplacedUnit{u.Tasks, wait}
 	if u.Gang && u.Timeliness != Overdue && r.blockedGangClaims < maxBlockedGangClaims {
-		r.claimForBlockedGang(&rest)
+		r.claimForBlockedGang(part.index, &rest)
+	}
+}
+
+// explainWait returns why a unit that could not be placed waits.
+func (r *round) explainWait(u *Unit) Wait {
+	anyRack := *u
+	anyRack.DataRack, anyRack.RackLocal = "", false
+	switch {
+	case r.blockedGangClaims > 0 && len(r.place(u, r.freeDespiteGangs())) > 0:
+		return Wait{WaitsBehindGang, r.firstClaimant}
+	case (u.DataRack != "" || u.RackLocal) && len(r.place(&anyRack, r.free)) > 0:
+		return Wait{WaitsForRack, -1}
+	default:
+		return Wait{WaitsForCapacity, -1}
 	}
 }
 
@@ -393,6 +459,7 @@
 	r.spareGPU[u.Service] -= u.Need.GPU * int64(len(places))
 	for _, w := range places {
 		r.free[w] = r.free[w].Sub(u.Need)
+		r.idle[w] = r.idle[w].Sub(u.Need)
 		r.freeAfterStops[w] = r.freeAfterStops[w].Sub(u.Need)
 		r.recordPlacement(u, w)
 	}
@@ -419,6 +486,16 @@
 	}
 }
 
+// freeDespiteGangs returns what is free on each worker if the claims of blocked gangs are ignored. Claims on
+// resources that runs are being stopped for still count.
+func (r *round) freeDespiteGangs() []Resources {
+	free := make([]Resources, len(r.idle))
+	for i := range free {
+		free[i] = minResources(r.idle[i], r.freeAfterStops[i].Add(r.gangClaims[i]))
+	}
+	return free
+}
+
 // usable reports whether a worker may run tasks of a unit, regardless of its free resources.
 func (r *round) usable(u *Unit, worker int) bool {
 	w := &r.snapshot.Workers[worker]
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -218,8 +218,8 @@
 // that are free or being freed, including resources that runs still use. Without such a claim, units
 // scheduled later could use every resource that becomes free and the gang would never start. Only a
 // gang with RackLocal that waits for a rack claims within one rack; a gang with DataRack alone claims in
-// all racks.
-func (r *round) claimForBlockedGang(u *Unit) {
+// all racks. index is the index of the unit in the snapshot.
+func (r *round) claimForBlockedGang(index int, u *Unit) {
 	workers := r.all()
 	if u.RackLocal && u.WaitsForRack {
 		workers = r.roomiestRack(u)
@@ -234,6 +234,9 @@
 		return
 	}
 	slices.SortStableFunc(candidates, func(a, b int) int { return cmp.Compare(r.freeAfterStops[b].GPU, r.freeAfterStops[a].GPU) })
+	if r.blockedGangClaims == 0 {
+		r.firstClaimant = index
+	}
 	r.blockedGangClaims++
 	claimed := 0
 	for _, i := range candidates {
@@ -248,6 +251,7 @@
 		n := min(u.Need.CountFitting(capacity, u.remainingPerWorker(w.ID)), u.Tasks-claimed)
 		for range n {
 			r.freeAfterStops[i] = r.freeAfterStops[i].Sub(u.Need)
+			r.gangClaims[i] = r.gangClaims[i].Add(u.Need)
 		}
 		r.free[i] = minResources(r.free[i], r.freeAfterStops[i])
 		claimed += n
