--- /dev/null
+++ b/internal/controller/takeover_test.go
@@ -0,0 +1,109 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/batch"
+	"github.com/oleanderbend/oleanderbend/internal/ledger"
+	"github.com/oleanderbend/oleanderbend/internal/worker/workertest"
+)
+
+// Guards against a run beyond the limit of failed runs: the failures were stored, the phase that follows
+// from them was not, and the next leader started the task again.
+func TestFailedJobStaysFailedAfterTakeover(t *testing.T) {
+	for _, gangSize := range []int{1, 2} {
+		workOf := func(batch.TaskID) workertest.Work {
+			return workertest.Work{Duration: 500 * time.Millisecond, Fails: true, GangSize: gangSize, GPU: 1}
+		}
+		inVirtualTime(t, 1, workOf, func(c *cluster) {
+			c.addWorker("w1", "r1")
+			a := c.startInstance("a")
+			c.submit(jobID(1), batch.Step{Count: gangSize, CPU: 1000, GPU: 1, Gang: gangSize > 1})
+			task := batch.TaskID{Job: jobID(1)}
+			limit := testConfig.Queues[0].MaxFailedRuns
+			c.waitFor(10*time.Second, "last run started", func() bool { return c.fleet.Starts(task) == limit })
+			a.log.SetAppendsDown(batch.JobsTopic)
+			c.waitFor(2*time.Second, "last run ended", func() bool { return c.fleet.RunCount("w1") == 0 })
+			time.Sleep(time.Second)
+			a.kill()
+			c.startInstance("b")
+			c.waitFor(10*time.Second, "failed", func() bool { return c.phase(jobID(1)) == batch.Failed })
+			require.Equal(t, limit, c.fleet.Starts(task))
+		})
+	}
+}
+
+// Guards against a second run of a completed task: the state of its worker was dropped before the registry
+// had been read, and the new state acknowledged an end that was not stored.
+func TestUnstoredEndIsNotAcknowledgedBeforeRegistryIsRead(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(time.Second), func(c *cluster) {
+		c.addWorker("w1", "r1")
+		a := c.startInstance("a")
+		c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 1})
+		task := batch.TaskID{Job: jobID(1)}
+		c.waitFor(4*time.Second, "started", func() bool { return c.fleet.Starts(task) == 1 })
+		b := c.startInstance("b")
+		time.Sleep(100 * time.Millisecond)
+		b.log.SetPageDelay(200 * time.Millisecond)
+		b.log.SetAppendsDown(batch.JobsTopic)
+		a.kill()
+		c.submit(jobID(2), batch.Step{Count: 1, CPU: 1000, GPU: 1})
+		c.waitFor(8*time.Second, "second job finished", func() bool { return c.fleet.Finished(batch.TaskID{Job: jobID(2)}) })
+		time.Sleep(time.Second)
+		require.False(t, c.fleet.EndAcknowledged(task))
+		b.kill()
+		c.startInstance("c")
+		c.waitFor(12*time.Second, "completed", func() bool { return c.phase(jobID(1)) == batch.Completed })
+		require.Equal(t, 1, c.fleet.Starts(task))
+		require.Empty(t, c.fleet.Violations())
+	})
+}
+
+// As TestUnstoredEndIsNotAcknowledgedBeforeRegistryIsRead, for a registry entry that expires during an
+// outage and is back before the end is stored.
+func TestUnstoredEndIsNotAcknowledgedAfterEntryReturns(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(time.Second), func(c *cluster) {
+		info := c.addWorker("w1", "r1")
+		a := c.startInstance("a")
+		c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 1})
+		task := batch.TaskID{Job: jobID(1)}
+		c.waitFor(4*time.Second, "started", func() bool { return c.fleet.Starts(task) == 1 })
+		a.log.SetAppendsDown(batch.JobsTopic)
+		c.waitFor(2*time.Second, "finished", func() bool { return c.fleet.Finished(task) })
+		time.Sleep(200 * time.Millisecond)
+		c.write(workersTopic, ledger.Record{Key: "w1"})
+		time.Sleep(500 * time.Millisecond)
+		c.register(info)
+		c.submit(jobID(2), batch.Step{Count: 1, CPU: 1000, GPU: 1})
+		c.waitFor(4*time.Second, "second job finished", func() bool { return c.fleet.Finished(batch.TaskID{Job: jobID(2)}) })
+		time.Sleep(time.Second)
+		require.False(t, c.fleet.EndAcknowledged(task))
+	})
+}
+
+// Guards against a task that runs twice: the worker whose start got no response was forgotten while it had
+// no registry entry, and the start was delivered to its next incarnation.
+func TestUnansweredStartIsStoppedAfterEntryReturns(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(20*time.Second), func(c *cluster) {
+		c.addWorker("w1", "r1")
+		a := c.startInstance("a")
+		time.Sleep(4 * time.Second)
+		c.fleet.SetDelayedCommands(1, 9*time.Second)
+		c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 1})
+		time.Sleep(200 * time.Millisecond)
+		a.kill()
+		c.fleet.SetDelayedCommands(0, 0)
+		b := c.startInstance("b")
+		b.log.SetPageDelay(200 * time.Millisecond)
+		c.addWorker("w2", "r1")
+		time.Sleep(3 * time.Second)
+		c.write(workersTopic, ledger.Record{Key: "w1"})
+		time.Sleep(2 * time.Second)
+		c.restartWorker("w1", 0)
+		time.Sleep(10 * time.Second)
+		require.Empty(t, c.fleet.Violations())
+	})
+}
--- a/internal/ledger/ledgertest/log.go
+++ b/internal/ledger/ledgertest/log.go
@@ -88,6 +88,8 @@
 	lateEffect bool
 	// silent makes all calls block without a response.
 	silent bool
+	// downTopic is the topic to which appends of records fail without effect, or empty.
+	downTopic string
 	// pageDelay is added to the response time of a page of latest records; pages counts the requests.
 	pageDelay time.Duration
 	pages     int
@@ -103,6 +105,14 @@
 	c.down = down
 }
 
+// SetAppendsDown makes appends of records to a topic fail without effect; an empty topic ends the fault.
+// Appends that only set the epoch of a producer succeed.
+func (c *Client) SetAppendsDown(topic string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.downTopic = topic
+}
+
 // SetSilent makes calls block without a response until their contexts end.
 func (c *Client) SetSilent(silent bool) {
 	c.mu.Lock()
@@ -153,6 +163,12 @@
 	return c.down, c.lossRate, c.lateEffect
 }
 
+func (c *Client) appendsDown(topic string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return topic == c.downTopic
+}
+
 func sleep(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -170,7 +186,7 @@
 		return ledger.AppendResult{}, err
 	}
 	down, lossRate, lateEffect := c.faults()
-	if down {
+	if down || (len(a.Records) > 0 && c.appendsDown(a.Topic)) {
 		return ledger.AppendResult{}, eris.Wrap(ledger.ErrUnavailable, "down")
 	}
 	if err := sleep(ctx, c.log.Latency); err != nil {
