Keep a job failed whose final phase was not stored before a takeover

Cause: the leader stores the failures of a task in keyed.tasks and the phase that follows from them in keyed.jobs. When the append of the phase did not succeed before the leadership ended, the next leader restored the failures without comparing them with the limit.

Change: loadJob fails a job with an unfinished task whose stored failures have reached the limit, as it already completes a job whose tasks are all done. Decisions that follow from records are thus made again by each leader.

--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -145,6 +145,10 @@
 	switch {
 	case !j.phase.Final():
 		l.createDueOccurrences(j)
+		// The previous leader may have stored the failures without the phase that follows from them.
+		if t := j.exhaustedTask(); t != nil {
+			l.failJob(j, t)
+		}
 	case records.mayHaveRuns():
 		// The previous leader had not stopped all runs of the finished job yet.
 		for ; j.createdOccurrences < j.spec.Occurrences(); j.createdOccurrences++ {
@@ -270,6 +274,29 @@
 	}
 }
 
+// failureLimitReached reports whether a number of failed runs of a task or gang of the unit ends the job
+// as failed. The failures of long-running tasks have no limit.
+func (u *unit) failureLimitReached(failures int) bool {
+	limit := u.job.spec.Rules.MaxFailedRuns
+	return !u.step.LongRunning && limit > 0 && failures >= limit
+}
+
+// exhaustedTask returns an unfinished task whose failed runs have reached the limit, or nil.
+func (j *job) exhaustedTask() *task {
+	for _, u := range j.units {
+		for _, t := range u.tasks {
+			failures := t.rec.Failures
+			if u.gang() {
+				failures = u.failures
+			}
+			if !t.rec.Done && u.failureLimitReached(failures) {
+				return t
+			}
+		}
+	}
+	return nil
+}
+
 // failJob ends a job as failed after too many failures of a task.
 func (l *leader) failJob(j *job, t *task) {
 	if !j.active() {
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -408,7 +408,6 @@
 
 // recordFailure counts a failed run against its task, or against its gang, and makes the tasks of
 // the unit avoid the worker. It fails the job if the number of failed runs has reached the limit.
-// The failures of long-running tasks have no limit.
 func (l *leader) recordFailure(r *run) {
 	t, u := r.task, r.task.unit
 	if t.avoid == nil {
@@ -426,10 +425,9 @@
 		t.rec.Failures++
 		u.failures = max(u.failures, t.rec.Failures)
 	}
-	if u.step.LongRunning || u.job.spec.Rules.MaxFailedRuns <= 0 || u.failures < u.job.spec.Rules.MaxFailedRuns {
-		return
+	if u.failureLimitReached(u.failures) {
+		l.failJob(u.job, t)
 	}
-	l.failJob(u.job, t)
 }
 
 // quarantineIfSuspect records that a run of a job has failed on a worker. It quarantines the worker
