Keep the state of a worker while effects of its runs are outstanding

Cause: the leader dropped the state of a worker without runs and without a registry entry. Right after a takeover the registry has not been read yet, so a worker whose last run had just ended was dropped, although the end was not stored. The state that the registry created moments later had no unstored ends and acknowledged the same end. When the record was then lost with the leadership, nothing knew of the end. The same happened when an entry expired during an outage of the store and came back. With the state, the leader also lost which starts may still arrive at the worker and must be stopped in its next incarnation.

Change: a state is dropped only after the registry has been read, and when no ends are unstored and no start or acknowledgement without a response may still arrive.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -62,6 +62,8 @@
 
 	jobs    map[string]*job
 	workers map[string]*workerState
+	// registryRead means that the registry of workers has been read in this term.
+	registryRead bool
 
 	// peakGPUs is the recent peak number of accelerators used by the queues of priority 0, by
 	// service (pool of workers).
--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -32,8 +32,8 @@
 
 // checkWorker performs the periodic work for one worker: it ends runs whose leases have expired,
 // repeats stops without a response, stops gang members whose stop is due and checkpointing tasks
-// before a draining worker shuts down, and polls the worker if necessary. It forgets a worker that
-// has no registry entry and no runs.
+// before a draining worker shuts down, and polls the worker if necessary. It forgets a worker that is
+// forgettable once the registry has been read.
 func (l *leader) checkWorker(ws *workerState, now boottime.Instant) {
 	if ws.unreachableSince != 0 && ws.leasesExpired(now) {
 		l.endExpiredRuns(ws, now)
@@ -44,7 +44,7 @@
 	if ws.info.State == worker.Draining {
 		l.stopBeforeShutdown(ws, now)
 	}
-	if !ws.registered && len(ws.runs) == 0 {
+	if l.registryRead && ws.forgettable(now) {
 		l.forgetWorker(ws)
 		return
 	}
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -20,6 +20,7 @@
 
 // applyWorkers applies changes in the registry of workers.
 func (l *leader) applyWorkers(u ledger.Update) {
+	l.registryRead = true
 	seen := make(map[string]bool)
 	for _, entry := range u.Entries {
 		seen[entry.Key] = true
@@ -84,12 +85,12 @@
 			l.endRun(r, endLost, "")
 		}
 	}
-	if len(ws.runs) == 0 {
+	if ws.forgettable(boottime.Now()) {
 		l.forgetWorker(ws)
 	}
 }
 
-// forgetWorker removes the state of a worker that is not registered and has no runs.
+// forgetWorker removes the state of a forgettable worker.
 func (l *leader) forgetWorker(ws *workerState) {
 	l.logger.Info().Str("worker", ws.id).Int("unstored_ends", ws.unstoredEnds).Int("unanswered", len(ws.unconfirmedStarts)).
 		Int64("through", ws.processedEnd).Msg("worker forgotten")
--- a/internal/controller/workerstate.go
+++ b/internal/controller/workerstate.go
@@ -87,6 +87,21 @@
 	return ws
 }
 
+// forgettable reports whether the state of the worker is of no more use: it is not registered, has no runs,
+// and no effect of earlier commands or ends is outstanding. A new state of the same worker would
+// acknowledge ends whose records are not stored, and would not stop starts that arrive late.
+func (ws *workerState) forgettable(now boottime.Instant) bool {
+	if ws.registered || len(ws.runs) > 0 || ws.unstoredEnds > 0 || now < ws.unconfirmedAckUntil {
+		return false
+	}
+	for _, until := range ws.unconfirmedStarts {
+		if now < until {
+			return false
+		}
+	}
+	return true
+}
+
 // runList returns a copy of the runs, for loops that add or remove runs.
 func (ws *workerState) runList() []*run {
 	runs := make([]*run, 0, len(ws.runs))
