Start a job that has been held back from free capacity for 2 s

Cause: a gang that lacks capacity claims free workers, so that smaller work does not take them one by one. The claim had no limit of time. Two gangs of eight in a row kept seven and more workers empty for seconds, and all gangs of two and three behind them waited, by turns behind one gang and the next. Headroom for the most urgent queue holds capacity in the same way.

Change: the planner says which units are held back, that is, fit twice over into free capacity that is kept for others. If the job of such a unit has no runs for 2 s of this, the unit may use that capacity: a gang as a whole, else one task. Capacity that runs are being stopped for stays with its unit.

--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -64,6 +64,9 @@
 	// from it.
 	checkpoint string
 	advice     *advice
+	// heldBackSince is since when the unit has been held back (planner.Wait.HeldBack) in all planning rounds
+	// while its job had no runs; 0 if it is not held back.
+	heldBackSince boottime.Instant
 	// loggedWait is the reason of waiting that was last logged, at waitLoggedAt.
 	loggedWait   planner.WaitReason
 	waitLoggedAt boottime.Instant
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -41,6 +41,7 @@
 		return
 	}
 	decision := planner.Decide(snapshot)
+	trackHeldBack(units, decision.Waits)
 	l.reportWaits(&snapshot, units, decision.Waits)
 	for _, stop := range decision.Stops {
 		l.preempt(stop.Group, units[stop.Unit], snapshot.Units[stop.Unit].Guaranteed)
@@ -183,6 +184,7 @@
 		DataRack: u.step.DataRack, Label: u.step.Label, MaxPerWorker: u.step.MaxPerWorker,
 		Checkpointed: u.step.Checkpoints, Filler: u.step.Filler, Serving: u.step.TailLatencyTargetMS > 0,
 		WaitsForRack: now.Sub(u.readySince) < rackWait,
+		IgnoresHolds: u.heldBackSince != 0 && now.Sub(u.heldBackSince) >= maxHeldBack,
 	}
 	d.JobStarted = u.job.occurrenceStarted(u.occurrence)
 	d.Timeliness, d.Deadline = u.timeliness()
--- a/internal/controller/wait.go
+++ b/internal/controller/wait.go
@@ -11,6 +11,10 @@
 )
 
 const (
+	// maxHeldBack bounds how long a job without runs waits although the free resources suffice for it twice
+	// over, because they are kept for other jobs. Runs of the jobs that they are kept for take several
+	// seconds, so a claim that lacks resources for longer may last for long.
+	maxHeldBack = 2 * time.Second
 	// waitsForAdvice is the reason of units that have no valid ticket of the advice service.
 	waitsForAdvice planner.WaitReason = "advice"
 	// minLoggedWait is how long a unit waits before the reason is logged. Most units wait less.
@@ -28,6 +32,20 @@
 	return gauges
 }
 
+// trackHeldBack updates heldBackSince of the units of a planning round. Tasks of a job that has runs are not
+// held back, unless they are long-running: each of those is to run at all times.
+func trackHeldBack(units []*unit, waits map[int]planner.Wait) {
+	now := boottime.Now()
+	for i, u := range units {
+		switch {
+		case !waits[i].HeldBack || (u.job.hasRuns() && !u.step.LongRunning):
+			u.heldBackSince = 0
+		case u.heldBackSince == 0:
+			u.heldBackSince = now
+		}
+	}
+}
+
 // reportWaits counts and logs the units of which tasks were not started, by reason.
 func (l *leader) reportWaits(s *planner.Snapshot, units []*unit, waits map[int]planner.Wait) {
 	now := boottime.Now()
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -148,6 +148,10 @@
 	// Preemption ignores WaitsForRack for guaranteed units, for units that are not RackLocal and for
 	// units of one task: if it finds no victims within a suitable rack, it takes them from all racks.
 	WaitsForRack bool
+	// IgnoresHolds means that resources that are kept free for others have held the unit back for too long:
+	// it may use the headroom and what blocked gangs claim. If the unit is not a gang, this applies to one
+	// of its tasks.
+	IgnoresHolds bool
 }
 
 // Snapshot is the input of Decide.
@@ -183,6 +187,9 @@
 	// Behind is the index in Snapshot.Units of the first gang whose claim the unit waits behind. It is -1
 	// unless Reason is WaitsBehindGang.
 	Behind int
+	// HeldBack means that the free resources that are kept for others, as headroom or by claims of blocked
+	// gangs, suffice for the unit twice over: for twice the tasks of a gang, else for two tasks.
+	HeldBack bool
 }
 
 // WaitReason is the reason why tasks of a unit were not started.
@@ -333,6 +340,7 @@
 	guaranteed, gang         bool
 	rackLocal, waitsForRack  bool
 	filler, serving          bool
+	ignoresHolds             bool
 }
 
 // shapeOf returns the shape of a unit, and whether the shape alone determines if the unit can be placed.
@@ -341,7 +349,7 @@
 	return shape{
 		service: u.Service, label: u.Label, dataRack: u.DataRack, need: u.Need, priority: u.Priority,
 		timeliness: u.Timeliness, guaranteed: u.Guaranteed, gang: u.Gang, rackLocal: u.RackLocal, waitsForRack: u.WaitsForRack,
-		filler: u.Filler, serving: u.Serving,
+		filler: u.Filler, serving: u.Serving, ignoresHolds: u.IgnoresHolds,
 	}, u.Allowed == nil && u.MaxPerWorker == 0
 }
 
@@ -389,15 +397,21 @@
 	u := &part.unit
 	unitShape, shapeDecides := shapeOf(u)
 	if last, known := r.unplaceable[unitShape]; known && shapeDecides && (!u.Gang || u.Tasks >= last.tasks) {
-		r.plan.Waits[part.index] = last.wait
+		wait := last.wait
+		wait.HeldBack = wait.HeldBack && r.fitsTwiceDespiteHolds(u)
+		r.plan.Waits[part.index] = wait
 		return
 	}
 	limit := r.startLimit(u)
 	if limit == 0 || (u.Gang && limit < u.Tasks) {
-		r.plan.Waits[part.index] = Wait{WaitsForHeadroom, -1}
+		r.plan.Waits[part.index] = Wait{Reason: WaitsForHeadroom, Behind: -1, HeldBack: r.fitsTwiceDespiteHolds(u)}
 		return
 	}
-	places := r.place(u, r.free)
+	free := r.free
+	if u.IgnoresHolds {
+		free = r.freeDespiteGangs()
+	}
+	places := r.place(u, free)
 	if len(places) > 0 && (len(places) == u.Tasks || !u.Gang) {
 		places = places[:min(len(places), limit)]
 		r.startTasks(part, places)
@@ -405,7 +419,7 @@
 			return
 		}
 		if len(places) == limit {
-			r.plan.Waits[part.index] = Wait{WaitsForHeadroom, -1}
+			r.plan.Waits[part.index] = Wait{Reason: WaitsForHeadroom, Behind: -1}
 			return
 		}
 	}
@@ -414,12 +428,13 @@
 		rest.Tasks -= len(places)
 	}
 	if claimPlaces := r.place(&rest, r.freeAfterStops); len(claimPlaces) == rest.Tasks {
+		heldBack := r.fitsTwiceDespiteHolds(&rest)
 		r.claim(&rest, claimPlaces)
-		r.plan.Waits[part.index] = Wait{WaitsForRelease, -1}
+		r.plan.Waits[part.index] = Wait{Reason: WaitsForRelease, Behind: -1, HeldBack: heldBack}
 		return
 	}
 	if r.preempt(part.index, &rest) {
-		r.plan.Waits[part.index] = Wait{WaitsForRelease, -1}
+		r.plan.Waits[part.index] = Wait{Reason: WaitsForRelease, Behind: -1}
 		return
 	}
 	wait := r.explainWait(&rest)
@@ -436,18 +451,18 @@
 	anyRack.DataRack, anyRack.RackLocal = "", false
 	switch {
 	case r.blockedGangClaims > 0 && len(r.place(u, r.freeDespiteGangs())) > 0:
-		return Wait{WaitsBehindGang, r.firstClaimant}
+		return Wait{Reason: WaitsBehindGang, Behind: r.firstClaimant, HeldBack: r.fitsTwiceDespiteHolds(u)}
 	case (u.DataRack != "" || u.RackLocal) && len(r.place(&anyRack, r.free)) > 0:
-		return Wait{WaitsForRack, -1}
+		return Wait{Reason: WaitsForRack, Behind: -1}
 	default:
-		return Wait{WaitsForCapacity, -1}
+		return Wait{Reason: WaitsForCapacity, Behind: -1}
 	}
 }
 
 // startLimit returns how many tasks of the unit may start: all if the unit may use the headroom,
 // otherwise those that fit into the accelerators in excess of it.
 func (r *round) startLimit(u *Unit) int {
-	if u.Priority == 0 || u.usesMinShare || u.Checkpointed || u.Need.GPU == 0 || r.snapshot.Headroom[u.Service] == 0 {
+	if u.Priority == 0 || u.usesMinShare || u.IgnoresHolds || u.Checkpointed || u.Need.GPU == 0 || r.snapshot.Headroom[u.Service] == 0 {
 		return u.Tasks
 	}
 	return int(min(int64(u.Tasks), max(0, r.spareGPU[u.Service])/u.Need.GPU))
@@ -486,6 +501,18 @@
 	}
 }
 
+// fitsTwiceDespiteHolds reports whether the free resources, including those that are kept for others, suffice
+// for the unit twice over, in any racks.
+func (r *round) fitsTwiceDespiteHolds(u *Unit) bool {
+	twice := *u
+	twice.DataRack, twice.RackLocal = "", false
+	twice.Tasks = 2
+	if u.Gang {
+		twice.Tasks = 2 * u.Tasks
+	}
+	return len(r.place(&twice, r.freeDespiteGangs())) == twice.Tasks
+}
+
 // freeDespiteGangs returns what is free on each worker if the claims of blocked gangs are ignored. Claims on
 // resources that runs are being stopped for still count.
 func (r *round) freeDespiteGangs() []Resources {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -227,3 +227,57 @@
 	small := Unit{Service: "s", Guaranteed: true, Accepted: 2, Deadline: 3000, Tasks: 1, Need: resourcesWithGPUs(2), Gang: true}
 	require.Empty(t, Decide(Snapshot{Workers: workers, Units: []Unit{small, large}}).Starts)
 }
+
+// Guards against a gang that waits without limit beside workers that are kept free for a wider one, and
+// against one that ends that claim too early: it must be held back, and the room must suffice twice over.
+func TestHeldBackGangUsesClaimedRoom(t *testing.T) {
+	wide := Unit{Service: "s", Priority: 1, Tasks: 8, Need: resourcesWithGPUs(8), Gang: true}
+	for _, c := range []struct {
+		tasks                   int
+		ignoresHolds            bool
+		wantHeldBack, wantStart bool
+	}{
+		{tasks: 2, wantHeldBack: true},
+		{tasks: 4},
+		{tasks: 2, ignoresHolds: true, wantStart: true},
+	} {
+		workers := makeWorkers(8, 8)
+		occupy(&workers[0], Run{Group: 1, Need: resourcesWithGPUs(8), Priority: 1, Protected: true})
+		narrow := Unit{Service: "s", Priority: 1, Deadline: 1, Tasks: c.tasks, Need: resourcesWithGPUs(8), Gang: true, IgnoresHolds: c.ignoresHolds}
+		plan := Decide(Snapshot{Workers: workers, Units: []Unit{wide, narrow}})
+		require.Equal(t, Wait{Reason: WaitsForCapacity, Behind: -1}, plan.Waits[0])
+		if c.wantStart {
+			require.Len(t, plan.Starts, 1)
+			require.Equal(t, 1, plan.Starts[0].Unit)
+			continue
+		}
+		require.Empty(t, plan.Starts)
+		require.Equal(t, Wait{Reason: WaitsBehindGang, HeldBack: c.wantHeldBack}, plan.Waits[1])
+	}
+}
+
+// Guards against a task of the least urgent queue that waits without limit for headroom, and against a held
+// back unit that uses up the headroom: it gets one task.
+func TestHeldBackUnitUsesHeadroomForOneTask(t *testing.T) {
+	s := Snapshot{Workers: makeWorkers(2, 2), Headroom: map[string]int64{"s": 16}, Units: []Unit{
+		{Service: "s", Priority: 2, Tasks: 5, Need: resourcesWithGPUs(4)},
+	}}
+	plan := Decide(s)
+	require.Empty(t, plan.Starts)
+	require.Equal(t, Wait{Reason: WaitsForHeadroom, Behind: -1, HeldBack: true}, plan.Waits[0])
+	s.Workers, s.Units[0].IgnoresHolds = makeWorkers(2, 2), true
+	require.Equal(t, 1, countStarts(Decide(s)))
+}
+
+// Guards against a held back unit that takes the resources for which a guaranteed unit has preempted runs.
+func TestHeldBackUnitLeavesReleasedResources(t *testing.T) {
+	workers := makeWorkers(2, 2)
+	for i := range workers {
+		workers[i].Free, workers[i].Releasing = workers[i].Free.Sub(resourcesWithGPUs(4)), resourcesWithGPUs(4)
+	}
+	plan := Decide(Snapshot{Workers: workers, Units: []Unit{
+		{Service: "s", Guaranteed: true, Tasks: 2, Need: resourcesWithGPUs(8), Gang: true},
+		{Service: "s", Priority: 2, Tasks: 1, Need: resourcesWithGPUs(1), IgnoresHolds: true},
+	}})
+	require.Empty(t, plan.Starts)
+}
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -18,10 +18,10 @@
 	priority int
 }
 
-// splitUnits returns the units of a round, with some split in two. If the queues of a priority use less
+// splitUnits returns the units of a round, with some split. If the queues of a priority use less
 // than their minimum share, as many tasks as fit into the rest of the share become a part of their own,
 // which is scheduled ahead of all priorities but 0. Gangs are not split, and tasks without accelerators always
-// fit into the share.
+// fit into the share. One task of a unit with IgnoresHolds that is not a gang becomes a part of its own as well.
 func (r *round) splitUnits() []unitPart {
 	remaining := r.remainingShares()
 	var order []unitPart
@@ -32,6 +32,15 @@
 	var all []unitPart
 	for _, part := range order {
 		u := &part.unit
+		if u.IgnoresHolds && !u.Gang {
+			one := part
+			one.unit.Tasks = 1
+			all = append(all, one)
+			u.IgnoresHolds = false
+			if u.Tasks--; u.Tasks == 0 {
+				continue
+			}
+		}
 		key := priorityKey{u.Service, u.Priority}
 		n := u.Tasks
 		if u.Need.GPU > 0 {
