Consider units whose shape another unit with its own limit could not place

What callers would see: a job waits beside free workers (LOST) for as long as a job with a limit of tasks per worker, with tasks of the same size in the same queue, has tasks left.

Cause: once a unit cannot be placed, the round skips later units of the same shape. The unit was recorded also when its own limit per worker, or its advised workers, kept it from being placed.

TestLimitPerWorkerDoesNotBlockUnitsOfSameShape: no task of the second unit starts before, two after. No log of the evidence shows it.

Change: only units whose shape decides are recorded.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -307,8 +307,7 @@
 	racks [][]int
 	// workerIndices is the indices of all workers.
 	workerIndices []int
-	// unplaceable is, for each shape, the last unit that could not be placed. A unit with limits of its
-	// own may replace one with fewer tasks by one with more.
+	// unplaceable is, for each shape, the last unit without limits of its own that could not be placed.
 	unplaceable map[shape]unplacedUnit
 	// withinShare is the priorities whose queues use no more than their minimum share. It does not
 	// contain priority 0, which has no minimum share.
@@ -329,9 +328,8 @@
 }
 
 // shape is the attributes of a unit that determine whether it can be placed. Once a unit could not be
-// placed, the round skips later units of the same shape that have no limits of their own (Allowed,
-// MaxPerWorker): gangs with at least as many tasks, and all units that are not gangs. The failed unit
-// itself is recorded even if it had such limits.
+// placed, the round skips later units of the same shape: gangs with at least as many tasks, and all units
+// that are not gangs. This does not apply to units with limits of their own (Allowed, MaxPerWorker).
 type shape struct {
 	service, label, dataRack string
 	need                     Resources
@@ -439,7 +437,9 @@
 	}
 	wait := r.explainWait(&rest)
 	r.plan.Waits[part.index] = wait
-	r.unplaceable[unitShape] = unplacedUnit{u.Tasks, wait}
+	if shapeDecides {
+		r.unplaceable[unitShape] = unplacedUnit{u.Tasks, wait}
+	}
 	if u.Gang && u.Timeliness != Overdue && r.blockedGangClaims < maxBlockedGangClaims {
 		r.claimForBlockedGang(part.index, &rest)
 	}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -281,3 +281,13 @@
 	}})
 	require.Empty(t, plan.Starts)
 }
+
+// Guards against a unit that is never considered because another one of the same shape could not be placed
+// under its own limit per worker.
+func TestLimitPerWorkerDoesNotBlockUnitsOfSameShape(t *testing.T) {
+	plan := Decide(Snapshot{Workers: makeWorkers(2, 2), Units: []Unit{
+		{Service: "s", Priority: 2, Tasks: 3, Need: resourcesWithGPUs(1), MaxPerWorker: 1, TasksByWorker: map[string]int{"w000": 1, "w001": 1}},
+		{Service: "s", Priority: 2, Deadline: 1, Tasks: 2, Need: resourcesWithGPUs(1)},
+	}})
+	require.Equal(t, 2, countStarts(plan))
+}
