Repeat the stop of a run in the next incarnation of its worker

What callers would see: a task runs twice (TWICE), after a worker that left a start unanswered has restarted.

Cause: a new incarnation of a worker does not know which runs were stopped in the one before, so starts without a response are stopped there again. A run that was being stopped at that moment was left out: its stop had been confirmed by the earlier incarnation, the next poll of the new one showed no run, and the task started elsewhere, while the late start could still arrive.

TestStoppedRunIsStoppedInNewIncarnation: 'run 1 started on w1 while run 2 is on w1' before, no violation after.

Change: the stop is sent again, and counts as confirmed only when the new incarnation has answered it.

--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -125,6 +125,10 @@
 	// flight or will be repeated, or the next poll decides whether they are adopted.
 	for _, r := range ws.runList() {
 		switch {
+		case r.unconfirmed > 0 && r.state == stopping:
+			// The new incarnation does not know of the stop and may receive an unconfirmed start.
+			r.confirmedAt = 0
+			l.sendStop(r)
 		case r.unconfirmed > 0 && r.state != adopting:
 			// The new incarnation may receive, or may have received, an unconfirmed start.
 			l.stopRun(r, "worker started again")
--- a/internal/controller/takeover_test.go
+++ b/internal/controller/takeover_test.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -8,6 +10,7 @@
 
 	"github.com/oleanderbend/oleanderbend/internal/batch"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
+	"github.com/oleanderbend/oleanderbend/internal/worker"
 	"github.com/oleanderbend/oleanderbend/internal/worker/workertest"
 )
 
@@ -107,3 +110,47 @@
 		require.Empty(t, c.fleet.Violations())
 	})
 }
+
+// failingPolls makes polls fail while it is set.
+type failingPolls struct {
+	*workertest.Fleet
+	failing atomic.Bool
+}
+
+func (p *failingPolls) Poll(ctx context.Context, to worker.Endpoint, command worker.PollCommand) (worker.PollResponse, error) {
+	if p.failing.Load() {
+		return worker.PollResponse{}, worker.ErrUnreachable
+	}
+	return p.Fleet.Poll(ctx, to, command)
+}
+
+// Guards against a task that runs twice: its run was stopped, the worker restarted before a poll showed the
+// end, and a start without a response was delivered to the new incarnation, which knew of no stop.
+func TestStoppedRunIsStoppedInNewIncarnation(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(time.Minute), func(c *cluster) {
+		polls := &failingPolls{Fleet: c.fleet}
+		c.workers = polls
+		info := c.addWorker("w1", "r1")
+		c.startInstance("a")
+		time.Sleep(4 * time.Second)
+		c.fleet.SetDelayedCommands(1, 9*time.Second)
+		c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 1, EstimateMS: 60000})
+		task := batch.TaskID{Job: jobID(1)}
+		time.Sleep(300 * time.Millisecond)
+		c.fleet.SetDelayedCommands(0, 0)
+		c.waitFor(2*time.Second, "started", func() bool { return c.fleet.Starts(task) == 1 })
+		time.Sleep(time.Second)
+		polls.failing.Store(true)
+		info.State, info.RemainingTime = worker.Draining, 10*time.Second
+		c.register(info)
+		c.waitFor(2*time.Second, "stopped", func() bool { return c.fleet.RunCount("w1") == 0 })
+		time.Sleep(100 * time.Millisecond)
+		c.addWorker("w2", "r1")
+		c.restartWorker("w1", 0)
+		time.Sleep(100 * time.Millisecond)
+		polls.failing.Store(false)
+		c.waitFor(4*time.Second, "started again", func() bool { return c.fleet.Starts(task) == 2 })
+		time.Sleep(10 * time.Second)
+		require.Empty(t, c.fleet.Violations())
+	})
+}
