Stop runs of a former leader only after their workers have reported them

What callers would see: a task of a gang runs twice (TWICE), after a change of the leader and a restart of a worker.

Cause: a new leader notes which starts of the former leader may still arrive when a worker does not report the run. A run that the new leader stopped before the first report, because its gang had ended or its job was cancelled, ended without that note, and the next incarnation of the worker could start it.

TestStartOfPreviousLeaderIsStoppedAfterGangEnded: 'run 1 started on w1 while run 2 is on w2' before, no violation after.

Change: a stop of a run that is being adopted waits until the worker reports the run. If the worker does not report it, the run ends as lost and its start is noted.

--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -89,7 +89,7 @@
 	// stopSentAt is when the last stop was sent; 0 for none. stopDueAt is when the run is stopped
 	// because another member of its gang has ended; 0 for never.
 	stopSentAt, stopDueAt boottime.Instant
-	// reason is why the run is being stopped, for the log.
+	// reason is why the run is being stopped, or is to be stopped once it has been adopted, for the log.
 	reason string
 	// checkpoint is the newest checkpoint that the worker reported.
 	checkpoint string
@@ -251,11 +251,15 @@
 	}
 }
 
-// stopRun stops a run, or prevents it from starting.
+// stopRun stops a run, or prevents it from starting. A run that is being adopted is stopped once its worker
+// has reported it. If the worker does not report it, the start may still arrive, and applyRunning sees to that.
 func (l *leader) stopRun(r *run, reason string) {
 	switch r.state {
 	case stopping:
 		return
+	case adopting:
+		r.reason = reason
+		return
 	case storing:
 		// The start has not been sent, and sendStart ignores a run that has ended.
 		l.endRun(r, endRejected, "")
@@ -346,7 +350,10 @@
 		r.speed = unknownSpeed
 		r.confirmedAt = now
 		l.logRun(r, "task adopted")
-		if !r.task.unit.job.active() {
+		switch {
+		case r.reason != "":
+			l.stopRun(r, r.reason)
+		case !r.task.unit.job.active():
 			l.stopRun(r, "job is over")
 		}
 	case starting:
--- a/internal/controller/takeover_test.go
+++ b/internal/controller/takeover_test.go
@@ -154,3 +154,33 @@
 		require.Empty(t, c.fleet.Violations())
 	})
 }
+
+// Guards against a gang that runs twice in part: a member that the new leader had not found yet was stopped
+// with its gang, and the start of the previous leader was delivered to the next incarnation of the worker.
+func TestStartOfPreviousLeaderIsStoppedAfterGangEnded(t *testing.T) {
+	workOf := func(batch.TaskID) workertest.Work {
+		return workertest.Work{Duration: time.Minute, GangSize: 2, GPU: 8}
+	}
+	inVirtualTime(t, 1, workOf, func(c *cluster) {
+		info := c.addWorker("w1", "r1")
+		c.addWorker("w2", "r1")
+		a := c.startInstance("a")
+		time.Sleep(4 * time.Second)
+		c.fleet.SetDelayedCommands(1, 12*time.Second)
+		c.submit(jobID(1), batch.Step{Count: 2, CPU: 1000, GPU: 8, Gang: true, EstimateMS: 60000})
+		time.Sleep(200 * time.Millisecond)
+		a.kill()
+		c.fleet.SetDelayedCommands(0, 0)
+		c.fleet.SetPartitioned("w1", true)
+		c.startInstance("b")
+		time.Sleep(2500 * time.Millisecond)
+		info.State, info.RemainingTime = worker.Draining, time.Minute
+		c.register(info)
+		c.addWorker("w3", "r1")
+		c.fleet.SetPartitioned("w1", false)
+		c.waitFor(4*time.Second, "started elsewhere", func() bool { return c.fleet.RunCount("w2")+c.fleet.RunCount("w3") == 2 })
+		c.restartWorker("w1", 0)
+		time.Sleep(12 * time.Second)
+		require.Empty(t, c.fleet.Violations())
+	})
+}
