Stop the rest of an ended gang after a takeover

What callers would see: a job with a gang runs for ever (LOST), if the workers of the other members do not end these by themselves.

Cause: when a member of a gang has ended, the leader stores its end and stops the other members after a short delay. A leader that loses its leadership in between leaves them running, and the next one adopts them and waits.

TestRestOfEndedGangIsStoppedAfterTakeover: 'not within 10s' before, completed after.

Change: loadJob stops the members of a gang that has a member without a run that is not done.

--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -148,6 +148,7 @@
 	switch {
 	case !j.phase.Final():
 		l.createDueOccurrences(j)
+		l.stopEndedGangs(j)
 		// The previous leader may have stored the failures without the phase that follows from them.
 		if t := j.exhaustedTask(); t != nil {
 			l.failJob(j, t)
@@ -161,6 +162,22 @@
 	l.finishIfDone(j)
 }
 
+// stopEndedGangs stops the remaining members of gangs of which a member has ended without completing the
+// gang's work. The previous leader may not have stopped them.
+func (l *leader) stopEndedGangs(j *job) {
+	for _, u := range j.units {
+		if !u.gang() || u.idle() {
+			continue
+		}
+		for _, t := range u.tasks {
+			if t.run == nil && !t.rec.Done {
+				l.stopGang(u, endLost)
+				break
+			}
+		}
+	}
+}
+
 // taskRecords are the stored tasks of a job.
 type taskRecords map[batch.TaskID]batch.TaskRecord
 
--- a/internal/controller/takeover_test.go
+++ b/internal/controller/takeover_test.go
@@ -184,3 +184,32 @@
 		require.Empty(t, c.fleet.Violations())
 	})
 }
+
+// Guards against a gang that never ends: one member had ended under the previous leader, which did not get to
+// stop the others, and the next leader waited for those.
+func TestRestOfEndedGangIsStoppedAfterTakeover(t *testing.T) {
+	workOf := func(batch.TaskID) workertest.Work {
+		return workertest.Work{Duration: time.Second, GangSize: 2, GPU: 8}
+	}
+	inVirtualTime(t, 1, workOf, func(c *cluster) {
+		c.submit(jobID(1), batch.Step{Count: 2, CPU: 1000, GPU: 8, Gang: true, EstimateMS: 1000})
+		for n, id := range []string{"w1", "w2"} {
+			info := c.addWorker(id, "r1")
+			task := batch.TaskID{Job: jobID(1), Index: n}
+			require.NoError(t, c.fleet.Start(context.Background(), worker.Endpoint{ID: id}, worker.StartCommand{
+				Run: worker.Run{Task: task, Number: 1}, LeaseExpiryMS: 6000,
+			}))
+			record := batch.TaskRecord{Run: 1, Worker: id, Address: info.Address, WorkerStartedAtMS: info.StartedAtMS}
+			if id == "w2" {
+				record = batch.TaskRecord{Run: 1}
+			}
+			encoded, err := batch.EncodeTask(task, record)
+			require.NoError(t, err)
+			c.write(batch.TasksTopic, encoded)
+		}
+		c.restartWorker("w2", 0)
+		c.startInstance("a")
+		c.waitFor(10*time.Second, "completed", func() bool { return c.phase(jobID(1)) == batch.Completed })
+		require.Empty(t, c.fleet.Violations())
+	})
+}
