Let tests set the time of day of an instance

The controller and the intake read the time of day through a setting now, which defaults to time.Now. Tests in virtual time can make the clock of one instance wrong or let it jump; until now, all instances of a test had the same time. No change of behaviour.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -47,6 +47,19 @@
 	advisor  worker.Advisor
 	machines worker.Machines
 	waves    []worker.Wave
+	// clockErrors is by how much the time of day of each instance is wrong, by the instance's name.
+	clockErrors sync.Map
+}
+
+// setClockError makes the time of day of an instance wrong, ahead if the error is positive.
+func (c *cluster) setClockError(name string, by time.Duration) { c.clockErrors.Store(name, by) }
+
+// timeOfDay returns the time of day of an instance.
+func (c *cluster) timeOfDay(name string) time.Time {
+	if by, ok := c.clockErrors.Load(name); ok {
+		return time.Now().Add(by.(time.Duration))
+	}
+	return time.Now()
 }
 
 // instance is one incarnation of an instance.
@@ -98,15 +111,16 @@
 	})
 	set := metrics.NewSet()
 	writer := ledger.NewWriter(ledger.WriterConfig{Log: client, Topic: batch.JobsTopic, Producer: incarnation, Epoch: 1, Logger: logger})
-	i.intake = intake.New(intake.Config{Writer: writer, ConfigAge: jobs, JobsAge: jobs, Metrics: set, Logger: logger})
+	timeOfDay := func() time.Time { return c.timeOfDay(name) }
+	i.intake = intake.New(intake.Config{Writer: writer, ConfigAge: jobs, JobsAge: jobs, TimeOfDay: timeOfDay, Metrics: set, Logger: logger})
 	i.intake.SetConfig(c.config)
 	control = New(Config{
 		Log: client, Workers: c.workers, Advisor: c.advisor, Machines: c.machines, Jobs: i.intake, JobsPosition: jobs.Position,
 		OperatorConfig: i.intake.CurrentConfig, Waves: func() []worker.Wave { return c.waves },
 		WorkersTopic: workersTopic, DecodeWorker: decodeWorker, Holder: name,
 		StatusTopic: statusTopic, WaveStatus: waveStatus,
-		Timing:  Timing{MaxLease: 6 * time.Second, FinishedJobRetention: time.Minute, HeartbeatInterval: 1500 * time.Millisecond, HolderChangeInterval: 3 * time.Second},
-		Metrics: set, Logger: logger,
+		Timing:    Timing{MaxLease: 6 * time.Second, FinishedJobRetention: time.Minute, HeartbeatInterval: 1500 * time.Millisecond, HolderChangeInterval: 3 * time.Second},
+		TimeOfDay: timeOfDay, Metrics: set, Logger: logger,
 	})
 	i.elector = election.New(election.Config{
 		Log: client, Identity: election.Identity{Instance: name, Incarnation: incarnation},
@@ -182,12 +196,15 @@
 	c.submitJob(&batch.Job{ID: id, Steps: steps})
 }
 
-func (c *cluster) submitJob(j *batch.Job) {
+func (c *cluster) submitJob(j *batch.Job) { c.write(batch.JobsTopic, c.jobRecord(j, 0)) }
+
+// jobRecord returns the record of a job that is accepted now, by a time of day with the given error.
+func (c *cluster) jobRecord(j *batch.Job, clockError time.Duration) ledger.Record {
 	j.Queue, j.Org, j.Rules = "q", "o", intake.QueueRulesOf(&testConfig.Queues[0])
-	j.AcceptedMS = time.Now().UnixMilli()
+	j.AcceptedMS = time.Now().Add(clockError).UnixMilli()
 	record, err := batch.EncodeJob(j)
 	require.NoError(c.t, err)
-	c.write(batch.JobsTopic, record)
+	return record
 }
 
 // phase returns the stored phase of a job.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -63,10 +63,12 @@
 	StatusTopic string
 	WaveStatus  func(wave int64, completed bool) ledger.Record
 	// Holder is the name of this instance in maintenance requests for machines.
-	Holder  string
-	Timing  Timing
-	Metrics *metrics.Set
-	Logger  *log.Logger
+	Holder string
+	Timing Timing
+	// TimeOfDay reads the time of day of this instance, which may be wrong and may jump. Nil means time.Now.
+	TimeOfDay func() time.Time
+	Metrics   *metrics.Set
+	Logger    *log.Logger
 }
 
 // Controller schedules jobs while this instance is the leader.
@@ -90,6 +92,9 @@
 // New returns a controller. Lead runs it for one leadership term.
 func New(cfg Config) *Controller {
 	set := cfg.Metrics
+	if cfg.TimeOfDay == nil {
+		cfg.TimeOfDay = time.Now
+	}
 	return &Controller{
 		cfg: cfg, changed: make(map[string]bool), wake: make(chan struct{}, 1),
 		metrics: controllerMetrics{
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -178,7 +178,7 @@
 
 // createDueOccurrences creates the units of the occurrences that are due.
 func (l *leader) createDueOccurrences(j *job) {
-	now := time.Now().UnixMilli()
+	now := l.c.cfg.TimeOfDay().UnixMilli()
 	for j.createdOccurrences < j.spec.Occurrences() {
 		due := j.spec.StartAtMS + int64(j.createdOccurrences)*j.spec.IntervalMS + occurrenceDelay.Milliseconds()
 		if j.spec.Repeat > 0 && now < due {
@@ -306,7 +306,7 @@
 func (l *leader) setPhase(j *job, phase batch.Phase, onStored func()) {
 	j.phase = phase
 	if phase.Final() {
-		j.finalAtMS = time.Now().UnixMilli()
+		j.finalAtMS = l.c.cfg.TimeOfDay().UnixMilli()
 	}
 	record, err := batch.EncodePhase(j.spec.ID, batch.PhaseRecord{Phase: phase, AtMS: j.finalAtMS})
 	if err != nil {
@@ -397,7 +397,7 @@
 	for _, ws := range l.workers {
 		maps.DeleteFunc(ws.unconfirmedStarts, func(_ worker.Run, until boottime.Instant) bool { return now > until })
 	}
-	finalBefore := time.Now().Add(-retentionFactor * l.c.cfg.Timing.FinishedJobRetention).UnixMilli()
+	finalBefore := l.c.cfg.TimeOfDay().Add(-retentionFactor * l.c.cfg.Timing.FinishedJobRetention).UnixMilli()
 	for id, j := range l.jobs {
 		if !j.finalStored || j.hasRuns() {
 			continue
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -181,7 +181,7 @@
 		WaitsForRack: now.Sub(u.readySince) < rackWait,
 	}
 	d.JobStarted = u.job.occurrenceStarted(u.occurrence)
-	d.Timeliness, d.Deadline = u.timeliness()
+	d.Timeliness, d.Deadline = l.timeliness(u)
 	if u.step.MaxPerWorker > 0 {
 		d.TasksByWorker = make(map[string]int)
 		for _, t := range u.tasks {
@@ -231,7 +231,7 @@
 
 // timeliness returns whether the unit, if started now, can meet the objective of its job (on time,
 // late or overdue), and the deadline in Unix milliseconds. Long-running units are always on time.
-func (u *unit) timeliness() (planner.Timeliness, int64) {
+func (l *leader) timeliness(u *unit) (planner.Timeliness, int64) {
 	j := u.job
 	start := j.spec.AcceptedMS
 	if j.spec.Repeat > 0 {
@@ -239,7 +239,7 @@
 	}
 	chain := longestChain(j.spec.Steps, -1)
 	objective := int64(j.spec.Rules.DurationFactor*float64(chain)) + j.spec.Rules.DurationOffsetMS
-	finish := time.Now().UnixMilli() + longestChain(j.spec.Steps, u.index)
+	finish := l.c.cfg.TimeOfDay().UnixMilli() + longestChain(j.spec.Steps, u.index)
 	switch {
 	case u.step.LongRunning || finish <= start+objective:
 		return planner.OnTime, start + objective
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -68,7 +68,7 @@
 	configAge AgeReporter
 	jobsAge   AgeReporter
 	logger    *log.Logger
-	now       func() time.Time
+	timeOfDay func() time.Time
 
 	mu            sync.RWMutex
 	currentConfig *opconfig.Config
@@ -90,14 +90,19 @@
 	Writer ledger.Storer
 	// ConfigAge and JobsAge report the age of the local copies of the configuration and of the jobs.
 	ConfigAge, JobsAge AgeReporter
-	Metrics            *metrics.Set
-	Logger             *log.Logger
+	// TimeOfDay reads the time of day of this instance, which may be wrong and may jump. Nil means time.Now.
+	TimeOfDay func() time.Time
+	Metrics   *metrics.Set
+	Logger    *log.Logger
 }
 
 // New returns a service that rejects requests until SetConfig is called.
 func New(cfg Config) *Service {
+	if cfg.TimeOfDay == nil {
+		cfg.TimeOfDay = time.Now
+	}
 	return &Service{
-		writer: cfg.Writer, configAge: cfg.ConfigAge, jobsAge: cfg.JobsAge, logger: cfg.Logger, now: time.Now,
+		writer: cfg.Writer, configAge: cfg.ConfigAge, jobsAge: cfg.JobsAge, logger: cfg.Logger, timeOfDay: cfg.TimeOfDay,
 		jobs:     batch.NewTable(),
 		accepted: cfg.Metrics.GetOrCreateCounter(`oleanderbend_submits_total{outcome="accepted"}`),
 		rejected: cfg.Metrics.GetOrCreateCounter(`oleanderbend_submits_total{outcome="refused"}`),
@@ -257,7 +262,7 @@
 	}
 	job.Queue, job.Org = access.Queue.Name, access.Org
 	job.Rules = QueueRulesOf(access.Queue)
-	job.AcceptedMS = s.now().UnixMilli()
+	job.AcceptedMS = s.timeOfDay().UnixMilli()
 	record, err := batch.EncodeJob(job)
 	if err != nil {
 		return err
