Order jobs by their records in the log, not by the acceptors' clocks

What callers saw or would see: a job that runs under its organisation's guarantee is preempted by a later job of the same organisation, and its work is lost, when the later one was accepted by an instance whose clock is behind. The same happens to jobs that were accepted in the same millisecond: they preempt each other in turn.

Cause: guarantees went to jobs in the order of AcceptedMS, which each accepting instance reads from its own clock. A wrong value stays in the record, so the order stays wrong after the clock is right again. Jobs with equal values came in the order of a map, which differs in each planning round.

Change: the order of acceptance is the order of the jobs' records in the log, for guarantees, for the planner and for calls of the advice service. All leaders agree on it, apart from a job whose submit was repeated: an instance that starts later knows only its last record. The format of the records does not change.

--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -123,6 +123,9 @@
 	Job       *Job
 	Cancelled bool
 	Phase     PhaseRecord
+	// Offset is the offset of the first record of the job that the table got. It gives the order in which
+	// the jobs were stored, which does not depend on the clocks of the instances that accepted them.
+	Offset int64
 }
 
 // VisiblePhase returns the phase that callers see: a job with a stored cancellation is shown as
@@ -172,10 +175,10 @@
 // phase or sets it in part, and any key with a "/" may create an entry without a description, which Get
 // and ForEach skip.
 func (t *Table) Apply(u ledger.Update) (changed []string, errs []error) {
+	old := t.jobs
 	if u.Reset {
 		// The update has the latest record of every key. A job that is missing was deleted by a
 		// leader, so all earlier jobs count as changed.
-		old := t.jobs
 		t.jobs = make(map[string]*JobState, len(u.Entries))
 		for id := range old {
 			changed = append(changed, id)
@@ -189,9 +192,22 @@
 		}
 		changed = append(changed, id)
 	}
+	if u.Reset {
+		t.keepFirstOffsets(old)
+	}
 	return changed, errs
 }
 
+// keepFirstOffsets keeps the offsets of an earlier copy of the table. The latest record of a job, which
+// the new copy was read from, may be a repeated submit.
+func (t *Table) keepFirstOffsets(earlier map[string]*JobState) {
+	for id, s := range t.jobs {
+		if known := earlier[id]; known != nil && known.Job != nil {
+			s.Offset = known.Offset
+		}
+	}
+}
+
 func (t *Table) applyEntry(e ledger.Entry) (string, error) {
 	prefix, id, found := strings.Cut(e.Key, "/")
 	if !found {
@@ -204,7 +220,7 @@
 	}
 	switch prefix + "/" {
 	case jobPrefix:
-		return id, t.applyJob(id, s, e.Value)
+		return id, t.applyJob(id, s, e)
 	case cancelPrefix:
 		s.Cancelled = len(e.Value) > 0
 	case phasePrefix:
@@ -220,15 +236,18 @@
 
 // applyJob stores the first description of a job. A repeated submit does not change it; only the
 // record of a closed job (see EncodeClosedJob), which has no steps, replaces it.
-func (t *Table) applyJob(id string, s *JobState, value []byte) error {
-	if len(value) == 0 {
+func (t *Table) applyJob(id string, s *JobState, e ledger.Entry) error {
+	if len(e.Value) == 0 {
 		delete(t.jobs, id)
 		return nil
 	}
 	var j Job
-	if err := json.Unmarshal(value, &j); err != nil {
+	if err := json.Unmarshal(e.Value, &j); err != nil {
 		return eris.Wrapf(err, "decode job %s", id)
 	}
+	if s.Job == nil {
+		s.Offset = e.Offset
+	}
 	if s.Job == nil || len(j.Steps) == 0 {
 		s.Job = &j
 	}
--- a/internal/batch/record_test.go
+++ b/internal/batch/record_test.go
@@ -71,3 +71,18 @@
 		require.ErrorIs(t, err, ErrInvalid, bad)
 	}
 }
+
+// Guards against a job that loses its place in the order of the jobs when its submit is repeated and the
+// latest records are read again.
+func TestRepeatedSubmitDoesNotMoveJob(t *testing.T) {
+	table := NewTable()
+	for _, reset := range []bool{false, true} {
+		offset := int64(3)
+		if reset {
+			offset = 7
+		}
+		_, errs := table.Apply(ledger.Update{Reset: reset, Entries: []ledger.Entry{{Record: jobRecord(t, ""), Offset: offset}}})
+		require.Empty(t, errs)
+		require.EqualValues(t, 3, table.Get("1").Offset)
+	}
+}
--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -100,7 +100,7 @@
 func higherPriority(a, b *unit) bool {
 	return cmp.Or(
 		cmp.Compare(a.job.spec.Rules.Priority, b.job.spec.Rules.Priority),
-		cmp.Compare(a.job.spec.AcceptedMS, b.job.spec.AcceptedMS),
+		cmp.Compare(a.job.order, b.job.order),
 		cmp.Compare(a.id, b.id),
 	) < 0
 }
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -198,6 +198,11 @@
 
 func (c *cluster) submitJob(j *batch.Job) { c.write(batch.JobsTopic, c.jobRecord(j, 0)) }
 
+// submitWithClockError stores a job as an instance does whose time of day is wrong.
+func (c *cluster) submitWithClockError(by time.Duration, id string, steps ...batch.Step) {
+	c.write(batch.JobsTopic, c.jobRecord(&batch.Job{ID: id, Steps: steps}, by))
+}
+
 // jobRecord returns the record of a job that is accepted now, by a time of day with the given error.
 func (c *cluster) jobRecord(j *batch.Job, clockError time.Duration) ledger.Record {
 	j.Queue, j.Org, j.Rules = "q", "o", intake.QueueRulesOf(&testConfig.Queues[0])
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -25,6 +25,8 @@
 // job is a job known to the leader.
 type job struct {
 	spec *batch.Job
+	// order is the position of the job in the order in which the jobs were accepted.
+	order int64
 	// phase is the phase that is stored or being stored. finalAtMS is when a final phase was
 	// entered, in Unix milliseconds.
 	phase     batch.Phase
@@ -129,7 +131,7 @@
 	// change.
 	spec := *state.Job
 	j := &job{
-		spec: &spec, phase: state.Phase.Phase, finalAtMS: state.Phase.AtMS, cancelled: state.Cancelled,
+		spec: &spec, order: state.Offset, phase: state.Phase.Phase, finalAtMS: state.Phase.AtMS, cancelled: state.Cancelled,
 		storedTasks: records,
 	}
 	if j.phase == "" {
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -174,7 +175,7 @@
 func (l *leader) describeUnit(u *unit, waiting int, now boottime.Instant, guaranteed bool) (planner.Unit, bool) {
 	j := u.job
 	d := planner.Unit{
-		Service: j.spec.Rules.Service, Priority: j.spec.Rules.Priority, Guaranteed: guaranteed, Accepted: j.spec.AcceptedMS,
+		Service: j.spec.Rules.Service, Priority: j.spec.Rules.Priority, Guaranteed: guaranteed, Accepted: j.order,
 		Tasks: waiting, Need: needOf(u.step), Work: u.workPerSecond() * float64(u.step.EstimateMS) / 1000 * float64(waiting), Gang: u.gang(), RackLocal: u.step.RackLocal && u.step.Count > 1,
 		DataRack: u.step.DataRack, Label: u.step.Label, MaxPerWorker: u.step.MaxPerWorker,
 		Checkpointed: u.step.Checkpoints, Filler: u.step.Filler, Serving: u.step.TailLatencyTargetMS > 0,
@@ -289,7 +290,7 @@
 			jobs = append(jobs, j)
 		}
 	}
-	slices.SortFunc(jobs, func(a, b *job) int { return int(a.spec.AcceptedMS - b.spec.AcceptedMS) })
+	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Compare(a.order, b.order) })
 	unused := make(map[string]int64)
 	for i := range config.Orgs {
 		unused[config.Orgs[i].Name] = config.Orgs[i].GuaranteedGPU
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -105,7 +105,7 @@
 	Timeliness Timeliness
 	// Deadline is the last criterion in the order of units without a guarantee, in Unix milliseconds.
 	Deadline int64
-	// Accepted is when the job was accepted, in Unix milliseconds.
+	// Accepted is the position of the job in the order in which the jobs were accepted.
 	Accepted int64
 	// JobStarted means that tasks of the same occurrence of the job are done or have a run. Such jobs
 	// go first: a job has value only when it is complete, so under overload it is better to finish a
