Take the age of a job from its record's arrival, not from two clocks

What callers saw or would see: a job waits behind all later ones, does not preempt, and as a gang sets no workers aside, for as long as it lives, because the instance that accepted it had a clock that was behind. With a clock that was ahead, it waits behind later jobs for as long as the error was. When the leader's clock jumps forward, this happens to all jobs that wait.

Cause: whether a job is late or overdue, and its place by deadline, came from the leader's time of day minus AcceptedMS, the time of day of the accepting instance. A wrong AcceptedMS stays in the record.

Change: the local copy of the jobs notes on the boottime clock when it first reads the record of a job, less the time since AcceptedMS if that is plausible (0 to 5 s). All instances follow the topic, so a new leader has these times unless its process began after the job was stored. In that case the age still comes from the two clocks, but an AcceptedMS before that of an earlier record is raised to it. The format of the records does not change.

What remains: after a restart, jobs behind one that was accepted by a clock that was ahead seem younger by at most that error, and all earlier jobs seem older while the clock of the leader is ahead.

--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -1,11 +1,15 @@
 package batch
 
 import (
+	"cmp"
 	"encoding/json"
+	"slices"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/oleanderbend/oleanderbend/internal/boottime"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
 )
 
@@ -126,6 +130,10 @@
 	// Offset is the offset of the first record of the job that the table got. It gives the order in which
 	// the jobs were stored, which does not depend on the clocks of the instances that accepted them.
 	Offset int64
+	// AcceptedAt is when the job was accepted, on this instance's boottime clock. It is 0 if the instance
+	// does not know: the record was stored before the instance began to follow the topic. Job.AcceptedMS
+	// is then the best estimate.
+	AcceptedAt boottime.Instant
 }
 
 // VisiblePhase returns the phase that callers see: a job with a stored cancellation is shown as
@@ -143,13 +151,21 @@
 	return s.Phase.Phase
 }
 
+// maxRecordDelay is the longest plausible time from the acceptance of a job until an instance reads its
+// record. Callers wait 3 s for the record to be stored.
+const maxRecordDelay = 5 * time.Second
+
 // Table is a local copy of the state in JobsTopic. It is not safe for concurrent use.
 type Table struct {
 	jobs map[string]*JobState
+	// timeOfDay reads the time of day of this instance.
+	timeOfDay func() time.Time
 }
 
-// NewTable returns an empty table.
-func NewTable() *Table { return &Table{jobs: make(map[string]*JobState)} }
+// NewTable returns an empty table of an instance with the given time of day.
+func NewTable(timeOfDay func() time.Time) *Table {
+	return &Table{jobs: make(map[string]*JobState), timeOfDay: timeOfDay}
+}
 
 // Get returns the state of a job, or nil if the table does not contain the job.
 func (t *Table) Get(id string) *JobState {
@@ -185,7 +201,7 @@
 		}
 	}
 	for _, entry := range u.Entries {
-		id, err := t.applyEntry(entry)
+		id, err := t.applyEntry(entry, !u.Reset)
 		if err != nil {
 			errs = append(errs, err)
 			continue
@@ -193,22 +209,38 @@
 		changed = append(changed, id)
 	}
 	if u.Reset {
-		t.keepFirstOffsets(old)
+		t.keepAcceptance(old)
+		t.raiseAcceptanceTimes()
 	}
 	return changed, errs
 }
 
-// keepFirstOffsets keeps the offsets of an earlier copy of the table. The latest record of a job, which
-// the new copy was read from, may be a repeated submit.
-func (t *Table) keepFirstOffsets(earlier map[string]*JobState) {
+// keepAcceptance keeps the offsets and acceptance times of an earlier copy of the table. The latest record
+// of a job, which the new copy was read from, may be a repeated submit.
+func (t *Table) keepAcceptance(earlier map[string]*JobState) {
 	for id, s := range t.jobs {
 		if known := earlier[id]; known != nil && known.Job != nil {
-			s.Offset = known.Offset
+			s.Offset, s.AcceptedAt = known.Offset, known.AcceptedAt
 		}
 	}
 }
 
-func (t *Table) applyEntry(e ledger.Entry) (string, error) {
+// raiseAcceptanceTimes raises the acceptance times that are before those of earlier records: the clock of
+// the accepting instance was behind. If the clock of an earlier record was ahead instead, a job seems
+// younger than it is, by at most that error. That does less harm than a job that seems older, which would
+// count as overdue for good.
+func (t *Table) raiseAcceptanceTimes() {
+	var states []*JobState
+	t.ForEach(func(s *JobState) { states = append(states, s) })
+	slices.SortFunc(states, func(a, b *JobState) int { return cmp.Compare(a.Offset, b.Offset) })
+	latest := int64(0)
+	for _, s := range states {
+		latest = max(latest, s.Job.AcceptedMS)
+		s.Job.AcceptedMS = latest
+	}
+}
+
+func (t *Table) applyEntry(e ledger.Entry, live bool) (string, error) {
 	prefix, id, found := strings.Cut(e.Key, "/")
 	if !found {
 		return "", eris.Errorf("batch: invalid key %q", e.Key)
@@ -220,7 +252,7 @@
 	}
 	switch prefix + "/" {
 	case jobPrefix:
-		return id, t.applyJob(id, s, e)
+		return id, t.applyJob(id, s, e, live)
 	case cancelPrefix:
 		s.Cancelled = len(e.Value) > 0
 	case phasePrefix:
@@ -234,9 +266,20 @@
 	return id, nil
 }
 
+// acceptedAt returns when a job whose record has just been read was accepted. A time that the record
+// cannot have taken to get here shows that the clock of this or the accepting instance is wrong.
+func (t *Table) acceptedAt(j *Job) boottime.Instant {
+	delay := time.Duration(t.timeOfDay().UnixMilli()-j.AcceptedMS) * time.Millisecond
+	if delay < 0 || delay > maxRecordDelay {
+		delay = 0
+	}
+	return boottime.Now().Add(-delay)
+}
+
 // applyJob stores the first description of a job. A repeated submit does not change it; only the
-// record of a closed job (see EncodeClosedJob), which has no steps, replaces it.
-func (t *Table) applyJob(id string, s *JobState, e ledger.Entry) error {
+// record of a closed job (see EncodeClosedJob), which has no steps, replaces it. live means that the record
+// has just been stored.
+func (t *Table) applyJob(id string, s *JobState, e ledger.Entry, live bool) error {
 	if len(e.Value) == 0 {
 		delete(t.jobs, id)
 		return nil
@@ -247,6 +290,9 @@
 	}
 	if s.Job == nil {
 		s.Offset = e.Offset
+		if live {
+			s.AcceptedAt = t.acceptedAt(&j)
+		}
 	}
 	if s.Job == nil || len(j.Steps) == 0 {
 		s.Job = &j
--- a/internal/batch/record_test.go
+++ b/internal/batch/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -28,7 +29,7 @@
 // Guards against a repeated submit that changes a job, and against a closed job that keeps its
 // description in memory or is queued again by a late record of its submission.
 func TestTableKeepsFirstDescriptionUntilJobIsClosed(t *testing.T) {
-	table := NewTable()
+	table := NewTable(time.Now)
 	apply(t, table, jobRecord(t, "first"), jobRecord(t, "second"))
 	require.Equal(t, "first", table.Get("1").Job.Spec)
 	phase, err := EncodePhase("1", PhaseRecord{Phase: Completed})
@@ -48,7 +49,7 @@
 // Guards against a wrong visible phase: a cancelled job must be shown as cancelled before the
 // cancellation is carried out, but a job that has completed must stay completed.
 func TestVisiblePhase(t *testing.T) {
-	table := NewTable()
+	table := NewTable(time.Now)
 	apply(t, table, jobRecord(t, ""))
 	require.Equal(t, Queued, table.Get("1").VisiblePhase())
 	apply(t, table, EncodeCancellation("1"))
@@ -75,7 +76,7 @@
 // Guards against a job that loses its place in the order of the jobs when its submit is repeated and the
 // latest records are read again.
 func TestRepeatedSubmitDoesNotMoveJob(t *testing.T) {
-	table := NewTable()
+	table := NewTable(time.Now)
 	for _, reset := range []bool{false, true} {
 		offset := int64(3)
 		if reset {
--- a/internal/controller/clock_test.go
+++ b/internal/controller/clock_test.go
@@ -14,6 +14,9 @@
 // of these tests are overdue.
 const clockError = time.Minute
 
+// wholeFleet is a step that needs both workers of a test, which is more than the organisation's guarantee.
+var wholeFleet = batch.Step{Count: 16, CPU: 1000, GPU: 1, EstimateMS: 2000}
+
 // firstTask returns the first task of a job.
 func firstTask(job int) batch.TaskID { return batch.TaskID{Job: jobID(job)} }
 
@@ -80,3 +83,77 @@
 		}
 	})
 }
+
+// submitBehindRunningJob starts a job that uses the whole fleet and queues two more behind it, the first of
+// them with the given error of the clock that it was accepted by. It returns once the last one is known to
+// the leader.
+func (c *cluster) submitBehindRunningJob(clockError time.Duration) {
+	c.t.Helper()
+	c.submit(jobID(1), wholeFleet)
+	c.waitFor(6*time.Second, "started", func() bool { return c.fleet.Starts(firstTask(1)) == 1 })
+	c.submitWithClockError(clockError, jobID(2), wholeFleet)
+	time.Sleep(time.Second)
+	c.submit(jobID(3), wholeFleet)
+	time.Sleep(time.Second)
+}
+
+// requireSecondStartsBeforeThird waits until the third job starts and checks that the second one did.
+func (c *cluster) requireSecondStartsBeforeThird() {
+	c.t.Helper()
+	c.waitFor(40*time.Second, "started", func() bool { return c.fleet.Starts(firstTask(3)) > 0 })
+	require.Positive(c.t, c.fleet.Starts(firstTask(2)))
+}
+
+// Guards against a job that counts as overdue for good, and is scheduled after all jobs that come later,
+// because it was accepted by an instance whose clock was behind.
+func TestJobAcceptedByClockThatWasBehindIsNotOverdue(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(4*time.Second), func(c *cluster) {
+		c.addWorker("w1", "r1")
+		c.addWorker("w2", "r1")
+		c.startInstance("a")
+		c.submitBehindRunningJob(-clockError)
+		c.requireSecondStartsBeforeThird()
+	})
+}
+
+// As the test before, after all instances were killed: the next leader has not seen when the job came.
+func TestJobAcceptedByClockThatWasBehindIsNotOverdueAfterRestart(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(10*time.Second), func(c *cluster) {
+		c.addWorker("w1", "r1")
+		c.addWorker("w2", "r1")
+		a := c.startInstance("a")
+		c.submitBehindRunningJob(-clockError)
+		a.kill()
+		c.startInstance("a")
+		c.requireSecondStartsBeforeThird()
+	})
+}
+
+// Guards against a job that is scheduled after later ones for as long as its wrong acceptance time is in
+// the future, because it was accepted by an instance whose clock was ahead.
+func TestJobAcceptedByClockThatWasAheadKeepsItsTurn(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(4*time.Second), func(c *cluster) {
+		c.addWorker("w1", "r1")
+		c.addWorker("w2", "r1")
+		c.startInstance("a")
+		c.submitBehindRunningJob(clockError)
+		c.requireSecondStartsBeforeThird()
+	})
+}
+
+// Guards against a job that is scheduled after later ones because the leader's clock jumps forward and all jobs
+// accepted until then seem overdue.
+func TestJobIsNotOverdueWhenLeadersClockJumpsForward(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(4*time.Second), func(c *cluster) {
+		c.addWorker("w1", "r1")
+		c.addWorker("w2", "r1")
+		c.startInstance("a")
+		c.submit(jobID(1), wholeFleet)
+		c.waitFor(6*time.Second, "started", func() bool { return c.fleet.Starts(firstTask(1)) == 1 })
+		c.submit(jobID(2), wholeFleet)
+		time.Sleep(time.Second)
+		c.setClockError("a", clockError)
+		c.submitWithClockError(clockError, jobID(3), wholeFleet)
+		c.requireSecondStartsBeforeThird()
+	})
+}
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -27,6 +27,8 @@
 	spec *batch.Job
 	// order is the position of the job in the order in which the jobs were accepted.
 	order int64
+	// acceptedAt is when the job was accepted; 0 if not known, see batch.JobState.
+	acceptedAt boottime.Instant
 	// phase is the phase that is stored or being stored. finalAtMS is when a final phase was
 	// entered, in Unix milliseconds.
 	phase     batch.Phase
@@ -131,7 +133,7 @@
 	// change.
 	spec := *state.Job
 	j := &job{
-		spec: &spec, order: state.Offset, phase: state.Phase.Phase, finalAtMS: state.Phase.AtMS, cancelled: state.Cancelled,
+		spec: &spec, order: state.Offset, acceptedAt: state.AcceptedAt, phase: state.Phase.Phase, finalAtMS: state.Phase.AtMS, cancelled: state.Cancelled,
 		storedTasks: records,
 	}
 	if j.phase == "" {
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -182,7 +182,7 @@
 		WaitsForRack: now.Sub(u.readySince) < rackWait,
 	}
 	d.JobStarted = u.job.occurrenceStarted(u.occurrence)
-	d.Timeliness, d.Deadline = l.timeliness(u)
+	d.Timeliness, d.Deadline = l.timeliness(u, now)
 	if u.step.MaxPerWorker > 0 {
 		d.TasksByWorker = make(map[string]int)
 		for _, t := range u.tasks {
@@ -231,24 +231,37 @@
 }
 
 // timeliness returns whether the unit, if started now, can meet the objective of its job (on time,
-// late or overdue), and the deadline in Unix milliseconds. Long-running units are always on time.
-func (l *leader) timeliness(u *unit) (planner.Timeliness, int64) {
+// late or overdue), and the deadline in milliseconds of the boottime clock. Long-running units are always
+// on time.
+func (l *leader) timeliness(u *unit, now boottime.Instant) (planner.Timeliness, int64) {
 	j := u.job
-	start := j.spec.AcceptedMS
-	if j.spec.Repeat > 0 {
-		start = j.spec.StartAtMS + int64(u.occurrence)*j.spec.IntervalMS
-	}
 	chain := longestChain(j.spec.Steps, -1)
 	objective := int64(j.spec.Rules.DurationFactor*float64(chain)) + j.spec.Rules.DurationOffsetMS
-	finish := l.c.cfg.TimeOfDay().UnixMilli() + longestChain(j.spec.Steps, u.index)
+	age := l.age(u, now).Milliseconds()
+	deadline := time.Duration(now).Milliseconds() - age + objective
+	finish := age + longestChain(j.spec.Steps, u.index)
 	switch {
-	case u.step.LongRunning || finish <= start+objective:
-		return planner.OnTime, start + objective
-	case finish <= start+overdueFactor*objective:
-		return planner.Late, start + objective
+	case u.step.LongRunning || finish <= objective:
+		return planner.OnTime, deadline
+	case finish <= overdueFactor*objective:
+		return planner.Late, deadline
 	default:
-		return planner.Overdue, start + objective
+		return planner.Overdue, deadline
+	}
+}
+
+// age returns the time since the unit's occurrence was due or, without a schedule, since its job was
+// accepted.
+func (l *leader) age(u *unit, now boottime.Instant) time.Duration {
+	j := u.job
+	if j.spec.Repeat == 0 && j.acceptedAt != 0 {
+		return now.Sub(j.acceptedAt)
+	}
+	start := j.spec.AcceptedMS
+	if j.spec.Repeat > 0 {
+		start = j.spec.StartAtMS + int64(u.occurrence)*j.spec.IntervalMS
 	}
+	return max(0, time.Duration(l.c.cfg.TimeOfDay().UnixMilli()-start)*time.Millisecond)
 }
 
 // longestChain returns the estimated duration of the longest chain of dependent steps, in
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -103,7 +103,7 @@
 	}
 	return &Service{
 		writer: cfg.Writer, configAge: cfg.ConfigAge, jobsAge: cfg.JobsAge, logger: cfg.Logger, timeOfDay: cfg.TimeOfDay,
-		jobs:     batch.NewTable(),
+		jobs:     batch.NewTable(cfg.TimeOfDay),
 		accepted: cfg.Metrics.GetOrCreateCounter(`oleanderbend_submits_total{outcome="accepted"}`),
 		rejected: cfg.Metrics.GetOrCreateCounter(`oleanderbend_submits_total{outcome="refused"}`),
 		unknown:  cfg.Metrics.GetOrCreateCounter(`oleanderbend_submits_total{outcome="unknown"}`),
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -103,7 +103,8 @@
 	// Priority is the priority of the queue; 0 is the most urgent.
 	Priority   int
 	Timeliness Timeliness
-	// Deadline is the last criterion in the order of units without a guarantee, in Unix milliseconds.
+	// Deadline is the last criterion in the order of units without a guarantee, in milliseconds of
+	// any one clock.
 	Deadline int64
 	// Accepted is the position of the job in the order in which the jobs were accepted.
 	Accepted int64
