Do not start scheduled occurrences early when the leader's clock jumps

What callers would see: a scheduled occurrence starts up to tens of seconds before its time.

Cause: the leader creates an occurrence as soon as its own time of day says that it is due, also during a jump forward that is taken back later.

Change: each instance checks its clock against the boottime clock every second and logs jumps. The time that decides whether an occurrence is due follows a jump forward only after it has lasted for a minute; a jump backward, and the jump back after it, count at once. The same time gives the age of occurrences and of jobs that the process has not seen arrive.

What remains: while the leader's clock is behind, occurrences are late by that error. An instance that starts while its clock is ahead cannot tell and starts occurrences early until the clock is right. A clock that was behind when the instance started, and is then corrected, makes occurrences late for one more minute.

--- a/internal/controller/clock_test.go
+++ b/internal/controller/clock_test.go
@@ -157,3 +157,33 @@
 		c.requireSecondStartsBeforeThird()
 	})
 }
+
+// Guards against an occurrence that starts before it is due because the leader's clock jumps forward, or
+// had jumped when the instance took over.
+func TestOccurrenceDoesNotStartEarlyWhenClockJumpsForward(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		inVirtualTime(t, 1, fixedWork(time.Second), func(c *cluster) {
+			c.addWorker("w1", "r1")
+			a := c.startInstance("a")
+			time.Sleep(4 * time.Second)
+			c.startInstance("b")
+			due := time.Now().Add(25 * time.Second)
+			c.submitJob(&batch.Job{
+				ID: jobID(1), Repeat: 1, StartAtMS: due.UnixMilli(), Steps: []batch.Step{{Count: 1, CPU: 1000, GPU: 1}},
+			})
+			time.Sleep(5 * time.Second)
+			c.setClockError("a", clockError)
+			c.setClockError("b", clockError)
+			if takeover {
+				a.kill()
+			}
+			time.Sleep(15 * time.Second)
+			require.Zero(t, c.fleet.Starts(firstTask(1)), "while the clock is wrong")
+			c.setClockError("a", 0)
+			c.setClockError("b", 0)
+			time.Sleep(time.Until(due))
+			require.Zero(t, c.fleet.Starts(firstTask(1)), "after it")
+			c.waitFor(time.Second, "started", func() bool { return c.fleet.Starts(firstTask(1)) == 1 })
+		})
+	}
+}
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -130,7 +130,7 @@
 		Log: client, Topic: election.Topic, Wait: time.Second, Apply: i.elector.Observe, Logger: logger,
 	})
 	for _, run := range []func(context.Context){
-		jobs.Run, leader.Run, i.elector.Run, func(ctx context.Context) { _ = writer.Run(ctx) },
+		jobs.Run, leader.Run, i.elector.Run, control.WatchClock, func(ctx context.Context) { _ = writer.Run(ctx) },
 	} {
 		i.goroutines.Go(func() { run(ctx) })
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -73,7 +73,8 @@
 
 // Controller schedules jobs while this instance is the leader.
 type Controller struct {
-	cfg Config
+	cfg       Config
+	timeOfDay *cautiousTimeOfDay
 
 	mu      sync.Mutex
 	changed map[string]bool
@@ -96,7 +97,7 @@
 		cfg.TimeOfDay = time.Now
 	}
 	return &Controller{
-		cfg: cfg, changed: make(map[string]bool), wake: make(chan struct{}, 1),
+		cfg: cfg, timeOfDay: newCautiousTimeOfDay(cfg.TimeOfDay, cfg.Logger), changed: make(map[string]bool), wake: make(chan struct{}, 1),
 		metrics: controllerMetrics{
 			starts:      set.GetOrCreateCounter(`oleanderbend_orders_total{order="start"}`),
 			stops:       set.GetOrCreateCounter(`oleanderbend_orders_total{order="stop"}`),
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -182,7 +182,7 @@
 
 // createDueOccurrences creates the units of the occurrences that are due.
 func (l *leader) createDueOccurrences(j *job) {
-	now := l.c.cfg.TimeOfDay().UnixMilli()
+	now := l.c.timeOfDay.unixMilli()
 	for j.createdOccurrences < j.spec.Occurrences() {
 		due := j.spec.StartAtMS + int64(j.createdOccurrences)*j.spec.IntervalMS + occurrenceDelay.Milliseconds()
 		if j.spec.Repeat > 0 && now < due {
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -261,7 +261,7 @@
 	if j.spec.Repeat > 0 {
 		start = j.spec.StartAtMS + int64(u.occurrence)*j.spec.IntervalMS
 	}
-	return max(0, time.Duration(l.c.cfg.TimeOfDay().UnixMilli()-start)*time.Millisecond)
+	return max(0, time.Duration(l.c.timeOfDay.unixMilli()-start)*time.Millisecond)
 }
 
 // longestChain returns the estimated duration of the longest chain of dependent steps, in
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -243,6 +243,7 @@
 	electionDone := make(chan struct{})
 	for _, run := range []func(context.Context){
 		n.operatorFollower.Run, n.jobsFollower.Run, n.electionFollower.Run, n.runWriter,
+		n.controller.WatchClock,
 	} {
 		background.Go(func() { run(workCtx) })
 	}
