Take over started occurrences although they are not due by the new leader's clock

What callers would see: a task of a scheduled job that has completed runs again (the rule TWICE), or the runs of an occurrence are stopped at a takeover.

Cause: a new leader created only the occurrences that were due by its own clock. If that clock is behind the previous leader's, it stopped the runs of an occurrence that it did not know as untracked, and acknowledged their ends without recording them. Once the occurrence was due by its clock too, its tasks started again.

Change: a new leader also creates the occurrences of which a task record is stored. The placement of a task is stored before its start is sent.

--- a/internal/controller/clock_test.go
+++ b/internal/controller/clock_test.go
@@ -187,3 +187,29 @@
 		})
 	}
 }
+
+// Guards against a scheduled task that runs again although it has completed, and against runs that are
+// stopped at a takeover, because the clock of the new leader is behind: it did not know of the occurrence
+// that the previous leader had started, and so dropped the ends of its runs.
+func TestStartedOccurrenceIsTakenOverByLeaderWhoseClockIsBehind(t *testing.T) {
+	for _, work := range []time.Duration{2 * time.Second, 8 * time.Second} {
+		inVirtualTime(t, 1, fixedWork(work), func(c *cluster) {
+			c.addWorker("w1", "r1")
+			a := c.startInstance("a")
+			time.Sleep(4 * time.Second)
+			c.setClockError("b", -clockError)
+			c.startInstance("b")
+			due := time.Now().Add(3 * time.Second)
+			c.submitJob(&batch.Job{
+				ID: jobID(1), Repeat: 1, StartAtMS: due.UnixMilli(), Steps: []batch.Step{{Count: 1, CPU: 1000, GPU: 1}},
+			})
+			c.waitFor(4*time.Second, "started", func() bool { return c.fleet.Starts(firstTask(1)) == 1 })
+			a.kill()
+			time.Sleep(20 * time.Second)
+			c.setClockError("b", 0)
+			c.waitFor(80*time.Second, "completed", func() bool { return c.phase(jobID(1)) == batch.Completed })
+			require.Equal(t, 1, c.fleet.Starts(firstTask(1)))
+			require.Empty(t, c.fleet.Violations())
+		})
+	}
+}
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -39,6 +39,9 @@
 	cancelled   bool
 	// createdOccurrences is the number of occurrences whose units exist.
 	createdOccurrences int
+	// startedOccurrences is the number of occurrences that previous leaders have created, up to the last one
+	// of which a task was placed.
+	startedOccurrences int
 	units              []*unit
 	// storedTasks are the task records found at a takeover. They are removed when the job is
 	// closed.
@@ -134,7 +137,7 @@
 	spec := *state.Job
 	j := &job{
 		spec: &spec, order: state.Offset, acceptedAt: state.AcceptedAt, phase: state.Phase.Phase, finalAtMS: state.Phase.AtMS, cancelled: state.Cancelled,
-		storedTasks: records,
+		storedTasks: records, startedOccurrences: records.occurrences(),
 	}
 	if j.phase == "" {
 		j.phase = batch.Queued
@@ -167,6 +170,15 @@
 	return false
 }
 
+// occurrences returns the number of occurrences up to the last one with a record.
+func (r taskRecords) occurrences() int {
+	n := 0
+	for id := range r {
+		n = max(n, id.Occurrence+1)
+	}
+	return n
+}
+
 // applyQueueRules applies the current configuration of the job's queue, if the queue still exists.
 // It is called only when a job is loaded, so later changes of the configuration take effect for the
 // job at the next takeover.
@@ -180,12 +192,13 @@
 	}
 }
 
-// createDueOccurrences creates the units of the occurrences that are due.
+// createDueOccurrences creates the units of the occurrences that are due, and of those that a previous
+// leader has started: by its clock they were due.
 func (l *leader) createDueOccurrences(j *job) {
 	now := l.c.timeOfDay.unixMilli()
 	for j.createdOccurrences < j.spec.Occurrences() {
 		due := j.spec.StartAtMS + int64(j.createdOccurrences)*j.spec.IntervalMS + occurrenceDelay.Milliseconds()
-		if j.spec.Repeat > 0 && now < due {
+		if j.spec.Repeat > 0 && now < due && j.createdOccurrences >= j.startedOccurrences {
 			return
 		}
 		l.createOccurrence(j, j.createdOccurrences)
