Keep finished jobs for their retention although the time of day is wrong

What callers would see: a finished job is unknown (410) before its retention is over, and a repeated submit runs it again.

Cause: a finished job was removed once twice the retention had passed between the time of day when it finished and the time of day of the leader at the cleanup. A clock that was behind at the first or ahead at the second shortens that time.

Evidence: of 20 runs of the test on the code before, 20 failed in both cases, with a retention of 60 s and a clock that is wrong by 4 min.

Change: besides, the leader must have known the final phase for the retention, by the boottime clock. After a takeover, finished jobs are kept for at least that long again.

Result: 20 of 20 runs pass.

--- a/internal/controller/clock_test.go
+++ b/internal/controller/clock_test.go
@@ -213,3 +213,25 @@
 		})
 	}
 }
+
+// Guards against a finished job that callers cannot query any more, and that a repeated submit runs again,
+// because the leader's clock jumped forward or was behind when the job finished.
+func TestFinishedJobIsKeptDespiteClockErrors(t *testing.T) {
+	for name, errors := range map[string][2]time.Duration{"jumps forward": {0, 4 * time.Minute}, "was behind": {-4 * time.Minute, 0}} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, 1, fixedWork(time.Second), func(c *cluster) {
+				c.addWorker("w1", "r1")
+				c.setClockError("a", errors[0])
+				i := c.startInstance("a")
+				c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 1})
+				c.waitFor(6*time.Second, "completed", func() bool { return c.phase(jobID(1)) == batch.Completed })
+				c.setClockError("a", errors[1])
+				time.Sleep(50 * time.Second) // Callers may query the job for a minute.
+				require.NotEmpty(t, i.intake.Snapshot([]string{jobID(1)}))
+				c.setClockError("a", 0)
+				time.Sleep(6 * time.Minute)
+				require.Empty(t, i.intake.Snapshot([]string{jobID(1)}), "removed in the end")
+			})
+		})
+	}
+}
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -33,6 +33,9 @@
 	// entered, in Unix milliseconds.
 	phase     batch.Phase
 	finalAtMS int64
+	// finalSince is since when this leader has known the final phase. Unlike finalAtMS, it does not depend
+	// on the time of day.
+	finalSince boottime.Instant
 	// finalStored means that the final phase is stored. The task records must not be deleted before
 	// that.
 	finalStored bool
@@ -143,6 +146,9 @@
 		j.phase = batch.Queued
 	}
 	j.finalStored = j.phase.Final()
+	if j.finalStored {
+		j.finalSince = boottime.Now()
+	}
 	l.applyQueueRules(j)
 	l.jobs[j.spec.ID] = j
 	switch {
@@ -323,7 +329,7 @@
 func (l *leader) setPhase(j *job, phase batch.Phase, onStored func()) {
 	j.phase = phase
 	if phase.Final() {
-		j.finalAtMS = l.c.cfg.TimeOfDay().UnixMilli()
+		j.finalAtMS, j.finalSince = l.c.cfg.TimeOfDay().UnixMilli(), boottime.Now()
 	}
 	record, err := batch.EncodePhase(j.spec.ID, batch.PhaseRecord{Phase: phase, AtMS: j.finalAtMS})
 	if err != nil {
@@ -414,7 +420,8 @@
 	for _, ws := range l.workers {
 		maps.DeleteFunc(ws.unconfirmedStarts, func(_ worker.Run, until boottime.Instant) bool { return now > until })
 	}
-	finalBefore := l.c.cfg.TimeOfDay().Add(-retentionFactor * l.c.cfg.Timing.FinishedJobRetention).UnixMilli()
+	retention := l.c.cfg.Timing.FinishedJobRetention
+	finalBefore := l.c.cfg.TimeOfDay().Add(-retentionFactor * retention).UnixMilli()
 	for id, j := range l.jobs {
 		if !j.finalStored || j.hasRuns() {
 			continue
@@ -422,7 +429,7 @@
 		if j.units != nil {
 			l.closeJob(j)
 		}
-		if j.finalAtMS > 0 && j.finalAtMS < finalBefore {
+		if j.finalAtMS > 0 && j.finalAtMS < finalBefore && now.Sub(j.finalSince) > retention {
 			delete(l.jobs, id)
 			l.storeJobs(batch.JobTombstones(id), func() {})
 		}
