--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -267,7 +267,8 @@
 }
 
 // acceptedAt returns when a job whose record has just been read was accepted. A time that the record
-// cannot have taken to get here shows that the clock of this or the accepting instance is wrong.
+// cannot have taken to get here shows that the clock of this or the accepting instance is wrong. If this
+// instance was cut off from the log instead, the job seems younger by that time.
 func (t *Table) acceptedAt(j *Job) boottime.Instant {
 	delay := time.Duration(t.timeOfDay().UnixMilli()-j.AcceptedMS) * time.Millisecond
 	if delay < 0 || delay > maxRecordDelay {
