--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -64,15 +64,18 @@
 	StatusTopic string
 	WaveStatus  func(wave int64, completed bool) ledger.Record
 	// Holder is the name of this instance in maintenance requests for machines.
-	Holder  string
-	Timing  Timing
-	Metrics *metrics.Set
-	Logger  *log.Logger
+	Holder string
+	Timing Timing
+	// TimeOfDay reads the time of day of this instance, which may be wrong and may jump. Nil means time.Now.
+	TimeOfDay func() time.Time
+	Metrics   *metrics.Set
+	Logger    *log.Logger
 }
 
 // Controller schedules jobs while this instance is the leader.
 type Controller struct {
-	cfg Config
+	cfg       Config
+	timeOfDay *cautiousTimeOfDay
 
 	mu      sync.Mutex
 	changed map[string]bool
@@ -93,8 +96,11 @@
 // New returns a controller. Lead runs it for one leadership term.
 func New(cfg Config) *Controller {
 	set := cfg.Metrics
+	if cfg.TimeOfDay == nil {
+		cfg.TimeOfDay = time.Now
+	}
 	return &Controller{
-		cfg: cfg, changed: make(map[string]bool), wake: make(chan struct{}, 1),
+		cfg: cfg, timeOfDay: newCautiousTimeOfDay(cfg.TimeOfDay, cfg.Logger), changed: make(map[string]bool), wake: make(chan struct{}, 1),
 		metrics: controllerMetrics{
 			starts:      set.GetOrCreateCounter(`oleanderbend_orders_total{order="start"}`),
 			stops:       set.GetOrCreateCounter(`oleanderbend_orders_total{order="stop"}`),
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -26,16 +26,26 @@
 // job is a job known to the leader.
 type job struct {
 	spec *batch.Job
+	// order is the position of the job in the order in which the jobs were accepted.
+	order int64
+	// acceptedAt is when the job was accepted; 0 if not known, see batch.JobState.
+	acceptedAt boottime.Instant
 	// phase is the phase that is stored or being stored. finalAtMS is when a final phase was
 	// entered, in Unix milliseconds.
 	phase     batch.Phase
 	finalAtMS int64
+	// finalSince is since when this leader has known the final phase. Unlike finalAtMS, it does not depend
+	// on the time of day.
+	finalSince boottime.Instant
 	// finalStored means that the final phase is stored. The task records must not be deleted before
 	// that.
 	finalStored bool
 	cancelled   bool
 	// createdOccurrences is the number of occurrences whose units exist.
 	createdOccurrences int
+	// startedOccurrences is the number of occurrences that previous leaders have created, up to the last one
+	// of which a task was placed.
+	startedOccurrences int
 	units              []*unit
 	// storedTasks are the task records found at a takeover. They are removed when the job is
 	// closed.
@@ -136,13 +146,16 @@
 	// change.
 	spec := *state.Job
 	j := &job{
-		spec: &spec, phase: state.Phase.Phase, finalAtMS: state.Phase.AtMS, cancelled: state.Cancelled,
-		storedTasks: records,
+		spec: &spec, order: state.Offset, acceptedAt: state.AcceptedAt, phase: state.Phase.Phase, finalAtMS: state.Phase.AtMS, cancelled: state.Cancelled,
+		storedTasks: records, startedOccurrences: records.occurrences(),
 	}
 	if j.phase == "" {
 		j.phase = batch.Queued
 	}
 	j.finalStored = j.phase.Final()
+	if j.finalStored {
+		j.finalSince = boottime.Now()
+	}
 	l.applyQueueRules(j)
 	l.jobs[j.spec.ID] = j
 	switch {
@@ -191,6 +204,15 @@
 	return false
 }
 
+// occurrences returns the number of occurrences up to the last one with a record.
+func (r taskRecords) occurrences() int {
+	n := 0
+	for id := range r {
+		n = max(n, id.Occurrence+1)
+	}
+	return n
+}
+
 // applyQueueRules applies the current configuration of the job's queue, if the queue still exists.
 // It is called only when a job is loaded, so later changes of the configuration take effect for the
 // job at the next takeover.
@@ -204,12 +226,13 @@
 	}
 }
 
-// createDueOccurrences creates the units of the occurrences that are due.
+// createDueOccurrences creates the units of the occurrences that are due, and of those that a previous
+// leader has started: by its clock they were due.
 func (l *leader) createDueOccurrences(j *job) {
-	now := time.Now().UnixMilli()
+	now := l.c.timeOfDay.unixMilli()
 	for j.createdOccurrences < j.spec.Occurrences() {
 		due := j.spec.StartAtMS + int64(j.createdOccurrences)*j.spec.IntervalMS + occurrenceDelay.Milliseconds()
-		if j.spec.Repeat > 0 && now < due {
+		if j.spec.Repeat > 0 && now < due && j.createdOccurrences >= j.startedOccurrences {
 			return
 		}
 		l.createOccurrence(j, j.createdOccurrences)
@@ -357,7 +380,7 @@
 func (l *leader) setPhase(j *job, phase batch.Phase, onStored func()) {
 	j.phase = phase
 	if phase.Final() {
-		j.finalAtMS = time.Now().UnixMilli()
+		j.finalAtMS, j.finalSince = l.c.cfg.TimeOfDay().UnixMilli(), boottime.Now()
 	}
 	record, err := batch.EncodePhase(j.spec.ID, batch.PhaseRecord{Phase: phase, AtMS: j.finalAtMS})
 	if err != nil {
@@ -449,7 +472,8 @@
 	for _, ws := range l.workers {
 		maps.DeleteFunc(ws.unconfirmedStarts, func(_ worker.Run, until boottime.Instant) bool { return now > until })
 	}
-	finalBefore := time.Now().Add(-retentionFactor * l.c.cfg.Timing.FinishedJobRetention).UnixMilli()
+	retention := l.c.cfg.Timing.FinishedJobRetention
+	finalBefore := l.c.cfg.TimeOfDay().Add(-retentionFactor * retention).UnixMilli()
 	for id, j := range l.jobs {
 		if !j.finalStored || j.hasRuns() {
 			continue
@@ -457,7 +481,7 @@
 		if j.units != nil {
 			l.closeJob(j)
 		}
-		if j.finalAtMS > 0 && j.finalAtMS < finalBefore {
+		if j.finalAtMS > 0 && j.finalAtMS < finalBefore && now.Sub(j.finalSince) > retention {
 			delete(l.jobs, id)
 			l.storeJobs(batch.JobTombstones(id), func() {})
 		}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -179,7 +180,7 @@
 func (l *leader) describeUnit(u *unit, waiting int, now boottime.Instant, guaranteed bool) (planner.Unit, bool) {
 	j := u.job
 	d := planner.Unit{
-		Service: j.spec.Rules.Service, Priority: j.spec.Rules.Priority, Guaranteed: guaranteed, Accepted: j.spec.AcceptedMS,
+		Service: j.spec.Rules.Service, Priority: j.spec.Rules.Priority, Guaranteed: guaranteed, Accepted: j.order,
 		Tasks: waiting, Need: needOf(u.step), Work: u.workPerSecond() * float64(u.step.EstimateMS) / 1000 * float64(waiting), Gang: u.gang(), RackLocal: u.step.RackLocal && u.step.Count > 1,
 		DataRack: u.step.DataRack, Label: u.step.Label, MaxPerWorker: u.step.MaxPerWorker,
 		Checkpointed: u.step.Checkpoints, Filler: u.step.Filler, Serving: u.step.TailLatencyTargetMS > 0,
@@ -187,7 +188,7 @@
 		IgnoresHolds: u.heldBackSince != 0 && now.Sub(u.heldBackSince) >= maxHeldBack,
 	}
 	d.JobStarted = u.job.occurrenceStarted(u.occurrence)
-	d.Timeliness, d.Deadline = u.timeliness()
+	d.Timeliness, d.Deadline = l.timeliness(u, now)
 	if u.step.MaxPerWorker > 0 {
 		d.TasksByWorker = make(map[string]int)
 		for _, t := range u.tasks {
@@ -236,24 +237,37 @@
 }
 
 // timeliness returns whether the unit, if started now, can meet the objective of its job (on time,
-// late or overdue), and the deadline in Unix milliseconds. Long-running units are always on time.
-func (u *unit) timeliness() (planner.Timeliness, int64) {
+// late or overdue), and the deadline in milliseconds of the boottime clock. Long-running units are always
+// on time.
+func (l *leader) timeliness(u *unit, now boottime.Instant) (planner.Timeliness, int64) {
 	j := u.job
-	start := j.spec.AcceptedMS
-	if j.spec.Repeat > 0 {
-		start = j.spec.StartAtMS + int64(u.occurrence)*j.spec.IntervalMS
-	}
 	chain := longestChain(j.spec.Steps, -1)
 	objective := int64(j.spec.Rules.DurationFactor*float64(chain)) + j.spec.Rules.DurationOffsetMS
-	finish := time.Now().UnixMilli() + longestChain(j.spec.Steps, u.index)
+	age := l.age(u, now).Milliseconds()
+	deadline := time.Duration(now).Milliseconds() - age + objective
+	finish := age + longestChain(j.spec.Steps, u.index)
 	switch {
-	case u.step.LongRunning || finish <= start+objective:
-		return planner.OnTime, start + objective
-	case finish <= start+overdueFactor*objective:
-		return planner.Late, start + objective
+	case u.step.LongRunning || finish <= objective:
+		return planner.OnTime, deadline
+	case finish <= overdueFactor*objective:
+		return planner.Late, deadline
 	default:
-		return planner.Overdue, start + objective
+		return planner.Overdue, deadline
+	}
+}
+
+// age returns the time since the unit's occurrence was due or, without a schedule, since its job was
+// accepted.
+func (l *leader) age(u *unit, now boottime.Instant) time.Duration {
+	j := u.job
+	if j.spec.Repeat == 0 && j.acceptedAt != 0 {
+		return now.Sub(j.acceptedAt)
+	}
+	start := j.spec.AcceptedMS
+	if j.spec.Repeat > 0 {
+		start = j.spec.StartAtMS + int64(u.occurrence)*j.spec.IntervalMS
 	}
+	return max(0, time.Duration(l.c.timeOfDay.unixMilli()-start)*time.Millisecond)
 }
 
 // longestChain returns the estimated duration of the longest chain of dependent steps, in
@@ -295,7 +309,7 @@
 			jobs = append(jobs, j)
 		}
 	}
-	slices.SortFunc(jobs, func(a, b *job) int { return int(a.spec.AcceptedMS - b.spec.AcceptedMS) })
+	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Compare(a.order, b.order) })
 	unused := make(map[string]int64)
 	for i := range config.Orgs {
 		unused[config.Orgs[i].Name] = config.Orgs[i].GuaranteedGPU
