--- a/internal/controller/timeofday.go
+++ b/internal/controller/timeofday.go
@@ -12,7 +12,9 @@
 
 const (
 	// stepConfirmation is how long a clock that has jumped forward must stay there before its time is used.
-	stepConfirmation = time.Minute
+	// A longer time guards against longer errors, but delays occurrences when a clock that was behind at the
+	// start of the process is corrected.
+	stepConfirmation = 20 * time.Second
 	// maxClockSlew is the largest change of the clock's error that does not count as a jump.
 	maxClockSlew = time.Second
 	// clockCheckInterval is how often the clock is checked for jumps when it is not read.
@@ -21,7 +23,7 @@
 
 // cautiousTimeOfDay is the time of day of this instance, except that it follows a jump forward only after
 // stepConfirmation. A scheduled occurrence must not start early, and a clock that jumps may jump back. If
-// the jump corrects a clock that was behind, occurrences are late for one more minute.
+// the jump corrects a clock that was behind, occurrences are late for that time.
 type cautiousTimeOfDay struct {
 	timeOfDay func() time.Time
 	logger    *log.Logger
