controller: send starts that were due while a renewal was late

What callers would see: a job that waits with capacity free until the next change of leader. Its task holds a place on a worker and is never started. Cause: sendStart sends nothing while the term is not valid. A term becomes valid again when the response to a renewal arrives after the old validity has passed, which a slow log causes. A placement that is stored in between was not started later: nothing repeated the start, as checkRun repeats a stop. Change: a start that was not sent is remembered and sent by the next periodic check of the run.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -47,6 +47,8 @@
 	advisor  worker.Advisor
 	machines worker.Machines
 	waves    []worker.Wave
+	// wrapLog, if set, returns the log for the election and the controller of an instance.
+	wrapLog func(ledger.Log) ledger.Log
 }
 
 // instance is one incarnation of an instance.
@@ -91,6 +93,10 @@
 	if testing.Verbose() {
 		logger = logging.New(c.t.Output(), "info", name)
 	}
+	var leaderLog ledger.Log = client
+	if c.wrapLog != nil {
+		leaderLog = c.wrapLog(client)
+	}
 	var control *Controller
 	jobs := ledger.NewFollower(ledger.FollowerConfig{
 		Log: client, Topic: batch.JobsTopic, Wait: time.Second, Logger: logger,
@@ -101,7 +107,7 @@
 	i.intake = intake.New(intake.Config{Writer: writer, ConfigAge: jobs, JobsAge: jobs, Metrics: set, Logger: logger})
 	i.intake.SetConfig(c.config)
 	control = New(Config{
-		Log: client, Workers: c.workers, Advisor: c.advisor, Machines: c.machines, Jobs: i.intake, JobsPosition: jobs.Position,
+		Log: leaderLog, Workers: c.workers, Advisor: c.advisor, Machines: c.machines, Jobs: i.intake, JobsPosition: jobs.Position,
 		OperatorConfig: i.intake.CurrentConfig, Waves: func() []worker.Wave { return c.waves },
 		WorkersTopic: workersTopic, DecodeWorker: decodeWorker, Holder: name,
 		StatusTopic: statusTopic, WaveStatus: waveStatus,
@@ -109,7 +115,7 @@
 		Metrics: set, Logger: logger,
 	})
 	i.elector = election.New(election.Config{
-		Log: client, Identity: election.Identity{Instance: name, Incarnation: incarnation},
+		Log: leaderLog, Identity: election.Identity{Instance: name, Incarnation: incarnation},
 		Eligible: i.intake.Ready, Lead: control.Lead, Logger: logger,
 	})
 	leader := ledger.NewFollower(ledger.FollowerConfig{
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -82,6 +82,8 @@
 	// response. The unconfirmed count of a restored run is at least 1, because the previous
 	// leader's start may have had no response.
 	startCommands, unconfirmed int
+	// startDeferred means that a start is due and was not sent because the term was not valid.
+	startDeferred bool
 	// confirmedAt is when the outcome of the last command became known or, if later, when a new
 	// incarnation of the worker was noticed; 0 if the outcome is not known yet. A poll that is sent
 	// after confirmedAt reports the run if it still exists.
@@ -144,7 +146,9 @@
 	}
 	now := boottime.Now()
 	expiry := l.nextExpiry(r.worker, now)
-	if !l.term.Valid() {
+	// The term is valid again once the response to a late renewal has arrived.
+	r.startDeferred = !l.term.Valid()
+	if r.startDeferred {
 		return
 	}
 	r.state = starting
@@ -308,7 +312,8 @@
 	l.poll(r.worker)
 }
 
-// checkRun repeats a stop without a response, and stops a run whose stopDueAt has passed.
+// checkRun repeats a stop without a response, stops a run whose stopDueAt has passed, and sends a
+// start that was deferred.
 func (l *leader) checkRun(r *run, now boottime.Instant) {
 	switch {
 	case r.task.run != r:
@@ -316,6 +321,8 @@
 		l.sendStop(r)
 	case r.state != stopping && r.stopDueAt != 0 && now >= r.stopDueAt:
 		l.stopRun(r, "gang ended")
+	case r.startDeferred:
+		l.sendStart(r)
 	}
 }
 
