controller: adopt started occurrences that are not due by the new leader's clock

What callers would see: a task of a scheduled job that runs a second time after a change of leader, when the clock of the new leader is behind that of the previous one, as after a step of the time of day. Cause: a takeover created the units only of the occurrences that are due by its own clock. The stored runs of a later occurrence were not adopted: a poll of their worker stopped them as untracked or acknowledged their ends, and the tasks started again when the occurrence became due. Change: a takeover also creates the occurrences that have stored task records. Their tasks without a run still wait until they are due.

--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -52,7 +52,8 @@
 	// readySince is when the unit was first considered for planning after the steps before it were
 	// done; 0 before that. It is not reset when tasks restart.
 	readySince boottime.Instant
-	// notBefore is the earliest time of the next placement after a rejection.
+	// notBefore is the earliest time of the next placement: after a rejection, or if the occurrence is
+	// not due yet.
 	notBefore boottime.Instant
 	// failures is the number of failed runs of a gang; for other units it is the highest number of
 	// failed runs of any task. lastFailed is the run number of the last failed gang run.
@@ -140,6 +141,7 @@
 	l.jobs[j.spec.ID] = j
 	switch {
 	case !j.phase.Final():
+		l.restoreStartedOccurrences(j)
 		l.createDueOccurrences(j)
 	case records.mayHaveRuns():
 		// The previous leader had not stopped all runs of the finished job yet.
@@ -176,12 +178,37 @@
 	}
 }
 
+// untilDue returns the time until an occurrence is due; 0 if it is.
+func (j *job) untilDue(occurrence int) time.Duration {
+	if j.spec.Repeat == 0 {
+		return 0
+	}
+	due := time.UnixMilli(j.spec.StartAtMS + int64(occurrence)*j.spec.IntervalMS).Add(occurrenceDelay)
+	return max(0, time.Until(due))
+}
+
+// restoreStartedOccurrences creates the units of the occurrences that previous leaders have started,
+// so that their runs are adopted. By this machine's clock they may not be due yet: then their tasks
+// without a run wait until they are.
+func (l *leader) restoreStartedOccurrences(j *job) {
+	started := 0
+	for id := range j.storedTasks {
+		started = max(started, id.Occurrence+1)
+	}
+	for j.createdOccurrences < min(started, j.spec.Occurrences()) {
+		l.createOccurrence(j, j.createdOccurrences)
+		notBefore := boottime.Now().Add(j.untilDue(j.createdOccurrences))
+		for step := range j.spec.Steps {
+			j.unitOf(j.createdOccurrences, step).notBefore = notBefore
+		}
+		j.createdOccurrences++
+	}
+}
+
 // createDueOccurrences creates the units of the occurrences that are due.
 func (l *leader) createDueOccurrences(j *job) {
-	now := time.Now().UnixMilli()
 	for j.createdOccurrences < j.spec.Occurrences() {
-		due := j.spec.StartAtMS + int64(j.createdOccurrences)*j.spec.IntervalMS + occurrenceDelay.Milliseconds()
-		if j.spec.Repeat > 0 && now < due {
+		if j.untilDue(j.createdOccurrences) > 0 {
 			return
 		}
 		l.createOccurrence(j, j.createdOccurrences)
--- a/internal/controller/takeover_test.go
+++ b/internal/controller/takeover_test.go
@@ -12,6 +12,7 @@
 	"github.com/oleanderbend/oleanderbend/internal/batch"
 	"github.com/oleanderbend/oleanderbend/internal/election"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
+	"github.com/oleanderbend/oleanderbend/internal/worker"
 )
 
 // gatedLog holds the appends to a topic back, until they time out or the topic is released.
@@ -70,19 +71,26 @@
 	return g.Log.Append(ctx, a)
 }
 
+// startGated starts an instance whose leader appends through the returned log.
+func (c *cluster) startGated(name string) (*instance, *gatedLog) {
+	gate := &gatedLog{}
+	c.wrapLog = func(l ledger.Log) ledger.Log {
+		gate.Log = l
+		return gate
+	}
+	defer func() { c.wrapLog = nil }()
+	return c.startInstance(name), gate
+}
+
 // Guards against a task that is never started, and keeps its place, because its placement was stored
 // just while the response to a renewal of the leadership was late.
 func TestPlacementStoredWhileRenewalIsLateIsStarted(t *testing.T) {
 	inVirtualTime(t, 1, fixedWork(time.Second), func(c *cluster) {
-		gate := &gatedLog{rejectRenewals: 1700 * time.Millisecond}
-		c.wrapLog = func(l ledger.Log) ledger.Log {
-			gate.Log = l
-			return gate
-		}
 		c.addWorker("w1", "r1")
-		i := c.startInstance("a")
+		i, gate := c.startGated("a")
 		time.Sleep(4 * time.Second)
 		epoch := c.epoch()
+		gate.rejectRenewals = 1700 * time.Millisecond
 		gate.hold(election.Topic)
 		gate.hold(batch.TasksTopic)
 		c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 1})
@@ -97,3 +105,29 @@
 		require.Empty(t, c.fleet.Violations())
 	})
 }
+
+// Guards against a scheduled task that runs twice because the clock of a new leader is behind that of
+// the previous one: the occurrence that had been started was not due yet.
+func TestStartedOccurrenceIsAdoptedBeforeItIsDue(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(2*time.Second), func(c *cluster) {
+		info := c.addWorker("w1", "r1")
+		task := batch.TaskID{Job: jobID(1), Occurrence: 1}
+		c.submitJob(&batch.Job{
+			ID: jobID(1), Steps: []batch.Step{{Count: 2, CPU: 1000, GPU: 1}}, Repeat: 2,
+			StartAtMS: time.Now().Add(-time.Second).UnixMilli(), IntervalMS: 9000,
+		})
+		// The previous leader started one task of the occurrence that is due in 8 s.
+		record, err := batch.EncodeTask(task, batch.TaskRecord{Run: 1, Worker: "w1", Address: info.Address, WorkerStartedAtMS: info.StartedAtMS})
+		require.NoError(t, err)
+		c.write(batch.TasksTopic, record)
+		require.NoError(t, c.fleet.Start(context.Background(), worker.Endpoint{ID: "w1", Address: info.Address}, worker.StartCommand{
+			Run: worker.Run{Task: task, Number: 1}, LeaseExpiryMS: 6000,
+		}))
+		c.startInstance("a")
+		time.Sleep(6 * time.Second)
+		require.Zero(t, c.fleet.Starts(batch.TaskID{Job: jobID(1), Occurrence: 1, Index: 1}), "the other task is not due")
+		c.waitFor(15*time.Second, "completed", func() bool { return c.phase(jobID(1)) == batch.Completed })
+		require.Equal(t, 1, c.fleet.Starts(task))
+		require.Empty(t, c.fleet.Violations())
+	})
+}
