controller: store after a takeover that a job with placed tasks runs

What callers would see: a job shown as queued, and counted among the queue's pending jobs, although its tasks run, until it ends. Cause: the phase running is stored in the topic of jobs, the placement in the topic of tasks. A leader that lost its leadership in between left a queued job with placed tasks, and a takeover did not change the phase; only the next placement would have. Change: a takeover stores the phase running for an active queued job that has stored task records.

--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -143,6 +143,10 @@
 	case !j.phase.Final():
 		l.restoreStartedOccurrences(j)
 		l.createDueOccurrences(j)
+		if j.active() && j.phase == batch.Queued && len(records) > 0 {
+			// A previous leader placed tasks and could not store the phase.
+			l.setPhase(j, batch.Running, nil)
+		}
 	case records.mayHaveRuns():
 		// The previous leader had not stopped all runs of the finished job yet.
 		for ; j.createdOccurrences < j.spec.Occurrences(); j.createdOccurrences++ {
--- a/internal/controller/takeover_test.go
+++ b/internal/controller/takeover_test.go
@@ -131,3 +131,23 @@
 		require.Empty(t, c.fleet.Violations())
 	})
 }
+
+// Guards against a job that is shown as queued until its end because the previous leader lost its
+// leadership before it could store that the job runs.
+func TestRunningPhaseIsStoredAfterTakeover(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(20*time.Second), func(c *cluster) {
+		c.addWorker("w1", "r1")
+		a, gate := c.startGated("a")
+		time.Sleep(4 * time.Second)
+		c.startInstance("b")
+		gate.hold(batch.JobsTopic)
+		c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 1})
+		task := batch.TaskID{Job: jobID(1)}
+		c.waitFor(2*time.Second, "started", func() bool { return c.fleet.Starts(task) == 1 })
+		a.log.SetDown(true)
+		a.stop()
+		require.Empty(t, c.phase(jobID(1)))
+		c.waitFor(8*time.Second, "running", func() bool { return c.phase(jobID(1)) == batch.Running })
+		require.Equal(t, 1, c.fleet.Starts(task))
+	})
+}
