controller: close finished jobs that a previous leader did not close

What callers would see: nothing at first; the topic of tasks, which each takeover reads, grows by the records of such jobs and never shrinks. Cause: the final phase is stored first, then the task records and the description are removed. A leader that lost its leadership in between left them behind: a takeover closed a finished job only if one of its runs had not ended. Change: a job counts as closed only once the removal was queued, or if a takeover finds neither task records nor a description with steps. The cleanup closes all others, with the records that were found.

--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -32,7 +32,9 @@
 	// finalStored means that the final phase is stored. The task records must not be deleted before
 	// that.
 	finalStored bool
-	cancelled   bool
+	// closed means that the removal of the task records and of the description has been queued.
+	closed    bool
+	cancelled bool
 	// createdOccurrences is the number of occurrences whose units exist.
 	createdOccurrences int
 	units              []*unit
@@ -137,6 +139,8 @@
 		j.phase = batch.Queued
 	}
 	j.finalStored = j.phase.Final()
+	// A previous leader may have stored the final phase and then failed to close the job.
+	j.closed = j.finalStored && len(records) == 0 && len(spec.Steps) == 0
 	l.applyQueueRules(j)
 	l.jobs[j.spec.ID] = j
 	switch {
@@ -363,14 +367,17 @@
 		return
 	}
 	var records []ledger.Record
+	for id := range j.storedTasks {
+		records = append(records, batch.TaskTombstone(id))
+	}
 	for _, u := range j.units {
 		for _, t := range u.tasks {
-			if t.rec.Run > 0 {
+			if _, listed := j.storedTasks[t.id]; !listed && t.rec.Run > 0 {
 				records = append(records, batch.TaskTombstone(t.id))
 			}
 		}
 	}
-	j.units, j.storedTasks = nil, nil
+	j.units, j.storedTasks, j.closed = nil, nil, true
 	if len(records) > 0 {
 		l.storeTasks(records, func() {})
 	}
@@ -433,7 +440,7 @@
 		if !j.finalStored || j.hasRuns() {
 			continue
 		}
-		if j.units != nil {
+		if !j.closed {
 			l.closeJob(j)
 		}
 		if j.finalAtMS > 0 && j.finalAtMS < finalBefore {
--- a/internal/controller/takeover_test.go
+++ b/internal/controller/takeover_test.go
@@ -82,6 +82,14 @@
 	return c.startInstance(name), gate
 }
 
+// storedTask returns the stored record of a task.
+func (c *cluster) storedTask(id batch.TaskID) batch.TaskRecord {
+	value := c.log.LatestValues(batch.TasksTopic)[id.String()]
+	_, record, err := batch.DecodeTask(ledger.Entry{Record: ledger.Record{Key: id.String(), Value: value}})
+	require.NoError(c.t, err)
+	return record
+}
+
 // Guards against a task that is never started, and keeps its place, because its placement was stored
 // just while the response to a renewal of the leadership was late.
 func TestPlacementStoredWhileRenewalIsLateIsStarted(t *testing.T) {
@@ -151,3 +159,26 @@
 		require.Equal(t, 1, c.fleet.Starts(task))
 	})
 }
+
+// Guards against task records that are kept for ever, and are read at each takeover, because the
+// leader lost its leadership before it could remove those of a cancelled job.
+func TestTaskRecordsOfFinishedJobAreRemovedAfterTakeover(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(time.Minute), func(c *cluster) {
+		c.addWorker("w1", "r1")
+		a, gate := c.startGated("a")
+		task := batch.TaskID{Job: jobID(1)}
+		c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 1})
+		c.waitFor(4*time.Second, "running", func() bool { return c.phase(jobID(1)) == batch.Running })
+		gate.hold(batch.JobsTopic)
+		c.write(batch.JobsTopic, batch.EncodeCancellation(jobID(1)))
+		c.waitFor(2*time.Second, "end stored", func() bool { return c.storedTask(task).Worker == "" })
+		gate.hold(batch.TasksTopic)
+		gate.release(batch.JobsTopic)
+		c.waitFor(2*time.Second, "cancelled", func() bool { return c.phase(jobID(1)) == batch.Cancelled })
+		a.kill()
+		require.NotEmpty(t, c.log.LatestValues(batch.TasksTopic))
+		c.startInstance("b")
+		c.waitFor(15*time.Second, "removed", func() bool { return len(c.log.LatestValues(batch.TasksTopic)) == 0 })
+		require.NotContains(t, string(c.log.LatestValues(batch.JobsTopic)["j/"+jobID(1)]), "steps\":[{")
+	})
+}
