controller: count a machine with a request in flight as down

What the operator would see: more machines down for their maintenance than the wave allows, or a wave that is reported as completed although a machine of it never went down. Cause: while the request for a machine was in flight, the machine counted neither as down nor as waiting. The next list of machines, half a second later, let the wave take the next machine down, or showed it as complete; if the request then failed, the completed wave was not continued. Change: a machine counts as down if a request for it was in flight when the list was requested.

--- a/internal/controller/maintenance.go
+++ b/internal/controller/maintenance.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -33,6 +34,8 @@
 	// A machine is added before the request is sent. After a takeover the set is empty, and the
 	// machines of an open wave are requested again: the service must ignore a repeated request.
 	requested map[int64]map[string]bool
+	// inFlight holds the machines for which a request for maintenance has not returned.
+	inFlight map[string]bool
 	// preparing holds the workers that get no new work because their machine is the next to go
 	// down, and since when.
 	preparing    map[string]boottime.Instant
@@ -43,7 +46,7 @@
 func newMaintenanceState() *maintenanceState {
 	return &maintenanceState{
 		reported: make(map[string]string), requested: make(map[int64]map[string]bool),
-		preparing: make(map[string]boottime.Instant),
+		inFlight: make(map[string]bool), preparing: make(map[string]boottime.Instant),
 	}
 }
 
@@ -82,6 +85,8 @@
 		return
 	}
 	s.callInFlight = true
+	// The list may be older than the result of a request that returns before the list does.
+	unsettled := maps.Clone(s.inFlight)
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, machineCallTimeout)
 		defer cancel()
@@ -93,14 +98,15 @@
 				return
 			}
 			for _, w := range open {
-				l.advanceWave(w, machines)
+				l.advanceWave(w, machines, unsettled)
 			}
 		})
 	}()
 }
 
-// advanceWave takes down as many machines as the wave allows, those with the fewest runs first.
-func (l *leader) advanceWave(w worker.Wave, machines []worker.Machine) {
+// advanceWave takes down as many machines as the wave allows, those with the fewest runs first. The
+// machines in unsettled, for which a request was in flight when the list was requested, count as down.
+func (l *leader) advanceWave(w worker.Wave, machines []worker.Machine, unsettled map[string]bool) {
 	s := l.maintenance
 	if s.requested[w.Number] == nil {
 		s.requested[w.Number] = make(map[string]bool)
@@ -115,11 +121,10 @@
 	for _, id := range w.Machines {
 		m, known := byID[id]
 		switch {
-		case known && m.State != worker.MachineUp:
+		case known && (m.State != worker.MachineUp || unsettled[id] || s.inFlight[id]):
 			down++
 		case s.requested[w.Number][id] || !known:
-			// Maintenance was requested and the machine is up: again, or because the request is
-			// still in flight. Or the service does not list the machine.
+			// The machine is up again after its maintenance, or the service does not list it.
 		default:
 			waiting = append(waiting, m)
 		}
@@ -225,7 +230,7 @@
 
 func (l *leader) startMaintenance(w worker.Wave, m worker.Machine) {
 	s := l.maintenance
-	s.requested[w.Number][m.ID] = true
+	s.requested[w.Number][m.ID], s.inFlight[m.ID] = true, true
 	holder, token := l.c.cfg.Holder, l.term.Epoch
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, machineCallTimeout)
@@ -233,6 +238,7 @@
 		err := l.c.cfg.Machines.Upkeep(ctx, m.ID, w.Number, holder, token)
 		l.post(func() {
 			delete(s.preparing, m.Worker)
+			delete(s.inFlight, m.ID)
 			l.logger.Info().Str("machine", m.ID).Str("worker", m.Worker).Int64("wave", w.Number).Err(err).Msg("machine maintenance request returned")
 			var rejected *worker.RejectedError
 			switch {
--- a/internal/controller/services_test.go
+++ b/internal/controller/services_test.go
@@ -1,8 +1,10 @@
 package controller
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -185,3 +187,59 @@
 		require.Equal(t, 1, starts(2))
 	})
 }
+
+// slowUpkeep is a service of machines that takes 900 ms over each request for maintenance.
+type slowUpkeep struct {
+	*workertest.Machines
+	// loseFirst makes it lose the first request.
+	loseFirst atomic.Bool
+}
+
+func (m *slowUpkeep) Upkeep(ctx context.Context, id string, wave int64, holder string, token int64) error {
+	time.Sleep(900 * time.Millisecond)
+	if m.loseFirst.CompareAndSwap(true, false) {
+		return worker.ErrUnknownOutcome
+	}
+	return m.Machines.Upkeep(ctx, id, wave, holder, token)
+}
+
+// newMachines returns a service with one machine for each worker. Maintenance takes 2 s.
+func (c *cluster) newMachines() *workertest.Machines {
+	return workertest.NewMachines(c.fleet, 2*time.Second,
+		func(id string) { c.write(workersTopic, ledger.Record{Key: id}) }, func(info worker.Info) { c.register(info) })
+}
+
+func (c *cluster) waveCompleted() bool { return string(c.log.LatestValues(statusTopic)["7"]) == "true" }
+
+// Guards against a wave that is reported as completed while a request for maintenance is in flight: if
+// the request is lost, the machine never goes down.
+func TestWaveIsNotCompletedBeforeLastRequestReturns(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(time.Second), func(c *cluster) {
+		c.addWorker("w1", "r1")
+		machines := &slowUpkeep{Machines: c.newMachines()}
+		machines.loseFirst.Store(true)
+		c.machines = machines
+		c.waves = []worker.Wave{{Number: 7, Machines: []string{"m-w1"}, TimeLimit: 30 * time.Second, MaxDown: 1}}
+		c.startInstance("a")
+		c.waitFor(20*time.Second, "wave completed", c.waveCompleted)
+		_, maintained := machines.MaintenanceCounts()
+		require.Equal(t, 1, maintained)
+	})
+}
+
+// Guards against more machines down than a wave allows: one for which the request is in flight was not
+// counted.
+func TestRequestInFlightCountsAsMachineDown(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(time.Second), func(c *cluster) {
+		c.addWorker("w1", "r1")
+		c.addWorker("w2", "r1")
+		machines := &slowUpkeep{Machines: c.newMachines()}
+		c.machines = machines
+		c.waves = []worker.Wave{{Number: 7, Machines: []string{"m-w1", "m-w2"}, TimeLimit: 30 * time.Second, MaxDown: 1}}
+		c.startInstance("a")
+		c.waitFor(20*time.Second, "wave completed", c.waveCompleted)
+		most, maintained := machines.MaintenanceCounts()
+		require.Equal(t, 1, most)
+		require.Equal(t, 2, maintained)
+	})
+}
