controller: give a worker no work after an unconfirmed request for maintenance

What callers would see: work that is lost and done again. A request for maintenance got no response, the worker got new runs before it was repeated, and the first request was carried out seconds later. Cause: the worker was released for new work when the request returned, whatever its outcome. Change: after an unknown outcome the worker stays without new work until the repeated request returns.

--- a/internal/controller/maintenance.go
+++ b/internal/controller/maintenance.go
@@ -37,7 +37,8 @@
 	// inFlight holds the machines for which a request for maintenance has not returned.
 	inFlight map[string]bool
 	// preparing holds the workers that get no new work because their machine is the next to go
-	// down, and since when.
+	// down, and since when. After a request without a response, which may still be carried out, the
+	// worker stays here until the request has been repeated.
 	preparing    map[string]boottime.Instant
 	callInFlight bool
 	lastCheckAt  boottime.Instant
@@ -237,7 +238,9 @@
 		defer cancel()
 		err := l.c.cfg.Machines.Upkeep(ctx, m.ID, w.Number, holder, token)
 		l.post(func() {
-			delete(s.preparing, m.Worker)
+			if !errors.Is(err, worker.ErrUnknownOutcome) {
+				delete(s.preparing, m.Worker)
+			}
 			delete(s.inFlight, m.ID)
 			l.logger.Info().Str("machine", m.ID).Str("worker", m.Worker).Int64("wave", w.Number).Err(err).Msg("machine maintenance request returned")
 			var rejected *worker.RejectedError
--- a/internal/controller/services_test.go
+++ b/internal/controller/services_test.go
@@ -243,3 +243,34 @@
 		require.Equal(t, 2, maintained)
 	})
 }
+
+// lateUpkeep is a service of machines that gives no response to the first request for maintenance and
+// carries it out 3 s later.
+type lateUpkeep struct {
+	*workertest.Machines
+	requested atomic.Bool
+}
+
+func (m *lateUpkeep) Upkeep(ctx context.Context, id string, wave int64, holder string, token int64) error {
+	if !m.requested.CompareAndSwap(false, true) {
+		return m.Machines.Upkeep(ctx, id, wave, holder, token)
+	}
+	time.AfterFunc(3*time.Second, func() { _ = m.Machines.Upkeep(context.Background(), id, wave, holder, token) })
+	return worker.ErrUnknownOutcome
+}
+
+// Guards against runs that are lost because a request for maintenance without a response is carried out
+// late: the worker got new work in the meantime.
+func TestWorkerGetsNoWorkAfterUnconfirmedRequest(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(10*time.Second), func(c *cluster) {
+		c.addWorker("w1", "r1")
+		machines := &lateUpkeep{Machines: c.newMachines()}
+		c.machines = machines
+		c.waves = []worker.Wave{{Number: 7, Machines: []string{"m-w1"}, TimeLimit: 60 * time.Second, MaxDown: 1}}
+		c.startInstance("a")
+		c.waitFor(10*time.Second, "requested", machines.requested.Load)
+		c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 8})
+		c.waitFor(60*time.Second, "completed", func() bool { return c.phase(jobID(1)) == batch.Completed && c.waveCompleted() })
+		require.Empty(t, c.fleet.Violations())
+	})
+}
