--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -253,7 +253,8 @@
 	Worker string
 }
 
-// ErrMachineBusy means that the maintenance of a machine cannot start at present.
+// ErrMachineBusy means that the maintenance of a machine cannot start at present: the request had no
+// effect.
 var ErrMachineBusy = errors.New("worker: machine cannot start maintenance now")
 
 // Machines is the client of the service that manages the machines of the workers.
