ledger: test that the outcomes of writes are true under random faults

TestOutcomesOfWritesAreTrue writes 200 records in each of 30 sequences of outages and lost or late responses, with both kinds of writers, and compares the outcomes with the topic.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -189,3 +191,47 @@
 		}
 	})
 }
+
+// Guards against callers that are told that a write is stored although it is not, or that it is not
+// stored although it is, while the log is down at times and loses responses.
+func TestOutcomesOfWritesAreTrue(t *testing.T) {
+	for seed := range uint64(30) {
+		inSimulatedTime(t, func(ctx context.Context, log *ledgertest.Log, c *ledgertest.Client) {
+			random := rand.New(rand.NewPCG(seed, 3))
+			w := newWriter(ctx, c, "w", 1, seed%2 == 0)
+			outcomes := make(map[string]error)
+			var mu sync.Mutex
+			var writes sync.WaitGroup
+			for n := range 200 {
+				c.SetDown(random.IntN(6) == 0)
+				c.SetResponseLoss(float64(random.IntN(3))*0.3, random.IntN(2) == 0)
+				writes.Go(func() {
+					key := fmt.Sprint(n)
+					callCtx, cancel := context.WithTimeout(ctx, 3*time.Second)
+					defer cancel()
+					err := w.Write(callCtx, record(key))
+					mu.Lock()
+					defer mu.Unlock()
+					outcomes[key] = err
+				})
+				time.Sleep(time.Duration(random.IntN(120)) * time.Millisecond)
+			}
+			c.SetDown(false)
+			c.SetResponseLoss(0, false)
+			writes.Wait()
+			time.Sleep(5 * time.Second) // Late appends take effect.
+			stored := log.LatestValues(topic)
+			counts := make(map[bool]int)
+			for key, err := range outcomes {
+				counts[err == nil]++
+				if err == nil {
+					require.Contains(t, stored, key, "seed %d", seed)
+				}
+				if errors.Is(err, ledger.ErrUnavailable) {
+					require.NotContains(t, stored, key, "seed %d", seed)
+				}
+			}
+			require.NotEmpty(t, counts[true], "seed %d", seed)
+		})
+	}
+}
