batch: test that a copy read anew equals the copy of all records

The test builds 300 random histories of submissions, repeated submissions, cancellations, phases, closed jobs and removals, reads each key at a random time after the end of the first page, and applies the records from there on.

--- a/internal/batch/record_test.go
+++ b/internal/batch/record_test.go
@@ -1,6 +1,10 @@
 package batch
 
 import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -71,3 +75,67 @@
 		require.ErrorIs(t, err, ErrInvalid, bad)
 	}
 }
+
+// Guards against a local copy that loses or revives a job after the latest records were read anew: pages
+// are not a snapshot, so the records from the end of the first page on are applied again.
+func TestTableAfterScanEqualsTableOfAllRecords(t *testing.T) {
+	ids := []string{"a", "b", "c", "d", "e"}
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(seed, 5))
+		history := randomHistory(t, random, ids)
+		all := NewTable()
+		all.Apply(ledger.Update{Entries: history})
+		end := random.IntN(len(history))
+		scanned := NewTable()
+		scanned.Apply(ledger.Update{Reset: true, Entries: randomScan(random, history, end)})
+		scanned.Apply(ledger.Update{Entries: history[end:]})
+		for _, id := range ids {
+			want, got := all.Get(id), scanned.Get(id)
+			require.Equal(t, want == nil, got == nil, "seed %d job %s", seed, id)
+			if want != nil {
+				require.Equal(t, want.VisiblePhase(), got.VisiblePhase(), "seed %d job %s", seed, id)
+				require.Equal(t, want.Job.Org, got.Job.Org, "seed %d job %s", seed, id)
+			}
+		}
+	}
+}
+
+// randomHistory returns submissions, repeated submissions, cancellations, phases, closed jobs and
+// removals, in any order.
+func randomHistory(t *testing.T, random *rand.Rand, ids []string) []ledger.Entry {
+	t.Helper()
+	var history []ledger.Entry
+	for range 60 {
+		id := ids[random.IntN(len(ids))]
+		job := &Job{ID: id, Org: "o", Steps: []Step{{Count: 1}}}
+		submitted, err := EncodeJob(job)
+		require.NoError(t, err)
+		closed, err := EncodeClosedJob(job)
+		require.NoError(t, err)
+		phase, err := EncodePhase(id, PhaseRecord{Phase: []Phase{Running, Completed, Failed}[random.IntN(3)]})
+		require.NoError(t, err)
+		kinds := [][]ledger.Record{{submitted}, {submitted}, {EncodeCancellation(id)}, {phase}, {closed}, JobTombstones(id)}
+		for _, r := range kinds[random.IntN(len(kinds))] {
+			history = append(history, ledger.Entry{Record: r, Offset: int64(len(history))})
+		}
+	}
+	return history
+}
+
+// randomScan returns the latest record of each key, read at a random time after the topic ended at end.
+func randomScan(random *rand.Rand, history []ledger.Entry, end int) []ledger.Entry {
+	latest := make(map[string]ledger.Entry)
+	readUntil := make(map[string]int)
+	for n, e := range history {
+		if _, drawn := readUntil[e.Key]; !drawn {
+			readUntil[e.Key] = end + random.IntN(len(history)-end+1)
+		}
+		if n < readUntil[e.Key] {
+			latest[e.Key] = e
+		}
+	}
+	entries := slices.Collect(maps.Values(latest))
+	entries = slices.DeleteFunc(entries, func(e ledger.Entry) bool { return len(e.Value) == 0 })
+	slices.SortFunc(entries, func(a, b ledger.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return entries
+}
