--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -40,7 +40,9 @@
 	// finalStored means that the final phase is stored. The task records must not be deleted before
 	// that.
 	finalStored bool
-	cancelled   bool
+	// closed means that the removal of the task records and of the description has been queued.
+	closed    bool
+	cancelled bool
 	// createdOccurrences is the number of occurrences whose units exist.
 	createdOccurrences int
 	// startedOccurrences is the number of occurrences that previous leaders have created, up to the last one
@@ -63,7 +65,8 @@
 	// readySince is when the unit was first considered for planning after the steps before it were
 	// done; 0 before that. It is not reset when tasks restart.
 	readySince boottime.Instant
-	// notBefore is the earliest time of the next placement after a rejection.
+	// notBefore is the earliest time of the next placement: after a rejection, or if the occurrence is
+	// not due yet.
 	notBefore boottime.Instant
 	// failures is the number of failed runs of a gang; for other units it is the highest number of
 	// failed runs of any task. lastFailed is the run number of the last failed gang run.
@@ -156,6 +159,8 @@
 	if j.finalStored {
 		j.finalSince = boottime.Now()
 	}
+	// A previous leader may have stored the final phase and then failed to close the job.
+	j.closed = j.finalStored && len(records) == 0 && len(spec.Steps) == 0
 	l.applyQueueRules(j)
 	l.jobs[j.spec.ID] = j
 	switch {
@@ -166,6 +171,10 @@
 		if t := j.exhaustedTask(); t != nil {
 			l.failJob(j, t)
 		}
+		if j.active() && j.phase == batch.Queued && len(records) > 0 {
+			// A previous leader placed tasks and could not store the phase.
+			l.setPhase(j, batch.Running, nil)
+		}
 	case records.mayHaveRuns():
 		// The previous leader had not stopped all runs of the finished job yet.
 		for ; j.createdOccurrences < j.spec.Occurrences(); j.createdOccurrences++ {
@@ -226,13 +235,18 @@
 	}
 }
 
+// due reports whether an occurrence of a job is due.
+func (l *leader) due(j *job, occurrence int) bool {
+	due := j.spec.StartAtMS + int64(occurrence)*j.spec.IntervalMS + occurrenceDelay.Milliseconds()
+	return j.spec.Repeat == 0 || l.c.timeOfDay.unixMilli() >= due
+}
+
 // createDueOccurrences creates the units of the occurrences that are due, and of those that a previous
-// leader has started: by its clock they were due.
+// leader has started, so that their runs are adopted. By this machine's clock the latter may not be due yet:
+// then their tasks without a run wait until they are.
 func (l *leader) createDueOccurrences(j *job) {
-	now := l.c.timeOfDay.unixMilli()
 	for j.createdOccurrences < j.spec.Occurrences() {
-		due := j.spec.StartAtMS + int64(j.createdOccurrences)*j.spec.IntervalMS + occurrenceDelay.Milliseconds()
-		if j.spec.Repeat > 0 && now < due && j.createdOccurrences >= j.startedOccurrences {
+		if j.createdOccurrences >= j.startedOccurrences && !l.due(j, j.createdOccurrences) {
 			return
 		}
 		l.createOccurrence(j, j.createdOccurrences)
@@ -407,14 +421,17 @@
 		return
 	}
 	var records []ledger.Record
+	for id := range j.storedTasks {
+		records = append(records, batch.TaskTombstone(id))
+	}
 	for _, u := range j.units {
 		for _, t := range u.tasks {
-			if t.rec.Run > 0 {
+			if _, listed := j.storedTasks[t.id]; !listed && t.rec.Run > 0 {
 				records = append(records, batch.TaskTombstone(t.id))
 			}
 		}
 	}
-	j.units, j.storedTasks = nil, nil
+	j.units, j.storedTasks, j.closed = nil, nil, true
 	if len(records) > 0 {
 		l.storeTasks(records, func() {})
 	}
@@ -478,7 +495,7 @@
 		if !j.finalStored || j.hasRuns() {
 			continue
 		}
-		if j.units != nil {
+		if !j.closed {
 			l.closeJob(j)
 		}
 		if j.finalAtMS > 0 && j.finalAtMS < finalBefore && now.Sub(j.finalSince) > retention {
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -77,7 +77,7 @@
 		}
 		for _, u := range j.units {
 			n := u.waiting()
-			if n == 0 || now < u.notBefore {
+			if n == 0 || now < u.notBefore || !l.due(j, u.occurrence) {
 				continue
 			}
 			if u.readySince == 0 {
