Compute the free accelerators of a waiting step only when they are logged

Each waiting step counted the free accelerators of all workers in each planning round, also when nothing was logged. No change of behaviour.

--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -85,7 +85,9 @@
 			}
 			d, ok := l.describeUnit(u, n, now, guaranteed[j])
 			if !ok {
-				l.logWait(u, waitsForAdvice, "", 0, now)
+				if u.waitLogDue(waitsForAdvice, now) {
+					l.logWait(u, waitsForAdvice, "", 0, now)
+				}
 				continue
 			}
 			units = append(units, u)
--- a/internal/controller/wait.go
+++ b/internal/controller/wait.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// maxHeldBack bounds how long a job without runs waits although the free resources suffice for it twice
-	// over, because they are kept for other jobs. Runs of the jobs that they are kept for take several
-	// seconds, so a claim that lacks resources for longer may last for long.
+	// maxHeldBack is how long a job without runs waits although the free resources suffice for it twice over,
+	// because they are kept for other jobs. With planning and the start of its tasks, such a job begins
+	// within 3 s.
 	maxHeldBack = 2 * time.Second
 	// waitsForAdvice is the reason of units that have no valid ticket of the advice service.
 	waitsForAdvice planner.WaitReason = "advice"
@@ -52,6 +52,9 @@
 	count := make(map[planner.WaitReason]int)
 	for i, wait := range waits {
 		count[wait.Reason]++
+		if !units[i].waitLogDue(wait.Reason, now) {
+			continue
+		}
 		behind := ""
 		if wait.Behind >= 0 {
 			behind = units[wait.Behind].tasks[0].id.StepName()
@@ -79,11 +82,14 @@
 	return free
 }
 
-// logWait logs why a unit waits: first after minLoggedWait, then when the reason has changed.
+// waitLogDue reports whether the reason for which a unit waits is to be logged: first after minLoggedWait,
+// then when it has changed.
+func (u *unit) waitLogDue(reason planner.WaitReason, now boottime.Instant) bool {
+	return reason != u.loggedWait && now.Sub(u.readySince) >= minLoggedWait && now.Sub(u.waitLoggedAt) >= waitLogInterval
+}
+
+// logWait logs why a unit waits.
 func (l *leader) logWait(u *unit, reason planner.WaitReason, behind string, free int64, now boottime.Instant) {
-	if reason == u.loggedWait || now.Sub(u.readySince) < minLoggedWait || now.Sub(u.waitLoggedAt) < waitLogInterval {
-		return
-	}
 	u.loggedWait, u.waitLoggedAt = reason, now
 	l.logger.Info().Str("step", u.tasks[0].id.StepName()).Int("tasks", u.waiting()).Str("reason", string(reason)).Str("behind", behind).
 		Int64("free", free).Dur("waited", now.Sub(u.readySince)).Msg("step waits")
