controller: restart a gang that a previous leader found incomplete

What callers would see: a gang that never ends, or a member that ends `alone`; its workers stay occupied. Cause: when the run of one member ends, the leader stops the others and starts the gang again. Only the end is stored. A leader that lost its leadership before the stops took effect left the other members running; the next one adopted them, and started no member while another had a run. Change: a takeover stops the runs of a gang of which another member has neither a run nor is done, after the time that the members have to end by themselves.

--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/oleanderbend/oleanderbend/internal/batch"
@@ -237,10 +238,28 @@
 			}
 			u.tasks = append(u.tasks, t)
 		}
+		u.stopIncompleteGang()
 		j.units = append(j.units, u)
 	}
 }
 
+// stopIncompleteGang makes the restored runs of a gang stop if another member has none. All members are
+// placed together, so the run of that member has ended, and the gang must restart. That the previous
+// leader was going to stop the other members is not stored.
+func (u *unit) stopIncompleteGang() {
+	if !u.gang() || u.idle() {
+		return
+	}
+	if !slices.ContainsFunc(u.tasks, func(t *task) bool { return t.run == nil && !t.rec.Done }) {
+		return
+	}
+	for _, t := range u.tasks {
+		if t.run != nil {
+			t.run.stopDueAt = boottime.Now().Add(gangStopDelay)
+		}
+	}
+}
+
 // restoreTask applies the stored progress of a task. If the record names a worker, the task may
 // still run there, and the run is adopted.
 func (l *leader) restoreTask(t *task, rec batch.TaskRecord) {
--- a/internal/controller/takeover_test.go
+++ b/internal/controller/takeover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/oleanderbend/oleanderbend/internal/election"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
 	"github.com/oleanderbend/oleanderbend/internal/worker"
+	"github.com/oleanderbend/oleanderbend/internal/worker/workertest"
 )
 
 // gatedLog holds the appends to a topic back, until they time out or the topic is released.
@@ -182,3 +184,46 @@
 		require.NotContains(t, string(c.log.LatestValues(batch.JobsTopic)["j/"+jobID(1)]), "steps\":[{")
 	})
 }
+
+// lostStops loses all stops while lost is set.
+type lostStops struct {
+	*workertest.Fleet
+	lost atomic.Bool
+}
+
+func (s *lostStops) Stop(ctx context.Context, to worker.Endpoint, r worker.Run, token int64) error {
+	if s.lost.Load() {
+		<-ctx.Done()
+		return worker.ErrUnknownOutcome
+	}
+	return s.Fleet.Stop(ctx, to, r, token)
+}
+
+// Guards against a gang that waits for ever: one member had ended, and the previous leader lost its
+// leadership before the others were stopped. The new leader adopted them and waited for their ends.
+func TestIncompleteGangIsRestartedAfterTakeover(t *testing.T) {
+	workOf := func(batch.TaskID) workertest.Work { return workertest.Work{Duration: 5 * time.Second, GangSize: 2} }
+	inVirtualTime(t, 1, workOf, func(c *cluster) {
+		stops := &lostStops{Fleet: c.fleet}
+		c.workers = stops
+		c.addWorker("w1", "r1")
+		c.addWorker("w2", "r1")
+		a := c.startInstance("a")
+		time.Sleep(4 * time.Second)
+		c.startInstance("b")
+		c.submit(jobID(1), batch.Step{Count: 2, CPU: 1000, GPU: 8, Gang: true})
+		members := []batch.TaskID{{Job: jobID(1)}, {Job: jobID(1), Index: 1}}
+		c.waitFor(2*time.Second, "running", func() bool { return c.fleet.RunCount("w1")+c.fleet.RunCount("w2") == 2 })
+		time.Sleep(time.Second)
+		stops.lost.Store(true)
+		c.restartWorker("w1", 0)
+		c.waitFor(3*time.Second, "end stored", func() bool {
+			return c.storedTask(members[0]).Worker == "" || c.storedTask(members[1]).Worker == ""
+		})
+		a.log.SetDown(true)
+		a.stop()
+		stops.lost.Store(false)
+		c.waitFor(20*time.Second, "completed", func() bool { return c.phase(jobID(1)) == batch.Completed })
+		require.Empty(t, c.fleet.Violations())
+	})
+}
