ledger: keep combined writes within the size limit of a call

What callers would see: nothing is scheduled. Each leader steps down when the log rejects its append, and the next one makes the same append again. Cause: a batch took one more write as long as it was smaller than maxBatchBytes, 1 MiB, whatever the size of that write. A write of more than 1 MiB, as for the placement of a step with thousands of tasks, could bring the append over the platform's limit, CallBytes, of 2 MiB. Evidence: the stand-in of the log now checks a limit that a test sets. Change: a write that would bring the batch over maxBatchBytes starts the next batch, so only a single write can exceed it. The sizes include the framing. Run also sends no further batch once its context has ended.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -235,3 +235,22 @@
 		})
 	}
 }
+
+// Guards against a leader that steps down again and again because the log rejects an append: two writes
+// that are each within the size limit of a call were combined into one that is not.
+func TestCombinedWritesStayWithinSizeLimit(t *testing.T) {
+	inSimulatedTime(t, func(ctx context.Context, log *ledgertest.Log, c *ledgertest.Client) {
+		log.MaxCallBytes = 2 << 20
+		w := ledger.NewWriter(ledger.WriterConfig{Log: c, Topic: topic, Producer: "w", Epoch: 1, RetryUntilStored: true, Logger: logging.Discard()})
+		outcomes := make(chan error, 3)
+		for n, size := range []int{900 << 10, 1800 << 10, 100} {
+			r := ledger.Record{Key: fmt.Sprint(n), Value: make([]byte, size)}
+			require.True(t, w.Enqueue([]ledger.Record{r}, func(err error) { outcomes <- err }))
+		}
+		go func() { _ = w.Run(ctx) }()
+		for range 3 {
+			require.NoError(t, <-outcomes)
+		}
+		require.Len(t, log.LatestValues(topic), 3)
+	})
+}
--- a/internal/ledger/ledgertest/log.go
+++ b/internal/ledger/ledgertest/log.go
@@ -15,6 +15,9 @@
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
 )
 
+// recordOverhead is the size of the lengths that precede the key and the value of a record.
+const recordOverhead = 5
+
 // pageSize is the maximum number of records in a page of latest records.
 const pageSize = 500
 
@@ -24,7 +27,9 @@
 	topics map[string]*topic
 	// Latency is the response time of the log.
 	Latency time.Duration
-	random  *rand.Rand
+	// MaxCallBytes is the maximum size of the records of an append; 0 for no limit.
+	MaxCallBytes int
+	random       *rand.Rand
 }
 
 type topic struct {
@@ -198,6 +203,13 @@
 func (l *Log) append(a ledger.Append) (ledger.AppendResult, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	size := 0
+	for _, r := range a.Records {
+		size += recordOverhead + len(r.Key) + len(r.Value)
+	}
+	if l.MaxCallBytes > 0 && size > l.MaxCallBytes {
+		return ledger.AppendResult{}, eris.Wrapf(ledger.ErrRejected, "%d bytes in one append", size)
+	}
 	t := l.topicLocked(a.Topic)
 	if a.ExpectedEnd != ledger.AnyEnd && a.ExpectedEnd != t.end {
 		return ledger.AppendResult{}, &ledger.ConflictError{End: t.end}
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -26,8 +26,8 @@
 	defaultQueueLimit = 2048
 	// maxBatchRecords is the number of records after which no further write is added to an append.
 	maxBatchRecords = 400
-	// maxBatchBytes is the size after which no further write is added to an append, so that it stays
-	// below the platform's size limit of a call. The last write may exceed it.
+	// maxBatchBytes is the maximum size of an append of several writes, so that it stays below the
+	// platform's size limit of a call. A larger write is sent alone.
 	maxBatchBytes = 1 << 20
 	// maxQueueTime is the age above which a queued write is not sent but fails with ErrUnavailable, so
 	// that callers learn of an outage well before their deadlines. The age is checked when the append
@@ -40,6 +40,9 @@
 type Writer struct {
 	cfg   WriterConfig
 	queue chan *queuedWrite
+	// next is the write before those in queue, or nil: it did not fit into the last batch. Only Run uses
+	// it.
+	next *queuedWrite
 	// sequence is the sequence number of the next append.
 	sequence int64
 }
@@ -123,41 +126,52 @@
 // Run sends queued writes. It returns nil when ctx is done, and ErrFenced when the writer is fenced or when
 // it can no longer retry an append safely.
 func (w *Writer) Run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case first := <-w.queue:
-			batch := w.collect(first)
-			if len(batch) == 0 {
-				continue
-			}
-			err := w.send(ctx, batch)
-			for _, item := range batch {
-				item.done(err)
-			}
-			if errors.Is(err, ErrFenced) {
-				return err
+	for ctx.Err() == nil {
+		first := w.next
+		if first == nil {
+			select {
+			case <-ctx.Done():
+				return nil
+			case first = <-w.queue:
 			}
 		}
+		batch := w.collect(first)
+		if len(batch) == 0 {
+			continue
+		}
+		err := w.send(ctx, batch)
+		for _, item := range batch {
+			item.done(err)
+		}
+		if errors.Is(err, ErrFenced) {
+			return err
+		}
 	}
+	return nil
 }
 
-// collect returns a batch of the first write and the writes queued behind it. Writes that have waited
-// too long fail with ErrUnavailable: they are certainly not stored, because no part of them was sent.
+// collect returns a batch of the first write and the writes queued behind it, and sets next. Writes that
+// have waited too long fail with ErrUnavailable: they are certainly not stored, because no part of them
+// was sent.
 func (w *Writer) collect(first *queuedWrite) []*queuedWrite {
 	var batch []*queuedWrite
 	count, bytes := 0, 0
+	w.next = nil
 	for item := first; item != nil; {
-		if !w.cfg.RetryUntilStored && time.Since(item.queuedAt) > maxQueueTime {
+		size := recordBytes(item.records)
+		switch {
+		case !w.cfg.RetryUntilStored && time.Since(item.queuedAt) > maxQueueTime:
 			item.done(eris.Wrap(ErrUnavailable, "write waited too long in the queue"))
-		} else {
+		case len(batch) > 0 && bytes+size > maxBatchBytes:
+			w.next = item
+			return batch
+		default:
 			batch = append(batch, item)
 			count += len(item.records)
-			bytes += recordBytes(item.records)
+			bytes += size
 		}
 		item = nil
-		if count < maxBatchRecords && bytes < maxBatchBytes {
+		if count < maxBatchRecords {
 			select {
 			case item = <-w.queue:
 			default:
@@ -167,11 +181,14 @@
 	return batch
 }
 
-// recordBytes returns the total size of the keys and values of records.
+// recordOverhead is an upper bound of the size of the lengths that the log adds to a record.
+const recordOverhead = 8
+
+// recordBytes returns the total size of records.
 func recordBytes(records []Record) int {
 	total := 0
 	for _, r := range records {
-		total += len(r.Key) + len(r.Value)
+		total += recordOverhead + len(r.Key) + len(r.Value)
 	}
 	return total
 }
