controller: renew leases while the end of another run is not stored

What callers would see: work that is lost and done again, when the log takes more than 4 s to store a phase or an end. All other runs of the worker lapse. Cause: a worker was not polled at all while the record of an ended run on it was not stored. A poll also renews the leases, which last 4 s while the leadership is renewed in time. Change: such a worker is polled each pollWait, without an acknowledgement and without waiting.

--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -75,11 +75,16 @@
 }
 
 // poll asks a worker for the state of its runs and renews its leases. It does nothing while a poll
-// is in flight, while the records of ended runs are not stored yet, before the time of the next
-// poll, or if the worker is reachable and has no runs, no unacknowledged ends and a current clock.
+// is in flight, before the time of the next poll, or if the worker is reachable and has no runs, no
+// unacknowledged ends and a current clock. While the records of ended runs are not stored yet, it only
+// renews the leases of the other runs.
 func (l *leader) poll(ws *workerState) {
 	now := boottime.Now()
-	if ws.pollInFlight || now < ws.nextPoll || ws.unstoredEnds > 0 || !l.term.Valid() {
+	if ws.pollInFlight || now < ws.nextPoll || !l.term.Valid() {
+		return
+	}
+	storing := ws.unstoredEnds > 0
+	if storing && (len(ws.runs) == 0 || now.Sub(ws.lastStartOrPollResponse) < pollWait) {
 		return
 	}
 	if len(ws.runs) == 0 && ws.processedEnd == ws.acknowledgedEnd && !ws.clockStale && ws.unreachableSince == 0 {
@@ -87,7 +92,7 @@
 	}
 	command := worker.PollCommand{Token: l.term.Epoch}
 	sameIncarnation := ws.unreachableSince == 0 && now.Sub(ws.lastPollResponse) < sameIncarnationWindow
-	if ws.processedEnd > ws.acknowledgedEnd && sameIncarnation {
+	if ws.processedEnd > ws.acknowledgedEnd && sameIncarnation && !storing {
 		// Ends are acknowledged only shortly after a poll. Later the worker may have restarted
 		// unnoticed, and the new incarnation would apply the acknowledgement to its own ends, which
 		// the leader has not seen.
@@ -106,7 +111,7 @@
 		if ws.hasStopping() {
 			command.Wait = stopPollWait
 		}
-		if ws.processedEnd > ws.acknowledgedEnd && !sameIncarnation {
+		if ws.processedEnd > ws.acknowledgedEnd && (!sameIncarnation || storing) {
 			// The response comes at once, and the next poll can acknowledge the ends within
 			// sameIncarnationWindow.
 			command.Wait = 0
--- a/internal/controller/takeover_test.go
+++ b/internal/controller/takeover_test.go
@@ -227,3 +227,24 @@
 		require.Empty(t, c.fleet.Violations())
 	})
 }
+
+// Guards against runs whose leases lapse because the end of another run on their worker takes seconds to
+// be stored.
+func TestLeasesAreRenewedWhileAnEndIsNotStored(t *testing.T) {
+	workOf := func(id batch.TaskID) workertest.Work {
+		return workertest.Work{Duration: map[string]time.Duration{jobID(1): time.Second, jobID(2): 20 * time.Second}[id.Job]}
+	}
+	inVirtualTime(t, 1, workOf, func(c *cluster) {
+		c.addWorker("w1", "r1")
+		_, gate := c.startGated("a")
+		time.Sleep(4 * time.Second)
+		c.submit(jobID(2), batch.Step{Count: 1, CPU: 1000, GPU: 1})
+		c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 1})
+		c.waitFor(2*time.Second, "running", func() bool { return c.phase(jobID(1)) == batch.Running && c.phase(jobID(2)) == batch.Running })
+		gate.hold(batch.JobsTopic)
+		time.Sleep(7 * time.Second)
+		gate.release(batch.JobsTopic)
+		c.waitFor(25*time.Second, "completed", func() bool { return c.phase(jobID(2)) == batch.Completed })
+		require.Equal(t, 1, c.fleet.Starts(batch.TaskID{Job: jobID(2)}))
+	})
+}
