node: answer requests that are read while the instance stops

Callers of an instance that was stopped gracefully saw connections end without a response although the instance had read their request. A submit that was cut off this way could be stored all the same.

Cause: net/http.Server. After Shutdown has begun, its connections drop any request that they read (conn.serve returns after readRequest), so the first request on a connection that was accepted before the stop is lost. Shutdown and SetKeepAlivesEnabled(false) also close a connection as idle between the read of its next request and the end of its parsing. In the tests such a connection ends within milliseconds of the request. On an instance that is short of processor time a request may wait for longer before it is read; that was not measured.

Change: the server for callers stops without Shutdown. It stops listening, asks callers in each response to close the connection, lets idle connections expire by a read deadline, so that only the goroutine that reads a connection closes it, and waits until all connections are closed.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -297,11 +297,10 @@
 	stopLeading()
 	<-electionDone
 	time.Sleep(max(0, unreadyDuration-time.Since(started)))
-	s.front.SetKeepAlivesEnabled(false)
 	limit := max(time.Second, n.settings.Timing.GracePeriod-killMargin-time.Since(started))
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	if err := s.front.Shutdown(ctx); err != nil {
+	if err := s.front.stop(ctx); err != nil {
 		n.logger.Warn().Err(err).Msg("requests still in flight at the end of the stop timeout")
 	}
 	s.ready.Close()
@@ -310,7 +309,8 @@
 // servers is the HTTP servers that stop shuts down: front for the requests of callers, ready for the
 // probes of the load balancer.
 type servers struct {
-	front, ready *http.Server
+	front *frontServer
+	ready *http.Server
 	// failed receives the error of each server that has failed, also of the metrics server.
 	failed chan error
 }
@@ -321,12 +321,12 @@
 	ready := http.NewServeMux()
 	ready.HandleFunc("/", n.serveReady)
 	s := &servers{
-		front: n.newServer(n.platform.FrontHandler(n.intake)),
 		ready: n.newServer(ready),
 		// One error from each of the servers for callers, probes and metrics, so that none blocks.
 		failed: make(chan error, 3),
 	}
-	if err := startServer(s.front, n.settings.FrontAddress, s.failed); err != nil {
+	var err error
+	if s.front, err = startFrontServer(n.newServer(n.platform.FrontHandler(n.intake)), n.settings.FrontAddress, s.failed); err != nil {
 		return nil, err
 	}
 	if err := startServer(s.ready, n.settings.ReadyAddress, s.failed); err != nil {
