node: answer requests that wait for the log when the stop timeout ends

Callers whose submit or cancellation waited for a silent log saw their connections end without a response 4.8 s after the signal to stop, up to 2.8 s after they had sent the request.

Cause: an instance listens for 2.5 s after the signal, a request may take 3 s, and the process exits at the end of the stop timeout (4.8 s with a grace period of 6 s). Requests that were in progress then were not told.

Change: at the end of the stop timeout the contexts of the requests are cancelled, so that their handlers answer with an unknown outcome (504). The process waits 400 ms at most for these responses. Connections without a request are closed in the same way.

--- a/internal/node/frontserver.go
+++ b/internal/node/frontserver.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,10 @@
 	idleGrace = 100 * time.Millisecond
 	// closeCheckInterval is the period at which a stopping server checks its connections.
 	closeCheckInterval = 10 * time.Millisecond
+	// cancelledResponseTime is the time for the responses to requests that are cancelled at the end of the
+	// stop timeout. A cancelled request may still wait for a connection to the leader's relay, which takes
+	// 300 ms at most.
+	cancelledResponseTime = 400 * time.Millisecond
 )
 
 // frontServer is the server for the requests of callers. Its stop answers each request that it has read.
@@ -31,6 +36,8 @@
 	served chan struct{}
 	// stopping makes responses ask callers to close their connections.
 	stopping atomic.Bool
+	// cancelRequests cancels the contexts of all requests.
+	cancelRequests context.CancelFunc
 
 	mu sync.Mutex
 	// conns is the state of each open connection.
@@ -43,11 +50,13 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s", address)
 	}
+	requestCtx, cancelRequests := context.WithCancel(context.Background())
 	s := &frontServer{
 		server: server, handler: server.Handler, listener: listener, served: make(chan struct{}),
-		conns: make(map[net.Conn]http.ConnState),
+		cancelRequests: cancelRequests, conns: make(map[net.Conn]http.ConnState),
 	}
 	server.Handler, server.ConnState = http.HandlerFunc(s.serveHTTP), s.connStateChanged
+	server.BaseContext = func(net.Listener) context.Context { return requestCtx }
 	go func() {
 		defer close(s.served)
 		if err := server.Serve(listener); !errors.Is(err, net.ErrClosed) {
@@ -104,20 +113,27 @@
 }
 
 // stop accepts no more connections, closes those that are idle, and waits until the requests on the others
-// are answered. When ctx ends before that, it closes all connections and returns an error.
+// are answered. When ctx ends before that, it cancels the requests, which are then answered with an unknown
+// outcome, and returns an error. At the end it closes all connections.
 func (s *frontServer) stop(ctx context.Context) error {
 	_ = s.listener.Close() // This fails only if the listener is closed already.
 	<-s.served
 	s.stopping.Store(true)
-	err := s.waitClosed(ctx)
+	err := s.waitClosed(ctx, http.StateIdle)
+	s.cancelRequests()
+	if err != nil {
+		responseCtx, cancel := context.WithTimeout(context.Background(), cancelledResponseTime)
+		defer cancel()
+		err = errors.Join(err, s.waitClosed(responseCtx, http.StateIdle, http.StateNew))
+	}
 	return errors.Join(err, s.server.Close())
 }
 
-// waitClosed closes idle connections, unless a request arrives within idleGrace, and waits until no
-// connection is open.
-func (s *frontServer) waitClosed(ctx context.Context) error {
+// waitClosed closes the connections in the given states, unless a request arrives within idleGrace, and
+// waits until no connection is open.
+func (s *frontServer) waitClosed(ctx context.Context, states ...http.ConnState) error {
 	deadline := time.Now().Add(idleGrace)
-	for s.expire(deadline) > 0 {
+	for s.expire(deadline, states) > 0 {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -127,14 +143,14 @@
 	return nil
 }
 
-// expire sets the time at which the goroutines of idle connections stop waiting for a request and close
-// them, and returns the number of open connections. It must be called repeatedly, because a goroutine that
-// is about to wait sets another time.
-func (s *frontServer) expire(deadline time.Time) (open int) {
+// expire sets the time at which the goroutines of the connections in the given states stop waiting for a
+// request and close them, and returns the number of open connections. It must be called repeatedly, because
+// a goroutine that is about to wait sets another time.
+func (s *frontServer) expire(deadline time.Time, states []http.ConnState) (open int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for conn, state := range s.conns {
-		if state == http.StateIdle {
+		if slices.Contains(states, state) {
 			_ = conn.SetReadDeadline(deadline) // This fails only if the connection is closed.
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,7 +45,7 @@
 	// The load balancer notices after two probes, which are a second apart.
 	unreadyDuration = 2500 * time.Millisecond
 	// killMargin is how long before the end of the grace period, when the process is killed, the
-	// instance stops waiting for requests.
+	// instance stops waiting for requests. It includes cancelledResponseTime.
 	killMargin = 1200 * time.Millisecond
 	// headerTimeout is the maximum time for reading the headers of a request.
 	headerTimeout = 3 * time.Second
@@ -288,7 +288,8 @@
 }
 
 // stop steps down, gives the load balancer time to move callers to other instances (unreadyDuration), and
-// waits for the requests in flight until shortly before the end of the grace period, but at least 1 s.
+// waits for the requests in flight until shortly before the end of the grace period, but at least 1 s. Those
+// that are still in flight then are cancelled.
 func (n *Node) stop(s *servers, stopLeading func(), electionDone <-chan struct{}) {
 	started := time.Now()
 	n.logger.Info().Msg("stopping gracefully")
@@ -301,7 +302,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	if err := s.front.stop(ctx); err != nil {
-		n.logger.Warn().Err(err).Msg("requests still in flight at the end of the stop timeout")
+		n.logger.Warn().Err(err).Msg("requests cancelled at the end of the stop timeout")
 	}
 	s.ready.Close()
 }
--- a/internal/node/process_test.go
+++ b/internal/node/process_test.go
@@ -384,6 +384,21 @@
 	p.waitExit(t)
 }
 
+// Guards against a process that exits at the end of the stop timeout while requests still wait for the log:
+// they must be answered, with an unknown outcome if need be.
+func TestStopAnswersRequestsThatWaitForLog(t *testing.T) {
+	t.Parallel()
+	p := startReady(t, newLog(t))
+	stopped := time.Now().Add(serveTime)
+	cs := startCallers(p, stopped)
+	time.Sleep(time.Until(stopped))
+	p.signal(t, syscall.SIGTERM)
+	time.Sleep(faultDelay)
+	p.logClient.SetSilent(true)
+	p.waitExit(t)
+	cs.requireNoneLost(t)
+}
+
 // Guards against requests that are lost with the leader: an instance hands their records to the leader,
 // which stops, or does not respond while the instance itself stops.
 func TestRequestsAreAnsweredWithoutLeader(t *testing.T) {
