node: catch SIGHUP from the start of the process

An instance whose settings changed while it started was ended by the SIGHUP that announces the change.

Cause: the signal was caught only in a goroutine of Node.Run, after the settings had been read and the parts of the instance created. Until then SIGHUP ends the process.

Change: the command catches the signal before it reads the settings and passes it to Run. The signal stays caught until the process exits. The time before main, in which the Go runtime and the packages are initialized, remains.

Evidence: TestHangup sends SIGHUP while the process waits for its settings, and then every 10 ms beside 24 callers, also during the stop.

--- a/internal/cli/instance.go
+++ b/internal/cli/instance.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -42,6 +44,9 @@
 }
 
 func runInstance(ctx context.Context, env Env, file, level string) error {
+	// SIGHUP ends a process that does not catch it, and it may arrive at any time after the start.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	s, err := platform.ReadSettings(file)
 	if err != nil {
 		return err
@@ -66,7 +71,7 @@
 	logger, closeLog := logging.NewAsync(env.Stdout, level, s.Name)
 	defer closeLog()
 	reload := func() error { return reloadSettings(file, s) }
-	return node.New(s, p, logger).Run(ctx, reload)
+	return node.New(s, p, logger).Run(ctx, hangups, reload)
 }
 
 // reloadSettings validates a changed settings file. It applies nothing: the file takes effect at the
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,10 +8,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -231,9 +229,9 @@
 	return waves
 }
 
-// Run serves until ctx is done and then stops gracefully. It calls reload on each SIGHUP, which signals
-// that the settings file has changed. It returns an error if a server fails.
-func (n *Node) Run(ctx context.Context, reload func() error) error {
+// Run serves until ctx is done and then stops gracefully. It calls reload on each value of hangups, which
+// signals that the settings file has changed. It returns an error if a server fails.
+func (n *Node) Run(ctx context.Context, hangups <-chan os.Signal, reload func() error) error {
 	n.logger.Info().Str("zone", n.settings.Zone).Str("front", n.settings.FrontAddress).Msg("instance starts")
 	workCtx, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
@@ -250,7 +248,7 @@
 		defer close(electionDone)
 		n.elector.Run(leadCtx)
 	})
-	background.Go(func() { n.reloadOnSIGHUP(workCtx, reload) })
+	background.Go(func() { n.reloadOnHangup(workCtx, hangups, reload) })
 	servers, err := n.startServers()
 	if err != nil {
 		return err
@@ -266,16 +264,13 @@
 	return err
 }
 
-// reloadOnSIGHUP calls reload on each SIGHUP until ctx is done.
-func (n *Node) reloadOnSIGHUP(ctx context.Context, reload func() error) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+// reloadOnHangup calls reload on each value of hangups until ctx is done.
+func (n *Node) reloadOnHangup(ctx context.Context, hangups <-chan os.Signal, reload func() error) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-hangups:
 			n.logger.Info().Err(reload()).Msg("settings read again")
 		}
 	}
--- a/internal/node/process_test.go
+++ b/internal/node/process_test.go
@@ -432,3 +432,54 @@
 		cs.requireNoneLost(t)
 	})
 }
+
+// Guards against an instance that is ended by a SIGHUP while it reads its settings at the start, and against
+// requests that are broken off by a SIGHUP, also during a stop.
+func TestHangup(t *testing.T) {
+	t.Parallel()
+	p := newProcess(t, newLog(t))
+	path := filepath.Join(t.TempDir(), "settings.json")
+	require.NoError(t, platform.WriteSettings(path, &p.settings))
+	settings, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.NoError(t, os.Remove(path))
+	require.NoError(t, syscall.Mkfifo(path, 0o600))
+	p.start(t, path)
+	// The process has opened the pipe when it can be opened for writing, and waits for the settings.
+	var pipe *os.File
+	require.Eventually(t, func() bool {
+		pipe, err = os.OpenFile(path, os.O_WRONLY|syscall.O_NONBLOCK, 0)
+		return err == nil
+	}, 10*time.Second, time.Millisecond)
+	require.NoError(t, os.Remove(path))
+	require.NoError(t, os.WriteFile(path, settings, 0o600))
+	p.signal(t, syscall.SIGHUP)
+	time.Sleep(100 * time.Millisecond)
+	_, err = pipe.Write(settings)
+	require.NoError(t, err)
+	require.NoError(t, pipe.Close())
+	p.waitReady(t)
+
+	stopped := time.Now().Add(serveTime)
+	cs := startCallers(p, stopped)
+	hangups := time.NewTicker(10 * time.Millisecond)
+	defer hangups.Stop()
+	for range 30 {
+		<-hangups.C
+		p.signal(t, syscall.SIGHUP)
+	}
+	p.signal(t, syscall.SIGTERM)
+	for running := true; running; {
+		select {
+		case <-p.exited:
+			running = false
+		case <-hangups.C:
+			_ = p.cmd.Process.Signal(syscall.SIGHUP) // This fails if the process has exited.
+		case <-time.After(time.Until(stopped.Add(gracePeriod))):
+			running = false
+		}
+	}
+	p.waitExit(t)
+	cs.requireNoneLost(t)
+	require.Contains(t, p.output.String(), "settings read again")
+}
