--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,10 +8,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -45,7 +43,7 @@
 	// The load balancer notices after two probes, which are a second apart.
 	unreadyDuration = 2500 * time.Millisecond
 	// killMargin is how long before the end of the grace period, when the process is killed, the
-	// instance stops waiting for requests.
+	// instance stops waiting for requests. It includes cancelledResponseTime.
 	killMargin = 1200 * time.Millisecond
 	// headerTimeout is the maximum time for reading the headers of a request.
 	headerTimeout = 3 * time.Second
@@ -231,9 +229,9 @@
 	return waves
 }
 
-// Run serves until ctx is done and then stops gracefully. It calls reload on each SIGHUP, which signals
-// that the settings file has changed. It returns an error if a server fails.
-func (n *Node) Run(ctx context.Context, reload func() error) error {
+// Run serves until ctx is done and then stops gracefully. It calls reload on each value of hangups, which
+// signals that the settings file has changed. It returns an error if a server fails.
+func (n *Node) Run(ctx context.Context, hangups <-chan os.Signal, reload func() error) error {
 	n.logger.Info().Str("zone", n.settings.Zone).Str("front", n.settings.FrontAddress).Msg("instance starts")
 	workCtx, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
@@ -251,7 +249,7 @@
 		defer close(electionDone)
 		n.elector.Run(leadCtx)
 	})
-	background.Go(func() { n.reloadOnSIGHUP(workCtx, reload) })
+	background.Go(func() { n.reloadOnHangup(workCtx, hangups, reload) })
 	servers, err := n.startServers()
 	if err != nil {
 		return err
@@ -267,16 +265,13 @@
 	return err
 }
 
-// reloadOnSIGHUP calls reload on each SIGHUP until ctx is done.
-func (n *Node) reloadOnSIGHUP(ctx context.Context, reload func() error) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+// reloadOnHangup calls reload on each value of hangups until ctx is done.
+func (n *Node) reloadOnHangup(ctx context.Context, hangups <-chan os.Signal, reload func() error) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-hangups:
 			n.logger.Info().Err(reload()).Msg("settings read again")
 		}
 	}
@@ -289,7 +284,8 @@
 }
 
 // stop steps down, gives the load balancer time to move callers to other instances (unreadyDuration), and
-// waits for the requests in flight until shortly before the end of the grace period, but at least 1 s.
+// waits for the requests in flight until shortly before the end of the grace period, but at least 1 s. Those
+// that are still in flight then are cancelled.
 func (n *Node) stop(s *servers, stopLeading func(), electionDone <-chan struct{}) {
 	started := time.Now()
 	n.logger.Info().Msg("stopping gracefully")
@@ -298,12 +294,11 @@
 	stopLeading()
 	<-electionDone
 	time.Sleep(max(0, unreadyDuration-time.Since(started)))
-	s.front.SetKeepAlivesEnabled(false)
 	limit := max(time.Second, n.settings.Timing.GracePeriod-killMargin-time.Since(started))
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	if err := s.front.Shutdown(ctx); err != nil {
-		n.logger.Warn().Err(err).Msg("requests still in flight at the end of the stop timeout")
+	if err := s.front.stop(ctx); err != nil {
+		n.logger.Warn().Err(err).Msg("requests cancelled at the end of the stop timeout")
 	}
 	s.ready.Close()
 }
@@ -311,7 +306,8 @@
 // servers is the HTTP servers that stop shuts down: front for the requests of callers, ready for the
 // probes of the load balancer.
 type servers struct {
-	front, ready *http.Server
+	front *frontServer
+	ready *http.Server
 	// failed receives the error of each server that has failed, also of the metrics server.
 	failed chan error
 }
@@ -322,12 +318,12 @@
 	ready := http.NewServeMux()
 	ready.HandleFunc("/", n.serveReady)
 	s := &servers{
-		front: n.newServer(n.platform.FrontHandler(n.intake)),
 		ready: n.newServer(ready),
 		// One error from each of the servers for callers, probes and metrics, so that none blocks.
 		failed: make(chan error, 3),
 	}
-	if err := startServer(s.front, n.settings.FrontAddress, s.failed); err != nil {
+	var err error
+	if s.front, err = startFrontServer(n.newServer(n.platform.FrontHandler(n.intake)), n.settings.FrontAddress, s.failed); err != nil {
 		return nil, err
 	}
 	if err := startServer(s.ready, n.settings.ReadyAddress, s.failed); err != nil {
