Poll a worker before its first work from a new leader or in a new incarnation

What callers would see: a task that runs again after it has been completed (TWICE), and a worker over its capacity (LIMIT), after a change of the leader and a restart of a worker under its id.

Cause: a start of the former leader that had no response may arrive 12 s later. If its run has ended, no record names the worker, so the new leader did not poll it. An incarnation that has seen no command from the new leader has no fence and takes that start. The new leader does not know of the run and places work beside it. The same leader did not ask a new incarnation for its runs either.

Evidence: found by review. TestLateStartOfPreviousLeaderIsRejectedByNewIncarnation, in both orders of restart and takeover: 'run 1 started after a successful end was acknowledged' before, no violation after.

Change: a worker gets no work before this incarnation of it has answered a poll of this leader. The poll raises the fence and reads the clock and the runs. It is sent when the registry entry is read; it costs one poll for each worker and term. clockStale, which did the same for another reason, is now needsPoll.

lostStartResponses loses polls from the first start on, not before it: the first start now follows a poll. What the test checks is the same.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -339,7 +339,7 @@
 }
 
 // lostStartResponses executes starts but loses the responses to the first two, and to all polls
-// until the third start.
+// from the first start until the third.
 type lostStartResponses struct {
 	*workertest.Fleet
 	starts atomic.Int64
@@ -355,7 +355,7 @@
 }
 
 func (s *lostStartResponses) Poll(ctx context.Context, to worker.Endpoint, command worker.PollCommand) (worker.PollResponse, error) {
-	if s.starts.Load() < 3 {
+	if n := s.starts.Load(); n > 0 && n < 3 {
 		<-ctx.Done()
 		return worker.PollResponse{}, worker.ErrUnknownOutcome
 	}
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -62,7 +62,7 @@
 // acceptsWork reports whether new runs may be placed on the worker, as far as its own state allows.
 // It doesn't cover the preparation of a machine for maintenance.
 func (ws *workerState) acceptsWork(now boottime.Instant) bool {
-	return ws.registered && ws.info.State == worker.Ready && ws.unreachableSince == 0 && !ws.clockStale && now >= ws.noWorkUntil
+	return ws.registered && ws.info.State == worker.Ready && ws.unreachableSince == 0 && !ws.needsPoll && now >= ws.noWorkUntil
 }
 
 // usedResources returns the resources of all runs on the worker, and those of the runs that are
--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -76,13 +76,13 @@
 
 // poll asks a worker for the state of its runs and renews its leases. It does nothing while a poll
 // is in flight, while the records of ended runs are not stored yet, before the time of the next
-// poll, or if the worker is reachable and has no runs, no unacknowledged ends and a current clock.
+// poll, or if the worker is reachable and has no runs, no unacknowledged ends and no needsPoll.
 func (l *leader) poll(ws *workerState) {
 	now := boottime.Now()
 	if ws.pollInFlight || now < ws.nextPoll || ws.unstoredEnds > 0 || !l.term.Valid() {
 		return
 	}
-	if len(ws.runs) == 0 && ws.processedEnd == ws.acknowledgedEnd && !ws.clockStale && ws.unreachableSince == 0 {
+	if len(ws.runs) == 0 && ws.processedEnd == ws.acknowledgedEnd && !ws.needsPoll && ws.unreachableSince == 0 {
 		return
 	}
 	command := worker.PollCommand{Token: l.term.Epoch}
@@ -153,7 +153,8 @@
 		return
 	}
 	l.updateIncarnation(ws, response.StartedAtMS)
-	ws.clockMS, ws.clockReadAt, ws.clockStale = response.ClockMS, boottime.Now(), false
+	l.planDue = l.planDue || ws.needsPoll
+	ws.clockMS, ws.clockReadAt, ws.needsPoll = response.ClockMS, boottime.Now(), false
 	if !ws.polledInTerm {
 		// The previous leader may have granted the longest lease just before the takeover.
 		ws.polledInTerm = true
@@ -259,8 +260,8 @@
 	}()
 }
 
-// pollAll polls every known worker. After a takeover these are the workers to which previous
-// leaders may have sent starts.
+// pollAll polls every known worker for which a poll is due. After a takeover these are at first the workers
+// to which previous leaders may have sent starts.
 func (l *leader) pollAll() {
 	for _, ws := range l.workers {
 		l.poll(ws)
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -33,6 +33,7 @@
 			}
 		}
 	}
+	l.pollAll()
 	l.planDue = true
 }
 
@@ -117,6 +118,7 @@
 	// advanced by MaxLease.
 	ws.clockMS, ws.clockReadAt = 0, boottime.Now()
 	ws.maxExpiryMS = l.c.cfg.Timing.MaxLease.Milliseconds()
+	ws.needsPoll = true
 	// An acknowledgement for the previous incarnation that is delivered late would make the new one
 	// discard ends that the leader has not seen.
 	ws.noWorkUntil = max(ws.noWorkUntil, ws.unconfirmedAckUntil)
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -233,7 +233,7 @@
 	case worker.RejectedLeaseExpired, worker.RejectedNoCapacity:
 		// The worker gets no new work until a poll has read its clock and its runs again.
 		ws.noWorkUntil = now.Add(rejectedRetryInterval)
-		ws.clockStale = true
+		ws.needsPoll = true
 	case worker.RejectedTicket:
 		u.advice = nil
 	}
--- /dev/null
+++ b/internal/controller/untracked_test.go
@@ -0,0 +1,49 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/batch"
+	"github.com/oleanderbend/oleanderbend/internal/worker/workertest"
+)
+
+// usesGPUs returns the work of runs that use the given numbers of accelerators, by job.
+func usesGPUs(d time.Duration, gpus map[string]int64) func(batch.TaskID) workertest.Work {
+	return func(id batch.TaskID) workertest.Work { return workertest.Work{Duration: d, GPU: gpus[id.Job]} }
+}
+
+// Guards against a task that runs twice, on a worker that is over its capacity for this reason: a start of
+// the previous leader that had no response is delivered to the next incarnation of the worker. The run had
+// ended in the earlier incarnation, so the new leader knows of nothing on that worker.
+func TestLateStartOfPreviousLeaderIsRejectedByNewIncarnation(t *testing.T) {
+	for _, restartsBeforeTakeover := range []bool{false, true} {
+		workOf := usesGPUs(500*time.Millisecond, map[string]int64{jobID(1): 1, jobID(2): 8})
+		inVirtualTime(t, 1, workOf, func(c *cluster) {
+			c.addWorker("w1", "r1")
+			a := c.startInstance("a")
+			time.Sleep(4 * time.Second)
+			c.fleet.SetDelayedCommands(1, 12*time.Second)
+			c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 1})
+			time.Sleep(300 * time.Millisecond)
+			c.fleet.SetDelayedCommands(0, 0)
+			c.waitFor(4*time.Second, "completed", func() bool { return c.phase(jobID(1)) == batch.Completed })
+			c.waitFor(4*time.Second, "acknowledged", func() bool { return c.fleet.EndAcknowledged(batch.TaskID{Job: jobID(1)}) })
+			a.kill()
+			if restartsBeforeTakeover {
+				c.restartWorker("w1", 0)
+			}
+			c.startInstance("b")
+			time.Sleep(4 * time.Second)
+			if !restartsBeforeTakeover {
+				c.restartWorker("w1", 0)
+			}
+			time.Sleep(8 * time.Second)
+			c.submit(jobID(2), batch.Step{Count: 1, CPU: 1000, GPU: 8})
+			c.waitFor(4*time.Second, "completed", func() bool { return c.phase(jobID(2)) == batch.Completed })
+			require.Empty(t, c.fleet.Violations())
+		})
+	}
+}
--- a/internal/controller/workerstate.go
+++ b/internal/controller/workerstate.go
@@ -31,9 +31,10 @@
 
 	// polledInTerm means that the worker has responded to a poll in this term.
 	polledInTerm bool
-	// clockStale means that the worker's clock must be read by a poll before the worker gets new
-	// work.
-	clockStale   bool
+	// needsPoll means that a poll must read the worker's clock and runs before the worker gets new work.
+	// This applies to each incarnation that is new to this leader: the poll also raises the fencing token,
+	// which starts of previous leaders that arrive late could otherwise pass.
+	needsPoll    bool
 	pollInFlight bool
 	nextPoll     boottime.Instant
 	// unreachableSince is when a poll first failed; 0 while polls succeed. Rejected polls count as
@@ -68,7 +69,7 @@
 
 func newWorkerState(id, address string, startedAtMS int64) *workerState {
 	return &workerState{
-		id: id, address: address, startedAtMS: startedAtMS, runs: make(map[batch.TaskID]*run),
+		id: id, address: address, startedAtMS: startedAtMS, needsPoll: true, runs: make(map[batch.TaskID]*run),
 		unconfirmedStarts: make(map[worker.Run]boottime.Instant), failedJobs: make(map[string]bool),
 	}
 }
