Give a worker no work while it has a run that the leader does not track

What callers would see: a worker over its capacity (LIMIT), when a start that was believed to be over is carried out late.

Cause: the resources of a worker that count as used are those of the runs that the leader tracks. A run that a poll reports and that is not tracked was sent a stop, but its resources counted as free at once, and for as long as the stops had no effect.

Evidence: found by review. TestWorkerWithUntrackedRunGetsNoWork, with and without another run on the worker: 'capacity exceeded' (10 and 9 of 8 accelerators) before, no violation after.

Change: such a worker gets no work until a poll no longer reports the run. Polls follow each other after 150 ms until then, and so do the stops.

--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -21,6 +21,8 @@
 	// idlePollRetryInterval replaces pollRetryInterval for a worker without runs: every poll has a
 	// cost, and an unreachable worker usually stays unreachable for some seconds.
 	idlePollRetryInterval = time.Second
+	// untrackedPollInterval is the pause after a poll that reported a run that the leader does not track.
+	untrackedPollInterval = 150 * time.Millisecond
 	// sameIncarnationWindow is the time after a poll within which the worker cannot have restarted:
 	// a restart takes longer.
 	sameIncarnationWindow = time.Second
@@ -103,7 +105,7 @@
 	case len(ws.runs) > 0:
 		command.LeaseExpiryMS = l.nextExpiry(ws, now)
 		command.Wait = pollWait
-		if ws.hasStopping() {
+		if ws.hasStopping() || ws.needsPoll {
 			command.Wait = stopPollWait
 		}
 		if ws.processedEnd > ws.acknowledgedEnd && !sameIncarnation {
@@ -168,6 +170,10 @@
 	l.applyRunning(ws, sent, response)
 	l.restartStalled(ws)
 	l.adjustFillerSpeeds(ws)
+	if ws.needsPoll {
+		// A stop takes about as long, and polls of a worker without runs return at once.
+		ws.nextPoll = max(ws.nextPoll, boottime.Now().Add(untrackedPollInterval))
+	}
 	l.poll(ws)
 }
 
@@ -220,7 +226,7 @@
 }
 
 // applyRunning applies the reported runs of a worker: it updates the runs that the leader tracks,
-// stops the others, and ends tracked runs that should have been reported and were not.
+// stops the others and holds new work back until they are gone, and ends tracked runs that should have been reported and were not.
 func (l *leader) applyRunning(ws *workerState, sent boottime.Instant, response worker.PollResponse) {
 	reported := make(map[batch.TaskID]bool, len(response.Running))
 	for i := range response.Running {
@@ -228,6 +234,8 @@
 		r := ws.runs[s.Task]
 		if r == nil || r.number != s.Number {
 			l.stopUntracked(ws, s.Run)
+			// The run uses resources that the leader counts as free, until a poll no longer reports it.
+			ws.needsPoll = true
 			continue
 		}
 		reported[s.Task] = true
--- a/internal/controller/untracked_test.go
+++ b/internal/controller/untracked_test.go
@@ -1,12 +1,15 @@
 package controller
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/oleanderbend/oleanderbend/internal/batch"
+	"github.com/oleanderbend/oleanderbend/internal/worker"
 	"github.com/oleanderbend/oleanderbend/internal/worker/workertest"
 )
 
@@ -15,6 +18,52 @@
 	return func(id batch.TaskID) workertest.Work { return workertest.Work{Duration: d, GPU: gpus[id.Job]} }
 }
 
+// failingStops makes stops fail while it is set.
+type failingStops struct {
+	*workertest.Fleet
+	failing atomic.Bool
+}
+
+func (s *failingStops) Stop(ctx context.Context, to worker.Endpoint, r worker.Run, token int64) error {
+	if s.failing.Load() {
+		return worker.ErrUnreachable
+	}
+	return s.Fleet.Stop(ctx, to, r, token)
+}
+
+// Guards against a worker over its capacity: it had a run that the leader did not know of, and got a task
+// that needs the same accelerators before it was asked for its runs, or while the run was being stopped.
+func TestWorkerWithUntrackedRunGetsNoWork(t *testing.T) {
+	for _, otherRun := range []bool{false, true} {
+		workOf := usesGPUs(8*time.Second, map[string]int64{jobID(1): 2, jobID(2): 1, jobID(3): 7})
+		inVirtualTime(t, 1, workOf, func(c *cluster) {
+			stops := &failingStops{Fleet: c.fleet}
+			c.workers = stops
+			info := c.addWorker("w1", "r1")
+			if otherRun {
+				c.startInstance("a")
+				time.Sleep(4 * time.Second)
+				c.submit(jobID(2), batch.Step{Count: 1, CPU: 1000, GPU: 1, EstimateMS: 8000})
+				time.Sleep(2 * time.Second)
+			}
+			stops.failing.Store(true)
+			require.NoError(t, c.fleet.Start(context.Background(), worker.Endpoint{ID: "w1", Address: info.Address}, worker.StartCommand{
+				Run: worker.Run{Task: batch.TaskID{Job: jobID(1)}, Number: 1}, LeaseExpiryMS: 12000, Token: c.epoch(),
+			}))
+			if !otherRun {
+				c.startInstance("a")
+				time.Sleep(3 * time.Second)
+			}
+			time.Sleep(time.Second)
+			c.submit(jobID(3), batch.Step{Count: 1, CPU: 1000, GPU: 7, EstimateMS: 8000})
+			time.Sleep(500 * time.Millisecond)
+			stops.failing.Store(false)
+			c.waitFor(2*time.Second, "started", func() bool { return c.fleet.Starts(batch.TaskID{Job: jobID(3)}) == 1 })
+			require.Empty(t, c.fleet.Violations())
+		})
+	}
+}
+
 // Guards against a task that runs twice, on a worker that is over its capacity for this reason: a start of
 // the previous leader that had no response is delivered to the next incarnation of the worker. The run had
 // ended in the earlier incarnation, so the new leader knows of nothing on that worker.
