Repeat the stop of a start that may still arrive in a new incarnation

What callers would see: a task that runs again after it has been completed (TWICE), or a worker over its capacity, when a worker restarts while commands get no response.

Cause: starts without a response are stopped in the next incarnation of their worker, because that does not know that the runs have ended. This stop was sent once. If it got no response, the start took effect.

Evidence: found by review. TestStopOfUnansweredStartIsRepeated: 'run 1 started after a successful end was acknowledged' before, no violation after.

--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -232,7 +232,7 @@
 	for i := range response.Running {
 		s := &response.Running[i]
 		r := ws.runs[s.Task]
-		if r == nil || r.number != s.Number {
+		if !ws.tracks(s.Run) {
 			l.stopUntracked(ws, s.Run)
 			// The run uses resources that the leader counts as free, until a poll no longer reports it.
 			ws.needsPoll = true
@@ -264,10 +264,27 @@
 		defer cancel()
 		if err := l.c.cfg.Workers.Stop(ctx, target, r, token); err != nil {
 			l.logger.Warn().Str("worker", target.ID).Str("task", r.Task.String()).Err(err).Msg("stop of run that the leader does not track failed")
+			l.post(func() { l.repeatUntrackedStop(ws, r, err) })
 		}
 	}()
 }
 
+// repeatUntrackedStop repeats the stop of a run whose start may still arrive, unless the worker rejected the
+// stop for another reason than its own health. Stops of other runs are repeated if a poll reports the run again.
+func (l *leader) repeatUntrackedStop(ws *workerState, r worker.Run, err error) {
+	var rejected *worker.RejectedError
+	if errors.As(err, &rejected) && rejected.Reason != worker.RejectedUnhealthy {
+		return
+	}
+	time.AfterFunc(stopRetryInterval, func() {
+		l.post(func() {
+			if l.workers[ws.id] == ws && boottime.Now() < ws.unconfirmedStarts[r] && !ws.tracks(r) {
+				l.stopUntracked(ws, r)
+			}
+		})
+	})
+}
+
 // pollAll polls every known worker for which a poll is due. After a takeover these are at first the workers
 // to which previous leaders may have sent starts.
 func (l *leader) pollAll() {
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -148,7 +148,7 @@
 func (l *leader) stopUnconfirmedStarts(ws *workerState) {
 	now := boottime.Now()
 	for r, until := range ws.unconfirmedStarts {
-		if now < until && (ws.runs[r.Task] == nil || ws.runs[r.Task].number != r.Number) {
+		if now < until && !ws.tracks(r) {
 			l.stopUntracked(ws, r)
 		}
 	}
--- a/internal/controller/untracked_test.go
+++ b/internal/controller/untracked_test.go
@@ -96,3 +96,26 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice: a start without a response was to be stopped in the next
+// incarnation of its worker, that stop got no response, and it was not repeated.
+func TestStopOfUnansweredStartIsRepeated(t *testing.T) {
+	workOf := usesGPUs(500*time.Millisecond, map[string]int64{jobID(1): 1})
+	inVirtualTime(t, 1, workOf, func(c *cluster) {
+		c.addWorker("w1", "r1")
+		c.startInstance("a")
+		time.Sleep(4 * time.Second)
+		c.fleet.SetDelayedCommands(1, 9*time.Second)
+		c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 1})
+		time.Sleep(300 * time.Millisecond)
+		c.fleet.SetDelayedCommands(0, 0)
+		c.waitFor(4*time.Second, "acknowledged", func() bool { return c.fleet.EndAcknowledged(batch.TaskID{Job: jobID(1)}) })
+		time.Sleep(time.Second)
+		c.fleet.SetDelayedCommands(1, 20*time.Second)
+		c.restartWorker("w1", 0)
+		time.Sleep(400 * time.Millisecond)
+		c.fleet.SetDelayedCommands(0, 0)
+		time.Sleep(10 * time.Second)
+		require.Empty(t, c.fleet.Violations())
+	})
+}
--- a/internal/controller/workerstate.go
+++ b/internal/controller/workerstate.go
@@ -103,6 +103,12 @@
 	return true
 }
 
+// tracks reports whether a run is among the runs of the worker that the leader knows of.
+func (ws *workerState) tracks(r worker.Run) bool {
+	known := ws.runs[r.Task]
+	return known != nil && known.number == r.Number
+}
+
 // runList returns a copy of the runs, for loops that add or remove runs.
 func (ws *workerState) runList() []*run {
 	runs := make([]*run, 0, len(ws.runs))
