Keep an acknowledgement in flight in mind when its worker restarts

What callers would see: a completed task runs again (TWICE), when a worker restarts within the second in which an acknowledgement to it gets no response.

Cause: a new incarnation gets no work while an acknowledgement to the earlier one may arrive, because it would discard ends that the leader has not seen. That was decided when the restart was noticed, from the acknowledgements that had timed out by then. One that was still in flight did not count, and a worker without a registry entry was forgotten together with it.

Evidence: found by review.

Change: an acknowledgement that times out after the restart was noticed holds work back as well, and a worker is not forgotten while a poll is in flight.

--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -121,12 +121,17 @@
 	}
 	ws.pollInFlight = true
 	l.c.metrics.polls.Inc()
-	target := worker.Endpoint{ID: ws.id, Address: ws.address}
+	target, startedAtMS := worker.Endpoint{ID: ws.id, Address: ws.address}, ws.startedAtMS
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, command.Wait+pollTimeoutMargin)
 		defer cancel()
 		response, err := l.c.cfg.Workers.Poll(ctx, target, command)
-		l.post(func() { l.handlePollResponse(ws, now, command, response, err) })
+		l.post(func() {
+			if command.AcknowledgedThrough > 0 && errors.Is(err, worker.ErrUnknownOutcome) {
+				ws.recordUnconfirmedAck(now, startedAtMS)
+			}
+			l.handlePollResponse(ws, now, command, response, err)
+		})
 	}()
 }
 
@@ -137,9 +142,6 @@
 		return
 	}
 	if err != nil {
-		if command.AcknowledgedThrough > 0 && errors.Is(err, worker.ErrUnknownOutcome) {
-			ws.unconfirmedAckUntil = sent.Add(maxCommandDelay)
-		}
 		l.handlePollError(ws, err)
 		return
 	}
@@ -177,6 +179,16 @@
 	l.poll(ws)
 }
 
+// recordUnconfirmedAck records that an acknowledgement got no response that was sent at the given instant to
+// the incarnation with the given start time. If the worker has restarted since, the new incarnation gets no
+// work while the acknowledgement may be delivered to it (see updateIncarnation).
+func (ws *workerState) recordUnconfirmedAck(sent boottime.Instant, startedAtMS int64) {
+	ws.unconfirmedAckUntil = sent.Add(maxCommandDelay)
+	if ws.startedAtMS != startedAtMS {
+		ws.noWorkUntil = max(ws.noWorkUntil, ws.unconfirmedAckUntil)
+	}
+}
+
 func (l *leader) handlePollError(ws *workerState, err error) {
 	var rejected *worker.RejectedError
 	now := boottime.Now()
--- a/internal/controller/untracked_test.go
+++ b/internal/controller/untracked_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/oleanderbend/oleanderbend/internal/batch"
+	"github.com/oleanderbend/oleanderbend/internal/ledger"
 	"github.com/oleanderbend/oleanderbend/internal/worker"
 	"github.com/oleanderbend/oleanderbend/internal/worker/workertest"
 )
@@ -119,3 +120,43 @@
 		require.Empty(t, c.fleet.Violations())
 	})
 }
+
+// hangingAcknowledgements lets polls that acknowledge ends hang until they time out.
+type hangingAcknowledgements struct {
+	*workertest.Fleet
+	hung atomic.Int64
+}
+
+func (h *hangingAcknowledgements) Poll(ctx context.Context, to worker.Endpoint, command worker.PollCommand) (worker.PollResponse, error) {
+	if command.AcknowledgedThrough > 0 && h.hung.Add(1) == 1 {
+		<-ctx.Done()
+		return worker.PollResponse{}, worker.ErrUnknownOutcome
+	}
+	return h.Fleet.Poll(ctx, to, command)
+}
+
+// Guards against an acknowledgement that is delivered late to a new incarnation of its worker, which would
+// discard ends that the leader has not seen: the new incarnation was noticed before the acknowledgement
+// timed out, and got work. Or the registry entry was gone for a moment, and the worker was forgotten.
+func TestNewIncarnationGetsNoWorkWhileAcknowledgementMayArrive(t *testing.T) {
+	for _, forgotten := range []bool{false, true} {
+		inVirtualTime(t, 1, fixedWork(500*time.Millisecond), func(c *cluster) {
+			polls := &hangingAcknowledgements{Fleet: c.fleet}
+			c.workers = polls
+			c.addWorker("w1", "r1")
+			c.startInstance("a")
+			time.Sleep(4 * time.Second)
+			c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 1})
+			c.waitFor(4*time.Second, "acknowledgement sent", func() bool { return polls.hung.Load() == 1 })
+			sent := time.Now()
+			if forgotten {
+				c.write(workersTopic, ledger.Record{Key: "w1"})
+				time.Sleep(200 * time.Millisecond)
+			}
+			c.restartWorker("w1", 0)
+			c.submit(jobID(2), batch.Step{Count: 1, CPU: 1000, GPU: 1})
+			c.waitFor(20*time.Second, "started", func() bool { return c.fleet.Starts(batch.TaskID{Job: jobID(2)}) == 1 })
+			require.GreaterOrEqual(t, time.Since(sent), maxCommandDelay-time.Second)
+		})
+	}
+}
--- a/internal/controller/workerstate.go
+++ b/internal/controller/workerstate.go
@@ -92,7 +92,7 @@
 // and no effect of earlier commands or ends is outstanding. A new state of the same worker would
 // acknowledge ends whose records are not stored, and would not stop starts that arrive late.
 func (ws *workerState) forgettable(now boottime.Instant) bool {
-	if ws.registered || len(ws.runs) > 0 || ws.unstoredEnds > 0 || now < ws.unconfirmedAckUntil {
+	if ws.registered || len(ws.runs) > 0 || ws.unstoredEnds > 0 || ws.pollInFlight || now < ws.unconfirmedAckUntil {
 		return false
 	}
 	for _, until := range ws.unconfirmedStarts {
