Start a job that has waited for its preferred rack beside free capacity for 2 s

Cause: tasks wait 4 s for the rack of their data, or for one rack with room for a whole gang. The bound for jobs that are held back from free capacity did not cover this.

Evidence: found by review. TestJobWaitsForRackWithinLimit (data, gang, long-running task) fails before with 'not within 3s' and passes after.

Change: such a unit counts as held back if it fits twice over into other racks. After 2 s of this a gang, or one task of another unit, starts in any racks; the other tasks wait 4 s as before, and so do units whose job has runs.

--- a/internal/controller/wait.go
+++ b/internal/controller/wait.go
@@ -12,8 +12,8 @@
 
 const (
 	// maxHeldBack bounds how long a job without runs waits although the free resources suffice for it twice
-	// over, because they are kept for other jobs. Runs of the jobs that they are kept for take several
-	// seconds, so a claim that lacks resources for longer may last for long.
+	// over, because they are kept for other jobs or are in other racks than it prefers. Runs of the jobs that
+	// they are kept for take several seconds, so a claim that lacks resources for longer may last for long.
 	maxHeldBack = 2 * time.Second
 	// waitsForAdvice is the reason of units that have no valid ticket of the advice service.
 	waitsForAdvice planner.WaitReason = "advice"
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -149,9 +149,9 @@
 	// Preemption ignores WaitsForRack for guaranteed units, for units that are not RackLocal and for
 	// units of one task: if it finds no victims within a suitable rack, it takes them from all racks.
 	WaitsForRack bool
-	// IgnoresHolds means that resources that are kept free for others have held the unit back for too long:
-	// it may use the headroom and what blocked gangs claim. If the unit is not a gang, this applies to one
-	// of its tasks.
+	// IgnoresHolds means that resources that are kept free for others, or its preferred rack, have held the
+	// unit back for too long: it may use the headroom and what blocked gangs claim, and WaitsForRack does not
+	// apply. If the unit is not a gang, this holds for one of its tasks.
 	IgnoresHolds bool
 }
 
@@ -188,8 +188,9 @@
 	// Behind is the index in Snapshot.Units of the first gang whose claim the unit waits behind. It is -1
 	// unless Reason is WaitsBehindGang.
 	Behind int
-	// HeldBack means that the free resources that are kept for others, as headroom or by claims of blocked
-	// gangs, suffice for the unit twice over: for twice the tasks of a gang, else for two tasks.
+	// HeldBack means that free resources suffice for the unit twice over (for twice the tasks of a gang, else
+	// for two tasks), but are kept for others, as headroom or by claims of blocked gangs, or are in racks that
+	// the unit does not prefer.
 	HeldBack bool
 }
 
@@ -454,7 +455,7 @@
 	case r.blockedGangClaims > 0 && len(r.place(u, r.freeDespiteGangs())) > 0:
 		return Wait{Reason: WaitsBehindGang, Behind: r.firstClaimant, HeldBack: r.fitsTwiceDespiteHolds(u)}
 	case (u.DataRack != "" || u.RackLocal) && len(r.place(&anyRack, r.free)) > 0:
-		return Wait{Reason: WaitsForRack, Behind: -1}
+		return Wait{Reason: WaitsForRack, Behind: -1, HeldBack: r.fitsTwiceDespiteHolds(u)}
 	default:
 		return Wait{Reason: WaitsForCapacity, Behind: -1}
 	}
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -32,9 +32,12 @@
 	var all []unitPart
 	for _, part := range order {
 		u := &part.unit
+		if u.IgnoresHolds && u.Gang {
+			u.WaitsForRack = false
+		}
 		if u.IgnoresHolds && !u.Gang {
 			one := part
-			one.unit.Tasks = 1
+			one.unit.Tasks, one.unit.WaitsForRack = 1, false
 			all = append(all, one)
 			u.IgnoresHolds = false
 			if u.Tasks--; u.Tasks == 0 {
