Stop a start in flight in the new incarnation of its worker

A run is stopped while its start has no response yet, for example because another member of its gang was rejected; the worker restarts within this half second; the start is carried out seconds later by the new incarnation.

Cause: the stop is repeated in the new incarnation if a start had no response. A start counted as such only once it had timed out, so one that was still in flight when the restart was noticed did not count. The stop's response came from the old incarnation, the run counted as over, and its capacity as free.

Evidence: TestNoTaskRunsTwiceWithLateOrdersAndRestarts, on: 'capacity exceeded: task 6.0.0.2 run 1 on w4 brings the worker to 10 of 8 accelerators', then a duplicate run; the log shows this sequence. TestStartInFlightIsStoppedInNewIncarnation builds it: 'brings the worker to 16 of 8 accelerators' before, no violation after; likewise if the run has ended before the start times out.

Change: a start in flight counts when the restart is noticed. If the run is already over, the start is stopped once it has timed out. A response to a stop counts only if the worker has not restarted since.

--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -127,8 +127,8 @@
 	// flight or will be repeated, or the next poll decides whether they are adopted.
 	for _, r := range ws.runList() {
 		switch {
-		case r.unconfirmed > 0 && r.state == stopping:
-			// The new incarnation does not know of the stop and may receive an unconfirmed start.
+		case (r.unconfirmed > 0 || r.startInFlight) && r.state == stopping:
+			// The new incarnation does not know of the stop and may receive a start without a response.
 			r.confirmedAt = 0
 			l.sendStop(r)
 		case r.unconfirmed > 0 && r.state != adopting:
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -82,6 +82,8 @@
 	// response. The unconfirmed count of a restored run is at least 1, because the previous
 	// leader's start may have had no response.
 	startCommands, unconfirmed int
+	// startInFlight means that the outcome of the last start command is not known yet and it has not timed out.
+	startInFlight bool
 	// startDeferred means that a start is due and was not sent because the term was not valid.
 	startDeferred bool
 	// confirmedAt is when the outcome of the last command became known or, if later, when a new
@@ -151,27 +153,33 @@
 	if r.startDeferred {
 		return
 	}
-	r.state = starting
+	r.state, r.startInFlight = starting, true
 	r.startCommands++
 	l.c.metrics.starts.Inc()
 	command := worker.StartCommand{
 		Run: r.runID(), Spec: r.task.unit.job.spec.Spec, Checkpoint: r.task.resumeCheckpoint(), Ticket: r.ticket,
 		LeaseExpiryMS: expiry, Token: l.term.Epoch,
 	}
-	target := r.target()
+	target, startedAtMS := r.target(), r.worker.startedAtMS
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, commandTimeout)
 		defer cancel()
 		err := l.c.cfg.Workers.Start(ctx, target, command)
-		l.post(func() { l.handleStartResponse(r, err) })
+		l.post(func() { l.handleStartResponse(r, startedAtMS, err) })
 	}()
 }
 
-// handleStartResponse applies the result of a start command.
-func (l *leader) handleStartResponse(r *run, err error) {
+// handleStartResponse applies the result of a start command that was sent to the incarnation of the worker
+// with the given start time.
+func (l *leader) handleStartResponse(r *run, startedAtMS int64, err error) {
+	r.startInFlight = false
 	if r.task.run != r {
 		if errors.Is(err, worker.ErrUnknownOutcome) {
 			r.markUnconfirmed()
+			if r.worker.startedAtMS != startedAtMS {
+				// The run was over in the earlier incarnation; the new one does not know that.
+				l.stopUntracked(r.worker, r.runID())
+			}
 		}
 		return
 	}
@@ -283,18 +291,20 @@
 	now := boottime.Now()
 	r.stopSentAt = now
 	l.c.metrics.stops.Inc()
-	target, runID, token := r.target(), r.runID(), l.term.Epoch
+	target, runID, token, startedAtMS := r.target(), r.runID(), l.term.Epoch, r.worker.startedAtMS
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, commandTimeout)
 		defer cancel()
 		err := l.c.cfg.Workers.Stop(ctx, target, runID, token)
-		l.post(func() { l.handleStopResponse(r, err) })
+		l.post(func() { l.handleStopResponse(r, startedAtMS, err) })
 	}()
 }
 
-func (l *leader) handleStopResponse(r *run, err error) {
-	if r.task.run != r {
-		return
+// handleStopResponse applies the result of a stop that was sent to the incarnation of the worker with the
+// given start time. Another incarnation may not know of the stop.
+func (l *leader) handleStopResponse(r *run, startedAtMS int64, err error) {
+	if r.task.run != r || r.worker.startedAtMS != startedAtMS {
+		return // If the run is still being stopped, checkRun repeats the stop.
 	}
 	var rejected *worker.RejectedError
 	switch {
--- a/internal/controller/untracked_test.go
+++ b/internal/controller/untracked_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -160,3 +161,63 @@
 		})
 	}
 }
+
+// lateStart lets the first start on worker w1 get no response and be executed late, and rejects the first
+// start on every other worker. Polls fail while failingPolls is set.
+type lateStart struct {
+	*workertest.Fleet
+	delay        time.Duration
+	started      sync.Map
+	failingPolls atomic.Bool
+}
+
+func (s *lateStart) Start(ctx context.Context, to worker.Endpoint, command worker.StartCommand) error {
+	_, again := s.started.LoadOrStore(to.ID, true)
+	switch {
+	case again:
+		return s.Fleet.Start(ctx, to, command)
+	case to.ID != "w1":
+		return &worker.RejectedError{Reason: worker.RejectedNoCapacity}
+	}
+	time.AfterFunc(s.delay, func() { _ = s.Fleet.Start(context.Background(), to, command) })
+	<-ctx.Done()
+	return worker.ErrUnknownOutcome
+}
+
+func (s *lateStart) Poll(ctx context.Context, to worker.Endpoint, command worker.PollCommand) (worker.PollResponse, error) {
+	if s.failingPolls.Load() {
+		return worker.PollResponse{}, worker.ErrUnreachable
+	}
+	return s.Fleet.Poll(ctx, to, command)
+}
+
+// Guards against a task that runs twice, and a worker over its capacity: a run was stopped, because its gang
+// had ended, while its start was in flight. The worker restarted before the start timed out, and the start was
+// delivered to the new incarnation, which knew of no stop.
+func TestStartInFlightIsStoppedInNewIncarnation(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		workOf := func(batch.TaskID) workertest.Work {
+			return workertest.Work{Duration: time.Minute, GangSize: 2, GPU: 8}
+		}
+		inVirtualTime(t, 1, workOf, func(c *cluster) {
+			late := &lateStart{Fleet: c.fleet, delay: 6 * time.Second}
+			c.workers = late
+			c.addWorker("w1", "r1")
+			c.addWorker("w2", "r1")
+			c.startInstance("a")
+			time.Sleep(4 * time.Second)
+			late.failingPolls.Store(!ended)
+			c.submit(jobID(1), batch.Step{Count: 2, CPU: 1000, GPU: 8, Gang: true, EstimateMS: 60000})
+			time.Sleep(100 * time.Millisecond)
+			c.restartWorker("w1", 0)
+			time.Sleep(200 * time.Millisecond)
+			late.failingPolls.Store(false)
+			c.waitFor(4*time.Second, "started", func() bool {
+				_, runs := c.fleet.JobCounts(jobID(1))
+				return runs == 2
+			})
+			time.Sleep(6 * time.Second)
+			require.Empty(t, c.fleet.Violations())
+		})
+	}
+}
