Start nothing on a restarted worker that was planned for its earlier incarnation

What callers would see: a worker over its capacity (LIMIT), or a task on a worker without the required label (ROUTE), after a worker has restarted as another kind of worker.

Cause: a start whose placement was being stored when the restart was noticed was sent to the new incarnation, and so was the repetition of a start in flight. If a poll showed the restart before the registry did, tasks were placed by the capacity and labels of the earlier incarnation.

TestRestartedWorkerOfAnotherKindGetsNoWorkThatDoesNotFit, both cases: 'brings the worker to 7 of 1 accelerators' before, no violation after.

Change: placements that are being stored end when the restart is noticed, starts in flight are stopped, and a worker gets no work until the registry has the entry of the incarnation that answered last.

--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -60,8 +60,12 @@
 }
 
 // acceptsWork reports whether new runs may be placed on the worker, as far as its own state allows.
-// It doesn't cover the preparation of a machine for maintenance.
+// It doesn't cover the preparation of a machine for maintenance. A new incarnation may be of another kind, so
+// the registry entry must be its own.
 func (ws *workerState) acceptsWork(now boottime.Instant) bool {
+	if ws.info.StartedAtMS != 0 && ws.info.StartedAtMS != ws.startedAtMS {
+		return false
+	}
 	return ws.registered && ws.info.State == worker.Ready && ws.unreachableSince == 0 && !ws.needsPoll && now >= ws.noWorkUntil
 }
 
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -123,16 +123,19 @@
 	// discard ends that the leader has not seen.
 	ws.noWorkUntil = max(ws.noWorkUntil, ws.unconfirmedAckUntil)
 	l.stopUnconfirmedStarts(ws)
-	// Runs that match neither case need no change: their start has not been sent, a command is in
-	// flight or will be repeated, or the next poll decides whether they are adopted.
+	// Runs that match no case need no change: a command will be repeated, or the next poll decides whether
+	// they are adopted.
 	for _, r := range ws.runList() {
 		switch {
+		case r.state == storing:
+			// The new incarnation may be of another kind.
+			l.stopRun(r, "worker started again")
 		case (r.unconfirmed > 0 || r.startInFlight) && r.state == stopping:
 			// The new incarnation does not know of the stop and may receive a start without a response.
 			r.confirmedAt = 0
 			l.sendStop(r)
-		case r.unconfirmed > 0 && r.state != adopting:
-			// The new incarnation may receive, or may have received, an unconfirmed start.
+		case (r.unconfirmed > 0 || r.startInFlight) && r.state != adopting:
+			// The new incarnation may receive, or may have received, a start without a response.
 			l.stopRun(r, "worker started again")
 		case r.confirmedAt != 0:
 			// The new incarnation may have received the start. The next poll shows whether it has
--- a/internal/controller/untracked_test.go
+++ b/internal/controller/untracked_test.go
@@ -221,3 +221,39 @@
 		})
 	}
 }
+
+// Guards against a worker over its capacity: it restarted as another kind of worker, which a poll or the
+// registry showed while a placement was being stored, or which a poll showed before the registry did.
+func TestRestartedWorkerOfAnotherKindGetsNoWorkThatDoesNotFit(t *testing.T) {
+	for _, whileStoring := range []bool{false, true} {
+		workOf := usesGPUs(time.Minute, map[string]int64{jobID(1): 1, jobID(2): 7})
+		inVirtualTime(t, 1, workOf, func(c *cluster) {
+			c.addWorker("w1", "r1")
+			_, gate := c.startGated("a")
+			time.Sleep(4 * time.Second)
+			c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 1, EstimateMS: 60000})
+			time.Sleep(2 * time.Second)
+			smaller := workerInfo("w1", "r1")
+			smaller.GPU = 1
+			if whileStoring {
+				gate.hold(batch.TasksTopic)
+				c.submit(jobID(2), batch.Step{Count: 1, CPU: 1000, GPU: 7, EstimateMS: 60000})
+				time.Sleep(200 * time.Millisecond)
+				c.register(c.fleet.Add(smaller, clockRate))
+				time.Sleep(500 * time.Millisecond)
+				gate.release(batch.TasksTopic)
+				time.Sleep(3 * time.Second)
+			} else {
+				smaller = c.fleet.Add(smaller, clockRate)
+				time.Sleep(1200 * time.Millisecond)
+				c.submit(jobID(2), batch.Step{Count: 1, CPU: 1000, GPU: 7, EstimateMS: 60000})
+				time.Sleep(800 * time.Millisecond)
+				c.register(smaller)
+				time.Sleep(3 * time.Second)
+			}
+			require.Empty(t, c.fleet.Violations())
+			require.Zero(t, c.fleet.Starts(batch.TaskID{Job: jobID(2)}))
+			require.Equal(t, 1, c.fleet.RunCount("w1"), "the task that fits runs again")
+		})
+	}
+}
