--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -21,6 +21,8 @@
 	// idlePollRetryInterval replaces pollRetryInterval for a worker without runs: every poll has a
 	// cost, and an unreachable worker usually stays unreachable for some seconds.
 	idlePollRetryInterval = time.Second
+	// untrackedPollInterval is the pause after a poll that reported a run that the leader does not track.
+	untrackedPollInterval = 150 * time.Millisecond
 	// sameIncarnationWindow is the time after a poll within which the worker cannot have restarted:
 	// a restart takes longer.
 	sameIncarnationWindow = time.Second
@@ -76,8 +78,8 @@
 
 // poll asks a worker for the state of its runs and renews its leases. It does nothing while a poll
 // is in flight, before the time of the next poll, or if the worker is reachable and has no runs, no
-// unacknowledged ends and a current clock. While the records of ended runs are not stored yet, it only
-// renews the leases of the other runs.
+// unacknowledged ends and no needsPoll. While the records of ended runs are not stored yet, it only renews
+// the leases of the other runs.
 func (l *leader) poll(ws *workerState) {
 	now := boottime.Now()
 	if ws.pollInFlight || now < ws.nextPoll || !l.term.Valid() {
@@ -87,7 +89,7 @@
 	if storing && (len(ws.runs) == 0 || now.Sub(ws.lastStartOrPollResponse) < pollWait) {
 		return
 	}
-	if len(ws.runs) == 0 && ws.processedEnd == ws.acknowledgedEnd && !ws.clockStale && ws.unreachableSince == 0 {
+	if len(ws.runs) == 0 && ws.processedEnd == ws.acknowledgedEnd && !ws.needsPoll && ws.unreachableSince == 0 {
 		return
 	}
 	command := worker.PollCommand{Token: l.term.Epoch}
@@ -108,7 +110,7 @@
 	case len(ws.runs) > 0:
 		command.LeaseExpiryMS = l.nextExpiry(ws, now)
 		command.Wait = pollWait
-		if ws.hasStopping() {
+		if ws.hasStopping() || ws.needsPoll {
 			command.Wait = stopPollWait
 		}
 		if ws.processedEnd > ws.acknowledgedEnd && (!sameIncarnation || storing) {
@@ -122,27 +124,29 @@
 	if !l.term.Valid() {
 		return
 	}
-	ws.pollInFlight = true
+	ws.pollInFlight, ws.ackInFlight = true, command.AcknowledgedThrough > 0
 	l.c.metrics.polls.Inc()
-	target := worker.Endpoint{ID: ws.id, Address: ws.address}
+	target, startedAtMS := worker.Endpoint{ID: ws.id, Address: ws.address}, ws.startedAtMS
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, command.Wait+pollTimeoutMargin)
 		defer cancel()
 		response, err := l.c.cfg.Workers.Poll(ctx, target, command)
-		l.post(func() { l.handlePollResponse(ws, now, command, response, err) })
+		l.post(func() {
+			if command.AcknowledgedThrough > 0 && errors.Is(err, worker.ErrUnknownOutcome) {
+				ws.recordUnconfirmedAck(now, startedAtMS)
+			}
+			l.handlePollResponse(ws, now, command, response, err)
+		})
 	}()
 }
 
 // handlePollResponse applies the result of a poll that was sent at the given instant.
 func (l *leader) handlePollResponse(ws *workerState, sent boottime.Instant, command worker.PollCommand, response worker.PollResponse, err error) {
-	ws.pollInFlight = false
+	ws.pollInFlight, ws.ackInFlight = false, false
 	if l.workers[ws.id] != ws {
 		return
 	}
 	if err != nil {
-		if command.AcknowledgedThrough > 0 && errors.Is(err, worker.ErrUnknownOutcome) {
-			ws.unconfirmedAckUntil = sent.Add(maxCommandDelay)
-		}
 		l.handlePollError(ws, err)
 		return
 	}
@@ -158,7 +162,8 @@
 		return
 	}
 	l.updateIncarnation(ws, response.StartedAtMS)
-	ws.clockMS, ws.clockReadAt, ws.clockStale = response.ClockMS, boottime.Now(), false
+	l.planDue = l.planDue || ws.needsPoll
+	ws.clockMS, ws.clockReadAt, ws.needsPoll = response.ClockMS, boottime.Now(), false
 	if !ws.polledInTerm {
 		// The previous leader may have granted the longest lease just before the takeover.
 		ws.polledInTerm = true
@@ -172,9 +177,23 @@
 	l.applyRunning(ws, sent, response)
 	l.restartStalled(ws)
 	l.adjustFillerSpeeds(ws)
+	if ws.needsPoll {
+		// A stop takes about as long, and polls of a worker without runs return at once.
+		ws.nextPoll = max(ws.nextPoll, boottime.Now().Add(untrackedPollInterval))
+	}
 	l.poll(ws)
 }
 
+// recordUnconfirmedAck records that an acknowledgement got no response that was sent at the given instant to
+// the incarnation with the given start time. If the worker has restarted since, the new incarnation gets no
+// work while the acknowledgement may be delivered to it (see updateIncarnation).
+func (ws *workerState) recordUnconfirmedAck(sent boottime.Instant, startedAtMS int64) {
+	ws.unconfirmedAckUntil = sent.Add(maxCommandDelay)
+	if ws.startedAtMS != startedAtMS {
+		ws.noWorkUntil = max(ws.noWorkUntil, ws.unconfirmedAckUntil)
+	}
+}
+
 func (l *leader) handlePollError(ws *workerState, err error) {
 	var rejected *worker.RejectedError
 	now := boottime.Now()
@@ -224,14 +243,17 @@
 }
 
 // applyRunning applies the reported runs of a worker: it updates the runs that the leader tracks,
-// stops the others, and ends tracked runs that should have been reported and were not.
+// stops the others and holds new work back until they are gone, and ends tracked runs that should have
+// been reported and were not.
 func (l *leader) applyRunning(ws *workerState, sent boottime.Instant, response worker.PollResponse) {
 	reported := make(map[batch.TaskID]bool, len(response.Running))
 	for i := range response.Running {
 		s := &response.Running[i]
 		r := ws.runs[s.Task]
-		if r == nil || r.number != s.Number {
+		if !ws.tracks(s.Run) {
 			l.stopUntracked(ws, s.Run)
+			// The run uses resources that the leader counts as free, until a poll no longer reports it.
+			ws.needsPoll = true
 			continue
 		}
 		reported[s.Task] = true
@@ -260,12 +282,29 @@
 		defer cancel()
 		if err := l.c.cfg.Workers.Stop(ctx, target, r, token); err != nil {
 			l.logger.Warn().Str("worker", target.ID).Str("task", r.Task.String()).Err(err).Msg("stop of run that the leader does not track failed")
+			l.post(func() { l.repeatUntrackedStop(ws, r, err) })
 		}
 	}()
 }
 
-// pollAll polls every known worker. After a takeover these are the workers to which previous
-// leaders may have sent starts.
+// repeatUntrackedStop repeats the stop of a run whose start may still arrive, unless the worker rejected the
+// stop for another reason than its own health. Stops of other runs are repeated if a poll reports the run again.
+func (l *leader) repeatUntrackedStop(ws *workerState, r worker.Run, err error) {
+	var rejected *worker.RejectedError
+	if errors.As(err, &rejected) && rejected.Reason != worker.RejectedUnhealthy {
+		return
+	}
+	time.AfterFunc(stopRetryInterval, func() {
+		l.post(func() {
+			if l.workers[ws.id] == ws && boottime.Now() < ws.unconfirmedStarts[r] && !ws.tracks(r) {
+				l.stopUntracked(ws, r)
+			}
+		})
+	})
+}
+
+// pollAll polls every known worker for which a poll is due. After a takeover these are at first the workers
+// to which previous leaders may have sent starts.
 func (l *leader) pollAll() {
 	for _, ws := range l.workers {
 		l.poll(ws)
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -18,13 +18,14 @@
 	maxEntryAgeAtShutdown = 2
 )
 
-// applyWorkers applies changes in the registry of workers.
-func (l *leader) applyWorkers(u ledger.Update) {
+// applyWorkers applies changes in the registry of workers. They were written after the given instant, which is
+// 0 if not known.
+func (l *leader) applyWorkers(u ledger.Update, writtenAfter boottime.Instant) {
 	l.registryRead = true
 	seen := make(map[string]bool)
 	for _, entry := range u.Entries {
 		seen[entry.Key] = true
-		l.applyWorker(entry.Record)
+		l.applyWorker(entry.Record, writtenAfter)
 	}
 	if u.Reset {
 		for id, ws := range l.workers {
@@ -33,10 +34,11 @@
 			}
 		}
 	}
+	l.pollAll()
 	l.planDue = true
 }
 
-func (l *leader) applyWorker(r ledger.Record) {
+func (l *leader) applyWorker(r ledger.Record, writtenAfter boottime.Instant) {
 	ws := l.workers[r.Key]
 	if len(r.Value) == 0 {
 		if ws != nil && ws.registered {
@@ -61,8 +63,8 @@
 		l.logger.Info().Str("worker", ws.id).Str("rack", info.Rack).Int("state", int(info.State)).
 			Int64("born", info.StartedAtMS).Int("runs", len(ws.runs)).Msg("worker's state changed")
 	}
-	ws.heartbeatAt = boottime.Now()
-	ws.shutdownAt = ws.heartbeatAt.Add(info.RemainingTime)
+	ws.heartbeatAt = writtenAfter
+	ws.shutdownAt = boottime.Now().Add(info.RemainingTime)
 	ws.registered, ws.info, ws.address = true, info, info.Address
 	// Entries are read late, so an entry's clock is used only if it raises the lower bound.
 	if now := boottime.Now(); ws.clockReadAt == 0 || info.ClockMS > ws.clockMS+now.Sub(ws.clockReadAt).Milliseconds() {
@@ -73,7 +75,7 @@
 
 // handleEntryRemoved handles the removal of a registry entry. The entry of an unreachable worker is
 // kept for several heartbeat intervals. A draining worker whose entry is removed earlier has
-// removed it itself and shut down.
+// removed it itself and shut down. An update that was read late does not count as recent.
 func (l *leader) handleEntryRemoved(ws *workerState) {
 	age := boottime.Since(ws.heartbeatAt)
 	shutDown := ws.info.State == worker.Draining && age < maxEntryAgeAtShutdown*l.c.cfg.Timing.HeartbeatInterval
@@ -117,20 +119,28 @@
 	// advanced by MaxLease.
 	ws.clockMS, ws.clockReadAt = 0, boottime.Now()
 	ws.maxExpiryMS = l.c.cfg.Timing.MaxLease.Milliseconds()
+	ws.needsPoll = true
 	// An acknowledgement for the previous incarnation that is delivered late would make the new one
 	// discard ends that the leader has not seen.
 	ws.noWorkUntil = max(ws.noWorkUntil, ws.unconfirmedAckUntil)
 	l.stopUnconfirmedStarts(ws)
-	// Runs that match neither case need no change: their start has not been sent, a command is in
-	// flight or will be repeated, or the next poll decides whether they are adopted.
+	// Runs that match no case need no change: a command will be repeated, or the next poll decides whether
+	// they are adopted.
+	ackMayArrive := ws.ackInFlight || boottime.Now() < ws.unconfirmedAckUntil
 	for _, r := range ws.runList() {
 		switch {
-		case r.unconfirmed > 0 && r.state == stopping:
-			// The new incarnation does not know of the stop and may receive an unconfirmed start.
+		case r.state == storing:
+			// The new incarnation may be of another kind.
+			l.stopRun(r, "worker started again")
+		case (r.unconfirmed > 0 || r.startInFlight) && r.state == stopping:
+			// The new incarnation does not know of the stop and may receive a start without a response.
 			r.confirmedAt = 0
 			l.sendStop(r)
-		case r.unconfirmed > 0 && r.state != adopting:
-			// The new incarnation may receive, or may have received, an unconfirmed start.
+		case (r.unconfirmed > 0 || r.startInFlight) && r.state != adopting:
+			// The new incarnation may receive, or may have received, a start without a response.
+			l.stopRun(r, "worker started again")
+		case ackMayArrive && r.state != adopting && r.state != stopping:
+			// If the new incarnation has the run, its end may be discarded before the leader has seen it.
 			l.stopRun(r, "worker started again")
 		case r.confirmedAt != 0:
 			// The new incarnation may have received the start. The next poll shows whether it has
@@ -146,7 +156,7 @@
 func (l *leader) stopUnconfirmedStarts(ws *workerState) {
 	now := boottime.Now()
 	for r, until := range ws.unconfirmedStarts {
-		if now < until && (ws.runs[r.Task] == nil || ws.runs[r.Task].number != r.Number) {
+		if now < until && !ws.tracks(r) {
 			l.stopUntracked(ws, r)
 		}
 	}
--- a/internal/controller/wait.go
+++ b/internal/controller/wait.go
@@ -12,8 +12,8 @@
 
 const (
 	// maxHeldBack is how long a job without runs waits although the free resources suffice for it twice over,
-	// because they are kept for other jobs. With planning and the start of its tasks, such a job begins
-	// within 3 s.
+	// because they are kept for other jobs or are in other racks than it prefers. With planning and the start of
+	// its tasks, such a job begins within 3 s.
 	maxHeldBack = 2 * time.Second
 	// waitsForAdvice is the reason of units that have no valid ticket of the advice service.
 	waitsForAdvice planner.WaitReason = "advice"
@@ -32,13 +32,12 @@
 	return gauges
 }
 
-// trackHeldBack updates heldBackSince of the units of a planning round. Tasks of a job that has runs are not
-// held back, unless they are long-running: each of those is to run at all times.
+// trackHeldBack updates heldBackSince of the units of a planning round.
 func trackHeldBack(units []*unit, waits map[int]planner.Wait) {
 	now := boottime.Now()
 	for i, u := range units {
 		switch {
-		case !waits[i].HeldBack || (u.job.hasRuns() && !u.step.LongRunning):
+		case !u.heldBack(waits[i]):
 			u.heldBackSince = 0
 		case u.heldBackSince == 0:
 			u.heldBackSince = now
@@ -46,6 +45,12 @@
 	}
 }
 
+// heldBack reports whether a wait counts towards maxHeldBack. Tasks of a job that has runs are not held back,
+// unless they are long-running: each of those is to run at all times.
+func (u *unit) heldBack(wait planner.Wait) bool {
+	return wait.HeldBack && (u.step.LongRunning || !u.job.hasRuns())
+}
+
 // reportWaits counts and logs the units of which tasks were not started, by reason.
 func (l *leader) reportWaits(s *planner.Snapshot, units []*unit, waits map[int]planner.Wait) {
 	now := boottime.Now()
--- a/internal/controller/workerstate.go
+++ b/internal/controller/workerstate.go
@@ -31,9 +31,10 @@
 
 	// polledInTerm means that the worker has responded to a poll in this term.
 	polledInTerm bool
-	// clockStale means that the worker's clock must be read by a poll before the worker gets new
-	// work.
-	clockStale   bool
+	// needsPoll means that a poll must read the worker's clock and runs before the worker gets new work.
+	// This applies to each incarnation that is new to this leader: the poll also raises the fencing token,
+	// which starts of previous leaders that arrive late could otherwise pass.
+	needsPoll    bool
 	pollInFlight bool
 	nextPoll     boottime.Instant
 	// unreachableSince is when a poll first failed; 0 while polls succeed. Rejected polls count as
@@ -52,6 +53,8 @@
 	// unconfirmedStarts holds the starts without a response, which may still be delivered, with the
 	// time until which that is possible.
 	unconfirmedStarts map[worker.Run]boottime.Instant
+	// ackInFlight means that the poll in flight acknowledges ends.
+	ackInFlight bool
 	// unconfirmedAckUntil is the time until which an acknowledgement without a response may still
 	// be delivered.
 	unconfirmedAckUntil boottime.Instant
@@ -61,14 +64,14 @@
 	// failedJobs holds the IDs of the jobs of which a run has failed on the worker since its last
 	// successful run.
 	failedJobs map[string]bool
-	// heartbeatAt is when this leader last read an update of the registry entry, shutdownAt when a
-	// draining worker may have shut down.
+	// heartbeatAt is an instant before the last update of the registry entry, 0 if not known; shutdownAt is when
+	// a draining worker may have shut down.
 	heartbeatAt, shutdownAt boottime.Instant
 }
 
 func newWorkerState(id, address string, startedAtMS int64) *workerState {
 	return &workerState{
-		id: id, address: address, startedAtMS: startedAtMS, runs: make(map[batch.TaskID]*run),
+		id: id, address: address, startedAtMS: startedAtMS, needsPoll: true, runs: make(map[batch.TaskID]*run),
 		unconfirmedStarts: make(map[worker.Run]boottime.Instant), failedJobs: make(map[string]bool),
 	}
 }
@@ -91,7 +94,7 @@
 // and no effect of earlier commands or ends is outstanding. A new state of the same worker would
 // acknowledge ends whose records are not stored, and would not stop starts that arrive late.
 func (ws *workerState) forgettable(now boottime.Instant) bool {
-	if ws.registered || len(ws.runs) > 0 || ws.unstoredEnds > 0 || now < ws.unconfirmedAckUntil {
+	if ws.registered || len(ws.runs) > 0 || ws.unstoredEnds > 0 || ws.pollInFlight || now < ws.unconfirmedAckUntil {
 		return false
 	}
 	for _, until := range ws.unconfirmedStarts {
@@ -102,6 +105,12 @@
 	return true
 }
 
+// tracks reports whether a run is among the runs of the worker that the leader knows of.
+func (ws *workerState) tracks(r worker.Run) bool {
+	known := ws.runs[r.Task]
+	return known != nil && known.number == r.Number
+}
+
 // runList returns a copy of the runs, for loops that add or remove runs.
 func (ws *workerState) runList() []*run {
 	runs := make([]*run, 0, len(ws.runs))
