Stop runs on a restarted worker whose ends an acknowledgement may discard

What callers would see: a completed task runs again (TWICE), after a worker has restarted while an acknowledgement to it has no response.

Cause: a new incarnation gets no new work while an acknowledgement to the earlier one may arrive. That does not help runs that were started on it before the restart was noticed: the acknowledgement discards their ends, the runs count as lost, and the tasks start again.

Evidence: TestRunIsStoppedIfItsEndMayBeDiscarded: 'run 2 started after a successful end was acknowledged' before, no violation after.

Change: if an acknowledgement may arrive, or is in flight, when a restart is noticed, the runs of the worker are stopped. That is usually within a fraction of a second after their start, and their tasks start elsewhere.

--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -119,7 +119,7 @@
 	if !l.term.Valid() {
 		return
 	}
-	ws.pollInFlight = true
+	ws.pollInFlight, ws.ackInFlight = true, command.AcknowledgedThrough > 0
 	l.c.metrics.polls.Inc()
 	target, startedAtMS := worker.Endpoint{ID: ws.id, Address: ws.address}, ws.startedAtMS
 	go func() {
@@ -137,7 +137,7 @@
 
 // handlePollResponse applies the result of a poll that was sent at the given instant.
 func (l *leader) handlePollResponse(ws *workerState, sent boottime.Instant, command worker.PollCommand, response worker.PollResponse, err error) {
-	ws.pollInFlight = false
+	ws.pollInFlight, ws.ackInFlight = false, false
 	if l.workers[ws.id] != ws {
 		return
 	}
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -125,6 +125,7 @@
 	l.stopUnconfirmedStarts(ws)
 	// Runs that match no case need no change: a command will be repeated, or the next poll decides whether
 	// they are adopted.
+	ackMayArrive := ws.ackInFlight || boottime.Now() < ws.unconfirmedAckUntil
 	for _, r := range ws.runList() {
 		switch {
 		case r.state == storing:
@@ -137,6 +138,9 @@
 		case (r.unconfirmed > 0 || r.startInFlight) && r.state != adopting:
 			// The new incarnation may receive, or may have received, a start without a response.
 			l.stopRun(r, "worker started again")
+		case ackMayArrive && r.state != adopting && r.state != stopping:
+			// If the new incarnation has the run, its end may be discarded before the leader has seen it.
+			l.stopRun(r, "worker started again")
 		case r.confirmedAt != 0:
 			// The new incarnation may have received the start. The next poll shows whether it has
 			// the run.
--- a/internal/controller/untracked_test.go
+++ b/internal/controller/untracked_test.go
@@ -122,14 +122,19 @@
 	})
 }
 
-// hangingAcknowledgements lets polls that acknowledge ends hang until they time out.
+// hangingAcknowledgements lets the first poll that acknowledges ends hang until it times out. If lateBy is
+// set, the worker executes it then.
 type hangingAcknowledgements struct {
 	*workertest.Fleet
-	hung atomic.Int64
+	hung   atomic.Int64
+	lateBy time.Duration
 }
 
 func (h *hangingAcknowledgements) Poll(ctx context.Context, to worker.Endpoint, command worker.PollCommand) (worker.PollResponse, error) {
 	if command.AcknowledgedThrough > 0 && h.hung.Add(1) == 1 {
+		if h.lateBy > 0 {
+			time.AfterFunc(h.lateBy, func() { _, _ = h.Fleet.Poll(context.Background(), to, command) })
+		}
 		<-ctx.Done()
 		return worker.PollResponse{}, worker.ErrUnknownOutcome
 	}
@@ -257,3 +262,25 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice: it was started on a new incarnation of its worker before the restart
+// was noticed, and an acknowledgement to the earlier incarnation was delivered to the new one, which discarded
+// the end of the run before the leader had seen it.
+func TestRunIsStoppedIfItsEndMayBeDiscarded(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(500*time.Millisecond), func(c *cluster) {
+		polls := &hangingAcknowledgements{Fleet: c.fleet, lateBy: 650 * time.Millisecond}
+		c.workers = polls
+		c.addWorker("w1", "r1")
+		c.startInstance("a")
+		time.Sleep(4 * time.Second)
+		c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 1})
+		c.waitFor(4*time.Second, "acknowledgement sent", func() bool { return polls.hung.Load() == 1 })
+		info := c.fleet.Add(workerInfo("w1", "r1"), clockRate)
+		task := batch.TaskID{Job: jobID(2)}
+		c.submit(task.Job, batch.Step{Count: 1, CPU: 1000, GPU: 1})
+		c.waitFor(time.Second, "started", func() bool { return c.fleet.Starts(task) == 1 })
+		c.register(info)
+		c.waitFor(30*time.Second, "completed", func() bool { return c.phase(task.Job) == batch.Completed })
+		require.Empty(t, c.fleet.Violations())
+	})
+}
--- a/internal/controller/workerstate.go
+++ b/internal/controller/workerstate.go
@@ -53,6 +53,8 @@
 	// unconfirmedStarts holds the starts without a response, which may still be delivered, with the
 	// time until which that is possible.
 	unconfirmedStarts map[worker.Run]boottime.Instant
+	// ackInFlight means that the poll in flight acknowledges ends.
+	ackInFlight bool
 	// unconfirmedAckUntil is the time until which an acknowledgement without a response may still
 	// be delivered.
 	unconfirmedAckUntil boottime.Instant
