Do not take a registry update that was read late for a recent one

What callers would see: a task runs twice (TWICE), on a draining worker that is cut off from the log while the leader's reads of the registry hang.

Cause: the entry of a draining worker that is removed within two heartbeat intervals of its last update counts as removed by the worker itself, which has then shut down, and its runs count as over at once. The age was counted from when the leader read the update. If it reads the update late, with the removal or shortly before it, an entry that expired after three intervals seems to have been removed early.

Evidence: found by review. TestExpiredEntryThatIsReadLateIsNoShutdown: 'run 2 started on w2 while run 1 is on w1' before, no violation after.

Change: the age counts from when the last read was sent that showed the leader's copy of the registry to be complete. If that is not known, the removal does not count as a shutdown, and the runs end with their leases.

--- a/internal/controller/handover_test.go
+++ b/internal/controller/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -182,3 +183,48 @@
 		require.NotContains(t, string(c.log.LatestValues(batch.JobsTopic)["j/"+jobID(1)]), "steps\":[{")
 	})
 }
+
+// heldReads holds the reads of a topic back while it is held, until they time out.
+type heldReads struct {
+	ledger.Log
+	topic string
+	held  atomic.Bool
+}
+
+func (h *heldReads) Read(ctx context.Context, topic string, from int64, wait time.Duration) (ledger.Page, error) {
+	if topic == h.topic && h.held.Load() {
+		<-ctx.Done()
+		return ledger.Page{}, eris.Wrap(ledger.ErrUnavailable, "no response")
+	}
+	return h.Log.Read(ctx, topic, from, wait)
+}
+
+// Guards against a task that runs twice: the entry of a draining worker that was cut off from the log expired,
+// but the leader read its last update late, together with the removal, and took that for a shutdown.
+func TestExpiredEntryThatIsReadLateIsNoShutdown(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(20*time.Second), func(c *cluster) {
+		reads := &heldReads{topic: workersTopic}
+		c.wrapLog = func(l ledger.Log) ledger.Log {
+			reads.Log = l
+			return reads
+		}
+		info := c.addWorker("w1", "r1")
+		c.startInstance("a")
+		time.Sleep(4 * time.Second)
+		c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 1, EstimateMS: 20000})
+		task := batch.TaskID{Job: jobID(1)}
+		c.waitFor(2*time.Second, "started", func() bool { return c.fleet.Starts(task) == 1 })
+		c.addWorker("w2", "r1")
+		time.Sleep(time.Second)
+		reads.held.Store(true)
+		time.Sleep(1200 * time.Millisecond) // The read in flight returns.
+		info.State, info.RemainingTime = worker.Draining, 30*time.Second
+		c.register(info)
+		time.Sleep(4600 * time.Millisecond)
+		c.write(workersTopic, ledger.Record{Key: "w1"})
+		time.Sleep(100 * time.Millisecond)
+		reads.held.Store(false)
+		c.waitFor(40*time.Second, "completed", func() bool { return c.phase(task.Job) == batch.Completed })
+		require.Empty(t, c.fleet.Violations())
+	})
+}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -213,10 +213,18 @@
 			}
 		}()
 	}
-	workers := ledger.NewFollower(ledger.FollowerConfig{
+	var workers *ledger.Follower
+	workers = ledger.NewFollower(ledger.FollowerConfig{
 		Log: l.c.cfg.Log, Topic: l.c.cfg.WorkersTopic, Wait: workersReadWait,
-		Pause:  func() time.Duration { return workersReadPause },
-		Apply:  func(u ledger.Update) { l.post(func() { l.applyWorkers(u) }) },
+		Pause: func() time.Duration { return workersReadPause },
+		Apply: func(u ledger.Update) {
+			// The copy was complete when the read before this one was sent, so the records are newer.
+			writtenAfter := boottime.Instant(0)
+			if age, ok := workers.Age(); ok {
+				writtenAfter = boottime.Now().Add(-age)
+			}
+			l.post(func() { l.applyWorkers(u, writtenAfter) })
+		},
 		Logger: l.logger,
 	})
 	go workers.Run(l.ctx)
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -18,13 +18,14 @@
 	maxEntryAgeAtShutdown = 2
 )
 
-// applyWorkers applies changes in the registry of workers.
-func (l *leader) applyWorkers(u ledger.Update) {
+// applyWorkers applies changes in the registry of workers. They were written after the given instant, which is
+// 0 if not known.
+func (l *leader) applyWorkers(u ledger.Update, writtenAfter boottime.Instant) {
 	l.registryRead = true
 	seen := make(map[string]bool)
 	for _, entry := range u.Entries {
 		seen[entry.Key] = true
-		l.applyWorker(entry.Record)
+		l.applyWorker(entry.Record, writtenAfter)
 	}
 	if u.Reset {
 		for id, ws := range l.workers {
@@ -37,7 +38,7 @@
 	l.planDue = true
 }
 
-func (l *leader) applyWorker(r ledger.Record) {
+func (l *leader) applyWorker(r ledger.Record, writtenAfter boottime.Instant) {
 	ws := l.workers[r.Key]
 	if len(r.Value) == 0 {
 		if ws != nil && ws.registered {
@@ -62,8 +63,8 @@
 		l.logger.Info().Str("worker", ws.id).Str("rack", info.Rack).Int("state", int(info.State)).
 			Int64("born", info.StartedAtMS).Int("runs", len(ws.runs)).Msg("worker's state changed")
 	}
-	ws.heartbeatAt = boottime.Now()
-	ws.shutdownAt = ws.heartbeatAt.Add(info.RemainingTime)
+	ws.heartbeatAt = writtenAfter
+	ws.shutdownAt = boottime.Now().Add(info.RemainingTime)
 	ws.registered, ws.info, ws.address = true, info, info.Address
 	// Entries are read late, so an entry's clock is used only if it raises the lower bound.
 	if now := boottime.Now(); ws.clockReadAt == 0 || info.ClockMS > ws.clockMS+now.Sub(ws.clockReadAt).Milliseconds() {
@@ -74,7 +75,7 @@
 
 // handleEntryRemoved handles the removal of a registry entry. The entry of an unreachable worker is
 // kept for several heartbeat intervals. A draining worker whose entry is removed earlier has
-// removed it itself and shut down.
+// removed it itself and shut down. An update that was read late does not count as recent.
 func (l *leader) handleEntryRemoved(ws *workerState) {
 	age := boottime.Since(ws.heartbeatAt)
 	shutDown := ws.info.State == worker.Draining && age < maxEntryAgeAtShutdown*l.c.cfg.Timing.HeartbeatInterval
--- a/internal/controller/workerstate.go
+++ b/internal/controller/workerstate.go
@@ -64,8 +64,8 @@
 	// failedJobs holds the IDs of the jobs of which a run has failed on the worker since its last
 	// successful run.
 	failedJobs map[string]bool
-	// heartbeatAt is when this leader last read an update of the registry entry, shutdownAt when a
-	// draining worker may have shut down.
+	// heartbeatAt is an instant before the last update of the registry entry, 0 if not known; shutdownAt is when
+	// a draining worker may have shut down.
 	heartbeatAt, shutdownAt boottime.Instant
 }
 
