Skip registry entries with a start time in the future, log each odd entry once

Cause: the start time in an entry orders the incarnations of a worker. An entry of another writer with a start time far ahead, under the id of a worker, made all later entries and responses of that worker seem to be of an earlier incarnation, so the worker got no work any more. An odd entry that its writer repeats was logged each time (83 lines in the test for 5 entries). Change: a start time more than an hour ahead is skipped; the last reason is remembered for each key. Evidence: TestOddRegistryEntries failed before.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
 
 	"github.com/oleanderbend/oleanderbend/internal/batch"
@@ -47,6 +48,8 @@
 	advisor  worker.Advisor
 	machines worker.Machines
 	waves    []worker.Wave
+	// logger, if set, gets the log lines of instances that start later.
+	logger *log.Logger
 	// wrapLog, if set, returns the log for the election and the controller of an instance.
 	wrapLog func(ledger.Log) ledger.Log
 	// clockErrors is by how much the time of day of each instance is wrong, by the instance's name.
@@ -103,7 +106,10 @@
 	ctx, stop := context.WithCancel(context.Background())
 	i := &instance{name: name, log: client, stop: stop, goroutines: &sync.WaitGroup{}}
 	logger := logging.Discard()
-	if testing.Verbose() {
+	switch {
+	case c.logger != nil:
+		logger = c.logger
+	case testing.Verbose():
 		logger = logging.New(c.t.Output(), "info", name)
 	}
 	var leaderLog ledger.Log = client
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -87,8 +87,8 @@
 
 // controllerMetrics are the controller's metrics.
 type controllerMetrics struct {
-	starts, stops, polls, runsDone, runsNotDone *metrics.Counter
-	planTime, startDelay                        *metrics.Histogram
+	starts, stops, polls, runsDone, runsNotDone, skippedEntries *metrics.Counter
+	planTime, startDelay                                        *metrics.Histogram
 	// waiting is the number of steps that wait, as of the last planning round.
 	waiting map[planner.WaitReason]*metrics.Gauge
 }
@@ -102,14 +102,15 @@
 	return &Controller{
 		cfg: cfg, timeOfDay: newCautiousTimeOfDay(cfg.TimeOfDay, cfg.Logger), changed: make(map[string]bool), wake: make(chan struct{}, 1),
 		metrics: controllerMetrics{
-			starts:      set.GetOrCreateCounter(`oleanderbend_orders_total{order="start"}`),
-			stops:       set.GetOrCreateCounter(`oleanderbend_orders_total{order="stop"}`),
-			polls:       set.GetOrCreateCounter(`oleanderbend_orders_total{order="hold"}`),
-			runsDone:    set.GetOrCreateCounter(`oleanderbend_ends_total{kind="done"}`),
-			runsNotDone: set.GetOrCreateCounter(`oleanderbend_ends_total{kind="other"}`),
-			planTime:    set.GetOrCreateHistogram(`oleanderbend_plan_seconds`),
-			startDelay:  set.GetOrCreateHistogram(`oleanderbend_start_delay_seconds`),
-			waiting:     newWaitGauges(set),
+			starts:         set.GetOrCreateCounter(`oleanderbend_orders_total{order="start"}`),
+			stops:          set.GetOrCreateCounter(`oleanderbend_orders_total{order="stop"}`),
+			polls:          set.GetOrCreateCounter(`oleanderbend_orders_total{order="hold"}`),
+			runsDone:       set.GetOrCreateCounter(`oleanderbend_ends_total{kind="done"}`),
+			runsNotDone:    set.GetOrCreateCounter(`oleanderbend_ends_total{kind="other"}`),
+			skippedEntries: set.GetOrCreateCounter(`oleanderbend_registry_entries_skipped_total`),
+			planTime:       set.GetOrCreateHistogram(`oleanderbend_plan_seconds`),
+			startDelay:     set.GetOrCreateHistogram(`oleanderbend_start_delay_seconds`),
+			waiting:        newWaitGauges(set),
 		},
 	}
 }
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -65,6 +65,9 @@
 	// registryRead means that the registry of workers has been read in this term.
 	registryRead bool
 
+	// skippedEntries holds why the last registry entry of a key was skipped, by key.
+	skippedEntries map[string]string
+
 	// peakGPUs is the recent peak number of accelerators used by the queues of priority 0, by
 	// service (pool of workers).
 	peakGPUs       map[string]float64
@@ -87,7 +90,7 @@
 	l := &leader{
 		c: c, ctx: ctx, cancel: cancel, term: term, logger: c.cfg.Logger,
 		inbox: make(chan func(), inboxCapacity),
-		jobs:  make(map[string]*job), workers: make(map[string]*workerState),
+		jobs:  make(map[string]*job), workers: make(map[string]*workerState), skippedEntries: make(map[string]string),
 		maintenance: newMaintenanceState(), peakGPUs: make(map[string]float64), peaksUpdatedAt: boottime.Now(),
 	}
 	l.taskWriter = l.newWriter(batch.TasksTopic)
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/oleanderbend/oleanderbend/internal/boottime"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
 	"github.com/oleanderbend/oleanderbend/internal/worker"
@@ -16,8 +18,17 @@
 	// it is younger than this has shut down: the entries of unreachable workers are kept for three
 	// intervals.
 	maxEntryAgeAtShutdown = 2
+	// maxStartTimeAhead is how far the start time in an entry may be ahead of this instance's time of day, which
+	// may be wrong by minutes. A start time far ahead is not a worker's own, and with it all later entries of
+	// the worker would seem to be of earlier incarnations.
+	maxStartTimeAhead = time.Hour
+	// maxSkippedEntries is the number of workers whose skipped entries are remembered, so that each is logged once.
+	maxSkippedEntries = 1000
 )
 
+// errStartTimeAhead means that the start time in a registry entry is in the future.
+var errStartTimeAhead = eris.New("controller: start time in the future")
+
 // applyWorkers applies changes in the registry of workers. They were written after the given instant, which is
 // 0 if not known.
 func (l *leader) applyWorkers(u ledger.Update, writtenAfter boottime.Instant) {
@@ -46,11 +57,12 @@
 		}
 		return
 	}
-	info, err := l.c.cfg.DecodeWorker(r)
+	info, err := l.decodeWorker(r)
 	if err != nil {
-		l.logger.Info().Err(err).Str("worker", r.Key).Msg("skipping worker entry that cannot be decoded")
+		l.logSkippedEntry(r.Key, err)
 		return
 	}
+	delete(l.skippedEntries, r.Key)
 	if ws == nil {
 		ws = newWorkerState(info.ID, info.Address, info.StartedAtMS)
 		l.workers[info.ID] = ws
@@ -73,6 +85,26 @@
 	l.stopUnfinishable(ws)
 }
 
+// decodeWorker decodes a registry entry. It returns the errors of Config.DecodeWorker and errStartTimeAhead.
+func (l *leader) decodeWorker(r ledger.Record) (worker.Info, error) {
+	info, err := l.c.cfg.DecodeWorker(r)
+	if err == nil && info.StartedAtMS > l.c.cfg.TimeOfDay().Add(maxStartTimeAhead).UnixMilli() {
+		err = eris.Wrapf(errStartTimeAhead, "%d", info.StartedAtMS)
+	}
+	return info, err
+}
+
+// logSkippedEntry counts a registry entry that is skipped, and logs it unless the last entry of the same key was
+// skipped for the same reason: another program may write it again and again.
+func (l *leader) logSkippedEntry(key string, reason error) {
+	l.c.metrics.skippedEntries.Inc()
+	if l.skippedEntries[key] == reason.Error() || len(l.skippedEntries) >= maxSkippedEntries {
+		return
+	}
+	l.skippedEntries[key] = reason.Error()
+	l.logger.Warn().Err(reason).Str("worker", key).Msg("skipping worker entry")
+}
+
 // handleEntryRemoved handles the removal of a registry entry. The entry of an unreachable worker is
 // kept for several heartbeat intervals. A draining worker whose entry is removed earlier has
 // removed it itself and shut down. An update that was read late does not count as recent.
--- /dev/null
+++ b/internal/controller/registry_test.go
@@ -0,0 +1,53 @@
+package controller
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/batch"
+	"github.com/oleanderbend/oleanderbend/internal/ledger"
+	"github.com/oleanderbend/oleanderbend/internal/logging"
+)
+
+// Guards against odd entries of another writer in the registry that end the process, hide the worker of the
+// same id, keep good workers from getting work, or are logged again at each read.
+func TestOddRegistryEntries(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(2*time.Second), func(c *cluster) {
+		var lines bytes.Buffer
+		c.logger = logging.New(&lines, "info", "a")
+		farAhead := workerInfo("w1", "r1")
+		farAhead.Address, farAhead.StartedAtMS = "w1", time.Now().Add(365*24*time.Hour).UnixMilli()
+		odd := map[string]string{
+			"bytes":  "\xff\x00\xfe",
+			"nested": strings.Repeat("[", 100_000),
+			"number": `{"Service":"s","CPU":1e400}`,
+			"w2":     `{"Service":["s"]}`,
+		}
+		writeOdd := func() {
+			c.register(farAhead)
+			for key, value := range odd {
+				c.write(workersTopic, ledger.Record{Key: key, Value: []byte(value)})
+			}
+		}
+		writeOdd()
+		c.addWorker("w1", "r1")
+		c.addWorker("w2", "r1")
+		c.startInstance("a")
+		time.Sleep(time.Second)
+		for range 20 {
+			writeOdd()
+			time.Sleep(300 * time.Millisecond)
+		}
+		c.submit(jobID(1), batch.Step{Count: 16, CPU: 1000, GPU: 1})
+		c.waitFor(3500*time.Millisecond, "completed on both workers", func() bool { return c.phase(jobID(1)) == batch.Completed })
+		// The latest entries of w1 and w2 are odd ones now. Workers that are known stay in use.
+		c.submit(jobID(2), batch.Step{Count: 16, CPU: 1000, GPU: 1})
+		c.waitFor(3500*time.Millisecond, "completed on both again", func() bool { return c.phase(jobID(2)) == batch.Completed })
+		require.Empty(t, c.fleet.Violations())
+		require.Equal(t, len(odd)+1, strings.Count(lines.String(), "skipping worker entry"))
+	})
+}
