--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -177,7 +177,7 @@
 	t := TaskID{Job: parts[0]}
 	for i, field := range []*int{&t.Occurrence, &t.Step, &t.Index} {
 		n, err := strconv.Atoi(parts[i+1])
-		if err != nil {
+		if err != nil || n < 0 {
 			return TaskID{}, fmt.Errorf("%w: task id %q", ErrInvalid, s)
 		}
 		*field = n
--- a/internal/ledger/scan.go
+++ b/internal/ledger/scan.go
@@ -61,6 +61,10 @@
 	if s.End < 0 {
 		s.End = page.End
 	}
+	if n := len(page.Entries); n > 0 && s.after != "" && page.Entries[n-1].Key == s.after {
+		// The last key was not transferred as it is, because it is not text, so the log cannot continue behind it.
+		return true, nil
+	}
 	s.Entries = append(s.Entries, page.Entries...)
 	if !page.More || len(page.Entries) == 0 {
 		return true, nil
