Bound submitted jobs, and skip stored jobs of invalid structure

Cause: a job with 4096 tasks in 10000 occurrences that are due at once was accepted; the leader keeps all tasks that are due in memory. Requests, estimates and times of any size were accepted, and the sums of them overflowed. A stored record with a dependency on a step that does not exist ended each leader in turn by an index out of range. Change: Job.Validate bounds all of these at the submit; Table applies ValidateStructure to what is stored, which is what Validate checked before, so that jobs that earlier versions accepted stay.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -110,31 +110,70 @@
 	maxStepTasks = 4096
 	maxSpecBytes = 4000
 	maxRepeat    = 10000
+	// maxTasks limits the tasks of all occurrences. The leader keeps each task that is due in memory, a few hundred
+	// bytes, and has a few hundred megabytes.
+	maxTasks = 1 << 17
+	// maxRequest is the highest request for one resource. Its product with the number of tasks fits into an int64.
+	maxRequest = 1 << 40
+	// maxDurationMS is the longest estimate and interval, in milliseconds: about 30 years.
+	maxDurationMS = 1_000_000_000_000
+	// maxTimeMS is the latest time of the first occurrence, in Unix milliseconds.
+	maxTimeMS = 1 << 53
 )
 
 // ErrInvalid means that the description of a job, or a task id, is invalid.
 var ErrInvalid = errors.New("batch: invalid job or task id")
 
-// Validate checks the description of a job. It returns an error that wraps ErrInvalid and says what is
+// Validate checks the description of a submitted job. It returns an error that wraps ErrInvalid and says what is
 // invalid.
 func (j *Job) Validate() error {
+	if len(j.Spec) > maxSpecBytes {
+		return fmt.Errorf("%w: spec too large: %d bytes", ErrInvalid, len(j.Spec))
+	}
+	if j.IntervalMS > maxDurationMS || j.StartAtMS < -maxTimeMS || j.StartAtMS > maxTimeMS {
+		return fmt.Errorf("%w: time or interval of the occurrences out of range", ErrInvalid)
+	}
+	if err := j.ValidateStructure(); err != nil {
+		return err
+	}
+	tasks := 0
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		tasks += s.Count
+		switch {
+		case max(s.CPU, s.MemoryMB, s.GPU) > maxRequest:
+			return fmt.Errorf("%w: step %d: resource request out of range", ErrInvalid, i)
+		case s.EstimateMS < 0 || s.EstimateMS > maxDurationMS || s.TailLatencyTargetMS < 0:
+			return fmt.Errorf("%w: step %d: estimate or latency target out of range", ErrInvalid, i)
+		case s.MaxPerWorker < 0 || s.MaxUnavailable < 0:
+			return fmt.Errorf("%w: step %d: negative limit", ErrInvalid, i)
+		}
+	}
+	if tasks*j.Occurrences() > maxTasks {
+		return fmt.Errorf("%w: %d tasks in %d occurrences, at most %d in total", ErrInvalid, tasks, j.Occurrences(), maxTasks)
+	}
+	return nil
+}
+
+// ValidateStructure checks what the scheduler relies on in a job that is stored, whichever version of the program
+// accepted it: the numbers of steps, tasks and occurrences, and the references between steps. It returns an
+// error that wraps ErrInvalid and says what is invalid.
+func (j *Job) ValidateStructure() error {
 	switch {
 	case len(j.Steps) == 0 || len(j.Steps) > maxSteps:
 		return fmt.Errorf("%w: number of steps out of range: %d", ErrInvalid, len(j.Steps))
-	case len(j.Spec) > maxSpecBytes:
-		return fmt.Errorf("%w: spec too large: %d bytes", ErrInvalid, len(j.Spec))
 	case j.Repeat < 0 || j.Repeat > maxRepeat || j.IntervalMS < 0:
 		return fmt.Errorf("%w: repeat count or interval out of range", ErrInvalid)
 	}
 	for i := range j.Steps {
-		if err := j.Steps[i].validate(i); err != nil {
+		if err := j.Steps[i].validateStructure(i); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (s *Step) validate(index int) error {
+func (s *Step) validateStructure(index int) error {
 	if s.Count < 1 || s.Count > maxStepTasks {
 		return fmt.Errorf("%w: step %d: number of tasks out of range: %d", ErrInvalid, index, s.Count)
 	}
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -289,6 +289,15 @@
 	if err := json.Unmarshal(e.Value, &j); err != nil {
 		return eris.Wrapf(err, "decode job %s", id)
 	}
+	if j.ID != id {
+		return eris.Wrapf(ErrInvalid, "record of job %s describes job %.40q", id, j.ID)
+	}
+	// A closed job has no steps.
+	if len(j.Steps) > 0 {
+		if err := j.ValidateStructure(); err != nil {
+			return eris.Wrapf(err, "job %s", id)
+		}
+	}
 	if s.Job == nil {
 		s.Offset = e.Offset
 		if live {
--- a/internal/batch/record_test.go
+++ b/internal/batch/record_test.go
@@ -155,3 +155,46 @@
 	slices.SortFunc(entries, func(a, b ledger.Entry) int { return strings.Compare(a.Key, b.Key) })
 	return entries
 }
+
+// Guards against a stored job that ends every leader in turn: a step that depends on one that does not exist, or a
+// number of tasks that does not fit into memory.
+func TestTableSkipsJobsOfInvalidStructure(t *testing.T) {
+	for _, steps := range [][]Step{
+		{{Count: 1, After: []int{3}}}, {{Count: 1, After: []int{-1}}}, {{Count: 1 << 40}}, {{Count: -1}}, {{Count: 1, GPU: -8}},
+	} {
+		table := NewTable(time.Now)
+		r, err := EncodeJob(&Job{ID: "1", Queue: "q", Steps: steps})
+		require.NoError(t, err)
+		_, errs := table.Apply(ledger.Update{Entries: []ledger.Entry{{Record: r}}})
+		require.Len(t, errs, 1)
+		require.Nil(t, table.Get("1"))
+	}
+	table := NewTable(time.Now)
+	_, errs := table.Apply(ledger.Update{Entries: []ledger.Entry{{Record: ledger.Record{Key: jobPrefix + "2", Value: jobRecord(t, "").Value}}}})
+	require.Len(t, errs, 1, "a record under the id of another job")
+}
+
+// Guards against jobs that are accepted although the sums that the scheduler forms of them overflow, or whose tasks
+// do not fit into the leader's memory.
+func TestSubmittedJobsAreBounded(t *testing.T) {
+	for _, c := range []struct {
+		job   Job
+		valid bool
+	}{
+		{Job{Steps: []Step{{Count: 470}, {Count: 470, After: []int{0}}}, Repeat: 100}, true},
+		{Job{Steps: []Step{{Count: 4096}}, Repeat: 10000}, false},
+		{Job{Steps: []Step{{Count: 1, GPU: 1 << 62}}}, false},
+		{Job{Steps: []Step{{Count: 1, EstimateMS: 1 << 62}}}, false},
+		{Job{Steps: []Step{{Count: 1, EstimateMS: -1}}}, false},
+		{Job{Steps: []Step{{Count: 1, MaxPerWorker: -1}}}, false},
+		{Job{Steps: []Step{{Count: 1}}, Repeat: 10, IntervalMS: 1 << 62}, false},
+		{Job{Steps: []Step{{Count: 1}}, Repeat: 10, StartAtMS: 1 << 62}, false},
+	} {
+		err := c.job.Validate()
+		if c.valid {
+			require.NoError(t, err)
+		} else {
+			require.ErrorIs(t, err, ErrInvalid)
+		}
+	}
+}
