End the term, not the process, on a panic of the leader

Cause: an unexpected error in the goroutine that owns the state of a term ended the process, and with it all requests of callers on that instance. Change: Lead recovers, logs the stack and ends the term; the next term begins with what is stored. The state of the panicked term is dropped, since it may be inconsistent. An error that every leader meets still ends each term. Evidence: TestPanicEndsOnlyTheTerm ended the test process before; the runs are adopted now.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -48,6 +48,8 @@
 	advisor  worker.Advisor
 	machines worker.Machines
 	waves    []worker.Wave
+	// decode, if set, replaces decodeWorker on instances that start later.
+	decode func(ledger.Record) (worker.Info, error)
 	// logger, if set, gets the log lines of instances that start later.
 	logger *log.Logger
 	// wrapLog, if set, returns the log for the election and the controller of an instance.
@@ -112,6 +114,10 @@
 	case testing.Verbose():
 		logger = logging.New(c.t.Output(), "info", name)
 	}
+	decode := decodeWorker
+	if c.decode != nil {
+		decode = c.decode
+	}
 	var leaderLog ledger.Log = client
 	if c.wrapLog != nil {
 		leaderLog = c.wrapLog(client)
@@ -129,7 +135,7 @@
 	control = New(Config{
 		Log: leaderLog, Workers: c.workers, Advisor: c.advisor, Machines: c.machines, Jobs: i.intake, JobsPosition: jobs.Position,
 		OperatorConfig: i.intake.CurrentConfig, Waves: func() []worker.Wave { return c.waves },
-		WorkersTopic: workersTopic, DecodeWorker: decodeWorker, Holder: name,
+		WorkersTopic: workersTopic, DecodeWorker: decode, Holder: name,
 		StatusTopic: statusTopic, WaveStatus: waveStatus,
 		Timing:    Timing{MaxLease: 6 * time.Second, FinishedJobRetention: time.Minute, HeartbeatInterval: 1500 * time.Millisecond, HolderChangeInterval: 3 * time.Second},
 		TimeOfDay: timeOfDay, Metrics: set, Logger: logger,
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -8,6 +8,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -87,8 +89,8 @@
 
 // controllerMetrics are the controller's metrics.
 type controllerMetrics struct {
-	starts, stops, polls, runsDone, runsNotDone, skippedEntries *metrics.Counter
-	planTime, startDelay                                        *metrics.Histogram
+	starts, stops, polls, runsDone, runsNotDone, skippedEntries, panics *metrics.Counter
+	planTime, startDelay                                                *metrics.Histogram
 	// waiting is the number of steps that wait, as of the last planning round.
 	waiting map[planner.WaitReason]*metrics.Gauge
 }
@@ -108,6 +110,7 @@
 			runsDone:       set.GetOrCreateCounter(`oleanderbend_ends_total{kind="done"}`),
 			runsNotDone:    set.GetOrCreateCounter(`oleanderbend_ends_total{kind="other"}`),
 			skippedEntries: set.GetOrCreateCounter(`oleanderbend_registry_entries_skipped_total`),
+			panics:         set.GetOrCreateCounter(`oleanderbend_terms_ended_by_panic_total`),
 			planTime:       set.GetOrCreateHistogram(`oleanderbend_plan_seconds`),
 			startDelay:     set.GetOrCreateHistogram(`oleanderbend_start_delay_seconds`),
 			waiting:        newWaitGauges(set),
@@ -156,6 +159,13 @@
 	c.setLeading(true)
 	defer c.setLeading(false)
 	defer c.metrics.setWaiting(nil)
+	// The state in memory may be inconsistent after a panic. The next term begins with what is stored.
+	defer func() {
+		if p := recover(); p != nil {
+			c.metrics.panics.Inc()
+			c.cfg.Logger.Error().Int64("epoch", term.Epoch).Str("panic", fmt.Sprint(p)).Str("stack", string(debug.Stack())).Msg("term ended by a panic")
+		}
+	}()
 	l := newLeader(ctx, c, cancel, term)
 	if err := l.takeOver(); err != nil {
 		c.cfg.Logger.Warn().Err(err).Int64("epoch", term.Epoch).Msg("takeover failed")
--- a/internal/controller/registry_test.go
+++ b/internal/controller/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/oleanderbend/oleanderbend/internal/batch"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
 	"github.com/oleanderbend/oleanderbend/internal/logging"
+	"github.com/oleanderbend/oleanderbend/internal/worker"
 )
 
 // Guards against odd entries of another writer in the registry that end the process, hide the worker of the
@@ -51,3 +53,26 @@
 		require.Equal(t, len(odd)+1, strings.Count(lines.String(), "skipping worker entry"))
 	})
 }
+
+// Guards against an error in the program that ends the process, and with it the requests of callers: it ends the
+// term, and the runs go on under the next one.
+func TestPanicEndsOnlyTheTerm(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(4*time.Second), func(c *cluster) {
+		var panicked atomic.Bool
+		c.decode = func(r ledger.Record) (worker.Info, error) {
+			if r.Key == "odd" && panicked.CompareAndSwap(false, true) {
+				panic("odd entry")
+			}
+			return decodeWorker(r)
+		}
+		c.addWorker("w1", "r1")
+		c.startInstance("a")
+		c.submit(jobID(1), batch.Step{Count: 2, CPU: 1000, GPU: 1})
+		c.waitFor(2*time.Second, "started", func() bool { return c.fleet.Starts(batch.TaskID{Job: jobID(1)}) == 1 })
+		c.write(workersTopic, ledger.Record{Key: "odd", Value: []byte("x")})
+		c.waitFor(10*time.Second, "completed", func() bool { return c.phase(jobID(1)) == batch.Completed })
+		require.True(t, panicked.Load())
+		require.Equal(t, 1, c.fleet.Starts(batch.TaskID{Job: jobID(1)}), "the run was adopted")
+		require.Empty(t, c.fleet.Violations())
+	})
+}
