--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -41,6 +41,11 @@
 	return int(n)
 }
 
+// fitsInto reports whether a request of r fits into free.
+func (r Resources) fitsInto(free *Resources) bool {
+	return (r.GPU <= free.GPU || r.GPU <= 0) && (r.CPU <= free.CPU || r.CPU <= 0) && (r.MemoryMB <= free.MemoryMB || r.MemoryMB <= 0)
+}
+
 // minResources returns the smaller of a and b in each field.
 func minResources(a, b Resources) Resources {
 	return Resources{min(a.CPU, b.CPU), min(a.MemoryMB, b.MemoryMB), min(a.GPU, b.GPU)}
@@ -230,8 +235,7 @@
 // more than a restart.
 const negligibleLoss = 1.0
 
-// Decide computes the plan for a snapshot. It may reorder the runs in the snapshot and update
-// TasksByWorker, RunsServing and RunsFiller.
+// Decide computes the plan for a snapshot. It may update TasksByWorker, RunsServing and RunsFiller in the snapshot.
 func Decide(s Snapshot) Plan {
 	r := newRound(s)
 	parts := r.splitUnits()
@@ -298,10 +302,25 @@
 	free, freeAfterStops []Resources
 	// idle is free without any claims; gangClaims is what blocked gangs claim.
 	idle, gangClaims []Resources
-	// groupWorkers is the workers that run members of each group.
-	groupWorkers map[int][]int
-	// stoppedGroups is the groups that the plan preempts.
-	stoppedGroups map[int]bool
+	// idleVersion counts the changes of idle, freeAfterStops and gangClaims. despiteGangs is the result of
+	// freeDespiteGangs for version despiteGangsVersion.
+	idleVersion, despiteGangsVersion int
+	despiteGangs                     []Resources
+	// potential is set by newPreemption.
+	potential []Resources
+	// freed is what the preemption plan that is being made frees on each worker.
+	freed []freedResources
+	// emptied is what would be free on each worker if it ran nothing.
+	emptied []Resources
+	// groups is the groups of runs, numbered from 0; runGroups is the number of the group of each run of each worker.
+	groups    []runGroup
+	runGroups [][]int32
+	// victimOrder is the indices of the runs of each worker in the order of compareVictims, nil before it is needed.
+	victimOrder [][]int32
+	// candidates, losses and victimGroups are reused by placeWithin, preemption.plan and preemption.chooseVictims.
+	candidates   []candidate
+	losses       []taskLoss
+	victimGroups []int32
 	// spareGPU is how many accelerators each service has free in excess of its headroom; negative if
 	// fewer than the headroom are free.
 	spareGPU map[string]int64
@@ -318,11 +337,30 @@
 	// blocked gangs that claimed resources.
 	preemptionAttempts int
 	blockedGangClaims  int
+	// preemptionPlans counts the preemption plans that were considered.
+	preemptionPlans int
 	// firstClaimant is the index of the first blocked gang that claimed resources.
 	firstClaimant int
 	plan          Plan
 }
 
+// runGroup is the runs that can only be stopped together.
+type runGroup struct {
+	id int
+	// shares is the resources that the group uses, by worker; it may have several entries for one worker.
+	shares []groupShare
+	// stopped means that the plan preempts the group.
+	stopped bool
+	// attempt is the number of the last preemption plan that has the group.
+	attempt int
+}
+
+// groupShare is what a run of a group uses on a worker.
+type groupShare struct {
+	worker int
+	need   Resources
+}
+
 // unplacedUnit is what the round remembers of a unit that could not be placed.
 type unplacedUnit struct {
 	tasks int
@@ -354,14 +392,15 @@
 }
 
 func newRound(s Snapshot) *round {
+	n := len(s.Workers)
 	r := &round{
-		snapshot: s, free: make([]Resources, len(s.Workers)), freeAfterStops: make([]Resources, len(s.Workers)),
-		idle: make([]Resources, len(s.Workers)), gangClaims: make([]Resources, len(s.Workers)), groupWorkers: make(map[int][]int), stoppedGroups: make(map[int]bool),
-		unplaceable: make(map[shape]unplacedUnit),
+		snapshot: s, free: make([]Resources, n), freeAfterStops: make([]Resources, n), idle: make([]Resources, n),
+		gangClaims: make([]Resources, n), emptied: make([]Resources, n), potential: make([]Resources, n), freed: make([]freedResources, n), despiteGangs: make([]Resources, n), idleVersion: 1,
+		runGroups: make([][]int32, n), victimOrder: make([][]int32, n), workerIndices: make([]int, n),
+		unplaceable: make(map[shape]unplacedUnit), spareGPU: make(map[string]int64),
 	}
 	r.plan.Waits = make(map[int]Wait)
 	byRack := make(map[string]int)
-	r.spareGPU = make(map[string]int64)
 	for service, headroom := range s.Headroom {
 		r.spareGPU[service] = -headroom
 	}
@@ -372,13 +411,11 @@
 		}
 		r.free[i], r.idle[i] = w.Free, w.Free
 		r.freeAfterStops[i] = w.Free.Add(w.Releasing)
-		slices.SortStableFunc(w.Runs, compareVictims)
-		for _, run := range w.Runs {
-			if at := r.groupWorkers[run.Group]; len(at) == 0 || at[len(at)-1] != i {
-				r.groupWorkers[run.Group] = append(at, i)
-			}
+		r.emptied[i] = r.freeAfterStops[i]
+		for k := range w.Runs {
+			r.emptied[i] = r.emptied[i].Add(w.Runs[k].Need)
 		}
-		r.workerIndices = append(r.workerIndices, i)
+		r.workerIndices[i] = i
 		n, ok := byRack[w.Rack]
 		if !ok {
 			n = len(r.racks)
@@ -387,9 +424,62 @@
 		}
 		r.racks[n] = append(r.racks[n], i)
 	}
+	r.indexGroups()
 	return r
 }
 
+// indexGroups numbers the groups and collects what each of them uses.
+func (r *round) indexGroups() {
+	total := 0
+	for i := range r.snapshot.Workers {
+		total += len(r.snapshot.Workers[i].Runs)
+	}
+	numbers := make(map[int]int32, total)
+	indices := make([]int32, total)
+	var sizes []int
+	for i := range r.snapshot.Workers {
+		runs := r.snapshot.Workers[i].Runs
+		r.runGroups[i], indices = indices[:len(runs):len(runs)], indices[len(runs):]
+		for k := range runs {
+			g, known := numbers[runs[k].Group]
+			if !known {
+				g = int32(len(r.groups))
+				numbers[runs[k].Group] = g
+				r.groups = append(r.groups, runGroup{id: runs[k].Group})
+				sizes = append(sizes, 0)
+			}
+			r.runGroups[i][k] = g
+			sizes[g]++
+		}
+	}
+	shares := make([]groupShare, total)
+	for g := range r.groups {
+		r.groups[g].shares, shares = shares[:0:sizes[g]], shares[sizes[g]:]
+	}
+	for i := range r.snapshot.Workers {
+		runs := r.snapshot.Workers[i].Runs
+		for k := range runs {
+			g := &r.groups[r.runGroups[i][k]]
+			g.shares = append(g.shares, groupShare{i, runs[k].Need})
+		}
+	}
+}
+
+// victims returns the runs of a worker, the indices of the runs in the order of compareVictims, and the numbers of
+// the groups of the runs. The order is computed when it is first needed: most rounds need that of few workers.
+func (r *round) victims(worker int) (runs []Run, order, groups []int32) {
+	runs = r.snapshot.Workers[worker].Runs
+	if r.victimOrder[worker] == nil && len(runs) > 0 {
+		order := make([]int32, len(runs))
+		for k := range order {
+			order[k] = int32(k)
+		}
+		slices.SortStableFunc(order, func(a, b int32) int { return compareVictims(&runs[a], &runs[b]) })
+		r.victimOrder[worker] = order
+	}
+	return runs, r.victimOrder[worker], r.runGroups[worker]
+}
+
 // schedule starts the tasks of a unit: all of them for a gang, otherwise as many as possible. For the
 // rest it tries, in this order, to claim resources that are being freed, to preempt runs, and, for a
 // blocked gang, to claim resources that runs still use.
@@ -452,9 +542,9 @@
 	anyRack := *u
 	anyRack.DataRack, anyRack.RackLocal = "", false
 	switch {
-	case r.blockedGangClaims > 0 && len(r.place(u, r.freeDespiteGangs())) > 0:
+	case r.blockedGangClaims > 0 && r.fits(u, r.freeDespiteGangs()):
 		return Wait{Reason: WaitsBehindGang, Behind: r.firstClaimant, HeldBack: r.fitsTwiceDespiteHolds(u)}
-	case (u.DataRack != "" || u.RackLocal) && len(r.place(&anyRack, r.free)) > 0:
+	case (u.DataRack != "" || u.RackLocal) && r.fits(&anyRack, r.free):
 		return Wait{Reason: WaitsForRack, Behind: -1, HeldBack: r.fitsTwiceDespiteHolds(u)}
 	default:
 		return Wait{Reason: WaitsForCapacity, Behind: -1}
@@ -473,6 +563,7 @@
 // startTasks adds the start of tasks on the given workers to the plan and uses their resources.
 func (r *round) startTasks(part *unitPart, places []int) {
 	u := &part.unit
+	r.idleVersion++
 	r.spareGPU[u.Service] -= u.Need.GPU * int64(len(places))
 	for _, w := range places {
 		r.free[w] = r.free[w].Sub(u.Need)
@@ -497,6 +588,7 @@
 // claim sets aside for a unit, on the given workers, resources that will become free. Units scheduled
 // later in the round cannot use them.
 func (r *round) claim(u *Unit, places []int) {
+	r.idleVersion++
 	for _, w := range places {
 		r.freeAfterStops[w] = r.freeAfterStops[w].Sub(u.Need)
 		r.free[w] = minResources(r.free[w], r.freeAfterStops[w])
@@ -507,22 +599,62 @@
 // for the unit twice over, in any racks.
 func (r *round) fitsTwiceDespiteHolds(u *Unit) bool {
 	twice := *u
-	twice.DataRack, twice.RackLocal = "", false
 	twice.Tasks = 2
 	if u.Gang {
 		twice.Tasks = 2 * u.Tasks
 	}
-	return len(r.place(&twice, r.freeDespiteGangs())) == twice.Tasks
+	return r.room(&twice, r.all(), r.freeDespiteGangs()) == twice.Tasks
 }
 
 // freeDespiteGangs returns what is free on each worker if the claims of blocked gangs are ignored. Claims on
-// resources that runs are being stopped for still count.
+// resources that runs are being stopped for still count. The result is valid until something is started or claimed.
 func (r *round) freeDespiteGangs() []Resources {
-	free := make([]Resources, len(r.idle))
-	for i := range free {
-		free[i] = minResources(r.idle[i], r.freeAfterStops[i].Add(r.gangClaims[i]))
+	if r.despiteGangsVersion != r.idleVersion {
+		r.despiteGangsVersion = r.idleVersion
+		for i := range r.despiteGangs {
+			r.despiteGangs[i] = minResources(r.idle[i], r.freeAfterStops[i].Add(r.gangClaims[i]))
+		}
+	}
+	return r.despiteGangs
+}
+
+// room returns how many tasks of the unit fit into the given free resources of the workers, at most all of them.
+func (r *round) room(u *Unit, workers []int, free []Resources) int {
+	total := 0
+	for _, i := range workers {
+		if !u.Need.fitsInto(&free[i]) || !r.usable(u, i) {
+			continue
+		}
+		total += u.Need.CountFitting(free[i], min(u.remainingPerWorker(r.snapshot.Workers[i].ID), u.Tasks-total))
+		if total >= u.Tasks {
+			break
+		}
 	}
-	return free
+	return total
+}
+
+// fits reports whether place would return workers for any task, without choosing them.
+func (r *round) fits(u *Unit, free []Resources) bool {
+	enough := func(n int) bool { return n >= u.Tasks || (n > 0 && !u.Gang) }
+	if u.DataRack != "" {
+		if enough(r.room(u, r.rack(u.DataRack), free)) {
+			return true
+		}
+		if u.WaitsForRack && r.fitsWhenEmpty(u, r.rack(u.DataRack)) {
+			return false
+		}
+	}
+	if u.RackLocal && u.Tasks > 1 {
+		for _, workers := range r.racks {
+			if r.room(u, workers, free) >= u.Tasks {
+				return true
+			}
+		}
+		if u.WaitsForRack && r.fitsOneEmptyRack(u) {
+			return false
+		}
+	}
+	return enough(r.room(u, r.all(), free))
 }
 
 // usable reports whether a worker may run tasks of a unit, regardless of its free resources.
@@ -548,6 +680,9 @@
 // place returns one worker for each task that fits into the given free resources. For a gang it
 // returns workers for all tasks or none; otherwise for as many tasks as possible.
 func (r *round) place(u *Unit, free []Resources) []int {
+	if u.Gang && r.room(u, r.all(), free) < u.Tasks {
+		return nil
+	}
 	if u.DataRack != "" {
 		if places := r.placeWithin(u, r.rack(u.DataRack), free); len(places) == u.Tasks || (len(places) > 0 && !u.Gang) {
 			return places
@@ -610,14 +745,12 @@
 		if !r.usable(u, i) {
 			continue
 		}
-		w := &r.snapshot.Workers[i]
-		capacity := w.Free.Add(w.Releasing)
-		for _, run := range w.Runs {
-			capacity = capacity.Add(run.Need)
+		room += u.Need.CountFitting(r.emptied[i], u.remainingPerWorker(r.snapshot.Workers[i].ID))
+		if room >= u.Tasks {
+			return true
 		}
-		room += u.Need.CountFitting(capacity, u.remainingPerWorker(w.ID))
 	}
-	return room >= u.Tasks
+	return false
 }
 
 // fitsOneEmptyRack reports whether any rack would have room for all tasks if it were empty.
@@ -653,10 +786,10 @@
 // come last, then those with more suspicion. Among equal workers the fullest come first, which keeps
 // empty workers available for large tasks; for filler tasks the one with the most idle processors.
 func (r *round) placeWithin(u *Unit, workers []int, free []Resources) []int {
-	var candidates []candidate
+	candidates := r.candidates[:0]
 	total := 0
 	for _, i := range workers {
-		if !r.usable(u, i) {
+		if !u.Need.fitsInto(&free[i]) || !r.usable(u, i) {
 			continue
 		}
 		w := &r.snapshot.Workers[i]
@@ -669,13 +802,14 @@
 			worker: i, room: room, avoid: u.Avoid[w.ID] || mixesServingAndFiller(u, w), suspicion: w.Suspicion, key: placementKey(u, free[i]),
 		})
 	}
-	if u.Gang && total < u.Tasks {
+	r.candidates = candidates
+	if total == 0 || (u.Gang && total < u.Tasks) {
 		return nil
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(trueFirst(!a.avoid, !b.avoid), cmp.Compare(a.suspicion, b.suspicion), cmp.Compare(a.key, b.key))
 	})
-	var places []int
+	places := make([]int, 0, min(total, u.Tasks))
 	for _, c := range candidates {
 		for n := 0; n < c.room && len(places) < u.Tasks; n++ {
 			places = append(places, c.worker)
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -291,3 +291,67 @@
 	}})
 	require.Equal(t, 2, countStarts(plan))
 }
+
+// largeOverload returns a snapshot of an overloaded fleet in which processors, memory and accelerators are all scarce:
+// gangs of wide tasks, small tasks beside them and urgent gangs run, and more of each kind wait, in many shapes.
+func largeOverload(workers int) Snapshot {
+	random := rand.New(rand.NewPCG(1, 2))
+	kinds := []struct {
+		unit    Unit
+		cpu, mb int64
+		gpus    []int64
+		tasks   int
+	}{
+		{Unit{Service: "s", Priority: 0, Gang: true, WaitsForRack: true}, 15000, 61000, []int64{1, 2, 4, 8, 8}, 8},
+		{Unit{Service: "s", Priority: 1, Gang: true, WaitsForRack: true}, 52000, 210000, []int64{1, 2, 4, 8, 8}, 26},
+		{Unit{Service: "s", Priority: 2}, 11000, 33000, []int64{1}, 78},
+	}
+	s := Snapshot{Workers: makeWorkers(workers, 12), Headroom: map[string]int64{"s": 100}}
+	for i := range s.Workers {
+		s.Workers[i].Free.MemoryMB = 512000
+	}
+	group := 0
+	for placed, tries := 0, 0; tries < 40*workers; tries++ {
+		k := &kinds[[]int{0, 1, 1, 2, 2, 2, 2, 2, 2}[random.IntN(9)]]
+		need := Resources{CPU: k.cpu, MemoryMB: k.mb, GPU: k.gpus[random.IntN(len(k.gpus))]}
+		if !k.unit.Gang || tries%8 == 0 {
+			group++
+		}
+		w := &s.Workers[random.IntN(workers)]
+		if need.CountFitting(w.Free, 1) == 0 {
+			continue
+		}
+		placed++
+		lost := float64(random.IntN(500))
+		if random.IntN(2) == 0 {
+			lost = 0
+		}
+		occupy(w, Run{Group: group, Need: need, Priority: k.unit.Priority, LostWork: lost})
+	}
+	for n := range 240 {
+		k := &kinds[[]int{0, 1, 2}[n%3]]
+		u := k.unit
+		u.Timeliness, u.Deadline, u.JobStarted = Timeliness(random.IntN(3)), int64(random.IntN(10000)), random.IntN(4) == 0
+		u.Tasks = 1 + random.IntN(2*k.tasks)
+		u.Need = Resources{CPU: k.cpu, MemoryMB: k.mb, GPU: k.gpus[random.IntN(len(k.gpus))]}
+		u.RackLocal = u.Gang && random.IntN(3) > 0
+		u.Work = float64(u.Tasks) * 100
+		u.Checkpointed = u.Priority > 0 && random.IntN(2) == 0
+		s.Units = append(s.Units, u)
+	}
+	return s
+}
+
+// BenchmarkDecideLarge measures Decide for the sizes of large deployments.
+func BenchmarkDecideLarge(b *testing.B) {
+	for _, workers := range []int{350, 1100, 3300} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				s := largeOverload(workers)
+				b.StartTimer()
+				Decide(s)
+			}
+		})
+	}
+}
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -12,7 +13,7 @@
 
 // compareVictims orders runs for preemption: those with the least lost work first, then those of the
 // least urgent queue.
-func compareVictims(a, b Run) int {
+func compareVictims(a, b *Run) int {
 	return cmp.Or(cmp.Compare(a.LostWork, b.LostWork), cmp.Compare(b.Priority, a.Priority))
 }
 
@@ -21,14 +22,15 @@
 // of less urgent queues, but a higher loss would cost other jobs more than the unit gains.
 const maxLossFactor = 2
 
-// yieldsTo reports whether a run may be preempted for a unit.
-func (r *round) yieldsTo(run *Run, u *Unit) bool {
+// yieldsTo reports whether a run may be preempted for a unit. withinShare means that the queues of the run's
+// priority use no more than their minimum share.
+func (run *Run) yieldsTo(u *Unit, withinShare bool) bool {
 	switch {
 	case run.Protected:
 		return false
 	case u.Guaranteed:
 		return !run.Guaranteed
-	case r.withinShare[priorityKey{u.Service, run.Priority}]:
+	case withinShare:
 		return false
 	case run.Guaranteed || run.Priority <= u.Priority || u.Timeliness == Overdue:
 		return false
@@ -50,22 +52,29 @@
 	if best == nil || (!u.Guaranteed && best.loss > maxLossFactor*u.Work+restartCost*float64(len(best.groups))) {
 		return false
 	}
-	for group := range best.groups {
-		r.stoppedGroups[group] = true
-		r.plan.Stops = append(r.plan.Stops, Stop{Group: group, Unit: index})
-	}
-	for w, freed := range best.freed {
-		r.freeAfterStops[w] = r.freeAfterStops[w].Add(freed)
+	for _, g := range best.groups {
+		r.groups[g].stopped = true
+		r.plan.Stops = append(r.plan.Stops, Stop{Group: r.groups[g].id, Unit: index})
+		for _, share := range r.groups[g].shares {
+			r.freeAfterStops[share.worker] = r.freeAfterStops[share.worker].Add(share.need)
+		}
 	}
 	r.claim(u, best.places)
 	return true
 }
 
+// freedResources is what becomes free on a worker by the preemption plan with the number attempt.
+type freedResources struct {
+	attempt int
+	amount  Resources
+}
+
 // preemptionPlan is a set of groups to stop so that all tasks of a unit have room.
 type preemptionPlan struct {
-	groups map[int]bool
-	// freed is the resources that become free on each worker.
-	freed map[int]Resources
+	// attempt is the number of the plan in its round.
+	attempt int
+	// groups is the indices of the groups to stop.
+	groups []int32
 	// places is the worker of each task.
 	places []int
 	// loss is the sum of scaledLoss and restartCost over the groups, in weighted core-seconds.
@@ -76,49 +85,91 @@
 // none. Units with DataRack or RackLocal get a plan within one rack if possible, even if a plan over
 // several racks would lose less.
 func (r *round) cheapestPreemption(u *Unit) *preemptionPlan {
+	c := r.newPreemption(u)
 	if u.DataRack != "" {
-		if p := r.planPreemption(u, r.rack(u.DataRack)); p != nil {
+		if p := c.plan(r.rack(u.DataRack), math.Inf(1)); p != nil {
 			return p
 		}
 	}
 	if !u.RackLocal || u.Tasks == 1 {
-		return r.planPreemption(u, r.all())
+		return c.plan(r.all(), math.Inf(1))
 	}
 	var best *preemptionPlan
+	limit := math.Inf(1)
 	for _, workers := range r.racks {
-		if p := r.planPreemption(u, workers); p != nil && (best == nil || p.loss < best.loss) {
-			best = p
+		if p := c.plan(workers, limit); p != nil {
+			best, limit = p, p.loss
 		}
 	}
 	if best == nil && (u.Guaranteed || !u.WaitsForRack) {
-		return r.planPreemption(u, r.all())
+		return c.plan(r.all(), math.Inf(1))
 	}
 	return best
 }
 
+// preemption is an attempt to make room for a unit.
+type preemption struct {
+	*round
+	unit   *Unit
+	shares priorityShares
+}
+
+// newPreemption begins an attempt: it sets what would be free on each worker if all runs that may be preempted for the
+// unit were stopped.
+func (r *round) newPreemption(u *Unit) *preemption {
+	c := &preemption{round: r, unit: u, shares: r.sharesOf(u)}
+	r.preemptionPlans++
+	copy(r.potential, r.freeAfterStops)
+	for i := range r.snapshot.Workers {
+		if !u.Need.fitsInto(&r.emptied[i]) || !r.usable(u, i) {
+			continue
+		}
+		runs, groups := r.snapshot.Workers[i].Runs, r.runGroups[i]
+		for k := range runs {
+			g := &r.groups[groups[k]]
+			if g.stopped || g.attempt == r.preemptionPlans || !runs[k].yieldsTo(u, c.shares.within(runs[k].Priority)) {
+				continue
+			}
+			g.attempt = r.preemptionPlans
+			for n := range g.shares {
+				s := &g.shares[n]
+				r.potential[s.worker] = r.potential[s.worker].Add(s.need)
+			}
+		}
+	}
+	return c
+}
+
 // taskLoss is the work that is lost if one more task is placed on a worker.
 type taskLoss struct {
 	worker int
 	// placed is the number of the unit's tasks that the preemption plan already places on the worker.
 	placed int
-	// groups is the groups that must be stopped for the task.
-	groups []int
+	// groups is the indices of the groups that must be stopped for the task.
+	groups []int32
 	// loss is the sum of scaledLoss and restartCost over these groups, in weighted core-seconds.
 	loss float64
 }
 
-// planPreemption chooses the runs to stop on the given workers. It is greedy: it places one task after
-// the other, each on the worker with the lowest loss. It returns nil if there is no room for all tasks.
-func (r *round) planPreemption(u *Unit, workers []int) *preemptionPlan {
-	p := &preemptionPlan{groups: make(map[int]bool), freed: make(map[int]Resources)}
-	losses := make([]taskLoss, 0, len(workers))
+// plan chooses the runs to stop on the given workers. It is greedy: it places one task after the other, each on the
+// worker with the lowest loss. It returns nil if there is no room for all tasks, or if the loss is not below the limit.
+func (c *preemption) plan(workers []int, limit float64) *preemptionPlan {
+	u := c.unit
+	if c.room(u, workers, c.potential) < u.Tasks {
+		return nil
+	}
+	c.preemptionPlans++
+	p := &preemptionPlan{attempt: c.preemptionPlans}
+	losses := c.losses[:0]
+	c.victimGroups = c.victimGroups[:0]
 	for _, i := range workers {
-		if c, ok := r.lossOfTask(u, taskLoss{worker: i}, p); ok {
-			losses = append(losses, c)
+		if l, ok := c.lossOfTask(taskLoss{worker: i}, p); ok {
+			losses = append(losses, l)
 		}
 	}
+	c.losses = losses
 	for len(p.places) < u.Tasks {
-		if len(losses) == 0 {
+		if len(losses) == 0 || p.loss >= limit {
 			return nil
 		}
 		best := 0
@@ -127,83 +178,96 @@
 				best = i
 			}
 		}
-		c := losses[best]
-		p.loss += c.loss
-		for _, group := range c.groups {
-			r.addStoppedGroup(p, group)
+		l := losses[best]
+		p.loss += l.loss
+		for _, group := range l.groups {
+			c.addStoppedGroup(p, group)
 		}
-		p.places = append(p.places, c.worker)
-		next, ok := r.lossOfTask(u, taskLoss{worker: c.worker, placed: c.placed + 1}, p)
+		p.places = append(p.places, l.worker)
+		next, ok := c.lossOfTask(taskLoss{worker: l.worker, placed: l.placed + 1}, p)
 		if ok {
 			losses[best] = next
 		} else {
 			losses = slices.Delete(losses, best, best+1)
 		}
 	}
+	if p.loss >= limit {
+		return nil
+	}
 	return p
 }
 
-// lossOfTask computes groups and loss for one more task on the worker of c. It returns false if the
+// lossOfTask computes groups and loss for one more task on the worker of l. It returns false if the
 // worker cannot get room for the task.
-func (r *round) lossOfTask(u *Unit, c taskLoss, p *preemptionPlan) (taskLoss, bool) {
-	if !r.usable(u, c.worker) || c.placed >= u.remainingPerWorker(r.snapshot.Workers[c.worker].ID) {
-		return c, false
+func (c *preemption) lossOfTask(l taskLoss, p *preemptionPlan) (taskLoss, bool) {
+	u := c.unit
+	if !u.Need.fitsInto(&c.potential[l.worker]) || !c.usable(u, l.worker) || l.placed >= u.remainingPerWorker(c.snapshot.Workers[l.worker].ID) {
+		return l, false
+	}
+	free := c.freeAfterStops[l.worker]
+	if c.freed[l.worker].attempt == p.attempt {
+		free = free.Add(c.freed[l.worker].amount)
 	}
-	free := r.freeAfterStops[c.worker].Add(p.freed[c.worker])
-	for range c.placed {
+	for range l.placed {
 		free = free.Sub(u.Need)
 	}
 	var ok bool
-	c.groups, c.loss, ok = r.chooseVictims(u, c.worker, free, p)
-	return c, ok
+	l.groups, l.loss, ok = c.chooseVictims(l.worker, free, p)
+	return l, ok
 }
 
 // addStoppedGroup adds a group to the preemption plan, with the resources that it frees on all of its workers.
-func (r *round) addStoppedGroup(p *preemptionPlan, group int) {
-	if p.groups[group] {
+func (c *preemption) addStoppedGroup(p *preemptionPlan, index int32) {
+	g := &c.groups[index]
+	if g.attempt == p.attempt {
 		return
 	}
-	p.groups[group] = true
-	for _, w := range r.groupWorkers[group] {
-		for _, run := range r.snapshot.Workers[w].Runs {
-			if run.Group == group {
-				p.freed[w] = p.freed[w].Add(run.Need)
-			}
+	g.attempt = p.attempt
+	p.groups = append(p.groups, index)
+	for i := range g.shares {
+		s := &g.shares[i]
+		if f := &c.freed[s.worker]; f.attempt != p.attempt {
+			*f = freedResources{p.attempt, s.need}
+		} else {
+			f.amount = f.amount.Add(s.need)
 		}
 	}
 }
 
-// chooseVictims chooses runs on one worker whose end frees enough resources for one task. It takes the
-// first runs that may be preempted; newRound has sorted the runs by compareVictims. It returns false if
-// they cannot free enough.
-func (r *round) chooseVictims(u *Unit, worker int, free Resources, p *preemptionPlan) (groups []int, loss float64, ok bool) {
-	if u.Need.CountFitting(free, 1) == 1 {
+// chooseVictims chooses runs on one worker whose end frees enough resources for one task. It takes the first runs
+// that may be preempted, in the order of compareVictims. It returns false if they cannot free enough.
+func (c *preemption) chooseVictims(worker int, free Resources, p *preemptionPlan) (groups []int32, loss float64, ok bool) {
+	u := c.unit
+	if u.Need.fitsInto(&free) {
 		return nil, 0, true
 	}
-	runs := r.snapshot.Workers[worker].Runs
-	for i := range runs {
-		run := &runs[i]
-		if !r.yieldsTo(run, u) || r.stoppedGroups[run.Group] || p.groups[run.Group] || slices.Contains(groups, run.Group) {
+	runs, order, runGroups := c.victims(worker)
+	first := len(c.victimGroups)
+	for _, k := range order {
+		run, g := &runs[k], runGroups[k]
+		withinShare := c.shares.within(run.Priority)
+		if !run.yieldsTo(u, withinShare) || c.groups[g].stopped || c.groups[g].attempt == p.attempt || slices.Contains(c.victimGroups[first:], g) {
 			continue
 		}
-		groups = append(groups, run.Group)
-		loss += r.scaledLoss(run, u) + restartCost
-		for _, other := range runs {
-			if other.Group == run.Group {
-				free = free.Add(other.Need)
+		c.victimGroups = append(c.victimGroups, g)
+		loss += run.scaledLoss(withinShare) + restartCost
+		for other := range runs {
+			if runGroups[other] == g {
+				free = free.Add(runs[other].Need)
 			}
 		}
-		if u.Need.CountFitting(free, 1) == 1 {
-			return groups, loss, true
+		if u.Need.fitsInto(&free) {
+			return c.victimGroups[first:len(c.victimGroups):len(c.victimGroups)], loss, true
 		}
 	}
+	c.victimGroups = c.victimGroups[:first]
 	return nil, 0, false
 }
 
-// scaledLoss returns the work that is lost if a run is stopped for a unit, multiplied by
-// minShareLossFactor if the queues of the run's priority use no more than their minimum share.
-func (r *round) scaledLoss(run *Run, u *Unit) float64 {
-	if r.withinShare[priorityKey{u.Service, run.Priority}] {
+// scaledLoss returns the work that is lost if the run is stopped, multiplied by minShareLossFactor if the queues of
+// its priority use no more than their minimum share.
+func (run *Run) scaledLoss(withinShare bool) float64 {
+	if withinShare {
 		return minShareLossFactor * run.LostWork
 	}
 	return run.LostWork
@@ -238,17 +302,13 @@
 		r.firstClaimant = index
 	}
 	r.blockedGangClaims++
+	r.idleVersion++
 	claimed := 0
 	for _, i := range candidates {
 		if claimed >= u.Tasks {
 			return
 		}
-		w := &r.snapshot.Workers[i]
-		capacity := w.Free.Add(w.Releasing)
-		for _, run := range w.Runs {
-			capacity = capacity.Add(run.Need)
-		}
-		n := min(u.Need.CountFitting(capacity, u.remainingPerWorker(w.ID)), u.Tasks-claimed)
+		n := min(u.Need.CountFitting(r.emptied[i], u.remainingPerWorker(r.snapshot.Workers[i].ID)), u.Tasks-claimed)
 		for range n {
 			r.freeAfterStops[i] = r.freeAfterStops[i].Sub(u.Need)
 			r.gangClaims[i] = r.gangClaims[i].Add(u.Need)
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -18,6 +18,27 @@
 	priority int
 }
 
+// priorityShares tells which priorities of one service use no more than their minimum share.
+type priorityShares []bool
+
+// sharesOf returns the shares of the service of a unit. The result depends only on the service, not on the unit.
+func (r *round) sharesOf(u *Unit) priorityShares {
+	var shares priorityShares
+	for key, within := range r.withinShare {
+		if key.service != u.Service || !within {
+			continue
+		}
+		for len(shares) <= key.priority {
+			shares = append(shares, false)
+		}
+		shares[key.priority] = true
+	}
+	return shares
+}
+
+// within reports whether the queues of a priority use no more than their minimum share.
+func (s priorityShares) within(priority int) bool { return priority < len(s) && s[priority] }
+
 // splitUnits returns the units of a round, with some split. If the queues of a priority use less
 // than their minimum share, as many tasks as fit into the rest of the share become a part of their own,
 // which is scheduled ahead of all priorities but 0. Gangs are not split, and tasks without accelerators always
