--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -73,6 +73,7 @@
 	peakGPUs       map[string]float64
 	peaksUpdatedAt boottime.Instant
 
+	rounds  roundStats
 	planDue bool
 	// planInterval is the minimum time from lastPlanAt to the next planning round. planTimerSet
 	// means that a timer will wake the leader at the end of that time.
@@ -289,6 +290,7 @@
 	for _, ws := range l.workers {
 		l.checkWorker(ws, now)
 	}
+	l.logRounds(now)
 	l.createAllDueOccurrences()
 	l.checkWaves()
 	l.requestAdvice()
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -41,7 +41,9 @@
 		l.c.metrics.setWaiting(nil)
 		return
 	}
+	gathered := time.Since(started)
 	decision := planner.Decide(snapshot)
+	l.rounds.add(gathered, time.Since(started), len(workers), len(units))
 	trackHeldBack(units, decision.Waits)
 	l.reportWaits(&snapshot, units, decision.Waits)
 	for _, stop := range decision.Stops {
@@ -53,6 +55,39 @@
 	l.c.metrics.planTime.UpdateDuration(started)
 }
 
+// roundsLogInterval is the time between two log lines about planning rounds.
+const roundsLogInterval = 5 * time.Second
+
+// roundStats sums up the planning rounds since the last log line about them.
+type roundStats struct {
+	count int
+	// gathering is the time for the snapshots, total the time including decisions, longest that of the longest round.
+	gathering, total, longest time.Duration
+	// workers and units are the sizes of the longest round.
+	workers, units int
+	loggedAt       boottime.Instant
+}
+
+func (s *roundStats) add(gathering, total time.Duration, workers, units int) {
+	s.count++
+	s.gathering += gathering
+	s.total += total
+	if total > s.longest {
+		s.longest, s.workers, s.units = total, workers, units
+	}
+}
+
+// logRounds logs the duration of the planning rounds of the last roundsLogInterval, if there were any.
+func (l *leader) logRounds(now boottime.Instant) {
+	s := &l.rounds
+	if s.count == 0 || now.Sub(s.loggedAt) < roundsLogInterval {
+		return
+	}
+	l.logger.Info().Int("rounds", s.count).Dur("gathering", s.gathering/time.Duration(s.count)).Dur("mean", s.total/time.Duration(s.count)).
+		Dur("longest", s.longest).Int("workers", s.workers).Int("units", s.units).Msg("planning rounds")
+	*s = roundStats{loggedAt: now}
+}
+
 // snapshot returns the planner's input, and the workers and units that its indices refer to.
 func (l *leader) snapshot() (planner.Snapshot, []*workerState, []*unit) {
 	var s planner.Snapshot
