Fail writes that were never sent at once, and truthfully

Cause: while an append got no response, writes queued behind it waited until the deadlines of their callers, who were then told that the outcome was unknown (504), although nothing of the write had been sent. Such callers cannot repeat the request elsewhere. Change: the caller of Write takes a write back that Run has not claimed, after 0.7 s or at its deadline, and gets ErrUnavailable: a 503 with Retry-After, which is true. Evidence: TestQueuedWritesFailBeforeTheirDeadlines failed before.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -90,6 +90,31 @@
 	})
 }
 
+// Guards against callers that wait until their deadlines, and are then told that the outcome is unknown, because of
+// writes that were never sent: they are queued behind an append that gets no response.
+func TestQueuedWritesFailBeforeTheirDeadlines(t *testing.T) {
+	inSimulatedTime(t, func(ctx context.Context, log *ledgertest.Log, c *ledgertest.Client) {
+		w := newWriter(ctx, c, "w", 1, false)
+		c.SetSilent(true)
+		sent := make(chan error, 1)
+		go func() { sent <- w.Write(ctx, record("sent")) }()
+		time.Sleep(10 * time.Millisecond)
+		for _, c := range []struct {
+			deadline, returnsWithin time.Duration
+		}{{3 * time.Second, 750 * time.Millisecond}, {300 * time.Millisecond, 300 * time.Millisecond}} {
+			callCtx, cancel := context.WithTimeout(ctx, c.deadline)
+			start := time.Now()
+			require.ErrorIs(t, w.Write(callCtx, record("queued")), ledger.ErrUnavailable)
+			require.LessOrEqual(t, time.Since(start), c.returnsWithin)
+			cancel()
+		}
+		c.SetSilent(false)
+		require.NoError(t, <-sent)
+		time.Sleep(5 * time.Second)
+		require.NotContains(t, log.LatestValues(topic), "queued", "what was reported as not stored")
+	})
+}
+
 // Guards against a former leader that continues to write after its successor has fenced it.
 func TestNewerEpochFencesOlderWriters(t *testing.T) {
 	inSimulatedTime(t, func(ctx context.Context, _ *ledgertest.Log, c *ledgertest.Client) {
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -30,8 +31,7 @@
 	// platform's size limit of a call. A larger write is sent alone.
 	maxBatchBytes = 1 << 20
 	// maxQueueTime is the age above which a queued write is not sent but fails with ErrUnavailable, so
-	// that callers learn of an outage well before their deadlines. The age is checked when the append
-	// before the write has ended.
+	// that callers learn of an outage well before their deadlines.
 	maxQueueTime = 700 * time.Millisecond
 )
 
@@ -70,8 +70,13 @@
 	records  []Record
 	queuedAt time.Time
 	done     func(error)
+	// claimed is set by Run when it takes the write, or by the caller that gives it up before that.
+	claimed atomic.Bool
 }
 
+// claim reports whether the caller of claim is the first.
+func (q *queuedWrite) claim() bool { return q.claimed.CompareAndSwap(false, true) }
+
 // NewWriter returns a writer that starts to send when Run is called.
 func NewWriter(cfg WriterConfig) *Writer {
 	limit := cfg.QueueLimit
@@ -95,28 +100,52 @@
 	return result.End, nil
 }
 
-// Write appends records and returns when they are stored. It returns the errors of Storer.
-// ErrUnknownOutcome means that ctx or the context of Run ended first; the records may still be stored
-// later.
+// Write appends records and returns when they are stored. It returns the errors of Storer. ErrUnavailable also means
+// that the records were still queued, behind an append without an outcome, at the end of ctx or after maxQueueTime
+// (unless RetryUntilStored is set). ErrUnknownOutcome means that ctx or the context of Run ended while the records were
+// being sent; they may still be stored later.
 func (w *Writer) Write(ctx context.Context, records []Record) error {
 	outcome := make(chan error, 1)
-	if !w.Enqueue(records, func(err error) { outcome <- err }) {
+	item := &queuedWrite{records: records, queuedAt: time.Now(), done: func(err error) { outcome <- err }}
+	if !w.enqueue(item) {
 		return eris.Wrap(ErrUnavailable, "write queue full")
 	}
-	select {
-	case err := <-outcome:
-		return err
-	case <-ctx.Done():
-		return eris.Wrap(ErrUnknownOutcome, "context ended before the log responded")
+	var queueTimeout <-chan time.Time
+	if !w.cfg.RetryUntilStored {
+		timer := time.NewTimer(maxQueueTime)
+		defer timer.Stop()
+		queueTimeout = timer.C
+	}
+	for {
+		select {
+		case err := <-outcome:
+			return err
+		case <-queueTimeout:
+			if item.claim() {
+				return errQueuedTooLong()
+			}
+			queueTimeout = nil
+		case <-ctx.Done():
+			if item.claim() {
+				return eris.Wrap(ErrUnavailable, "context ended before the write was sent")
+			}
+			return eris.Wrap(ErrUnknownOutcome, "context ended before the log responded")
+		}
 	}
 }
 
+func errQueuedTooLong() error { return eris.Wrap(ErrUnavailable, "write waited too long in the queue") }
+
 // Enqueue queues records behind those of earlier calls. Run calls done with the outcome; done must not
 // block. If the queue is full, Enqueue returns false and done is not called. It is not called either for
 // writes that are still queued when Run returns.
 func (w *Writer) Enqueue(records []Record, done func(error)) bool {
+	return w.enqueue(&queuedWrite{records: records, queuedAt: time.Now(), done: done})
+}
+
+func (w *Writer) enqueue(item *queuedWrite) bool {
 	select {
-	case w.queue <- &queuedWrite{records: records, queuedAt: time.Now(), done: done}:
+	case w.queue <- item:
 		return true
 	default:
 		return false
@@ -161,10 +190,14 @@
 		size := recordBytes(item.records)
 		switch {
 		case !w.cfg.RetryUntilStored && time.Since(item.queuedAt) > maxQueueTime:
-			item.done(eris.Wrap(ErrUnavailable, "write waited too long in the queue"))
+			if item.claim() {
+				item.done(errQueuedTooLong())
+			}
 		case len(batch) > 0 && bytes+size > maxBatchBytes:
 			w.next = item
 			return batch
+		case !item.claim():
+			// The caller has given it up.
 		default:
 			batch = append(batch, item)
 			count += len(item.records)
