Limit the pause after a long planning round

Cause: a round was followed by a pause of six times its duration. Ruled out: a slow log and an invalid term, as ends were stored and acknowledged meanwhile. Change: three times the duration, and 60 ms at most.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -23,9 +23,12 @@
 	// minPlanInterval is the minimum time between two planning rounds, so that one round handles a
 	// whole burst of events.
 	minPlanInterval = 15 * time.Millisecond
-	// planPauseFactor limits the share of time spent on planning to 1/7: after a round, the next
-	// one waits at least this many times the duration of the round.
-	planPauseFactor = 6
+	// planPauseFactor limits the share of time spent on planning to a quarter: after a round, the next one
+	// waits at least this many times the duration of the round, but at most maxPlanPause.
+	planPauseFactor = 3
+	// maxPlanPause limits the pause because the duration of a round includes the time in which other goroutines
+	// use the processor, and urgent jobs have a second or two in all.
+	maxPlanPause = 60 * time.Millisecond
 	// replanInterval is how often units that could not be placed are tried again when no event
 	// triggers a planning round.
 	replanInterval = 250 * time.Millisecond
@@ -280,7 +283,12 @@
 	started := boottime.Now()
 	l.plan()
 	l.lastPlanAt = boottime.Now()
-	l.planInterval = max(minPlanInterval, planPauseFactor*l.lastPlanAt.Sub(started))
+	l.planInterval = planPause(l.lastPlanAt.Sub(started))
+}
+
+// planPause returns the minimum time from the end of a planning round to the next one.
+func planPause(round time.Duration) time.Duration {
+	return min(max(minPlanInterval, planPauseFactor*round), maxPlanPause)
 }
 
 // tick checks timeouts, due occurrences and maintenance waves, requests advice, makes a planning
