Detect slow workers by the progress of their runs, and leave them

A gang of 8 tasks is on several workers, so every second urgent gang had a slow member and took 6 to 12 s instead of 2.5 s (mean 6.7 s in the first 4 s). Only runs without any progress were noticed. Change: the progress of runs between polls gives the speed of each worker relative to estimates; a worker below 0.3 of the median speed gets no work for 4 s after its runs last showed it. Wrong estimates do not suffice: two units, or tasks of the same unit elsewhere, must confirm it. A run there starts again elsewhere once it has lost as much time as the restart loses. At most 0.3 of the workers count as slow, and a job that has waited 2 s beside much unused capacity may use them.

--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -77,6 +77,8 @@
 	// from it.
 	checkpoint string
 	advice     *advice
+	// slowRestarts counts the restarts of tasks because of slow workers.
+	slowRestarts int
 	// heldBackSince is since when the unit has been held back (planner.Wait.HeldBack) in all planning rounds
 	// while its job had no runs; 0 if it is not held back.
 	heldBackSince boottime.Instant
@@ -287,6 +289,8 @@
 	ws := l.workerOfRecord(rec.Worker, rec.Address, rec.WorkerStartedAtMS)
 	// The start sent by the previous leader may be unconfirmed.
 	r := &run{task: t, worker: ws, number: rec.Run, state: adopting, unconfirmed: 1, placedAt: boottime.Now()}
+	// The racks of the other members of a gang are not known before the registry has been read.
+	r.remote = u.step.DataRack != "" || u.step.RackLocal
 	t.run = r
 	ws.runs[t.id] = r
 }
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -76,8 +76,10 @@
 	peakGPUs       map[string]float64
 	peaksUpdatedAt boottime.Instant
 
-	rounds  roundStats
-	planDue bool
+	rounds roundStats
+	// slowCheckedAt is when updateSlowWorkers last compared the workers.
+	slowCheckedAt boottime.Instant
+	planDue       bool
 	// planInterval is the minimum time from lastPlanAt to the next planning round. planTimerSet
 	// means that a timer will wake the leader at the end of that time.
 	planInterval      time.Duration
@@ -299,6 +301,7 @@
 		l.checkWorker(ws, now)
 	}
 	l.logRounds(now)
+	l.updateSlowWorkers(now)
 	l.createAllDueOccurrences()
 	l.checkWaves()
 	l.requestAdvice()
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -103,6 +103,7 @@
 		s.Workers = append(s.Workers, l.describeWorker(ws, now))
 	}
 	s.Headroom = l.headroom(now)
+	unused := halfUnused(s.Workers)
 	guaranteed := l.assignGuarantees()
 	var units []*unit
 	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
@@ -125,6 +126,7 @@
 				}
 				continue
 			}
+			d.AcceptsSlow = unused[d.Service] && !j.hasRuns() && now.Sub(u.readySince) >= acceptsSlowAfter
 			units = append(units, u)
 			s.Units = append(s.Units, d)
 		}
@@ -164,7 +166,7 @@
 	used, releasing := ws.usedResources()
 	w := planner.Worker{
 		ID: ws.id, Service: ws.info.Service, Rack: ws.info.Rack, Labels: ws.info.Labels, AcceptsWork: ws.acceptsWork(now) && !l.maintenance.isPreparing(ws.id),
-		Free: capacity.Sub(used), Releasing: releasing, Suspicion: len(ws.failedJobs),
+		Free: capacity.Sub(used), Releasing: releasing, Suspicion: len(ws.failedJobs), Slow: now < ws.slowUntil,
 	}
 	for _, r := range ws.runs {
 		step := r.task.unit.step
@@ -403,6 +405,7 @@
 	}
 	var runs []*run
 	var records []ledger.Record
+	racks := make(map[string]bool)
 	for _, t := range u.tasks {
 		if len(runs) == len(workerIndices) {
 			break
@@ -418,6 +421,10 @@
 		r, record := l.placeTask(t, ws, n, u.advice.ticket(ws.id), guaranteed)
 		runs = append(runs, r)
 		records = append(records, record)
+		racks[ws.info.Rack] = true
+	}
+	for _, r := range runs {
+		r.remote = (u.step.DataRack != "" && u.step.DataRack != r.worker.info.Rack) || (u.step.RackLocal && len(racks) > 1)
 	}
 	l.c.metrics.startDelay.Update(boottime.Since(u.readySince).Seconds())
 	l.logger.Info().Str("step", u.tasks[0].id.StepName()).Int("tasks", len(runs)).Int64("run", gangRun).
--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -176,6 +176,7 @@
 	l.applyEnds(ws, response.Ended)
 	l.applyRunning(ws, sent, response)
 	l.restartStalled(ws)
+	l.leaveSlowWorker(ws)
 	l.adjustFillerSpeeds(ws)
 	if ws.needsPoll {
 		// A stop takes about as long, and polls of a worker without runs return at once.
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -98,6 +98,12 @@
 	// checkpoint is the newest checkpoint that the worker reported.
 	checkpoint string
 	progress   progress.Tracker
+	// remote means that the run may be slow because of where it is: away from its data, or in another rack than other
+	// members of its gang.
+	remote bool
+	// lastSpeed is the speed of the run relative to its estimate in the last sample, if it has been sampled.
+	lastSpeed float64
+	sampled   bool
 	// usage is the last reported RunStatus.Usage: the tail latency in milliseconds for a serving
 	// task, the processor time in thousandths of a core for any other task.
 	usage int64
@@ -116,6 +122,9 @@
 	now := boottime.Now()
 	r := &run{task: t, worker: ws, number: number, state: storing, placedAt: now, ticket: ticket, guaranteed: guaranteed, speed: fullSpeed}
 	r.progress = progress.NewTracker(now, 0)
+	if !t.unit.gang() {
+		r.progress.SampleFromStart()
+	}
 	t.run = r
 	ws.runs[t.id] = r
 	t.rec.Run, t.rec.Worker, t.rec.Address, t.rec.WorkerStartedAtMS = number, ws.id, ws.address, ws.startedAtMS
@@ -358,6 +367,7 @@
 		r.progress = progress.NewTracker(now, s.Percent)
 	}
 	r.progress.Report(now, s.Percent)
+	r.sampleSpeed(now)
 	if s.Checkpoint != "" {
 		r.checkpoint = s.Checkpoint
 	}
--- /dev/null
+++ b/internal/controller/slow.go
@@ -0,0 +1,167 @@
+package controller
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/boottime"
+	"github.com/oleanderbend/oleanderbend/internal/planner"
+	"github.com/oleanderbend/oleanderbend/internal/progress"
+)
+
+const (
+	// slowCheckInterval is how often the speeds of the workers are compared.
+	slowCheckInterval = 200 * time.Millisecond
+	// slowFraction is the fraction of the median speed of the workers of a service below which a worker is slow.
+	// Wrong estimates and data in another rack make runs up to three times slower on any worker.
+	slowFraction = 0.3
+	// minComparedWorkers is the number of workers with a known speed that a median needs.
+	minComparedWorkers = 5
+	// maxSlowShare limits the share of the workers of a service that count as slow at the same time: if more of them
+	// are slow, the comparison does not tell which workers to use.
+	maxSlowShare = 0.3
+	// slowTime is how long a worker counts as slow after its runs last showed it.
+	slowTime = 4 * time.Second
+	// maxSlowRestarts limits the restarts of the tasks of a unit because of slow workers, per task.
+	maxSlowRestarts = 2
+	// acceptsSlowAfter is how long a job without runs waits, beside much unused capacity, until slow workers may be
+	// used for it. It may need one of them, for a label or for its data.
+	acceptsSlowAfter = 2 * time.Second
+)
+
+// sampleSpeed adds the progress of a run since the last sample to the speed of its worker.
+func (r *run) sampleSpeed(now boottime.Instant) {
+	step := r.task.unit.step
+	if r.remote || step.LongRunning || step.Filler {
+		return
+	}
+	if s, ok := r.progress.Sample(time.Duration(step.EstimateMS) * time.Millisecond); ok {
+		r.lastSpeed, r.sampled = s.Expected.Seconds()/s.Elapsed.Seconds(), true
+		r.worker.speed.Add(now, s)
+	}
+}
+
+// confirmedSlow reports whether the runs on a worker that seems to be slow can be slow only because of it. An estimate
+// that is much too short makes a run seem slow on any worker, but hardly those of two units at the same time, and
+// then the other tasks of the unit are as slow on other workers.
+func (ws *workerState) confirmedSlow(limit float64) bool {
+	units := make(map[*unit]bool)
+	for _, r := range ws.runs {
+		if !r.sampled || r.lastSpeed >= limit {
+			continue
+		}
+		units[r.task.unit] = true
+		for _, t := range r.task.unit.tasks {
+			if other := t.run; other != nil && other.worker != ws && other.sampled && limit < other.lastSpeed {
+				return true
+			}
+		}
+	}
+	return len(units) > 1
+}
+
+// workerSpeed is the known speed of a worker.
+type workerSpeed struct {
+	worker *workerState
+	speed  float64
+}
+
+// updateSlowWorkers determines which workers are slow, by comparison with the other workers of their service.
+func (l *leader) updateSlowWorkers(now boottime.Instant) {
+	if now.Sub(l.slowCheckedAt) < slowCheckInterval {
+		return
+	}
+	l.slowCheckedAt = now
+	known, total := make(map[string][]workerSpeed), make(map[string]int)
+	for _, ws := range l.workers {
+		if !ws.registered {
+			continue
+		}
+		total[ws.info.Service]++
+		if speed, ok := ws.speed.Value(now); ok {
+			known[ws.info.Service] = append(known[ws.info.Service], workerSpeed{ws, speed})
+		}
+	}
+	for service, speeds := range known {
+		limit, slow := sortSlowFirst(speeds, total[service])
+		for i, s := range speeds[:slow] {
+			if now >= s.worker.slowUntil && !s.worker.confirmedSlow(limit) {
+				continue
+			}
+			if now >= s.worker.slowUntil {
+				l.logger.Warn().Str("worker", s.worker.id).Float64("speed", s.speed).Float64("median", speeds[len(speeds)/2].speed).
+					Int("runs", len(s.worker.runs)).Int("slow", i+1).Msg("worker is slow")
+			}
+			s.worker.slowUntil = now.Add(slowTime)
+		}
+	}
+}
+
+// sortSlowFirst sorts speeds. It returns the speed below which a worker may be slow, and how many of the workers, from
+// the first on, are. All others count as fast again at once.
+func sortSlowFirst(speeds []workerSpeed, workers int) (limit float64, slow int) {
+	slices.SortFunc(speeds, func(a, b workerSpeed) int {
+		return cmp.Or(cmp.Compare(a.speed, b.speed), cmp.Compare(a.worker.id, b.worker.id))
+	})
+	if len(speeds) >= minComparedWorkers {
+		limit = slowFraction * speeds[len(speeds)/2].speed
+		for slow < len(speeds) && speeds[slow].speed < limit && float64(slow+1) <= maxSlowShare*float64(workers) {
+			slow++
+		}
+	}
+	for _, s := range speeds[slow:] {
+		s.worker.slowUntil = 0
+	}
+	return limit, slow
+}
+
+// leaveSlowWorker stops the runs on a slow worker that finish sooner if they start again elsewhere, as far as this can
+// be known.
+func (l *leader) leaveSlowWorker(ws *workerState) {
+	if boottime.Now() >= ws.slowUntil {
+		return
+	}
+	for _, r := range ws.runList() {
+		u := r.task.unit
+		if r.state != running || u.step.LongRunning || u.step.Filler || u.slowRestarts >= maxSlowRestarts*u.step.Count {
+			continue
+		}
+		lost, done := r.progress.LostTime(time.Duration(u.step.EstimateMS) * time.Millisecond)
+		if u.step.Checkpoints {
+			done = 0
+		}
+		if r.progress.Percent() < progress.Complete && progress.ShouldLeave(lost, done) {
+			u.slowRestarts += u.restartSize()
+			l.stopForRestart(r, "worker is slow")
+		}
+	}
+}
+
+// restartSize returns how many tasks restart when one of the unit does.
+func (u *unit) restartSize() int {
+	if u.gang() {
+		return u.step.Count
+	}
+	return 1
+}
+
+// halfUnused returns the services of which less than half of some resource is in use.
+func halfUnused(workers []planner.Worker) map[string]bool {
+	free, total := make(map[string]planner.Resources), make(map[string]planner.Resources)
+	for i := range workers {
+		w := &workers[i]
+		free[w.Service] = free[w.Service].Add(w.Free)
+		capacity := w.Free
+		for k := range w.Runs {
+			capacity = capacity.Add(w.Runs[k].Need)
+		}
+		total[w.Service] = total[w.Service].Add(capacity).Add(w.Releasing)
+	}
+	unused := make(map[string]bool)
+	for service, f := range free {
+		t := total[service]
+		unused[service] = 2*f.CPU > t.CPU || 2*f.MemoryMB > t.MemoryMB || 2*f.GPU > t.GPU
+	}
+	return unused
+}
--- a/internal/controller/stall.go
+++ b/internal/controller/stall.go
@@ -24,7 +24,7 @@
 			ws.noWorkUntil = max(ws.noWorkUntil, boottime.Now().Add(quarantineTime))
 		}
 		if progress.ShouldRestart(stalledFor, r.restartLoss()) {
-			l.stopForRestart(r)
+			l.stopForRestart(r, "stands still")
 		}
 	}
 }
@@ -71,15 +71,15 @@
 }
 
 // stopForRestart stops a run, or its whole gang, so that the tasks restart on other workers.
-func (l *leader) stopForRestart(r *run) {
+func (l *leader) stopForRestart(r *run, reason string) {
 	u := r.task.unit
 	if !u.gang() {
-		l.stopRun(r, "stands still")
+		l.stopRun(r, reason)
 		return
 	}
 	for _, t := range u.tasks {
 		if t.run != nil {
-			l.stopRun(t.run, "stands still")
+			l.stopRun(t.run, reason)
 		}
 	}
 }
--- a/internal/controller/workerstate.go
+++ b/internal/controller/workerstate.go
@@ -5,6 +5,7 @@
 
 	"github.com/oleanderbend/oleanderbend/internal/batch"
 	"github.com/oleanderbend/oleanderbend/internal/boottime"
+	"github.com/oleanderbend/oleanderbend/internal/progress"
 	"github.com/oleanderbend/oleanderbend/internal/worker"
 )
 
@@ -59,6 +60,9 @@
 	// be delivered.
 	unconfirmedAckUntil boottime.Instant
 
+	// speed is how fast the worker's runs progress. The worker is slow until slowUntil; see updateSlowWorkers.
+	speed     progress.Speed
+	slowUntil boottime.Instant
 	// noWorkUntil is when the worker may get new work again.
 	noWorkUntil boottime.Instant
 	// failedJobs holds the IDs of the jobs of which a run has failed on the worker since its last
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -97,6 +97,9 @@
 	// Suspicion is how strongly the worker is suspected of a fault. Workers with a lower value are
 	// used first.
 	Suspicion int
+	// Slow means that work takes several times as long on the worker. Such workers get no tasks, except those of
+	// units with AcceptsSlow.
+	Slow bool
 	// RunsServing means that the worker runs serving tasks, RunsFiller that it runs filler tasks.
 	RunsServing, RunsFiller bool
 	Runs                    []Run
@@ -154,6 +157,8 @@
 	// Preemption ignores WaitsForRack for guaranteed units, for units that are not RackLocal and for
 	// units of one task: if it finds no victims within a suitable rack, it takes them from all racks.
 	WaitsForRack bool
+	// AcceptsSlow means that the tasks may run on slow workers if no others have room.
+	AcceptsSlow bool
 	// IgnoresHolds means that resources that are kept free for others, or its preferred rack, have held the
 	// unit back for too long: it may use the headroom and what blocked gangs claim, and WaitsForRack does not
 	// apply. If the unit is not a gang, this holds for one of its tasks.
@@ -379,6 +384,7 @@
 	rackLocal, waitsForRack  bool
 	filler, serving          bool
 	ignoresHolds             bool
+	acceptsSlow              bool
 }
 
 // shapeOf returns the shape of a unit, and whether the shape alone determines if the unit can be placed.
@@ -388,6 +394,7 @@
 		service: u.Service, label: u.Label, dataRack: u.DataRack, need: u.Need, priority: u.Priority,
 		timeliness: u.Timeliness, guaranteed: u.Guaranteed, gang: u.Gang, rackLocal: u.RackLocal, waitsForRack: u.WaitsForRack,
 		filler: u.Filler, serving: u.Serving, ignoresHolds: u.IgnoresHolds,
+		acceptsSlow: u.AcceptsSlow,
 	}, u.Allowed == nil && u.MaxPerWorker == 0
 }
 
@@ -661,7 +668,7 @@
 func (r *round) usable(u *Unit, worker int) bool {
 	w := &r.snapshot.Workers[worker]
 	switch {
-	case !w.AcceptsWork || w.Service != u.Service:
+	case !w.AcceptsWork || w.Service != u.Service || (w.Slow && !u.AcceptsSlow):
 		return false
 	case u.Label != "" && !slices.Contains(w.Labels, u.Label):
 		return false
@@ -799,7 +806,7 @@
 		}
 		total += room
 		candidates = append(candidates, candidate{
-			worker: i, room: room, avoid: u.Avoid[w.ID] || mixesServingAndFiller(u, w), suspicion: w.Suspicion, key: placementKey(u, free[i]),
+			worker: i, room: room, avoid: u.Avoid[w.ID] || w.Slow || mixesServingAndFiller(u, w), suspicion: w.Suspicion, key: placementKey(u, free[i]),
 		})
 	}
 	r.candidates = candidates
--- a/internal/progress/progress.go
+++ b/internal/progress/progress.go
@@ -1,4 +1,4 @@
-// Package progress detects from a worker's coarse progress reports whether a run is stalled, and
+// Package progress detects from a worker's coarse progress reports whether a run is stalled or its worker slow, and
 // decides when a restart elsewhere is better than waiting. It does no I/O and does not read the
 // clock.
 package progress
@@ -32,6 +32,9 @@
 	// advancedAt is when a report last showed progress, reportedAt the time of the last report.
 	advancedAt boottime.Instant
 	reportedAt boottime.Instant
+	// sampledPercent is the percentage at the last sample, at sampledAt; see Sample.
+	sampledPercent int64
+	sampledAt      boottime.Instant
 }
 
 // NewTracker returns a tracker for a run that had completed the given percentage at the given time.
--- a/internal/progress/progress_test.go
+++ b/internal/progress/progress_test.go
@@ -60,3 +60,50 @@
 	require.False(t, ShouldRestart(time.Second, 4*time.Second))
 	require.True(t, ShouldRestart(4*time.Second, 4*time.Second))
 }
+
+// Guards against speeds that are wrong because reports come in whole percents, because a member of a gang waits for the
+// others, or because a worker was fast a while ago.
+func TestSpeed(t *testing.T) {
+	const second = time.Second
+	at := boottime.Instant(time.Hour)
+	var speed Speed
+	waiting := NewTracker(at, 0)
+	waiting.Report(at.Add(second), 0)
+	_, ok := waiting.Sample(2 * second)
+	require.False(t, ok, "the gang has not begun")
+	tracker := NewTracker(at, 0)
+	tracker.SampleFromStart()
+	for n := range 4 {
+		at = at.Add(900 * time.Millisecond)
+		tracker.Report(at, int64(9*(n+1)))
+		s, ok := tracker.Sample(10 * second)
+		require.True(t, ok)
+		speed.Add(at, s)
+	}
+	value, ok := speed.Value(at)
+	require.True(t, ok)
+	require.InDelta(t, 1.0, value, 0.01)
+	for range 2 {
+		at = at.Add(900 * time.Millisecond)
+		tracker.Report(at, tracker.Percent()+1)
+		s, ok := tracker.Sample(10 * second)
+		require.True(t, ok)
+		speed.Add(at, s)
+	}
+	value, ok = speed.Value(at)
+	require.True(t, ok)
+	require.Less(t, value, 0.35)
+	_, ok = speed.Value(at.Add(5 * second))
+	require.False(t, ok, "the samples are too old")
+	lost, done := tracker.LostTime(10 * second)
+	require.Equal(t, 3800*time.Millisecond, done)
+	require.Equal(t, 1600*time.Millisecond, lost)
+	require.False(t, ShouldLeave(lost, done))
+	require.True(t, ShouldLeave(lost, 0), "the progress is saved")
+	require.False(t, ShouldLeave(100*time.Millisecond, 0))
+	long := NewTracker(at, 0)
+	long.SampleFromStart()
+	long.Report(at.Add(second), 0)
+	_, ok = long.Sample(100 * second)
+	require.False(t, ok, "a second of 100 shows nothing in whole percents")
+}
--- a/internal/worker/workertest/fleet.go
+++ b/internal/worker/workertest/fleet.go
@@ -80,8 +80,9 @@
 	clockRate float64
 	// partitioned workers receive no commands.
 	partitioned bool
-	// stalled stops the progress of all runs.
-	stalled bool
+	// stalled stops the progress of all runs; slowdown multiplies the time that their work takes.
+	stalled  bool
+	slowdown time.Duration
 	// token is the highest fencing token received.
 	token int64
 	// leaseExpiryMS is when the lease expires, on the worker's clock.
@@ -110,6 +111,7 @@
 	workedBefore time.Duration
 	resumedAt    time.Time
 	stalled      bool
+	slowdown     time.Duration
 	// workDone is set for a gang member that has finished its work and waits for the other members.
 	workDone bool
 	timer    *time.Timer
@@ -126,7 +128,7 @@
 func (r *standinRun) progressPercent() int64 {
 	worked := r.workedBefore
 	if r.working && !r.stalled && !r.workDone {
-		worked += time.Since(r.resumedAt)
+		worked += time.Since(r.resumedAt) / r.slowdown
 	}
 	if r.work.LongRunning {
 		return min(100, int64(100*worked/startupDuration))
@@ -182,7 +184,7 @@
 		old.discardRuns()
 	}
 	f.workers[info.ID] = &standinWorker{
-		info: info, started: time.Now(), clockRate: clockRate, runs: make(map[batch.TaskID]*standinRun),
+		info: info, started: time.Now(), clockRate: clockRate, slowdown: 1, runs: make(map[batch.TaskID]*standinRun),
 		endedRun: make(map[batch.TaskID]int64), changed: make(chan struct{}), expiriesAtEnd: make(map[int64]int),
 	}
 	return info
@@ -427,7 +429,7 @@
 	w.leaseExpiryMS = max(w.leaseExpiryMS, cmd.LeaseExpiryMS)
 	work := f.workOf(cmd.Task)
 	f.recordStartViolations(w, cmd, work)
-	r := &standinRun{number: cmd.Number, work: work, stalled: w.stalled}
+	r := &standinRun{number: cmd.Number, work: work, stalled: w.stalled, slowdown: w.slowdown}
 	w.runs[cmd.Task] = r
 	f.starts[cmd.Task]++
 	if work.GangSize > 1 {
@@ -475,7 +477,7 @@
 	if r.work.Fails {
 		kind = worker.EndFailed
 	}
-	r.timer = time.AfterFunc(r.work.Duration-r.workedBefore, func() {
+	r.timer = time.AfterFunc((r.work.Duration-r.workedBefore)*r.slowdown, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.expireLease(w)
@@ -511,20 +513,31 @@
 
 // SetStalled stops the progress of all runs on a worker, or resumes it.
 func (f *Fleet) SetStalled(id string, stalled bool) {
+	f.changeProgress(id, func(w *standinWorker) { w.stalled = stalled })
+}
+
+// SetSlowdown makes the work of all runs on a worker take a multiple of its time from now on; 1 is the usual time.
+func (f *Fleet) SetSlowdown(id string, factor int) {
+	f.changeProgress(id, func(w *standinWorker) { w.slowdown = time.Duration(factor) })
+}
+
+// changeProgress changes how the runs on a worker progress from now on.
+func (f *Fleet) changeProgress(id string, change func(*standinWorker)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w := f.workers[id]
-	if w == nil || w.stalled == stalled {
+	if w == nil {
 		return
 	}
-	w.stalled = stalled
+	change(w)
 	for task, r := range w.runs {
-		if r.working && stalled && !r.workDone {
-			r.workedBefore += time.Since(r.resumedAt)
+		working := r.working && !r.workDone
+		if working && !r.stalled {
+			r.workedBefore += time.Since(r.resumedAt) / r.slowdown
 			r.stopTimer()
 		}
-		r.stalled = stalled
-		if r.working && !stalled && !r.workDone {
+		r.stalled, r.slowdown = w.stalled, w.slowdown
+		if working {
 			f.resumeWork(w, task, r)
 		}
 	}
