Let a leader that alone has lost the log resign

Change: the other instances keep a call open at the leader. When renewals have failed for 1 s the leader ends its term, stops all of its work, and then answers these calls; the others may claim at once. If nobody waits it goes on as before. Late renewals do not revive the term. Evidence: TestLeaderThatLosesTheLogResigns failed before (no such call); one valid leader at each 10 ms of it, with lost and late responses.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -40,6 +40,10 @@
 	// maxRenewalAge is the age of the last successful renewal above which the next one is overdue and
 	// the log is considered to be failing. It is renewInterval plus 300 ms for the log's response.
 	maxRenewalAge = 900 * time.Millisecond
+	// resignAge is the age of the last successful renewal above which the leader resigns, if other instances wait for
+	// that: it has lost the log, and an instance that has not can claim leadership about a second earlier than
+	// after electionTimeout. It leaves time for two renewals that the log rejects, or for one that times out.
+	resignAge = time.Second
 	// checkInterval is the period at which the elector checks its state.
 	checkInterval = 50 * time.Millisecond
 	// releaseTimeout limits the attempts to release leadership. It is well within the time for a
@@ -131,6 +135,14 @@
 	validUntil  boottime.Instant
 	epoch       int64
 	steppedDown bool
+	// endingEpoch is the epoch of this incarnation's latest term that cannot be renewed any more, endedEpoch that of the
+	// latest one in which nothing is done any more. termEnded is closed and replaced when a term ends. waiting is
+	// the number of calls of AwaitEnd.
+	endingEpoch, endedEpoch int64
+	termEnded  chan struct{}
+	waiting    int
+	// resignedEpoch is the highest epoch whose leader has reported the end of its term.
+	resignedEpoch int64
 }
 
 // unobservedRecord is a record that was sent to the log and has not been observed yet.
@@ -143,7 +155,7 @@
 
 // New returns an elector that starts when Run is called.
 func New(cfg Config) *Elector {
-	return &Elector{cfg: cfg, unobserved: make(map[int64]unobservedRecord)}
+	return &Elector{cfg: cfg, unobserved: make(map[int64]unobservedRecord), termEnded: make(chan struct{})}
 }
 
 // Observe processes an update of Topic. It must be called with all updates, in order.
@@ -197,6 +209,9 @@
 
 // extendLocked extends the validity of the term, counted from the time when the record was sent.
 func (e *Elector) extendLocked(epoch int64, sent boottime.Instant) {
+	if epoch <= e.endingEpoch {
+		return // A renewal that was stored late does not revive the term.
+	}
 	e.epoch = epoch
 	if until := sent.Add(Validity); until > e.validUntil {
 		e.validUntil = until
@@ -216,6 +231,57 @@
 	return e.current.Instance, e.isOwnLeadership(e.current) && boottime.Now() < e.validUntil
 }
 
+// LeaderTerm returns the address of the last observed leader and its epoch, 0 if none is known or it has given up its
+// leadership, and whether it is this incarnation.
+func (e *Elector) LeaderTerm() (instance string, epoch int64, self bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.releasedLocked() {
+		return e.current.Instance, 0, false
+	}
+	return e.current.Instance, e.current.Epoch, e.isOwnLeadership(e.current)
+}
+
+// releasedLocked reports whether the latest term has been given up by its leader.
+func (e *Elector) releasedLocked() bool {
+	return e.current.Released || (e.current.Epoch != 0 && e.current.Epoch <= e.resignedEpoch)
+}
+
+// ObserveEnd reports that the leader itself says that its term with the given epoch is over. Leadership can be claimed
+// then without waiting for the election timeout.
+func (e *Elector) ObserveEnd(epoch int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.resignedEpoch = max(e.resignedEpoch, epoch)
+}
+
+// AwaitEnd waits until this incarnation's term with the given epoch is over, and returns true. It returns false if ctx
+// ends before that, or if this incarnation has not had such a term.
+func (e *Elector) AwaitEnd(ctx context.Context, epoch int64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.waiting++
+	defer func() { e.waiting-- }()
+	for {
+		if e.epoch != epoch {
+			return false
+		}
+		if e.endedEpoch >= epoch {
+			return true
+		}
+		ended := e.termEnded
+		e.mu.Unlock()
+		select {
+		case <-ended:
+		case <-ctx.Done():
+		}
+		e.mu.Lock()
+		if ctx.Err() != nil {
+			return false
+		}
+	}
+}
+
 // StepDown makes the current term, if any, end at the next check of its renewal, and keeps this instance
 // from claiming leadership again. It is called for a graceful stop.
 func (e *Elector) StepDown() {
@@ -280,7 +346,7 @@
 		// electionTimeout another claim is tried even if they were not read.
 		return 0, 0, false
 	}
-	if e.current.Epoch == 0 || e.current.Released {
+	if e.current.Epoch == 0 || e.releasedLocked() {
 		return e.cfg.ClaimDelay, 0, true
 	}
 	if e.current.Instance == e.cfg.Identity.Instance {
@@ -304,15 +370,42 @@
 		e.cfg.Lead(leadCtx, term)
 	}()
 	e.renew(ctx, term, ended)
+	e.invalidate(term)
 	cancel()
 	<-ended
+	e.endTerm(term)
 	if e.releasable(term) {
 		e.release(term)
 	}
 	e.cfg.Logger.Info().Int64("epoch", term.Epoch).Msg("leadership ended")
 }
 
-// renew renews leadership until the term is lost, Lead has ended, the instance steps down or ctx is done.
+// invalidate makes a term of this incarnation invalid for good, so that nothing more is begun in it.
+func (e *Elector) invalidate(term Term) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.validUntil = 0
+	e.endingEpoch = max(e.endingEpoch, term.Epoch)
+}
+
+// endTerm reports to the callers of AwaitEnd that a term is over.
+func (e *Elector) endTerm(term Term) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.endedEpoch = max(e.endedEpoch, term.Epoch)
+	close(e.termEnded)
+	e.termEnded = make(chan struct{})
+}
+
+// shouldResign reports whether renewals have failed for so long that another instance should take over, and others wait
+// for the end of the term.
+func (e *Elector) shouldResign() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.waiting > 0 && boottime.Now().Sub(e.validUntil) > resignAge-Validity
+}
+
+// renew renews leadership until the term is lost, Lead has ended, the instance steps down or resigns, or ctx is done.
 func (e *Elector) renew(ctx context.Context, term Term, ended <-chan struct{}) {
 	lastSentAt := boottime.Now()
 	for {
@@ -326,6 +419,10 @@
 		if !term.Valid() || e.hasSteppedDown() {
 			return
 		}
+		if e.shouldResign() {
+			e.cfg.Logger.Warn().Int64("epoch", term.Epoch).Msg("resigning leadership")
+			return
+		}
 		if boottime.Since(lastSentAt) < renewInterval {
 			continue
 		}
@@ -364,10 +461,6 @@
 		e.cfg.Logger.Warn().Err(err).Msg("releasing leadership failed")
 		boottime.Sleep(ctx, checkInterval)
 	}
-	// This instance no longer leads, even if the release failed.
-	e.mu.Lock()
-	e.validUntil = 0
-	e.mu.Unlock()
 }
 
 // append appends a record on the condition that the topic has no records beyond those observed, and
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -178,3 +178,60 @@
 		require.Equal(t, []string{"a"}, s.validLeaders())
 	})
 }
+
+// Guards against seconds without a leader when the leader alone has lost the log: it resigns, and another instance
+// claims leadership at once. A renewal that is stored after that must neither revive the term nor delay the claim.
+func TestLeaderThatLosesTheLogResigns(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		inVirtualTime(t, func(log *ledgertest.Log, s *termRecorder) {
+			a := start(log, s, "a", "1")
+			defer a.stop()
+			time.Sleep(time.Second)
+			require.Equal(t, []string{"a"}, s.validLeaders())
+			b := start(log, s, "b", "1")
+			defer b.stop()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go func() {
+				_, epoch, _ := b.elector.LeaderTerm()
+				for epoch == 0 {
+					time.Sleep(10 * time.Millisecond)
+					_, epoch, _ = b.elector.LeaderTerm()
+				}
+				if a.elector.AwaitEnd(ctx, epoch) {
+					b.elector.ObserveEnd(epoch)
+				}
+			}()
+			time.Sleep(1500 * time.Millisecond)
+			if late {
+				a.log.SetResponseLoss(1, true)
+			} else {
+				a.log.SetDown(true)
+			}
+			for range 160 {
+				time.Sleep(10 * time.Millisecond)
+				require.LessOrEqual(t, len(s.validLeaders()), 1)
+			}
+			require.Equal(t, []string{"b"}, s.validLeaders(), "late renewals: %v", late)
+			for range 500 {
+				time.Sleep(10 * time.Millisecond)
+				require.LessOrEqual(t, len(s.validLeaders()), 1)
+			}
+		})
+	}
+}
+
+// Guards against a leader that gives up its term although no other instance could learn of it.
+func TestLeaderKeepsTermWhileNobodyWaitsForItsEnd(t *testing.T) {
+	inVirtualTime(t, func(log *ledgertest.Log, s *termRecorder) {
+		a := start(log, s, "a", "1")
+		defer a.stop()
+		time.Sleep(time.Second)
+		a.log.SetDown(true)
+		time.Sleep(1300 * time.Millisecond)
+		require.Equal(t, []string{"a"}, s.validLeaders())
+		a.log.SetDown(false)
+		time.Sleep(2 * time.Second)
+		require.Len(t, s.allEpochs(), 1)
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -172,6 +172,21 @@
 	return net.JoinHostPort(leader, strconv.Itoa(n.settings.RelayPort))
 }
 
+// watchLeader learns from the leader itself when its term is over.
+func (n *Node) watchLeader(ctx context.Context) {
+	if n.settings.RelayPort == 0 {
+		return
+	}
+	leader := func() (address string, epoch int64) {
+		instance, epoch, self := n.elector.LeaderTerm()
+		if self || instance == "" {
+			return "", 0
+		}
+		return net.JoinHostPort(instance, strconv.Itoa(n.settings.RelayPort)), epoch
+	}
+	relay.WatchLeader(ctx, leader, n.elector.ObserveEnd, n.logger)
+}
+
 func (n *Node) isLeader() bool {
 	_, self := n.elector.Leader()
 	return self
@@ -241,7 +256,7 @@
 	electionDone := make(chan struct{})
 	for _, run := range []func(context.Context){
 		n.operatorFollower.Run, n.jobsFollower.Run, n.electionFollower.Run, n.runWriter,
-		n.controller.WatchClock,
+		n.controller.WatchClock, n.watchLeader,
 	} {
 		background.Go(func() { run(workCtx) })
 	}
@@ -334,7 +349,7 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "listen for relayed records of other instances")
 		}
-		if err := relay.Serve(listener, n.writer, n.isLeader); err != nil {
+		if err := relay.Serve(listener, n.writer, n.isLeader, n.elector.AwaitEnd); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -63,6 +63,8 @@
 type Server struct {
 	store    ledger.Storer
 	isLeader func() bool
+	// awaitEnd is election.Elector.AwaitEnd.
+	awaitEnd func(ctx context.Context, epoch int64) bool
 }
 
 // Store stores the records of another instance and reports the outcome in reply. It always returns nil.
@@ -86,9 +88,9 @@
 }
 
 // Serve starts to accept connections on a listener in the background, until the listener is closed.
-func Serve(listener net.Listener, store ledger.Storer, isLeader func() bool) error {
+func Serve(listener net.Listener, store ledger.Storer, isLeader func() bool, awaitEnd func(context.Context, int64) bool) error {
 	server := rpc.NewServer()
-	if err := server.RegisterName(service, &Server{store: store, isLeader: isLeader}); err != nil {
+	if err := server.RegisterName(service, &Server{store: store, isLeader: isLeader, awaitEnd: awaitEnd}); err != nil {
 		return eris.Wrap(err, "register the relay's RPC service")
 	}
 	go server.Accept(listener)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -29,7 +29,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { listener.Close() })
-	require.NoError(t, Serve(listener, store, func() bool { return isLeader }))
+	require.NoError(t, Serve(listener, store, func() bool { return isLeader }, func(context.Context, int64) bool { return false }))
 	return listener.Addr().String()
 }
 
