Count the restart of a gang when runs to preempt are compared

Change: half a second of all members, times one more than the gang's earlier preemptions, is added when victims are compared. It does not count towards the limit of lost work, so urgent jobs find room as before.

--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -28,6 +28,8 @@
 	// their load has dropped. It is long enough to keep headroom between two jobs, and short enough
 	// to release it soon after a burst.
 	headroomHalfLife = 3 * time.Second
+	// gangRestartTime is the time that the workers of a gang are idle when it restarts.
+	gangRestartTime = 500 * time.Millisecond
 	// drainStopMargin is the time between the stop of the checkpointing tasks on a draining worker
 	// and the earliest shutdown of the worker, so that the stop completes in time.
 	drainStopMargin = 700 * time.Millisecond
@@ -178,6 +180,7 @@
 		w.Runs = append(w.Runs, planner.Run{
 			Group: r.groupID(), Need: needOf(step), Priority: r.task.unit.job.spec.Rules.Priority,
 			Guaranteed: r.guaranteed, Protected: step.LongRunning || r.state == adopting, LostWork: r.preemptionLoss(now),
+			RestartWork: r.restartWork(),
 		})
 	}
 	return w
@@ -210,6 +213,17 @@
 	return loss
 }
 
+// restartWork returns the work that a restart of the run's gang leaves undone, in weighted core-seconds: its workers are
+// idle from the end of earlier runs until all members have started. It grows with each preemption of the gang, so that
+// not the same one is stopped again and again.
+func (r *run) restartWork() float64 {
+	u := r.task.unit
+	if !u.gang() {
+		return 0
+	}
+	return u.workPerSecond() * float64(len(u.tasks)) * gangRestartTime.Seconds() * float64(1+u.preemptions)
+}
+
 // workPerSecond returns the work that a task of the unit does per second, in weighted core-seconds.
 func (u *unit) workPerSecond() float64 {
 	return float64(u.step.CPU)/1000 + coresPerGPU*float64(u.step.GPU)
@@ -387,7 +401,9 @@
 		for _, r := range ws.runList() {
 			if r.groupID() == group {
 				l.stopRun(r, "preempted")
-				stopped++
+				if stopped++; stopped == 1 {
+					r.task.unit.preemptions++
+				}
 			}
 		}
 	}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -139,8 +139,8 @@
 	// latest one in which nothing is done any more. termEnded is closed and replaced when a term ends. waiting is
 	// the number of calls of AwaitEnd.
 	endingEpoch, endedEpoch int64
-	termEnded  chan struct{}
-	waiting    int
+	termEnded               chan struct{}
+	waiting                 int
 	// resignedEpoch is the highest epoch whose leader has reported the end of its term.
 	resignedEpoch int64
 }
