--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -18,6 +18,8 @@
 	// maxFaultInterval is the longest interval between the starts of two faults. Together with
 	// maxFaultDuration it makes two or three faults overlap.
 	maxFaultInterval = 1200 * time.Millisecond
+	// maxFleetFaultInterval is the longest interval between two of fleetFaults.
+	maxFleetFaultInterval = 3 * time.Second
 	// minFaultDuration and maxFaultDuration bound the duration of a fault. The upper bound is the
 	// longest lease.
 	minFaultDuration = 300 * time.Millisecond
@@ -93,6 +95,17 @@
 	}},
 }
 
+// fleetFaults lists kinds of fault that concern all parts at once. They come in a sequence of their own, beside the other
+// ones, so that a seed still gives the same sequence of those.
+var fleetFaults = []fault{
+	{"odd-entries", func(i *injector, r *rand.Rand, _ time.Duration) { i.recordError(i.testbed.writeOddEntries(r)) }},
+	{"reset-connections", func(i *injector, r *rand.Rand, _ time.Duration) {
+		for _, p := range i.testbed.allProxies() {
+			p.resetShare(r.Float64())
+		}
+	}},
+}
+
 // injector starts random faults that overlap in time.
 type injector struct {
 	testbed *testbed
@@ -108,10 +121,19 @@
 
 // run injects faults until ctx is done and returns when all of them have ended.
 func (i *injector) run(ctx context.Context) {
-	random := rand.New(rand.NewPCG(i.seed, 1))
+	var sequences sync.WaitGroup
+	sequences.Go(func() { i.runSequence(ctx, faults, 1, maxFaultInterval) })
+	sequences.Go(func() { i.runSequence(ctx, fleetFaults, 3, maxFleetFaultInterval) })
+	sequences.Wait()
+}
+
+// runSequence injects faults of the given kinds until ctx is done and returns when all of them have ended. The seed and
+// the stream determine their order.
+func (i *injector) runSequence(ctx context.Context, kinds []fault, stream uint64, maxInterval time.Duration) {
+	random := rand.New(rand.NewPCG(i.seed, stream))
 	var running sync.WaitGroup
 	for ctx.Err() == nil {
-		f := faults[random.IntN(len(faults))]
+		f := kinds[random.IntN(len(kinds))]
 		duration := minFaultDuration + rand.N(maxFaultDuration-minFaultDuration)
 		faultRandom := rand.New(rand.NewPCG(random.Uint64(), 2))
 		i.mu.Lock()
@@ -120,7 +142,7 @@
 		running.Go(func() { f.run(i, faultRandom, duration) })
 		select {
 		case <-ctx.Done():
-		case <-time.After(time.Duration(random.Int64N(int64(maxFaultInterval)))):
+		case <-time.After(time.Duration(random.Int64N(int64(maxInterval)))):
 		}
 	}
 	running.Wait()
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -71,6 +71,19 @@
 	}
 }
 
+// resetShare resets a share, from 0 to 1, of the open connections once. New connections work.
+func (p *proxy) resetShare(share float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := int(share * float64(len(p.conns)))
+	for conn := range p.conns {
+		if n--; n < 0 {
+			return
+		}
+		reset(conn)
+	}
+}
+
 func (p *proxy) currentMode() proxyMode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	stdlog "log"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -13,6 +14,8 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -231,6 +234,37 @@
 	}
 }
 
+// oddEntries are entries of another program in the registry of the workers, which no worker can have written.
+var oddEntries = []string{
+	"\xff\x00\xfe", `{"Service":{}}`, strings.Repeat("[", 20_000), strings.Repeat(`{"Capacity":`, 9_000) + "1" + strings.Repeat("}", 9_000),
+	`{"Service":"` + service + `","Address":"127.0.0.1:99999","State":"ready","Capacity":{"Cpu":1000,"MemMb":1000,"Gpu":8}}`,
+	`{"Service":"` + service + `","Address":"127.0.0.1:9","State":"ready","Capacity":{"Cpu":1e400,"MemMb":1000,"Gpu":8}}`,
+	`{"Service":"` + service + `","Address":"127.0.0.1:9","State":"ready","Capacity":{"Cpu":9223372036854775807,"MemMb":9223372036854775807,"Gpu":9223372036854775807}}`,
+	`{"Service":"` + service + `","Address":"127.0.0.1:9","State":"ready","born":9000000000000,"Capacity":{"Cpu":1000,"MemMb":1000,"Gpu":8}}`,
+}
+
+// writeOddEntries writes odd entries, some of them under the ids of workers, which write their own again.
+func (tb *testbed) writeOddEntries(r *rand.Rand) error {
+	var err error
+	for _, value := range oddEntries {
+		key := "odd" + strconv.Itoa(r.IntN(4))
+		if r.IntN(3) == 0 {
+			key = "w" + strconv.Itoa(r.IntN(tb.cfg.Workers))
+		}
+		err = errors.Join(err, tb.appendRecord(platform.WorkersTopic, ledger.Record{Key: key, Value: []byte(value)}))
+	}
+	return err
+}
+
+// allProxies returns the proxies of all instances and workers.
+func (tb *testbed) allProxies() []*proxy {
+	proxies := slices.Collect(maps.Values(tb.workerProxies))
+	for _, p := range tb.instances {
+		proxies = append(proxies, p.logProxy, p.callerProxy)
+	}
+	return proxies
+}
+
 // drainAndRestartWorker makes a worker drain, leave, and return as a new incarnation.
 func (tb *testbed) drainAndRestartWorker(id string) {
 	tb.mu.Lock()
