Measure the speed of workers by their own clocks

Change: samples use the clock in the response of the worker; nothing is compared while the median is below 0.5. A run counts from its start, so a slow worker is noticed at the first poll after it; the runs of a worker that turns out to be slow are checked at once. A comparison that is not possible no longer makes slow workers fast. Evidence: TestSpeed with reports that are handled late failed before.

--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -258,7 +258,7 @@
 			continue
 		}
 		reported[s.Task] = true
-		l.applyRunStatus(r, s)
+		l.applyRunStatus(r, s, response.ClockMS)
 	}
 	for _, r := range ws.runList() {
 		if !reported[r.task.id] && r.confirmedAt != 0 && sent > r.confirmedAt {
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -98,6 +98,7 @@
 	// checkpoint is the newest checkpoint that the worker reported.
 	checkpoint string
 	progress   progress.Tracker
+	clocked    progress.Clocked
 	// remote means that the run may be slow because of where it is: away from its data, or in another rack than other
 	// members of its gang.
 	remote bool
@@ -122,9 +123,6 @@
 	now := boottime.Now()
 	r := &run{task: t, worker: ws, number: number, state: storing, placedAt: now, ticket: ticket, guaranteed: guaranteed, speed: fullSpeed}
 	r.progress = progress.NewTracker(now, 0)
-	if !t.unit.gang() {
-		r.progress.SampleFromStart()
-	}
 	t.run = r
 	ws.runs[t.id] = r
 	t.rec.Run, t.rec.Worker, t.rec.Address, t.rec.WorkerStartedAtMS = number, ws.id, ws.address, ws.startedAtMS
@@ -203,6 +201,7 @@
 			// The outcome of a run that is being stopped is confirmed by the response to its stop.
 			r.confirmedAt = r.worker.lastStartOrPollResponse
 		}
+		r.beginClocked(r.worker.lastStartOrPollResponse)
 		l.logRun(r, "task started")
 		l.poll(r.worker)
 	case errors.As(err, &rejected):
@@ -359,15 +358,15 @@
 	return false
 }
 
-// applyRunStatus applies the status that a worker reports for one of its runs.
-func (l *leader) applyRunStatus(r *run, s *worker.RunStatus) {
+// applyRunStatus applies the status that a worker reports for one of its runs, at the given time of its clock.
+func (l *leader) applyRunStatus(r *run, s *worker.RunStatus, clockMS int64) {
 	now := boottime.Now()
 	r.usage = s.Usage
 	if r.state == adopting {
 		r.progress = progress.NewTracker(now, s.Percent)
 	}
 	r.progress.Report(now, s.Percent)
-	r.sampleSpeed(now)
+	r.sampleSpeed(now, clockMS)
 	if s.Checkpoint != "" {
 		r.checkpoint = s.Checkpoint
 	}
--- a/internal/controller/slow.go
+++ b/internal/controller/slow.go
@@ -16,6 +16,8 @@
 	// slowFraction is the fraction of the median speed of the workers of a service below which a worker is slow.
 	// Wrong estimates and data in another rack make runs up to three times slower on any worker.
 	slowFraction = 0.3
+	// minMedianSpeed is the median speed below which speeds are not compared: most estimates are much too short.
+	minMedianSpeed = 0.5
 	// minComparedWorkers is the number of workers with a known speed that a median needs.
 	minComparedWorkers = 5
 	// maxSlowShare limits the share of the workers of a service that count as slow at the same time: if more of them
@@ -30,13 +32,24 @@
 	acceptsSlowAfter = 2 * time.Second
 )
 
-// sampleSpeed adds the progress of a run since the last sample to the speed of its worker.
-func (r *run) sampleSpeed(now boottime.Instant) {
+// beginClocked records that the run has begun. The response to the start may be handled late, which makes the run seem
+// faster than it is, not slower.
+func (r *run) beginClocked(now boottime.Instant) {
+	ws := r.worker
+	if ws.clockReadAt != 0 {
+		r.clocked.Report(ws.clockMS+now.Sub(ws.clockReadAt).Milliseconds(), 0, true)
+	}
+}
+
+// sampleSpeed adds the progress of a run since the last sample to the speed of its worker. The last report was made at
+// the given time of the worker's clock.
+func (r *run) sampleSpeed(now boottime.Instant, clockMS int64) {
 	step := r.task.unit.step
 	if r.remote || step.LongRunning || step.Filler {
 		return
 	}
-	if s, ok := r.progress.Sample(time.Duration(step.EstimateMS) * time.Millisecond); ok {
+	r.clocked.Report(clockMS, r.progress.Percent(), !r.task.unit.gang() || r.progress.Percent() > 0)
+	if s, ok := r.clocked.Sample(time.Duration(step.EstimateMS) * time.Millisecond); ok {
 		r.lastSpeed, r.sampled = s.Expected.Seconds()/s.Elapsed.Seconds(), true
 		r.worker.speed.Add(now, s)
 	}
@@ -89,30 +102,38 @@
 			if now >= s.worker.slowUntil && !s.worker.confirmedSlow(limit) {
 				continue
 			}
-			if now >= s.worker.slowUntil {
+			isNew := now >= s.worker.slowUntil
+			if isNew {
 				l.logger.Warn().Str("worker", s.worker.id).Float64("speed", s.speed).Float64("median", speeds[len(speeds)/2].speed).
 					Int("runs", len(s.worker.runs)).Int("slow", i+1).Msg("worker is slow")
 			}
 			s.worker.slowUntil = now.Add(slowTime)
+			if isNew {
+				l.leaveSlowWorker(s.worker)
+			}
 		}
 	}
 }
 
 // sortSlowFirst sorts speeds. It returns the speed below which a worker may be slow, and how many of the workers, from
-// the first on, are. All others count as fast again at once.
+// the first on, are. Workers with a higher speed count as fast again at once.
 func sortSlowFirst(speeds []workerSpeed, workers int) (limit float64, slow int) {
 	slices.SortFunc(speeds, func(a, b workerSpeed) int {
 		return cmp.Or(cmp.Compare(a.speed, b.speed), cmp.Compare(a.worker.id, b.worker.id))
 	})
-	if len(speeds) >= minComparedWorkers {
-		limit = slowFraction * speeds[len(speeds)/2].speed
-		for slow < len(speeds) && speeds[slow].speed < limit && float64(slow+1) <= maxSlowShare*float64(workers) {
+	median := speeds[len(speeds)/2].speed
+	if len(speeds) < minComparedWorkers || median < minMedianSpeed {
+		return 0, 0
+	}
+	limit = slowFraction * median
+	for _, s := range speeds {
+		switch {
+		case s.speed >= limit:
+			s.worker.slowUntil = 0
+		case float64(slow+1) <= maxSlowShare*float64(workers):
 			slow++
 		}
 	}
-	for _, s := range speeds[slow:] {
-		s.worker.slowUntil = 0
-	}
 	return limit, slow
 }
 
@@ -127,11 +148,12 @@
 		if r.state != running || u.step.LongRunning || u.step.Filler || u.slowRestarts >= maxSlowRestarts*u.step.Count {
 			continue
 		}
-		lost, done := r.progress.LostTime(time.Duration(u.step.EstimateMS) * time.Millisecond)
+		estimate := time.Duration(u.step.EstimateMS) * time.Millisecond
+		restartLoss := estimate * time.Duration(r.progress.Percent()) / progress.Complete
 		if u.step.Checkpoints {
-			done = 0
+			restartLoss = 0
 		}
-		if r.progress.Percent() < progress.Complete && progress.ShouldLeave(lost, done) {
+		if r.sampled && r.progress.Percent() < progress.Complete && progress.ShouldLeave(r.clocked.LostTime(estimate), restartLoss) {
 			u.slowRestarts += u.restartSize()
 			l.stopForRestart(r, "worker is slow")
 		}
--- a/internal/progress/progress.go
+++ b/internal/progress/progress.go
@@ -32,9 +32,6 @@
 	// advancedAt is when a report last showed progress, reportedAt the time of the last report.
 	advancedAt boottime.Instant
 	reportedAt boottime.Instant
-	// sampledPercent is the percentage at the last sample, at sampledAt; see Sample.
-	sampledPercent int64
-	sampledAt      boottime.Instant
 }
 
 // NewTracker returns a tracker for a run that had completed the given percentage at the given time.
--- a/internal/progress/progress_test.go
+++ b/internal/progress/progress_test.go
@@ -62,31 +62,33 @@
 }
 
 // Guards against speeds that are wrong because reports come in whole percents, because a member of a gang waits for the
-// others, or because a worker was fast a while ago.
+// others, because reports are handled late, or because a worker was fast a while ago.
 func TestSpeed(t *testing.T) {
 	const second = time.Second
 	at := boottime.Instant(time.Hour)
 	var speed Speed
-	waiting := NewTracker(at, 0)
-	waiting.Report(at.Add(second), 0)
+	var waiting Clocked
+	waiting.Report(1000, 0, false)
+	waiting.Report(3000, 0, false)
 	_, ok := waiting.Sample(2 * second)
 	require.False(t, ok, "the gang has not begun")
-	tracker := NewTracker(at, 0)
-	tracker.SampleFromStart()
-	for n := range 4 {
-		at = at.Add(900 * time.Millisecond)
-		tracker.Report(at, int64(9*(n+1)))
-		s, ok := tracker.Sample(10 * second)
+	var run Clocked
+	run.Report(100, 0, true)
+	for n := range int64(4) {
+		// The reports are handled with a delay that grows.
+		at = at.Add(2 * second)
+		run.Report(100+900*(n+1), 9*(n+1), true)
+		s, ok := run.Sample(10 * second)
 		require.True(t, ok)
 		speed.Add(at, s)
 	}
 	value, ok := speed.Value(at)
 	require.True(t, ok)
 	require.InDelta(t, 1.0, value, 0.01)
-	for range 2 {
+	for n := range int64(2) {
 		at = at.Add(900 * time.Millisecond)
-		tracker.Report(at, tracker.Percent()+1)
-		s, ok := tracker.Sample(10 * second)
+		run.Report(3700+900*(n+1), 36+n+1, true)
+		s, ok := run.Sample(10 * second)
 		require.True(t, ok)
 		speed.Add(at, s)
 	}
@@ -95,15 +97,14 @@
 	require.Less(t, value, 0.35)
 	_, ok = speed.Value(at.Add(5 * second))
 	require.False(t, ok, "the samples are too old")
-	lost, done := tracker.LostTime(10 * second)
-	require.Equal(t, 3800*time.Millisecond, done)
+	lost := run.LostTime(10 * second)
 	require.Equal(t, 1600*time.Millisecond, lost)
-	require.False(t, ShouldLeave(lost, done))
+	require.False(t, ShouldLeave(lost, 3800*time.Millisecond))
 	require.True(t, ShouldLeave(lost, 0), "the progress is saved")
 	require.False(t, ShouldLeave(100*time.Millisecond, 0))
-	long := NewTracker(at, 0)
-	long.SampleFromStart()
-	long.Report(at.Add(second), 0)
+	var long Clocked
+	long.Report(0, 0, true)
+	long.Report(1000, 0, true)
 	_, ok = long.Sample(100 * second)
 	require.False(t, ok, "a second of 100 shows nothing in whole percents")
 }
--- a/internal/progress/speed.go
+++ b/internal/progress/speed.go
@@ -20,42 +20,51 @@
 	minLostTime = 500 * time.Millisecond
 )
 
-// Sample is the progress of a run between two reports.
+// Sample is the progress of a run between two reports, by the clock of its worker.
 type Sample struct {
 	// Expected is the time that this progress takes according to the estimate, Elapsed the time that it took.
 	Expected, Elapsed time.Duration
 }
 
-// SampleFromStart makes samples begin at the start of the tracker instead of at the first progress. It is for runs that
-// work from their start on, not for members of gangs, which wait for each other.
-func (t *Tracker) SampleFromStart() { t.sampledAt, t.sampledPercent = t.startedAt, t.initialPercent }
+// Clocked is the progress of a run by the clock of its worker. Reports may be handled long after they were made, so the
+// time at which they are handled does not tell how fast a run is.
+type Clocked struct {
+	begun bool
+	// firstMS and firstPercent are those of the first report that counts, sampledMS and sampledPercent those of the last
+	// sample, lastMS and percent those of the last report. Times are in milliseconds of the worker's clock.
+	firstMS, sampledMS, lastMS            int64
+	firstPercent, sampledPercent, percent int64
+}
 
-// Sample returns the progress since the last sample, and false if there is none yet: samples begin when the run has made
-// its first progress, and end when it is complete. The estimate is the expected duration of the whole run.
-func (t *Tracker) Sample(estimate time.Duration) (Sample, bool) {
-	if t.percent >= Complete || estimate <= 0 {
-		return Sample{}, false
-	}
-	if t.sampledAt == 0 {
-		if t.percent > 0 {
-			t.sampledAt, t.sampledPercent = t.reportedAt, t.percent
+// Report records the percentage that a worker reported at the given time of its clock. Working means that the run
+// works: a member of a gang waits for the others before its first progress.
+func (c *Clocked) Report(clockMS, percent int64, working bool) {
+	if !c.begun {
+		if !working {
+			return
 		}
-		return Sample{}, false
+		*c = Clocked{begun: true, firstMS: clockMS, sampledMS: clockMS, firstPercent: percent, sampledPercent: percent}
 	}
-	elapsed := t.reportedAt.Sub(t.sampledAt)
-	if elapsed < estimate*minSamplePercent/Complete {
+	c.lastMS, c.percent = clockMS, percent
+}
+
+// Sample returns the progress since the last sample, and false if there is none yet or the run is complete. The estimate
+// is the expected duration of the whole run.
+func (c *Clocked) Sample(estimate time.Duration) (Sample, bool) {
+	elapsed := time.Duration(c.lastMS-c.sampledMS) * time.Millisecond
+	if !c.begun || c.percent >= Complete || estimate <= 0 || elapsed <= 0 || elapsed < estimate*minSamplePercent/Complete {
 		return Sample{}, false
 	}
-	s := Sample{Expected: estimate * time.Duration(t.percent-t.sampledPercent) / Complete, Elapsed: elapsed}
-	t.sampledAt, t.sampledPercent = t.reportedAt, t.percent
+	s := Sample{Expected: estimate * time.Duration(c.percent-c.sampledPercent) / Complete, Elapsed: elapsed}
+	c.sampledMS, c.sampledPercent = c.lastMS, c.percent
 	return s, true
 }
 
-// LostTime returns how much longer the run has taken so far than its progress takes according to the estimate, and the
-// time of that progress.
-func (t *Tracker) LostTime(estimate time.Duration) (lost, done time.Duration) {
-	done = estimate * time.Duration(t.percent-t.initialPercent) / Complete
-	return max(0, t.reportedAt.Sub(t.startedAt)-done), done
+// LostTime returns how much longer the run has taken since its first report than its progress takes according to the
+// estimate.
+func (c *Clocked) LostTime(estimate time.Duration) time.Duration {
+	elapsed := time.Duration(c.lastMS-c.firstMS) * time.Millisecond
+	return max(0, elapsed-estimate*time.Duration(c.percent-c.firstPercent)/Complete)
 }
 
 // ShouldLeave reports whether a run on a slow worker should be restarted elsewhere: as soon as it has lost as much
