--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -12,6 +12,7 @@
 	"github.com/oleanderbend/oleanderbend/internal/boottime"
 	"github.com/oleanderbend/oleanderbend/internal/election"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
+	"github.com/oleanderbend/oleanderbend/internal/planner"
 )
 
 const (
@@ -71,10 +72,8 @@
 	// skippedEntries holds why the last registry entry of a key was skipped, by key.
 	skippedEntries map[string]string
 
-	// peakGPUs is the recent peak number of accelerators used by the queues of priority 0, by
-	// service (pool of workers).
-	peakGPUs       map[string]float64
-	peaksUpdatedAt boottime.Instant
+	// peaks is the recent usage of accelerators by the queues of priority 0.
+	peaks planner.HeadroomTracker
 
 	rounds roundStats
 	// slowCheckedAt is when updateSlowWorkers last compared the workers.
@@ -97,7 +96,7 @@
 		c: c, ctx: ctx, cancel: cancel, term: term, logger: c.cfg.Logger,
 		inbox: make(chan func(), inboxCapacity),
 		jobs:  make(map[string]*job), workers: make(map[string]*workerState), skippedEntries: make(map[string]string),
-		maintenance: newMaintenanceState(), peakGPUs: make(map[string]float64), peaksUpdatedAt: boottime.Now(),
+		maintenance: newMaintenanceState(),
 	}
 	l.taskWriter = l.newWriter(batch.TasksTopic)
 	l.jobWriter = l.newWriter(batch.JobsTopic)
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -84,9 +84,14 @@
 
 // needOf returns the resources of a worker that a task of the step occupies.
 func needOf(s *batch.Step) planner.Resources {
-	need := planner.Resources{CPU: s.CPU, MemoryMB: s.MemoryMB, GPU: s.GPU}
+	need := requestOf(s)
 	if s.Filler {
 		need.CPU = 0
 	}
 	return need
 }
+
+// requestOf returns what a task of the step requests.
+func requestOf(s *batch.Step) planner.Resources {
+	return planner.Resources{CPU: s.CPU, MemoryMB: s.MemoryMB, GPU: s.GPU}
+}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -15,21 +14,6 @@
 )
 
 const (
-	// overdueFactor makes a job overdue: a job that takes more than overdueFactor times its
-	// objective has no value to its submitter any more.
-	overdueFactor = 3
-	// coresPerGPU is the number of cores that one accelerator counts as in an amount of work.
-	coresPerGPU = 8
-	// rackWait is how long tasks wait for their preferred rack before they are placed elsewhere,
-	// where they are slower. It is counted from unit.readySince, so restarted tasks wait less or
-	// not at all.
-	rackWait = 4 * time.Second
-	// headroomHalfLife is the time in which the headroom for the queues of priority 0 halves after
-	// their load has dropped. It is long enough to keep headroom between two jobs, and short enough
-	// to release it soon after a burst.
-	headroomHalfLife = 3 * time.Second
-	// gangRestartTime is the time that the workers of a gang are idle when it restarts.
-	gangRestartTime = 500 * time.Millisecond
 	// drainStopMargin is the time between the stop of the checkpointing tasks on a draining worker
 	// and the earliest shutdown of the worker, so that the stop completes in time.
 	drainStopMargin = 700 * time.Millisecond
@@ -136,9 +120,7 @@
 	return s, workers, units
 }
 
-// headroom returns the number of accelerators to keep free, by service (pool of workers): the
-// recent peak usage of the queues of priority 0 minus their current usage. Without headroom, other
-// work would be preempted for the next job of these queues.
+// headroom returns the number of accelerators to keep free for the queues of priority 0, by service (pool of workers).
 func (l *leader) headroom(now boottime.Instant) map[string]int64 {
 	used := make(map[string]float64)
 	for _, ws := range l.workers {
@@ -148,19 +130,7 @@
 			}
 		}
 	}
-	decay := math.Exp2(-now.Sub(l.peaksUpdatedAt).Seconds() / headroomHalfLife.Seconds())
-	l.peaksUpdatedAt = now
-	headroom := make(map[string]int64)
-	for service := range l.peakGPUs {
-		l.peakGPUs[service] *= decay
-	}
-	for service, n := range used {
-		l.peakGPUs[service] = max(l.peakGPUs[service], n)
-	}
-	for service, peak := range l.peakGPUs {
-		headroom[service] = int64(peak - used[service])
-	}
-	return headroom
+	return l.peaks.Update(time.Duration(now), used)
 }
 
 func (l *leader) describeWorker(ws *workerState, now boottime.Instant) planner.Worker {
@@ -180,7 +150,7 @@
 		w.Runs = append(w.Runs, planner.Run{
 			Group: r.groupID(), Need: needOf(step), Priority: r.task.unit.job.spec.Rules.Priority,
 			Guaranteed: r.guaranteed, Protected: step.LongRunning || r.state == adopting, LostWork: r.preemptionLoss(now),
-			RestartWork: r.restartWork(),
+			RestartWork: planner.RestartWork(requestOf(step), r.task.unit.groupSize(), r.task.unit.preemptions),
 		})
 	}
 	return w
@@ -199,34 +169,18 @@
 	return u.id*groupIDsPerUnit + r.task.id.Index + 1
 }
 
-// preemptionLoss returns the work that is lost if the run, or its whole gang, is stopped, in
-// weighted core-seconds.
+// preemptionLoss returns the work that is lost if the run, or its whole gang, is stopped, in weighted core-seconds.
 func (r *run) preemptionLoss(now boottime.Instant) float64 {
 	u := r.task.unit
-	if u.step.Checkpoints {
-		return 0
-	}
-	loss := u.workPerSecond() * now.Sub(r.placedAt).Seconds()
-	if u.gang() {
-		loss *= float64(len(u.tasks))
-	}
-	return loss
+	return planner.LostWork(requestOf(u.step), u.groupSize(), now.Sub(r.placedAt), u.step.Checkpoints)
 }
 
-// restartWork returns the work that a restart of the run's gang leaves undone, in weighted core-seconds: its workers are
-// idle from the end of earlier runs until all members have started. It grows with each preemption of the gang, so that
-// not the same one is stopped again and again.
-func (r *run) restartWork() float64 {
-	u := r.task.unit
-	if !u.gang() {
-		return 0
+// groupSize returns the number of tasks that run and stop together.
+func (u *unit) groupSize() int {
+	if u.gang() {
+		return len(u.tasks)
 	}
-	return u.workPerSecond() * float64(len(u.tasks)) * gangRestartTime.Seconds() * float64(1+u.preemptions)
-}
-
-// workPerSecond returns the work that a task of the unit does per second, in weighted core-seconds.
-func (u *unit) workPerSecond() float64 {
-	return float64(u.step.CPU)/1000 + coresPerGPU*float64(u.step.GPU)
+	return 1
 }
 
 // describeUnit returns the planner's view of a unit, and false if the unit must not be placed now.
@@ -234,11 +188,11 @@
 	j := u.job
 	d := planner.Unit{
 		Service: j.spec.Rules.Service, Priority: j.spec.Rules.Priority, Guaranteed: guaranteed, Accepted: j.order,
-		Tasks: waiting, Need: needOf(u.step), Work: u.workPerSecond() * float64(u.step.EstimateMS) / 1000 * float64(waiting), Gang: u.gang(), RackLocal: u.step.RackLocal && u.step.Count > 1,
+		Tasks: waiting, Need: needOf(u.step), Work: requestOf(u.step).WorkPerSecond() * float64(u.step.EstimateMS) / 1000 * float64(waiting), Gang: u.gang(), RackLocal: u.step.RackLocal && u.step.Count > 1,
 		DataRack: u.step.DataRack, Label: u.step.Label, MaxPerWorker: u.step.MaxPerWorker,
 		Checkpointed: u.step.Checkpoints, Filler: u.step.Filler, Serving: u.step.TailLatencyTargetMS > 0,
-		WaitsForRack: now.Sub(u.readySince) < rackWait,
-		IgnoresHolds: u.heldBackSince != 0 && now.Sub(u.heldBackSince) >= maxHeldBack,
+		WaitsForRack: now.Sub(u.readySince) < planner.RackWait,
+		IgnoresHolds: u.heldBackSince != 0 && now.Sub(u.heldBackSince) >= planner.MaxHeldBack,
 	}
 	d.JobStarted = u.job.occurrenceStarted(u.occurrence)
 	d.Timeliness, d.Deadline = l.timeliness(u, now)
@@ -298,17 +252,15 @@
 	objective := int64(j.spec.Rules.DurationFactor*float64(chain)) + j.spec.Rules.DurationOffsetMS
 	age := l.age(u, now).Milliseconds()
 	deadline := time.Duration(now).Milliseconds() - age + objective
-	finish := age + longestChain(j.spec.Steps, u.index)
-	switch {
-	case u.step.LongRunning || finish <= objective:
+	if u.step.LongRunning {
 		return planner.OnTime, deadline
-	case finish <= overdueFactor*objective:
-		return planner.Late, deadline
-	default:
-		return planner.Overdue, deadline
 	}
+	remaining := longestChain(j.spec.Steps, u.index)
+	return planner.TimelinessOf(millis(age), millis(remaining), millis(objective)), deadline
 }
 
+func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
 // age returns the time since the unit's occurrence was due or, without a schedule, since its job was
 // accepted.
 func (l *leader) age(u *unit, now boottime.Instant) time.Duration {
@@ -363,16 +315,18 @@
 		}
 	}
 	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Compare(a.order, b.order) })
-	unused := make(map[string]int64)
+	guarantees := make(map[string]int64)
 	for i := range config.Orgs {
-		unused[config.Orgs[i].Name] = config.Orgs[i].GuaranteedGPU
+		guarantees[config.Orgs[i].Name] = config.Orgs[i].GuaranteedGPU
+	}
+	claims := make([]planner.GuaranteeClaim, len(jobs))
+	for i, j := range jobs {
+		claims[i] = planner.GuaranteeClaim{Org: j.spec.Org, GPU: j.maxUnfinishedGPU()}
 	}
 	guaranteed := make(map[*job]bool)
-	for _, j := range jobs {
-		gpus := j.maxUnfinishedGPU()
-		if gpus > 0 && gpus <= unused[j.spec.Org] {
-			unused[j.spec.Org] -= gpus
-			guaranteed[j] = true
+	for i, covered := range planner.Covered(claims, guarantees) {
+		if covered {
+			guaranteed[jobs[i]] = true
 		}
 	}
 	for _, ws := range l.workers {
--- a/internal/controller/wait.go
+++ b/internal/controller/wait.go
@@ -11,10 +11,6 @@
 )
 
 const (
-	// maxHeldBack is how long a job without runs waits although the free resources suffice for it twice over,
-	// because they are kept for other jobs or are in other racks than it prefers. With planning and the start of
-	// its tasks, such a job begins within 3 s.
-	maxHeldBack = 2 * time.Second
 	// waitsForAdvice is the reason of units that have no valid ticket of the advice service.
 	waitsForAdvice planner.WaitReason = "advice"
 	// minLoggedWait is how long a unit waits before the reason is logged. Most units wait less.
@@ -45,7 +41,7 @@
 	}
 }
 
-// heldBack reports whether a wait counts towards maxHeldBack. Tasks of a job that has runs are not held back,
+// heldBack reports whether a wait counts towards planner.MaxHeldBack. Tasks of a job that has runs are not held back,
 // unless they are long-running: each of those is to run at all times.
 func (u *unit) heldBack(wait planner.Wait) bool {
 	return wait.HeldBack && (u.step.LongRunning || !u.job.hasRuns())
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -3,7 +3,7 @@
 // waiting work.
 //
 // Amounts of work and of lost work are in weighted core-seconds: an accelerator counts as several cores
-// (coresPerGPU of package controller).
+// (CoresPerGPU).
 package planner
 
 import (
