--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -94,6 +94,7 @@
 			standinCommand(env),
 			soakCommand(env),
 			reportCommand(env),
+			planReplayCommand(env),
 			applyCommand(env),
 			getCommand(env),
 			deleteCommand(env),
--- /dev/null
+++ b/internal/planreplay/replay.go
@@ -0,0 +1,348 @@
+package planreplay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/planner"
+)
+
+const (
+	// startTime is the time from a decision until a task works, stopTime that until a stopped run has ended.
+	startTime = 20 * time.Millisecond
+	stopTime  = 200 * time.Millisecond
+	// remoteFactor is how many times as long a task takes that is spread over racks although it should not be.
+	remoteFactor = 3
+	// service is the name of the only pool of workers.
+	service = "workers"
+)
+
+// worker is a worker of the fleet.
+type worker struct {
+	id, rack string
+	lost     bool
+	// slowdown is how many times as long work takes; detected means that the planner knows.
+	slowdown float64
+	detected bool
+	runs     map[*run]bool
+}
+
+// run is a run of a task.
+type run struct {
+	task   *task
+	worker *worker
+	// startedAt is when it begins to work. done is the work that is done at updatedAt.
+	startedAt, updatedAt time.Duration
+	done                 time.Duration
+	remote               bool
+	// stopping means that it has been stopped and ends at endsAt.
+	stopping bool
+	endsAt   time.Duration
+}
+
+// replay is the state of a replay.
+type replay struct {
+	pattern *Pattern
+	now     time.Duration
+	workers []*worker
+	jobs    []*job
+	// arrived is the number of jobs that have arrived, active those of them that have not ended.
+	arrived  int
+	active   []*job
+	headroom planner.HeadroomTracker
+	result   *Result
+}
+
+// Run replays a pattern. The same pattern always has the same result, apart from the durations of rounds.
+func Run(p *Pattern) *Result {
+	random := rand.New(rand.NewPCG(p.Seed, 1))
+	r := &replay{pattern: p, jobs: generate(p, random), result: newResult(p)}
+	for i := range p.Workers.Count {
+		r.workers = append(r.workers, &worker{
+			id: fmt.Sprintf("w%05d", i), rack: fmt.Sprintf("r%04d", i/p.Workers.PerRack), slowdown: 1, runs: make(map[*run]bool),
+		})
+	}
+	order := random.Perm(p.Workers.Count)
+	for r.arrived < len(r.jobs) || len(r.active) > 0 {
+		if r.now > 3*time.Duration(p.Duration) {
+			break
+		}
+		r.applyEvents(order)
+		r.advance()
+		for r.arrived < len(r.jobs) && r.jobs[r.arrived].arrivedAt <= r.now {
+			r.active = append(r.active, r.jobs[r.arrived])
+			r.arrived++
+		}
+		r.plan()
+		r.result.observe(r)
+		r.now += time.Duration(p.Round)
+	}
+	r.result.finish(r)
+	return r.result
+}
+
+// applyEvents applies losses and slowdowns. order is a random order of the workers: a share of them is the first ones.
+func (r *replay) applyEvents(order []int) {
+	active := func(at, length time.Duration) bool { return r.now >= at && r.now < at+length }
+	lost, slow, detected := make(map[int]bool), make(map[int]float64), make(map[int]bool)
+	for _, l := range r.pattern.Losses {
+		if active(time.Duration(l.At), time.Duration(l.Length)) {
+			for _, i := range order[:int(l.Share*float64(len(order)))] {
+				lost[i] = true
+			}
+		}
+	}
+	for _, s := range r.pattern.Slowdowns {
+		if active(time.Duration(s.At), time.Duration(s.Length)) {
+			for _, i := range order[len(order)-int(s.Share*float64(len(order))):] {
+				slow[i] = s.Factor
+				detected[i] = s.DetectedAfter > 0 && r.now >= time.Duration(s.At+s.DetectedAfter)
+			}
+		}
+	}
+	for i, w := range r.workers {
+		if lost[i] && !w.lost {
+			for _, run := range sortedRuns(w) {
+				r.end(run, true)
+				if j := run.task.job; j.gang {
+					r.stop(j, nil)
+				}
+			}
+		}
+		w.lost, w.detected, w.slowdown = lost[i], detected[i], max(1, slow[i])
+	}
+}
+
+// advance lets all runs work until now and ends those that are complete.
+func (r *replay) advance() {
+	for _, w := range r.workers {
+		for run := range w.runs {
+			if run.stopping {
+				if r.now >= run.endsAt {
+					r.end(run, true)
+				}
+				continue
+			}
+			factor := w.slowdown
+			if run.remote {
+				factor *= remoteFactor
+			}
+			from := max(run.updatedAt, run.startedAt)
+			run.done += time.Duration(float64(max(0, r.now-from)) / factor)
+			run.updatedAt = r.now
+		}
+	}
+	for _, j := range r.active {
+		r.endComplete(j)
+	}
+	r.active = slices.DeleteFunc(r.active, func(j *job) bool { return j.done == len(j.tasks) })
+}
+
+// endComplete ends the runs of a job that have completed their work; those of a gang only all together.
+func (r *replay) endComplete(j *job) {
+	complete := func(t *task) bool {
+		return t.run != nil && !t.run.stopping && t.run.done >= t.work
+	}
+	if j.gang {
+		for i := range j.tasks {
+			if !complete(&j.tasks[i]) {
+				return
+			}
+		}
+	}
+	for i := range j.tasks {
+		if t := &j.tasks[i]; complete(t) {
+			r.end(t.run, false)
+		}
+	}
+	if j.done == len(j.tasks) {
+		j.endedAt = r.now
+	}
+}
+
+// end ends a run: its task is done, or its work is thrown away unless it is saved.
+func (r *replay) end(run *run, stopped bool) {
+	t := run.task
+	delete(run.worker.runs, run)
+	t.run = nil
+	t.job.running--
+	switch {
+	case !stopped:
+		t.done = true
+		t.job.done++
+	case t.job.checkpoint:
+		t.saved = min(run.done, t.work)
+	default:
+		r.result.thrownAway(t.job, r.now-min(r.now, run.startedAt))
+	}
+}
+
+// stop stops a run, or its whole gang.
+func (r *replay) stop(j *job, only *run) {
+	for i := range j.tasks {
+		run := j.tasks[i].run
+		if run != nil && !run.stopping && (j.gang || run == only) {
+			run.stopping, run.endsAt = true, r.now+stopTime
+			r.result.preempted(j)
+		}
+	}
+}
+
+// groupIDsPerJob is the size of the range of group numbers that each job has.
+const groupIDsPerJob = 1 << 13
+
+func (j *job) groupID(index int) int {
+	if j.gang {
+		return j.order * groupIDsPerJob
+	}
+	return j.order*groupIDsPerJob + index + 1
+}
+
+// plan runs one planning round and carries out its decisions.
+func (r *replay) plan() {
+	snapshot, units := r.snapshot()
+	if len(units) == 0 {
+		return
+	}
+	started := time.Now()
+	plan := planner.Decide(snapshot)
+	r.result.round(time.Since(started))
+	for i, j := range units {
+		held := plan.Waits[i].HeldBack && j.running == 0
+		switch {
+		case !held:
+			j.heldBackSince = 0
+		case j.heldBackSince == 0:
+			j.heldBackSince = max(1, r.now)
+		}
+	}
+	for _, s := range plan.Stops {
+		j := r.jobs[s.Group/groupIDsPerJob]
+		j.preemptions++
+		var only *run
+		if index := s.Group%groupIDsPerJob - 1; index >= 0 {
+			only = j.tasks[index].run
+		}
+		r.stop(j, only)
+	}
+	for _, s := range plan.Starts {
+		r.start(units[s.Unit], s.Workers)
+	}
+}
+
+func (r *replay) start(j *job, places []int) {
+	racks := make(map[string]bool)
+	for _, w := range places {
+		racks[r.workers[w].rack] = true
+	}
+	if j.firstStartAt == 0 {
+		j.firstStartAt = r.now + startTime
+	}
+	next := 0
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if next == len(places) {
+			return
+		}
+		if t.done || t.run != nil {
+			continue
+		}
+		w := r.workers[places[next]]
+		next++
+		t.run = &run{task: t, worker: w, startedAt: r.now + startTime, updatedAt: r.now, done: t.saved, remote: j.rackLocal && len(racks) > 1}
+		w.runs[t.run] = true
+		j.running++
+	}
+}
+
+// snapshot returns the planner's input, and the job of each unit.
+func (r *replay) snapshot() (planner.Snapshot, []*job) {
+	var s planner.Snapshot
+	r.assignGuarantees()
+	used := map[string]float64{}
+	for _, w := range r.workers {
+		d := planner.Worker{
+			ID: w.id, Service: service, Rack: w.rack, AcceptsWork: !w.lost, Slow: w.detected,
+			Free: planner.Resources{CPU: 1000 * r.pattern.Workers.Cores, MemoryMB: r.pattern.Workers.MemoryMB, GPU: r.pattern.Workers.GPU},
+		}
+		for _, run := range sortedRuns(w) {
+			j := run.task.job
+			d.Free = d.Free.Sub(j.need)
+			if j.class.Priority == 0 {
+				used[service] += float64(j.need.GPU)
+			}
+			if run.stopping {
+				d.Releasing = d.Releasing.Add(j.need)
+				continue
+			}
+			members := 1
+			if j.gang {
+				members = len(j.tasks)
+			}
+			d.Runs = append(d.Runs, planner.Run{
+				Group: j.groupID(run.task.number), Need: j.need, Priority: j.class.Priority, Guaranteed: j.guaranteed,
+				LostWork:    planner.LostWork(j.need, members, r.now-min(r.now, run.startedAt), j.checkpoint),
+				RestartWork: planner.RestartWork(j.need, members, j.preemptions),
+			})
+		}
+		s.Workers = append(s.Workers, d)
+	}
+	s.Headroom = r.headroom.Update(r.now, used)
+	var units []*job
+	for _, j := range r.active {
+		waiting := 0
+		for i := range j.tasks {
+			if t := &j.tasks[i]; !t.done && t.run == nil {
+				waiting++
+			}
+		}
+		if waiting == 0 || (j.gang && waiting < len(j.tasks)) {
+			continue
+		}
+		age := r.now - j.arrivedAt
+		units = append(units, j)
+		s.Units = append(s.Units, planner.Unit{
+			Service: service, Priority: j.class.Priority, Guaranteed: j.guaranteed, Accepted: int64(j.order), Tasks: waiting, Need: j.need,
+			Timeliness: planner.TimelinessOf(age, j.estimate, j.objective()), Deadline: (j.arrivedAt + j.objective()).Milliseconds(),
+			JobStarted: j.done > 0 || j.running > 0, Checkpointed: j.checkpoint, Gang: j.gang, RackLocal: j.rackLocal,
+			Work:         j.need.WorkPerSecond() * j.estimate.Seconds() * float64(waiting),
+			WaitsForRack: age < planner.RackWait, IgnoresHolds: j.heldBackSince != 0 && r.now-j.heldBackSince >= planner.MaxHeldBack,
+		})
+	}
+	return s, units
+}
+
+// sortedRuns returns the runs of a worker in a fixed order, so that a replay can be repeated.
+func sortedRuns(w *worker) []*run {
+	runs := make([]*run, 0, len(w.runs))
+	for run := range w.runs {
+		runs = append(runs, run)
+	}
+	slices.SortFunc(runs, func(a, b *run) int {
+		if a.task.job != b.task.job {
+			return a.task.job.order - b.task.job.order
+		}
+		return a.task.number - b.task.number
+	})
+	return runs
+}
+
+func (r *replay) assignGuarantees() {
+	guarantees := make(map[string]int64)
+	for _, o := range r.pattern.Orgs {
+		guarantees[o.Name] = o.GuaranteedGPU
+	}
+	var urgent []*job
+	var claims []planner.GuaranteeClaim
+	for _, j := range r.active {
+		if j.class.Priority == 0 {
+			urgent = append(urgent, j)
+			claims = append(claims, planner.GuaranteeClaim{Org: r.pattern.Orgs[j.org].Name, GPU: j.need.GPU * int64(len(j.tasks))})
+		}
+	}
+	for i, covered := range planner.Covered(claims, guarantees) {
+		urgent[i].guaranteed = covered
+	}
+}
