Claim leadership sooner when the leader's process has ended

The others see their connections to it break at once, but a reset connection alone proves nothing. Change: they connect again. A process of another incarnation at the address shows that the term is over; a refused connection shortens the timeout to 0.9 s after the last renewal, which a leader that lives cannot reach.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -44,6 +44,12 @@
 	// that: it has lost the log, and an instance that has not can claim leadership about a second earlier than
 	// after electionTimeout. It leaves time for two renewals that the log rejects, or for one that times out.
 	resignAge = time.Second
+	// refusedTimeout is the time without a new leader record after which candidates claim leadership if nothing listens
+	// at the leader's address: its process has ended. A leader that lives renews earlier, even if the candidate is cut
+	// off from it in a way that refuses connections.
+	refusedTimeout = renewInterval + 300*time.Millisecond
+	// refusalAge is how long the observation holds that nothing listens at the leader's address.
+	refusalAge = 500 * time.Millisecond
 	// checkInterval is the period at which the elector checks its state.
 	checkInterval = 50 * time.Millisecond
 	// releaseTimeout limits the attempts to release leadership. It is well within the time for a
@@ -79,7 +85,7 @@
 	Epoch int64
 	// PreviousValidFor is an upper limit of the time, from the start of this term, for which the previous
 	// leader may still consider itself leader. It is 0 unless that leader was this incarnation, in an
-	// earlier term.
+	// earlier term, or was taken for dead because nothing listened at its address.
 	PreviousValidFor time.Duration
 	elector          *Elector
 }
@@ -141,6 +147,9 @@
 	endingEpoch, endedEpoch int64
 	termEnded               chan struct{}
 	waiting                 int
+	// refusedEpoch is the epoch of the leader at whose address nothing listened at refusedAt.
+	refusedEpoch int64
+	refusedAt    boottime.Instant
 	// resignedEpoch is the highest epoch whose leader has reported the end of its term.
 	resignedEpoch int64
 }
@@ -231,15 +240,29 @@
 	return e.current.Instance, e.isOwnLeadership(e.current) && boottime.Now() < e.validUntil
 }
 
-// LeaderTerm returns the address of the last observed leader and its epoch, 0 if none is known or it has given up its
-// leadership, and whether it is this incarnation.
-func (e *Elector) LeaderTerm() (instance string, epoch int64, self bool) {
+// LeaderTerm is the term of the last observed leader.
+type LeaderTerm struct {
+	Identity
+	// Epoch is 0 if no leader is known, it has given up its leadership, or it is this incarnation.
+	Epoch int64
+}
+
+// LeaderTerm returns the term of another instance that leads, as far as is known.
+func (e *Elector) LeaderTerm() LeaderTerm {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.releasedLocked() {
-		return e.current.Instance, 0, false
+	t := LeaderTerm{Identity: Identity{Instance: e.current.Instance, Incarnation: e.current.Incarnation}}
+	if t.Identity != e.cfg.Identity && !e.releasedLocked() {
+		t.Epoch = e.current.Epoch
 	}
-	return e.current.Instance, e.current.Epoch, e.isOwnLeadership(e.current)
+	return t
+}
+
+// ObserveRefusal reports that nothing listens at the address of the leader with the given epoch.
+func (e *Elector) ObserveRefusal(epoch int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.refusedEpoch, e.refusedAt = epoch, boottime.Now()
 }
 
 // releasedLocked reports whether the latest term has been given up by its leader.
@@ -255,19 +278,35 @@
 	e.resignedEpoch = max(e.resignedEpoch, epoch)
 }
 
-// AwaitEnd waits until this incarnation's term with the given epoch is over, and returns true. It returns false if ctx
-// ends before that, or if this incarnation has not had such a term.
-func (e *Elector) AwaitEnd(ctx context.Context, epoch int64) bool {
+// EndState is the result of AwaitEnd.
+type EndState int
+
+// Values of EndState.
+const (
+	// NotEnded means that the term may not be over.
+	NotEnded EndState = iota
+	// Ended means that the term is over: the leader does nothing in it any more, or its process has been replaced by
+	// this one.
+	Ended
+)
+
+// AwaitEnd waits until the given term is over, if it is one of this instance. It returns NotEnded if ctx ends before that,
+// or if this incarnation does not know of the term.
+func (e *Elector) AwaitEnd(ctx context.Context, term LeaderTerm) EndState {
+	if term.Instance == e.cfg.Identity.Instance && term.Incarnation != e.cfg.Identity.Incarnation {
+		return Ended // At most one process at a time uses the address.
+	}
+	epoch := term.Epoch
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.waiting++
 	defer func() { e.waiting-- }()
 	for {
 		if e.epoch != epoch {
-			return false
+			return NotEnded
 		}
 		if e.endedEpoch >= epoch {
-			return true
+			return Ended
 		}
 		ended := e.termEnded
 		e.mu.Unlock()
@@ -277,7 +316,7 @@
 		}
 		e.mu.Lock()
 		if ctx.Err() != nil {
-			return false
+			return NotEnded
 		}
 	}
 }
@@ -355,7 +394,12 @@
 		// once.
 		return -claimJitter, max(0, e.validUntil.Sub(boottime.Now())), true
 	}
-	return e.cfg.ClaimDelay, 0, boottime.Since(e.observedAt) > electionTimeout
+	age := boottime.Since(e.observedAt)
+	if e.refusedEpoch == e.current.Epoch && boottime.Since(e.refusedAt) < refusalAge && age > refusedTimeout {
+		// Should the leader live nevertheless, it is fenced, and leases last as if it were valid until then.
+		return e.cfg.ClaimDelay, max(0, Validity-age), true
+	}
+	return e.cfg.ClaimDelay, 0, age > electionTimeout
 }
 
 // runTerm runs Lead and renews leadership until the term is lost, Lead returns, the instance steps down or
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -193,13 +193,13 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			go func() {
-				_, epoch, _ := b.elector.LeaderTerm()
-				for epoch == 0 {
+				term := b.elector.LeaderTerm()
+				for term.Epoch == 0 {
 					time.Sleep(10 * time.Millisecond)
-					_, epoch, _ = b.elector.LeaderTerm()
+					term = b.elector.LeaderTerm()
 				}
-				if a.elector.AwaitEnd(ctx, epoch) {
-					b.elector.ObserveEnd(epoch)
+				if a.elector.AwaitEnd(ctx, term) == Ended {
+					b.elector.ObserveEnd(term.Epoch)
 				}
 			}()
 			time.Sleep(1500 * time.Millisecond)
@@ -235,3 +235,40 @@
 		require.Len(t, s.allEpochs(), 1)
 	})
 }
+
+// Guards against seconds without a leader after its process has ended, and against a claim by a candidate that cannot
+// connect to a leader that lives.
+func TestRefusedConnections(t *testing.T) {
+	for _, dead := range []bool{false, true} {
+		inVirtualTime(t, func(log *ledgertest.Log, s *termRecorder) {
+			a := start(log, s, "a", "1")
+			time.Sleep(time.Second)
+			b := start(log, s, "b", "1")
+			defer b.stop()
+			time.Sleep(1300 * time.Millisecond)
+			if dead {
+				a.log.SetDown(true)
+				a.stop()
+			} else {
+				defer a.stop()
+			}
+			for range 160 {
+				time.Sleep(10 * time.Millisecond)
+				b.elector.ObserveRefusal(1)
+			}
+			if dead {
+				require.Contains(t, s.validLeaders(), "b")
+			} else {
+				require.Equal(t, []string{"a"}, s.validLeaders())
+			}
+		})
+	}
+}
+
+// Guards against a candidate that waits for a leader whose process has been replaced by another one.
+func TestAwaitEndOfReplacedProcess(t *testing.T) {
+	e := New(Config{Identity: Identity{Instance: "a", Incarnation: "2"}})
+	require.Equal(t, Ended, e.AwaitEnd(context.Background(), LeaderTerm{Identity: Identity{Instance: "a", Incarnation: "1"}, Epoch: 7}))
+	require.Equal(t, NotEnded, e.AwaitEnd(context.Background(), LeaderTerm{Identity: Identity{Instance: "a", Incarnation: "2"}, Epoch: 7}))
+	require.Equal(t, NotEnded, e.AwaitEnd(context.Background(), LeaderTerm{Identity: Identity{Instance: "b", Incarnation: "1"}, Epoch: 7}))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -169,7 +169,7 @@
 	if self || leader == "" || n.settings.RelayPort == 0 {
 		return ""
 	}
-	return net.JoinHostPort(leader, strconv.Itoa(n.settings.RelayPort))
+	return n.relayAddress(leader)
 }
 
 // watchLeader learns from the leader itself when its term is over.
@@ -177,14 +177,12 @@
 	if n.settings.RelayPort == 0 {
 		return
 	}
-	leader := func() (address string, epoch int64) {
-		instance, epoch, self := n.elector.LeaderTerm()
-		if self || instance == "" {
-			return "", 0
-		}
-		return net.JoinHostPort(instance, strconv.Itoa(n.settings.RelayPort)), epoch
-	}
-	relay.WatchLeader(ctx, leader, n.elector.ObserveEnd, n.logger)
+	relay.WatchLeader(ctx, n.elector, n.relayAddress, n.logger)
+}
+
+// relayAddress returns the address of the relay of an instance.
+func (n *Node) relayAddress(instance string) string {
+	return net.JoinHostPort(instance, strconv.Itoa(n.settings.RelayPort))
 }
 
 func (n *Node) isLeader() bool {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 
+	"github.com/oleanderbend/oleanderbend/internal/election"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
 )
 
@@ -64,7 +65,7 @@
 	store    ledger.Storer
 	isLeader func() bool
 	// awaitEnd is election.Elector.AwaitEnd.
-	awaitEnd func(ctx context.Context, epoch int64) bool
+	awaitEnd func(ctx context.Context, term election.LeaderTerm) election.EndState
 }
 
 // Store stores the records of another instance and reports the outcome in reply. It always returns nil.
@@ -88,7 +89,7 @@
 }
 
 // Serve starts to accept connections on a listener in the background, until the listener is closed.
-func Serve(listener net.Listener, store ledger.Storer, isLeader func() bool, awaitEnd func(context.Context, int64) bool) error {
+func Serve(listener net.Listener, store ledger.Storer, isLeader func() bool, awaitEnd func(context.Context, election.LeaderTerm) election.EndState) error {
 	server := rpc.NewServer()
 	if err := server.RegisterName(service, &Server{store: store, isLeader: isLeader, awaitEnd: awaitEnd}); err != nil {
 		return eris.Wrap(err, "register the relay's RPC service")
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/oleanderbend/oleanderbend/internal/election"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
 	"github.com/oleanderbend/oleanderbend/internal/logging"
 )
@@ -23,13 +24,16 @@
 	return s.err
 }
 
+// neverEnds is the awaitEnd of a server that does not know of the term.
+func neverEnds(context.Context, election.LeaderTerm) election.EndState { return election.NotEnded }
+
 // start starts a relay server on the loopback interface and returns its address.
 func start(t *testing.T, store ledger.Storer, isLeader bool) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { listener.Close() })
-	require.NoError(t, Serve(listener, store, func() bool { return isLeader }, func(context.Context, int64) bool { return false }))
+	require.NoError(t, Serve(listener, store, func() bool { return isLeader }, neverEnds))
 	return listener.Addr().String()
 }
 
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"net/rpc"
+	"syscall"
 	"time"
 
 	"github.com/phuslu/log"
 
 	"github.com/oleanderbend/oleanderbend/internal/boottime"
+	"github.com/oleanderbend/oleanderbend/internal/election"
 )
 
 const (
@@ -24,63 +28,73 @@
 )
 
 // AwaitEndArgs are the arguments of Server.AwaitEnd.
-type AwaitEndArgs struct{ Epoch int64 }
+type AwaitEndArgs struct{ Term election.LeaderTerm }
 
 // AwaitEndReply is the reply of Server.AwaitEnd.
-type AwaitEndReply struct {
-	// Ended means that the called instance had the term and does nothing in it any more.
-	Ended bool
-}
+type AwaitEndReply struct{ State election.EndState }
 
-// AwaitEnd waits until the term of this instance with the given epoch is over, for at most awaitEndTimeout. It always
-// returns nil.
+// AwaitEnd waits until a term of the called instance is over, for at most awaitEndTimeout. It always returns nil.
 func (s *Server) AwaitEnd(args AwaitEndArgs, reply *AwaitEndReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), awaitEndTimeout)
 	defer cancel()
-	reply.Ended = s.awaitEnd(ctx, args.Epoch)
+	reply.State = s.awaitEnd(ctx, args.Term)
 	return nil
 }
 
-// WatchLeader keeps a call to AwaitEnd open at the leader until ctx is done, and reports each term whose leader says
-// that it is over: a leader that has lost the log cannot say so there. leader returns the relay address and the epoch of
-// the leader; the epoch is 0 if there is none to watch.
-func WatchLeader(ctx context.Context, leader func() (address string, epoch int64), onEnd func(epoch int64), logger *log.Logger) {
+// Watched is what a watcher needs of the election.
+type Watched interface {
+	// LeaderTerm returns the term of another instance that leads; its epoch is 0 if there is none.
+	LeaderTerm() election.LeaderTerm
+	// ObserveEnd reports that a term is over, ObserveRefusal that nothing listens at the leader's address.
+	ObserveEnd(epoch int64)
+	ObserveRefusal(epoch int64)
+}
+
+// WatchLeader keeps a call to AwaitEnd open at the leader until ctx is done: a leader that has lost the log cannot give
+// up its leadership there. It reports the end of each term, and that nothing listens at the leader's address.
+// addressOf returns the relay address of an instance.
+func WatchLeader(ctx context.Context, e Watched, addressOf func(instance string) string, logger *log.Logger) {
 	for ctx.Err() == nil {
-		address, epoch := leader()
-		if epoch == 0 || address == "" {
+		term := e.LeaderTerm()
+		if term.Epoch == 0 {
 			boottime.Sleep(ctx, watchInterval)
 			continue
 		}
-		changed := func() bool {
-			a, e := leader()
-			return a != address || e != epoch
-		}
+		changed := func() bool { return e.LeaderTerm() != term }
 		start := time.Now()
-		ended, err := awaitEnd(ctx, address, epoch, changed)
+		state, err := awaitEnd(ctx, addressOf(term.Instance), term, changed)
 		switch {
-		case ended:
-			logger.Info().Str("leader", address).Int64("epoch", epoch).Msg("leader has resigned")
-			onEnd(epoch)
+		case state == election.Ended:
+			logger.Info().Str("leader", term.Instance).Int64("epoch", term.Epoch).Msg("leader has resigned")
+			e.ObserveEnd(term.Epoch)
+		case errors.Is(err, syscall.ECONNREFUSED):
+			e.ObserveRefusal(term.Epoch)
+			boottime.Sleep(ctx, watchInterval)
+		case err != nil && errors.Is(err, errWatchLost):
+			// The leader's process may have ended: connecting again shows whether anything listens.
 		case err != nil && ctx.Err() == nil:
-			logger.Debug().Str("leader", address).Err(err).Msg("leader cannot be watched")
+			logger.Debug().Str("leader", term.Instance).Err(err).Msg("leader cannot be watched")
 			boottime.Sleep(ctx, watchRetryInterval)
 		case time.Since(start) < watchRetryInterval && !changed():
-			// The called instance does not have the term: it has restarted, or the latest record is about to change.
+			// The called instance does not know of the term: the latest record is about to change.
 			boottime.Sleep(ctx, watchRetryInterval)
 		}
 	}
 }
 
-// awaitEnd calls AwaitEnd until it fails, the term is over, or another instance leads.
-func awaitEnd(ctx context.Context, address string, epoch int64, changed func() bool) (ended bool, err error) {
+// errWatchLost means that the connection to the leader was lost while it was watched.
+var errWatchLost = errors.New("relay: connection to the leader lost")
+
+// awaitEnd calls AwaitEnd until it returns, fails, or another instance leads.
+func awaitEnd(ctx context.Context, address string, term election.LeaderTerm, changed func() bool) (election.EndState, error) {
 	conn, err := net.DialTimeout("tcp", address, dialTimeout)
 	if err != nil {
-		return false, err
+		return election.NotEnded, err
 	}
 	client := rpc.NewClient(conn)
 	defer client.Close()
 	var reply AwaitEndReply
-	call := client.Go(service+".AwaitEnd", AwaitEndArgs{Epoch: epoch}, &reply, make(chan *rpc.Call, 1))
+	call := client.Go(service+".AwaitEnd", AwaitEndArgs{Term: term}, &reply, make(chan *rpc.Call, 1))
 	timeout := time.NewTimer(awaitEndTimeout + awaitEndMargin)
 	defer timeout.Stop()
 	ticker := time.NewTicker(watchInterval)
@@ -88,15 +102,19 @@
 	for {
 		select {
 		case <-call.Done:
-			return reply.Ended, call.Error
+			var rejected rpc.ServerError
+			if call.Error != nil && !errors.As(call.Error, &rejected) {
+				return election.NotEnded, fmt.Errorf("%w: %w", errWatchLost, call.Error)
+			}
+			return reply.State, call.Error
 		case <-ticker.C:
 			if changed() {
-				return false, nil
+				return election.NotEnded, nil
 			}
 		case <-timeout.C:
-			return false, errUnreachable
+			return election.NotEnded, errUnreachable
 		case <-ctx.Done():
-			return false, nil
+			return election.NotEnded, nil
 		}
 	}
 }
