--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1,8 +1,12 @@
 package relay
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
+	"io"
 	"net"
+	"net/rpc"
 	"testing"
 	"time"
 
@@ -104,3 +108,28 @@
 	}
 	require.Zero(t, direct.writes)
 }
+
+// FuzzServe guards against bytes from another program that end the process: each call is decoded by net/rpc.
+func FuzzServe(f *testing.F) {
+	var valid bytes.Buffer
+	encoder := gob.NewEncoder(&valid)
+	require.NoError(f, encoder.Encode(rpc.Request{ServiceMethod: service + ".Store", Seq: 1}))
+	require.NoError(f, encoder.Encode(StoreArgs{Records: []ledger.Record{{Key: "k", Value: []byte("v")}}}))
+	f.Add(valid.Bytes())
+	f.Add([]byte("GET / HTTP/1.1\r\n\r\n"))
+	server := rpc.NewServer()
+	require.NoError(f, server.RegisterName(service, &Server{store: discardStore{}, isLeader: func() bool { return true }, awaitEnd: neverEnds}))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		server.ServeConn(&scriptedConn{Reader: bytes.NewReader(data)})
+	})
+}
+
+type discardStore struct{}
+
+func (discardStore) Write(context.Context, []ledger.Record) error { return nil }
+
+// scriptedConn is a connection whose other side sends fixed bytes and ignores the responses.
+type scriptedConn struct{ io.Reader }
+
+func (*scriptedConn) Write(p []byte) (int, error) { return len(p), nil }
+func (*scriptedConn) Close() error                { return nil }
