Extend all leases at once when the log begins to fail

Cause: a leader renews the lease of each worker with its polls, nearly a second apart, and gives the longest one only when its own renewal is overdue by 0.3 s. Change: when the renewal is overdue, the leader sends one more poll to each worker with runs, and it resigns 0.4 s later, 1.3 s after the last renewal. Evidence: TestLeasesOutlastAnOutageOfTheLog (nine phases of the polls) failed without the change.

--- a/internal/controller/handover_test.go
+++ b/internal/controller/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -293,3 +294,48 @@
 		require.Empty(t, c.fleet.Violations())
 	})
 }
+
+// Guards against runs that end because their leases expire during an outage of the log that is shorter than the longest
+// lease: the leader resigns after 1.3 s, before it has polled each worker again.
+func TestLeasesOutlastAnOutageOfTheLog(t *testing.T) {
+	for phase := time.Duration(0); phase < pollWait; phase += 100 * time.Millisecond {
+		testOutageOfTheLog(t, time.Second+phase)
+	}
+}
+
+// testOutageOfTheLog begins an outage of 5 s at the given time after the start of 20 runs.
+func testOutageOfTheLog(t *testing.T, at time.Duration) {
+	t.Helper()
+	inVirtualTime(t, 1, fixedWork(9*time.Second), func(c *cluster) {
+		const workers = 20
+		for n := range workers {
+			c.addWorker(fmt.Sprintf("w%02d", n), "r1")
+		}
+		a, b := c.startInstance("a"), c.startInstance("b")
+		c.submit(jobID(1), batch.Step{Count: workers, CPU: 1000, GPU: 8, EstimateMS: 9000})
+		c.waitFor(3*time.Second, "started", func() bool { return c.fleet.RunCount("w00") == 1 && c.fleet.RunCount("w19") == 1 })
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		for _, pair := range [][2]*instance{{a, b}, {b, a}} {
+			go func() {
+				for term := pair[1].elector.LeaderTerm(); ctx.Err() == nil; term = pair[1].elector.LeaderTerm() {
+					if pair[0].elector.AwaitEnd(ctx, term) == election.Ended {
+						pair[1].elector.ObserveEnd(term.Epoch)
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+			}()
+		}
+		time.Sleep(at)
+		a.log.SetDown(true)
+		b.log.SetDown(true)
+		time.Sleep(5 * time.Second)
+		a.log.SetDown(false)
+		b.log.SetDown(false)
+		c.waitFor(10*time.Second, "completed", func() bool { return c.phase(jobID(1)) == batch.Completed })
+		for n := range workers {
+			require.Equal(t, 1, c.fleet.Starts(batch.TaskID{Job: jobID(1), Index: n}))
+		}
+		require.Empty(t, c.fleet.Violations())
+	})
+}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -76,6 +76,8 @@
 	peaks planner.HeadroomTracker
 
 	rounds roundStats
+	// leasesExtended means that the leases have been extended since the log began to fail.
+	leasesExtended bool
 	// slowCheckedAt is when updateSlowWorkers last compared the workers.
 	slowCheckedAt boottime.Instant
 	planDue       bool
@@ -299,6 +301,7 @@
 	for _, ws := range l.workers {
 		l.checkWorker(ws, now)
 	}
+	l.extendLeasesOnce(now)
 	l.logRounds(now)
 	l.updateSlowWorkers(now)
 	l.createAllDueOccurrences()
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"github.com/oleanderbend/oleanderbend/internal/batch"
@@ -59,6 +61,44 @@
 	return expiry
 }
 
+// extendLeasesOnce gives all runs the longest lease as soon as the log is failing, once for each time that it fails: the
+// term may end before each worker has been polled again, and nobody renews leases until there is another leader.
+func (l *leader) extendLeasesOnce(now boottime.Instant) {
+	if l.term.RenewedRecently() {
+		l.leasesExtended = false
+		return
+	}
+	if l.leasesExtended || !l.term.Valid() {
+		return
+	}
+	l.leasesExtended = true
+	count := 0
+	for _, ws := range l.workers {
+		if len(ws.runs) > 0 && ws.clockReadAt != 0 && !ws.hasAdopting() && ws.unreachableSince == 0 {
+			count++
+			l.extendLease(ws, now)
+		}
+	}
+	l.logger.Warn().Int("workers", count).Int64("epoch", l.term.Epoch).Msg("log is failing, leases extended")
+}
+
+// extendLease renews the leases on a worker beside the poll that may be in flight. The ends in the response are reported
+// again to the next poll.
+func (l *leader) extendLease(ws *workerState, now boottime.Instant) {
+	command := worker.PollCommand{Token: l.term.Epoch, LeaseExpiryMS: l.nextExpiry(ws, now)}
+	target := worker.Endpoint{ID: ws.id, Address: ws.address}
+	l.c.metrics.polls.Inc()
+	go func() {
+		ctx, cancel := context.WithTimeout(l.ctx, pollTimeoutMargin)
+		defer cancel()
+		_, err := l.c.cfg.Workers.Poll(ctx, target, command)
+		var rejected *worker.RejectedError
+		if errors.As(err, &rejected) && rejected.Reason == worker.RejectedStaleToken {
+			l.post(func() { l.stepDown("worker has seen a newer leader") })
+		}
+	}()
+}
+
 // acceptsWork reports whether new runs may be placed on the worker, as far as its own state allows.
 // It doesn't cover the preparation of a machine for maintenance. A new incarnation may be of another kind, so
 // the registry entry must be its own.
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -42,8 +42,9 @@
 	maxRenewalAge = 900 * time.Millisecond
 	// resignAge is the age of the last successful renewal above which the leader resigns, if other instances wait for
 	// that: it has lost the log, and an instance that has not can claim leadership about a second earlier than
-	// after electionTimeout. It leaves time for two renewals that the log rejects, or for one that times out.
-	resignAge = time.Second
+	// after electionTimeout. It leaves time for two renewals that the log rejects, or for one that times out, and then
+	// for the leader to extend the leases of all runs, which it does when the renewal is overdue (maxRenewalAge).
+	resignAge = maxRenewalAge + 400*time.Millisecond
 	// refusedTimeout is the time without a new leader record after which candidates claim leadership if nothing listens
 	// at the leader's address: its process has ended. A leader that lives renews earlier, even if the candidate is cut
 	// off from it in a way that refuses connections.
