Take a worker for slow only if the other tasks of a unit are several times as fast

An estimate that was four times too short made all tasks of a step seem slow, and any other task a little above the limit counted as proof that it was the worker. Change: the median of the unit's other tasks must be three times as fast, or runs of two units without such tasks must be below the limit; a run whose other tasks are as slow is not stopped.

--- a/internal/controller/slow.go
+++ b/internal/controller/slow.go
@@ -23,6 +23,9 @@
 	// maxSlowShare limits the share of the workers of a service that count as slow at the same time: if more of them
 	// are slow, the comparison does not tell which workers to use.
 	maxSlowShare = 0.3
+	// slowerThanOthers is how many times as fast the other tasks of a unit must be, at the median, to show that a run
+	// is slow because of its worker. Tasks of one step differ by less.
+	slowerThanOthers = 3
 	// slowTime is how long a worker counts as slow after its runs last showed it.
 	slowTime = 4 * time.Second
 	// maxSlowRestarts limits the restarts of the tasks of a unit because of slow workers, per task.
@@ -55,23 +58,41 @@
 	}
 }
 
-// confirmedSlow reports whether the runs on a worker that seems to be slow can be slow only because of it. An estimate
-// that is much too short makes a run seem slow on any worker, but hardly those of two units at the same time, and
-// then the other tasks of the unit are as slow on other workers.
+// confirmedSlow reports whether the runs on a worker that seems to be slow can be slow only because of it: runs of two
+// units must be below the limit, or one of a unit whose other tasks are several times as fast on other workers.
 func (ws *workerState) confirmedSlow(limit float64) bool {
-	units := make(map[*unit]bool)
+	suspects := make(map[*unit]bool)
 	for _, r := range ws.runs {
 		if !r.sampled || r.lastSpeed >= limit {
 			continue
 		}
-		units[r.task.unit] = true
-		for _, t := range r.task.unit.tasks {
-			if other := t.run; other != nil && other.worker != ws && other.sampled && limit < other.lastSpeed {
-				return true
-			}
+		typical, known := r.typicalSpeedElsewhere()
+		switch {
+		case !known:
+			suspects[r.task.unit] = true
+		case typical >= slowerThanOthers*r.lastSpeed:
+			return true
+		default:
+			// The other tasks are slow as well: the estimate is wrong, or the data is far from all of them.
 		}
 	}
-	return len(units) > 1
+	return len(suspects) > 1
+}
+
+// typicalSpeedElsewhere returns the median speed of the other tasks of the run's unit on other workers, and false if
+// none is known.
+func (r *run) typicalSpeedElsewhere() (float64, bool) {
+	var speeds []float64
+	for _, t := range r.task.unit.tasks {
+		if other := t.run; other != nil && other.worker != r.worker && other.sampled {
+			speeds = append(speeds, other.lastSpeed)
+		}
+	}
+	if len(speeds) == 0 {
+		return 0, false
+	}
+	slices.Sort(speeds)
+	return speeds[len(speeds)/2], true
 }
 
 // workerSpeed is the known speed of a worker.
@@ -153,6 +174,9 @@
 		if u.step.Checkpoints {
 			restartLoss = 0
 		}
+		if typical, known := r.typicalSpeedElsewhere(); known && typical < slowerThanOthers*r.lastSpeed {
+			continue
+		}
 		if r.sampled && r.progress.Percent() < progress.Complete && progress.ShouldLeave(r.clocked.LostTime(estimate), restartLoss) {
 			u.slowRestarts += u.restartSize()
 			l.stopForRestart(r, "worker is slow")
--- a/internal/controller/slow_test.go
+++ b/internal/controller/slow_test.go
@@ -53,7 +53,10 @@
 // against restarts that never let such tasks finish.
 func TestWrongEstimatesDoNotMakeWorkersSlow(t *testing.T) {
 	workOf := func(id batch.TaskID) workertest.Work {
-		if id.Job == jobID(9) {
+		switch id.Job {
+		case jobID(8):
+			return workertest.Work{Duration: time.Duration(5500+400*id.Index) * time.Millisecond, GangSize: 4}
+		case jobID(9):
 			return workertest.Work{Duration: 8 * time.Second}
 		}
 		return workertest.Work{Duration: 2 * time.Second}
@@ -64,11 +67,16 @@
 		}
 		c.startInstance("a")
 		c.submit(jobID(9), batch.Step{Count: 2, CPU: 1000, GPU: 8, EstimateMS: 1500})
+		// The tasks of a gang differ a little, and all of them are slower than estimated.
+		c.submit(jobID(8), batch.Step{Count: 4, CPU: 1000, GPU: 2, Gang: true, EstimateMS: 1500})
 		for n := range 4 {
 			c.submit(jobID(n+1), batch.Step{Count: 48, CPU: 1000, GPU: 1, EstimateMS: 2000})
 			time.Sleep(2 * time.Second)
 		}
 		c.waitFor(4*time.Second, "completed", func() bool { return c.phase(jobID(9)) == batch.Completed })
+		for index := range 4 {
+			require.Equal(t, 1, c.fleet.Starts(batch.TaskID{Job: jobID(8), Index: index}))
+		}
 		for index := range 2 {
 			require.Equal(t, 1, c.fleet.Starts(batch.TaskID{Job: jobID(9), Index: index}))
 		}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -46,8 +46,8 @@
 	// for the leader to extend the leases of all runs, which it does when the renewal is overdue (maxRenewalAge).
 	resignAge = maxRenewalAge + 400*time.Millisecond
 	// refusedTimeout is the time without a new leader record after which candidates claim leadership if nothing listens
-	// at the leader's address: its process has ended. A leader that lives renews earlier, even if the candidate is cut
-	// off from it in a way that refuses connections.
+	// at the leader's address: its process has ended. A leader that lives renews earlier unless the log is slow, even if
+	// the candidate is cut off from it in a way that refuses connections.
 	refusedTimeout = renewInterval + 300*time.Millisecond
 	// refusalAge is how long the observation holds that nothing listens at the leader's address.
 	refusalAge = 500 * time.Millisecond
