--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -77,8 +77,6 @@
 	// from it.
 	checkpoint string
 	advice     *advice
-	// preemptions counts how often runs of the unit were preempted.
-	preemptions int
 	// slowRestarts counts the restarts of tasks because of slow workers.
 	slowRestarts int
 	// heldBackSince is since when the unit has been held back (planner.Wait.HeldBack) in all planning rounds
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -150,7 +150,6 @@
 		w.Runs = append(w.Runs, planner.Run{
 			Group: r.groupID(), Need: needOf(step), Priority: r.task.unit.job.spec.Rules.Priority,
 			Guaranteed: r.guaranteed, Protected: step.LongRunning || r.state == adopting, LostWork: r.preemptionLoss(now),
-			RestartWork: planner.RestartWork(requestOf(step), r.task.unit.groupSize(), r.task.unit.preemptions),
 		})
 	}
 	return w
@@ -355,9 +354,7 @@
 		for _, r := range ws.runList() {
 			if r.groupID() == group {
 				l.stopRun(r, "preempted")
-				if stopped++; stopped == 1 {
-					r.task.unit.preemptions++
-				}
+				stopped++
 			}
 		}
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -80,9 +80,6 @@
 	// LostWork is the work of the whole group that is lost if it is stopped, in weighted
 	// core-seconds.
 	LostWork float64
-	// RestartWork is what a restart of the group costs beyond LostWork, in weighted core-seconds. It makes other
-	// groups preferable, but does not count towards the limit by maxLossFactor.
-	RestartWork float64
 }
 
 // Worker is a worker with its free resources and its runs.
--- a/internal/planner/policy.go
+++ b/internal/planner/policy.go
@@ -23,8 +23,6 @@
 	// dropped. It is long enough to keep headroom between two jobs, and short enough to release it soon after a
 	// burst.
 	headroomHalfLife = 3 * time.Second
-	// gangRestartTime is the time that the workers of a gang are idle when it restarts.
-	gangRestartTime = 500 * time.Millisecond
 )
 
 // WorkPerSecond returns the work that a task with the given request does per second, in weighted core-seconds.
@@ -51,16 +49,6 @@
 	return need.WorkPerSecond() * float64(members) * worked.Seconds()
 }
 
-// RestartWork returns Run.RestartWork of a gang that has been preempted the given number of times: its workers are idle
-// from the end of earlier runs until all members have started. It grows with each preemption, so that not the same
-// gang is stopped again and again. It is 0 for a single run.
-func RestartWork(need Resources, members, preemptions int) float64 {
-	if members < 2 {
-		return 0
-	}
-	return need.WorkPerSecond() * float64(members) * gangRestartTime.Seconds() * float64(1+preemptions)
-}
-
 // HeadroomTracker computes Snapshot.Headroom: the recent peak usage of the queues of priority 0 minus their current usage.
 // Without headroom, other work would be preempted for the next job of these queues. The zero value is ready to use.
 type HeadroomTracker struct {
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -11,10 +11,10 @@
 // the next round can follow within milliseconds.
 const maxPreemptionAttempts = 8
 
-// compareVictims orders runs for preemption: those whose stop costs the least first, then those of the
+// compareVictims orders runs for preemption: those with the least lost work first, then those of the
 // least urgent queue.
 func compareVictims(a, b *Run) int {
-	return cmp.Or(cmp.Compare(a.LostWork+a.RestartWork, b.LostWork+b.RestartWork), cmp.Compare(b.Priority, a.Priority))
+	return cmp.Or(cmp.Compare(a.LostWork, b.LostWork), cmp.Compare(b.Priority, a.Priority))
 }
 
 // maxLossFactor limits the work that is lost when runs are preempted for a unit without a guarantee, as
@@ -49,7 +49,7 @@
 	}
 	r.preemptionAttempts++
 	best := r.cheapestPreemption(u)
-	if best == nil || (!u.Guaranteed && best.loss-best.restartCosts > maxLossFactor*u.Work) {
+	if best == nil || (!u.Guaranteed && best.loss > maxLossFactor*u.Work+restartCost*float64(len(best.groups))) {
 		return false
 	}
 	for _, g := range best.groups {
@@ -77,9 +77,8 @@
 	groups []int32
 	// places is the worker of each task.
 	places []int
-	// loss is the sum of scaledLoss, restartCost and RestartWork over the groups, restartCosts that of the last two,
-	// in weighted core-seconds.
-	loss, restartCosts float64
+	// loss is the sum of scaledLoss and restartCost over the groups, in weighted core-seconds.
+	loss float64
 }
 
 // cheapestPreemption looks for a preemption plan that loses little work. It returns nil if there is
@@ -148,9 +147,8 @@
 	placed int
 	// groups is the indices of the groups that must be stopped for the task.
 	groups []int32
-	// loss is the sum of scaledLoss, restartCost and RestartWork over these groups, restartCosts that of the last two,
-	// in weighted core-seconds.
-	loss, restartCosts float64
+	// loss is the sum of scaledLoss and restartCost over these groups, in weighted core-seconds.
+	loss float64
 }
 
 // plan chooses the runs to stop on the given workers. It is greedy: it places one task after the other, each on the
@@ -182,7 +180,6 @@
 		}
 		l := losses[best]
 		p.loss += l.loss
-		p.restartCosts += l.restartCosts
 		for _, group := range l.groups {
 			c.addStoppedGroup(p, group)
 		}
@@ -239,7 +236,7 @@
 // that may be preempted, in the order of compareVictims. It returns false if they cannot free enough.
 func (c *preemption) chooseVictims(l taskLoss, free Resources, p *preemptionPlan) (taskLoss, bool) {
 	u := c.unit
-	l.groups, l.loss, l.restartCosts = nil, 0, 0
+	l.groups, l.loss = nil, 0
 	if u.Need.fitsInto(&free) {
 		return l, true
 	}
@@ -252,8 +249,7 @@
 			continue
 		}
 		c.victimGroups = append(c.victimGroups, g)
-		l.restartCosts += restartCost + run.RestartWork
-		l.loss += run.scaledLoss(withinShare) + restartCost + run.RestartWork
+		l.loss += run.scaledLoss(withinShare) + restartCost
 		for other := range runs {
 			if runGroups[other] == g {
 				free = free.Add(runs[other].Need)
--- a/internal/planreplay/jobs.go
+++ b/internal/planreplay/jobs.go
@@ -26,7 +26,6 @@
 	// firstStartAt is when the first task started, 0 before; endedAt is when the job was complete.
 	firstStartAt, endedAt time.Duration
 	heldBackSince         time.Duration
-	preemptions           int
 	done                  int
 	running               int
 }
--- a/internal/planreplay/replay.go
+++ b/internal/planreplay/replay.go
@@ -220,7 +220,6 @@
 	}
 	for _, s := range plan.Stops {
 		j := r.jobs[s.Group/groupIDsPerJob]
-		j.preemptions++
 		var only *run
 		if index := s.Group%groupIDsPerJob - 1; index >= 0 {
 			only = j.tasks[index].run
@@ -283,8 +282,7 @@
 			}
 			d.Runs = append(d.Runs, planner.Run{
 				Group: j.groupID(run.task.number), Need: j.need, Priority: j.class.Priority, Guaranteed: j.guaranteed,
-				LostWork:    planner.LostWork(j.need, members, r.now-min(r.now, run.startedAt), j.checkpoint),
-				RestartWork: planner.RestartWork(j.need, members, j.preemptions),
+				LostWork: planner.LostWork(j.need, members, r.now-min(r.now, run.startedAt), j.checkpoint),
 			})
 		}
 		s.Workers = append(s.Workers, d)
