Review: a late start runs a finished task again in a new incarnation

The end of a run is acknowledged while a start of the run without an answer may still be carried out. Behind a partition from the store, the new incarnation stays unknown for seconds, as idle executors are not polled.

--- a/review/standin/bed.go
+++ b/review/standin/bed.go
@@ -44,6 +44,10 @@
 	ends      []*endOf
 	lost      []*endOf
 	servers   []*http.Server
+	// heldBack has the starts that got no answer and were not carried out at once.
+	heldBack []heldStart
+	// storeCuts is until when executors are cut off from the store, by their ids.
+	storeCuts map[string]time.Time
 }
 
 // endOf is the end of a run, with its executor.
@@ -75,6 +79,7 @@
 	b := &bed{
 		dir: dir, program: os.Getenv("PROGRAM"), trouble: trouble, start: time.Now(), record: record, store: newStore(),
 		ip: [2]int{1 + rand.IntN(250), 1 + rand.IntN(250)}, works: make(map[string]work), advised: make(map[string]bool),
+		storeCuts: make(map[string]time.Time),
 	}
 	if err := b.findPorts(); err != nil {
 		return nil, err
@@ -140,14 +145,14 @@
 }
 
 func (b *bed) recordEnd(e *executor, end *runEnd) {
-	b.log("end", "%s run %d at %s: %s, end number %d", end.task, end.number, e.id, end.how, end.n)
+	b.log("end", "%s run %d at %s: %s, end number %d", end.task, end.number, e.name, end.how, end.n)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.ends = append(b.ends, &endOf{end, e})
 }
 
 func (b *bed) recordLost(e *executor, r *run) {
-	b.log("lost", "%s run %d with %s", r.task, r.number, e.id)
+	b.log("lost", "%s run %d with %s", r.task, r.number, e.name)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.lost = append(b.lost, &endOf{&runEnd{task: r.task, number: r.number, how: "crash", at: time.Now()}, e})
@@ -189,8 +194,9 @@
 	b.mu.Lock()
 	n := len(b.executors)
 	b.mu.Unlock()
+	id := fmt.Sprintf("i-%08x", rand.Uint32())
 	e := &executor{
-		bed: b, id: fmt.Sprintf("i-%08x", rand.Uint32()), rack: rack, started: time.Now(), cond: make(chan struct{}),
+		bed: b, id: id, name: id, rack: rack, started: time.Now(), cond: make(chan struct{}),
 		runs: make(map[string]*run), highest: make(map[string]int64), address: fmt.Sprintf("%s:%d", b.address(100+n), b.port),
 	}
 	var err error
@@ -205,6 +211,71 @@
 	return e, nil
 }
 
+// restartExecutor starts an executor that has crashed again, under its id and at its address.
+func (b *bed) restartExecutor(old *executor) (*executor, error) {
+	e := &executor{
+		bed: b, id: old.id, name: old.id + "/2", rack: old.rack, started: time.Now(), cond: make(chan struct{}),
+		runs: make(map[string]*run), highest: make(map[string]int64), address: old.address,
+	}
+	l, err := net.Listen("tcp", e.address)
+	if err != nil {
+		return nil, err
+	}
+	e.server = &http.Server{Handler: e.handler()}
+	b.mu.Lock()
+	b.servers = append(b.servers, e.server)
+	for i := range b.executors {
+		if b.executors[i] == old {
+			b.executors[i] = e
+		}
+	}
+	b.mu.Unlock()
+	go func() { _ = e.server.Serve(l) }()
+	b.log("executor", "%s starts again, as %s", old.id, e.name)
+	go e.beat()
+	return e, nil
+}
+
+// cutFromStore partitions an executor from the store, also its later incarnations.
+func (b *bed) cutFromStore(e *executor, d time.Duration) {
+	b.log("trouble", "%s is partitioned from the store for %v", e.name, d)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.storeCuts[e.id] = time.Now().Add(d)
+}
+
+func (b *bed) storeCutUntil(id string) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.storeCuts[id]
+}
+
+// isReplaced reports whether a later incarnation of the executor has started.
+func (b *bed) isReplaced(e *executor) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, other := range b.executors {
+		if other.id == e.id && other != e {
+			return true
+		}
+	}
+	return false
+}
+
+// heldStart is a start that an executor did not answer and did not carry out at once.
+type heldStart struct {
+	executor string
+	order    *orderBody
+}
+
+// holdBack keeps a start that gets no answer.
+func (b *bed) holdBack(e *executor, body *orderBody) {
+	b.log("late", "start of %s run %d with token %d at %s gets no answer", body.Task, body.RunID, body.FencingToken, e.name)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.heldBack = append(b.heldBack, heldStart{e.id, body})
+}
+
 // route describes a queue of the configuration.
 type route struct {
 	name, prefix string
@@ -475,7 +546,7 @@
 	key := func(task string, number int64, where string) string { return fmt.Sprint(task, " ", number, " ", where) }
 	endAt := make(map[string]time.Time)
 	for _, e := range all {
-		endAt[key(e.task, e.number, e.executor.id)] = e.at
+		endAt[key(e.task, e.number, e.executor.name)] = e.at
 		if e.how == "done" && !e.ackedAt.IsZero() && ended[e.task] == nil {
 			ended[e.task] = e
 		}
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -29,8 +29,10 @@
 
 // executor is one incarnation of an executor.
 type executor struct {
-	bed     *bed
-	id      string
+	bed *bed
+	id  string
+	// name is the id, with the number of the incarnation from the second on.
+	name    string
 	rack    string
 	address string
 	server  *http.Server
@@ -50,6 +52,9 @@
 	sequence int
 	// cutUntil is when the executor is reachable again.
 	cutUntil time.Time
+	// late decides which starts get no answer and are carried out later, at the incarnation that is there then; nil
+	// for none.
+	late func(task string) bool
 	// greyUntil is when the executor stops rejecting starts as unhealthy.
 	greyUntil time.Time
 }
@@ -193,33 +198,58 @@
 	}
 }
 
-func (e *executor) start(w http.ResponseWriter, _ *http.Request, body *orderBody) {
+func (e *executor) start(w http.ResponseWriter, r *http.Request, body *orderBody) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	job, _, _ := strings.Cut(body.Task, ".")
+	if e.late != nil && e.late(body.Task) {
+		e.bed.holdBack(e, body)
+		e.mu.Unlock()
+		<-r.Context().Done()
+		e.mu.Lock()
+		panic(http.ErrAbortHandler)
+	}
 	if time.Now().Before(e.greyUntil) {
-		e.bed.log("reject", "%s run %d at %s: 503", body.Task, body.RunID, e.id)
+		e.bed.log("reject", "%s run %d at %s: 503", body.Task, body.RunID, e.name)
 		reply(w, http.StatusServiceUnavailable, e.stamp())
 		return
 	}
+	if reason := e.beginLocked(body); reason != "" {
+		e.conflict(w, reason)
+		return
+	}
+	reply(w, http.StatusOK, e.stamp())
+}
+
+// carryOut carries out a start without an answer.
+func (e *executor) carryOut(body *orderBody) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lapseLocked()
+	reason := "fence"
+	if body.FencingToken >= e.token {
+		e.token = body.FencingToken
+		reason = e.beginLocked(body)
+	}
+	e.bed.log("late", "start of %s run %d with token %d at %s: %q", body.Task, body.RunID, body.FencingToken, e.name, reason)
+}
+
+// beginLocked begins a run. It returns why the start is rejected, or "".
+func (e *executor) beginLocked(body *orderBody) (reason string) {
+	job, _, _ := strings.Cut(body.Task, ".")
 	if r := e.runs[body.Task]; r != nil && r.number == body.RunID {
 		e.extendLocked(body.DueMs)
-		reply(w, http.StatusOK, e.stamp())
-		return
+		return ""
 	}
 	if body.RunID <= e.highest[body.Task] || e.runs[body.Task] != nil {
 		e.extendLocked(body.DueMs)
-		e.conflict(w, "old")
-		return
+		return "old"
 	}
 	if body.DueMs <= e.clock() {
-		e.conflict(w, "late")
-		return
+		return "late"
 	}
 	if !e.bed.ticketValid(job, body.Task, e, body.Ticket) {
-		e.bed.log("reject", "%s run %d at %s: ticket %q", body.Task, body.RunID, e.id, body.Ticket)
-		e.conflict(w, "ticket")
-		return
+		e.bed.log("reject", "%s run %d at %s: ticket %q", body.Task, body.RunID, e.name, body.Ticket)
+		return "ticket"
 	}
 	e.extendLocked(body.DueMs)
 	todo := e.bed.workOf(body.Task)
@@ -235,8 +265,8 @@
 			}
 		})
 	}
-	e.bed.recordStart(&runStart{body.Task, body.RunID, e.id, run.began})
-	reply(w, http.StatusOK, e.stamp())
+	e.bed.recordStart(&runStart{body.Task, body.RunID, e.name, run.began})
+	return ""
 }
 
 func (e *executor) stop(w http.ResponseWriter, _ *http.Request, body *orderBody) {
@@ -327,21 +357,28 @@
 	return data
 }
 
-// beat reports to the store until the executor is down. After that, its entry is removed.
+// beat reports to the store until the executor is down, but not while it is cut off from the store. When it has been
+// silent for some heartbeats, its entry is removed.
 func (e *executor) beat() {
 	last := time.Now()
 	for {
 		e.mu.Lock()
 		down := e.down
 		e.mu.Unlock()
-		if !down {
+		if !down && time.Now().After(e.bed.storeCutUntil(e.id)) {
 			e.bed.store.put("keyed.servers", e.id, e.entry("ready"))
 			last = time.Now()
+		} else if e.bed.isReplaced(e) {
+			return
 		} else if time.Since(last) > missedHeartbeats*heartbeat {
 			e.bed.store.put("keyed.servers", e.id, nil)
 			return
 		}
-		time.Sleep(heartbeat)
+		wait := heartbeat
+		if cut := time.Until(e.bed.storeCutUntil(e.id)); cut > 0 {
+			wait = min(wait, cut+time.Millisecond)
+		}
+		time.Sleep(wait)
 	}
 }
 
