--- a/review/standin/bed.go
+++ b/review/standin/bed.go
@@ -90,13 +90,14 @@
 
 func (b *bed) address(host int) string { return fmt.Sprintf("127.%d.%d.%d", b.ip[0], b.ip[1], host) }
 
-// findPorts chooses a base port such that the ports from it on are free on the addresses of this bed.
+// findPorts chooses a base port such that the ports from it on are free on the first address of this bed. Its other
+// addresses are its own, too, so there only a listener on all addresses could use a port.
 func (b *bed) findPorts() error {
 	for range 50 {
 		b.port = 10000 + 20*rand.IntN(900)
 		free := true
 		for i := range 20 {
-			l, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", b.port+i))
+			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", b.address(1), b.port+i))
 			if err != nil {
 				free = false
 				break
@@ -370,6 +371,8 @@
 	cmd := exec.Command(b.program, "instance")
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + b.dir, "LANG=C", "OLEANDERBEND_NODE_FILE=" + p.settings}
 	cmd.Stdout, cmd.Stderr = p.output, p.output
+	// The process also ends if this one is killed.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
