Ask the advice service about the workers that replace lost ones

Cause: what was known of the service's answers did not say for which life of a worker they held, and whether a worker was still there. Two granted workers sufficed for two tasks for ever, so no other worker was asked about. The same state was wrong in three more ways, each shown by a test: a refusal outlived the incarnation it was given for, although the next one may be of another kind; granted workers that other work keeps busy counted as enough beside idle ones; and when more workers were granted than one call names, only the first of them were asked again, because a response replaced all earlier tickets.

Now an answer is kept for each worker with the start time of its incarnation and its own ticket. Workers without an answer are asked about while those that were granted and accept work are fewer than the waiting tasks or have no room for them, or after the tasks have waited for a second. A rejected ticket expires all tickets of the unit; the answers stay.

--- /dev/null
+++ b/internal/controller/advice_test.go
@@ -0,0 +1,126 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/batch"
+	"github.com/oleanderbend/oleanderbend/internal/ledger"
+	"github.com/oleanderbend/oleanderbend/internal/opconfig"
+	"github.com/oleanderbend/oleanderbend/internal/worker/workertest"
+)
+
+// useAdvice makes the queue of the cluster use an advice service that permits the given workers. It must be called
+// before instances start.
+func (c *cluster) useAdvice(ticketValidity time.Duration, permitted ...string) *workertest.Advisor {
+	config := *testConfig
+	config.Queues = []opconfig.Queue{testConfig.Queues[0]}
+	config.Queues[0].Advice = &opconfig.AdviceService{
+		BaseLatency: 20 * time.Millisecond, LatencyPerWorker: 2 * time.Millisecond, TicketValidity: ticketValidity,
+	}
+	config.BuildIndexes()
+	c.config = &config
+	advisor := workertest.NewAdvisor(c.fleet, ticketValidity, permitted...)
+	c.advisor = advisor
+	return advisor
+}
+
+// wholeWorker returns a step of the given number of tasks, each of which needs all accelerators of a worker.
+func wholeWorker(tasks int) batch.Step { return batch.Step{Count: tasks, CPU: 1000, GPU: 8} }
+
+// loseWorkers stops workers for good and removes their registry entries.
+func (c *cluster) loseWorkers(ids ...string) {
+	for _, id := range ids {
+		c.fleet.Remove(id)
+	}
+	time.Sleep(3 * time.Second)
+	for _, id := range ids {
+		c.write(workersTopic, ledger.Record{Key: id})
+	}
+}
+
+// Guards against a job with advice that never runs again: the workers that were granted for it were lost for good,
+// and the leader never asked about those that replaced them.
+func TestJobWithAdviceRunsOnReplacedWorkers(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		inVirtualTime(t, 1, fixedWork(4*time.Second), func(c *cluster) {
+			c.useAdvice(3*time.Second, "w1", "w2", "w3", "w4")
+			for _, id := range []string{"w1", "w2", "other1", "other2"} {
+				c.addWorker(id, "r1")
+			}
+			leader := c.startInstance("a")
+			c.submit(jobID(1), wholeWorker(2))
+			c.waitFor(4*time.Second, "started", func() bool { return c.fleet.RunCount("w1") == 1 && c.fleet.RunCount("w2") == 1 })
+			c.loseWorkers("w1", "w2")
+			if takeover {
+				leader.kill()
+				c.startInstance("b")
+			}
+			c.addWorker("w3", "r1")
+			c.addWorker("w4", "r1")
+			c.waitFor(15*time.Second, "completed", func() bool { return c.phase(jobID(1)) == batch.Completed })
+			require.Empty(t, c.fleet.Violations())
+		})
+	}
+}
+
+// As TestJobWithAdviceRunsOnReplacedWorkers, for a worker that was refused and starts again under its ID as another
+// kind.
+func TestAdviceIsRequestedForNewIncarnations(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(time.Second), func(c *cluster) {
+		advisor := c.useAdvice(3*time.Second, "w1")
+		c.addWorker("w1", "r1")
+		c.addWorker("w2", "r1")
+		c.startInstance("a")
+		c.submit(jobID(1), wholeWorker(1), batch.Step{Count: 1, CPU: 1000, GPU: 8, After: []int{0}})
+		c.waitFor(4*time.Second, "started", func() bool { return c.fleet.RunCount("w1") == 1 })
+		c.loseWorkers("w1")
+		time.Sleep(7 * time.Second)
+		require.NotEqual(t, batch.Completed, c.phase(jobID(1)))
+		advisor.Permit("w2")
+		c.restartWorker("w2", 0)
+		c.waitFor(5*time.Second, "completed", func() bool { return c.phase(jobID(1)) == batch.Completed })
+		require.Empty(t, c.fleet.Violations())
+	})
+}
+
+// Guards against a job with advice that waits although a permitted worker is idle: as many workers were granted as
+// tasks wait, but other work keeps those busy.
+func TestAdviceIsRequestedForIdleWorkersWhileGrantedOnesAreBusy(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(20*time.Second), func(c *cluster) {
+		c.useAdvice(3*time.Second, "w1", "w2")
+		c.addWorker("w1", "r1")
+		c.startInstance("a")
+		c.submit(jobID(1), wholeWorker(1))
+		c.waitFor(4*time.Second, "first job started", func() bool { return c.fleet.RunCount("w1") == 1 })
+		c.submit(jobID(2), wholeWorker(1))
+		time.Sleep(4 * time.Second)
+		c.addWorker("w2", "r1")
+		c.waitFor(2*time.Second, "second job started", func() bool { return c.fleet.RunCount("w2") == 1 })
+	})
+}
+
+// Guards against tasks with advice that wait although permitted workers are idle: more workers were granted than one
+// call may name, and only the first of them were asked about again.
+func TestAdviceCoversMoreWorkersThanOneCall(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(20*time.Second), func(c *cluster) {
+		const workers = maxWorkersPerCall + 10
+		var ids []string
+		for n := range workers {
+			ids = append(ids, fmt.Sprintf("w%02d", n))
+		}
+		c.useAdvice(3*time.Second, ids...)
+		for _, id := range ids {
+			c.addWorker(id, "r1")
+		}
+		c.startInstance("a")
+		c.submit(jobID(1), wholeWorker(workers))
+		c.waitFor(5*time.Second, "started", func() bool {
+			_, runs := c.fleet.JobCounts(jobID(1))
+			return runs == workers
+		})
+	})
+}
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -76,7 +76,7 @@
 	// takeover at first that of the task with the highest index that has one. Only gangs resume
 	// from it.
 	checkpoint string
-	advice     *advice
+	advice     advice
 	// slowRestarts counts the restarts of tasks because of slow workers.
 	slowRestarts int
 	// heldBackSince is since when the unit has been held back (planner.Wait.HeldBack) in all planning rounds
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -122,6 +122,17 @@
 	return all, releasing
 }
 
+// capacity returns the resources of the worker, whether used or not.
+func (ws *workerState) capacity() planner.Resources {
+	return planner.Resources{CPU: ws.info.CPU, MemoryMB: ws.info.MemoryMB, GPU: ws.info.GPU}
+}
+
+// free returns the resources of the worker that no run uses.
+func (ws *workerState) free() planner.Resources {
+	used, _ := ws.usedResources()
+	return ws.capacity().Sub(used)
+}
+
 // needOf returns the resources of a worker that a task of the step occupies.
 func needOf(s *batch.Step) planner.Resources {
 	need := requestOf(s)
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -134,11 +134,10 @@
 }
 
 func (l *leader) describeWorker(ws *workerState, now boottime.Instant) planner.Worker {
-	capacity := planner.Resources{CPU: ws.info.CPU, MemoryMB: ws.info.MemoryMB, GPU: ws.info.GPU}
 	used, releasing := ws.usedResources()
 	w := planner.Worker{
 		ID: ws.id, Service: ws.info.Service, Rack: ws.info.Rack, Labels: ws.info.Labels, AcceptsWork: ws.acceptsWork(now) && !l.maintenance.isPreparing(ws.id),
-		Free: capacity.Sub(used), Releasing: releasing, Suspicion: len(ws.failedJobs), Slow: now < ws.slowUntil,
+		Free: ws.capacity().Sub(used), Releasing: releasing, Suspicion: len(ws.failedJobs), Slow: now < ws.slowUntil,
 	}
 	for _, r := range ws.runs {
 		step := r.task.unit.step
@@ -205,7 +204,7 @@
 	}
 	d.Avoid = u.avoidedWorkers()
 	if q := l.queueOf(j); q != nil && q.Advice != nil {
-		allowed, ok := u.advice.workersWithTickets(now)
+		allowed, ok := l.workersWithTickets(u, now)
 		if !ok {
 			return d, false
 		}
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -251,7 +251,7 @@
 		ws.noWorkUntil = now.Add(rejectedRetryInterval)
 		ws.needsPoll = true
 	case worker.RejectedTicket:
-		u.advice = nil
+		u.advice.expireTickets()
 	}
 	if r.unconfirmed > 0 {
 		if reason == worker.RejectedOldRun || reason == worker.RejectedLeaseExpired {
--- a/internal/controller/services_test.go
+++ b/internal/controller/services_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/oleanderbend/oleanderbend/internal/batch"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
-	"github.com/oleanderbend/oleanderbend/internal/opconfig"
 	"github.com/oleanderbend/oleanderbend/internal/worker"
 	"github.com/oleanderbend/oleanderbend/internal/worker/workertest"
 )
@@ -24,13 +23,7 @@
 		for _, id := range []string{"w1", "w2", "w3", "w4"} {
 			c.addWorker(id, "r1")
 		}
-		config := *testConfig
-		config.Queues = []opconfig.Queue{testConfig.Queues[0]}
-		config.Queues[0].Advice = &opconfig.AdviceService{BaseLatency: 20 * time.Millisecond, LatencyPerWorker: 2 * time.Millisecond, TicketValidity: time.Second}
-		config.BuildIndexes()
-		c.config = &config
-		advisor := workertest.NewAdvisor(c.fleet, time.Second, "w2", "w3")
-		c.advisor = advisor
+		advisor := c.useAdvice(time.Second, "w2", "w3")
 		c.startInstance("a")
 		c.submit(jobID(1), batch.Step{Count: 6, CPU: 1000, GPU: 4})
 		c.waitFor(10*time.Second, "completed", func() bool { return c.phase(jobID(1)) == batch.Completed })
--- a/internal/worker/workertest/fleet.go
+++ b/internal/worker/workertest/fleet.go
@@ -7,8 +7,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -182,6 +184,8 @@
 	}
 	if old := f.workers[info.ID]; old != nil {
 		old.discardRuns()
+		// Tickets are valid for one incarnation.
+		maps.DeleteFunc(f.validTickets, func(key, _ string) bool { return strings.HasSuffix(key, " "+info.ID) })
 	}
 	f.workers[info.ID] = &standinWorker{
 		info: info, started: time.Now(), clockRate: clockRate, slowdown: 1, runs: make(map[batch.TaskID]*standinRun),
--- a/internal/worker/workertest/services.go
+++ b/internal/worker/workertest/services.go
@@ -31,6 +31,15 @@
 	return a
 }
 
+// Permit permits further workers.
+func (a *Advisor) Permit(ids ...string) {
+	a.fleet.mu.Lock()
+	defer a.fleet.mu.Unlock()
+	for _, id := range ids {
+		a.permitted[id] = true
+	}
+}
+
 // Calls returns how often Advise was called.
 func (a *Advisor) Calls() int {
 	a.fleet.mu.Lock()
