Choose among the units that a call to the advice service would help

Cause: the unit for the next call was chosen first, by priority and age, and only then the workers to ask about. If there were none, no call was sent and the same unit was chosen again; if the call failed, or brought too few workers, it was chosen again at once.

Now a unit is chosen only if there are workers to ask about. Units that could start at once, by fitting or, with priority 0, by preemption, go first, and every second call goes to the unit whose last call is the longest ago, so that units that need calls again and again leave time for others. A step that waits with no worker left to ask about has a reason of its own in the log, no-permitted-worker; before, the log could not tell it from a call in flight.

--- a/internal/controller/advice_test.go
+++ b/internal/controller/advice_test.go
@@ -1,7 +1,9 @@
 package controller
 
 import (
+	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 	"github.com/oleanderbend/oleanderbend/internal/batch"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
 	"github.com/oleanderbend/oleanderbend/internal/opconfig"
+	"github.com/oleanderbend/oleanderbend/internal/worker"
 	"github.com/oleanderbend/oleanderbend/internal/worker/workertest"
 )
 
@@ -124,3 +127,68 @@
 		})
 	})
 }
+
+// stepAdvisor is an advice service that refuses all workers, or does not respond, for the steps of some jobs.
+type stepAdvisor struct {
+	*workertest.Advisor
+	refused, failing map[string]bool
+}
+
+func (a *stepAdvisor) Advise(ctx context.Context, step string, workers []string) ([]worker.Grant, time.Duration, error) {
+	job, _, _ := strings.Cut(step, ".")
+	switch {
+	case a.failing[job]:
+		<-ctx.Done()
+		return nil, 0, worker.ErrUnknownOutcome
+	case a.refused[job]:
+		time.Sleep(time.Duration(20+2*len(workers)) * time.Millisecond)
+		return nil, 0, nil
+	}
+	return a.Advisor.Advise(ctx, step, workers)
+}
+
+// Guards against jobs with advice that never start because of earlier ones for which no call to the advice service
+// helps: the leader went on choosing the earlier ones.
+func TestHopelessJobsDoNotKeepOthersFromAdvice(t *testing.T) {
+	const hopelessJobs = 30
+	for name, hopeless := range map[string]batch.Step{
+		"label":   {Count: 1, CPU: 1000, GPU: 1, Label: "none"},
+		"refused": {Count: 1, CPU: 1000, GPU: 1},
+		"failing": {Count: 1, CPU: 1000, GPU: 1},
+		// The permitted workers suffice for one of these tasks, but the gang needs all.
+		"gang": {Count: 3, CPU: 1000, GPU: 8, Gang: true},
+		// No worker is large enough.
+		"large": {Count: 1, CPU: 1000, GPU: 9},
+	} {
+		for _, takeover := range []bool{false, true} {
+			inVirtualTime(t, 1, fixedWork(time.Second), func(c *cluster) {
+				advisor := &stepAdvisor{Advisor: c.useAdvice(3*time.Second, "w1", "w2"), refused: make(map[string]bool), failing: make(map[string]bool)}
+				c.advisor = advisor
+				for _, id := range []string{"w1", "w2", "other1", "other2"} {
+					c.addWorker(id, "r1")
+				}
+				for n := range hopelessJobs {
+					advisor.refused[jobID(n)], advisor.failing[jobID(n)] = name == "refused", name == "failing" && n < 2
+				}
+				leader := c.startInstance("a")
+				for n := range hopelessJobs {
+					if name != "failing" || n < 2 {
+						c.submit(jobID(n), hopeless)
+					}
+				}
+				time.Sleep(4 * time.Second)
+				if takeover {
+					leader.kill()
+					c.startInstance("b")
+				}
+				for n := range 6 {
+					c.submit(jobID(100+n), batch.Step{Count: 2, CPU: 1000, GPU: 4}, batch.Step{Count: 1, CPU: 1000, GPU: 8, After: []int{0}})
+				}
+				for n := range 6 {
+					c.waitFor(25*time.Second, name+": completed", func() bool { return c.phase(jobID(100+n)) == batch.Completed })
+				}
+				require.Empty(t, c.fleet.Violations())
+			})
+		}
+	}
+}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -89,8 +89,10 @@
 	takeoverStartedAt boottime.Instant
 	lastCleanupAt     boottime.Instant
 	nextUnitID        int
-	adviceInFlight    bool
-	maintenance       *maintenanceState
+	// adviceInFlight means that a call to the advice service is in flight, adviceByAge that the next one goes to
+	// the unit whose last call is the longest ago.
+	adviceInFlight, adviceByAge bool
+	maintenance                 *maintenanceState
 }
 
 func newLeader(ctx context.Context, c *Controller, cancel context.CancelFunc, term election.Term) *leader {
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -107,8 +107,8 @@
 			}
 			d, ok := l.describeUnit(u, n, now, guaranteed[j])
 			if !ok {
-				if u.waitLogDue(waitsForAdvice, now) {
-					l.logWait(u, waitsForAdvice, "", 0, now)
+				if reason := u.advice.waitReason(); u.waitLogDue(reason, now) {
+					l.logWait(u, reason, "", 0, now)
 				}
 				continue
 			}
--- a/internal/controller/wait.go
+++ b/internal/controller/wait.go
@@ -13,12 +13,23 @@
 const (
 	// waitsForAdvice is the reason of units that have no valid ticket of the advice service.
 	waitsForAdvice planner.WaitReason = "advice"
+	// waitsForPermittedWorker is the reason of such units if there is no worker left to ask about: the service
+	// has refused all workers that suit the unit, or there are none.
+	waitsForPermittedWorker planner.WaitReason = "no-permitted-worker"
 	// minLoggedWait is how long a unit waits before the reason is logged. Most units wait less.
 	minLoggedWait = time.Second
 	// waitLogInterval is the minimum time between two lines about the same unit.
 	waitLogInterval = 2 * time.Second
 )
 
+// waitReason returns why a unit without valid tickets waits.
+func (a *advice) waitReason() planner.WaitReason {
+	if a.exhausted {
+		return waitsForPermittedWorker
+	}
+	return waitsForAdvice
+}
+
 // newWaitGauges returns the gauges of the number of waiting units, by reason.
 func newWaitGauges(set *metrics.Set) map[planner.WaitReason]*metrics.Gauge {
 	gauges := make(map[planner.WaitReason]*metrics.Gauge)
