Wait for the rest of a truncated list of ends

Cause: a response to a poll lists at most 500 ends, and the next ones only once these are acknowledged. The leader took a run that was neither running nor in the list for lost. The same cut list had a second effect: a new leader renews no leases until the runs of its predecessor are accounted for, so runs that went on beside over 500 ends lost their leases while those ends could not be stored.

Now the adapter says that a list is truncated, and the leader ends no missing run because of such a response; the following ones show it. Leases are renewed after the first response of the term, which has all runs in progress.

Looked at as well: the other lists of the wire format. The registry and the list of machines are read page by page, calls for advice are split, and the extension of leases ignores the lists. The stand-in of the workers, and with it the soak, lists 500 ends at most now.

--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -39,7 +39,11 @@
 	return ws.maxExpiryMS == 0 || (ws.clockReadAt != 0 && ws.minClock(now) > ws.maxExpiryMS+expiryMargin.Milliseconds())
 }
 
-func (ws *workerState) hasAdopting() bool {
+// awaitsAdoption reports whether the worker has runs of previous leaders and has not reported its runs in this term.
+func (ws *workerState) awaitsAdoption() bool {
+	if ws.polledInTerm {
+		return false
+	}
 	for _, r := range ws.runs {
 		if r.state == adopting {
 			return true
@@ -74,7 +78,7 @@
 	l.leasesExtended = true
 	count := 0
 	for _, ws := range l.workers {
-		if len(ws.runs) > 0 && ws.clockReadAt != 0 && !ws.hasAdopting() && ws.unreachableSince == 0 {
+		if len(ws.runs) > 0 && ws.clockReadAt != 0 && !ws.awaitsAdoption() && ws.unreachableSince == 0 {
 			count++
 			l.extendLease(ws, now)
 		}
--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -101,7 +101,7 @@
 		command.AcknowledgedThrough = ws.processedEnd
 	}
 	switch {
-	case ws.clockReadAt == 0 || ws.hasAdopting():
+	case ws.clockReadAt == 0 || ws.awaitsAdoption():
 		// Leases are not renewed before the worker's clock has been read and the runs that are
 		// being adopted have been reported. This poll also raises the worker's fencing token.
 	case ws.unreachableSince != 0:
@@ -245,7 +245,7 @@
 
 // applyRunning applies the reported runs of a worker: it updates the runs that the leader tracks,
 // stops the others and holds new work back until they are gone, and ends tracked runs that should have
-// been reported and were not.
+// been reported and were not. The ends of the response must have been applied.
 func (l *leader) applyRunning(ws *workerState, sent boottime.Instant, response worker.PollResponse) {
 	reported := make(map[batch.TaskID]bool, len(response.Running))
 	for i := range response.Running {
@@ -260,6 +260,12 @@
 		reported[s.Task] = true
 		l.applyRunStatus(r, s, response.ClockMS)
 	}
+	if response.EndsTruncated {
+		// A run that is missing may have ended: the responses after the next acknowledgements show it.
+		l.logger.Info().Str("worker", ws.id).Int("ends", len(response.Ended)).Int("runs", len(ws.runs)-len(reported)).
+			Msg("response lists only a part of the ends")
+		return
+	}
 	for _, r := range ws.runList() {
 		if !reported[r.task.id] && r.confirmedAt != 0 && sent > r.confirmedAt {
 			// The poll was sent after the outcome of the last command was known, so the run is
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -182,8 +182,11 @@
 	// StartedAtMS is the start time of the incarnation, in Unix milliseconds.
 	StartedAtMS int64
 	Running     []RunStatus
-	// Ended lists the ended runs that are not yet acknowledged.
+	// Ended lists the ended runs that are not yet acknowledged, in the order of their sequence numbers.
 	Ended []End
+	// EndsTruncated means that Ended may lack the last ends: a response has room for a limited number of
+	// them. A run that is neither in Running nor in Ended may then have ended in any way.
+	EndsTruncated bool
 }
 
 // Client sends commands to workers.
--- a/internal/worker/workertest/fleet.go
+++ b/internal/worker/workertest/fleet.go
@@ -28,6 +28,8 @@
 	startupDuration = 300 * time.Millisecond
 	// gangJoinTimeout is how long a member of a gang waits for the other members.
 	gangJoinTimeout = 3 * time.Second
+	// maxEndsPerResponse is the number of ends that a response to a poll lists.
+	maxEndsPerResponse = 500
 )
 
 // Work describes the course of a run.
@@ -679,7 +681,9 @@
 }
 
 func (w *standinWorker) pollResponse() worker.PollResponse {
-	response := worker.PollResponse{ClockMS: w.clockMS(), StartedAtMS: w.info.StartedAtMS, Ended: slices.Clone(w.ends)}
+	response := worker.PollResponse{ClockMS: w.clockMS(), StartedAtMS: w.info.StartedAtMS}
+	response.Ended = slices.Clone(w.ends[:min(len(w.ends), maxEndsPerResponse)])
+	response.EndsTruncated = len(response.Ended) == maxEndsPerResponse
 	for id, r := range w.runs {
 		response.Running = append(response.Running, worker.RunStatus{Run: worker.Run{Task: id, Number: r.number}, Percent: r.progressPercent()})
 	}
