Show a job as running only once a task of it has started

Cause: the phase was stored when tasks were placed, before a start was sent, and a new leader took any task record for a start.

Now the phase is stored when a worker confirms a start: by its response, by reporting the run, or by reporting its end. The task's record says that a run has started, so that the next leader can store the phase if this one could not. A phase is never taken back: it is true once a task has begun.

Evidence: TestJobWithRejectedStartsIsNotRunning failed on (0 unstarted jobs, 3 expected) and passes, also with the leader killed while starts are rejected.

--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -57,6 +57,8 @@
 	Failures int `json:"f,omitempty"`
 	// FailedRun is the number of the last run that is counted in Failures.
 	FailedRun int64 `json:"l,omitempty"`
+	// Started means that a run has started on a worker. It is not set if all starts so far were rejected.
+	Started bool `json:"s,omitempty"`
 	// Run is the highest run number that was assigned.
 	Run int64 `json:"r,omitempty"`
 	// Worker is the id of the worker that run number Run was sent to; empty once that run is known to
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -173,8 +173,8 @@
 		if t := j.exhaustedTask(); t != nil {
 			l.failJob(j, t)
 		}
-		if j.active() && j.phase == batch.Queued && len(records) > 0 {
-			// A previous leader placed tasks and could not store the phase.
+		if j.active() && j.phase == batch.Queued && records.started() {
+			// A previous leader could not store the phase.
 			l.setPhase(j, batch.Running, nil)
 		}
 	case records.mayHaveRuns():
@@ -215,6 +215,16 @@
 	return false
 }
 
+// started reports whether a run of any task is known to have started.
+func (r taskRecords) started() bool {
+	for _, rec := range r {
+		if rec.Started || rec.Done || rec.Failures > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // occurrences returns the number of occurrences up to the last one with a record.
 func (r taskRecords) occurrences() int {
 	n := 0
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -400,9 +400,6 @@
 			l.sendStart(r)
 		}
 	})
-	if u.job.phase == batch.Queued {
-		l.setPhase(u.job, batch.Running, nil)
-	}
 }
 
 // stopUnfinishable stops the running tasks of a draining worker that cannot finish before it shuts
--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -238,6 +238,7 @@
 		}
 		ws.processedEnd = e.Sequence
 		if r := ws.runs[e.Task]; r != nil && r.number == e.Run.Number {
+			l.recordStart(r)
 			l.endRun(r, e.Kind, e.Checkpoint)
 		}
 	}
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -193,6 +193,7 @@
 	var rejected *worker.RejectedError
 	switch {
 	case err == nil:
+		l.recordStart(r)
 		r.worker.lastStartOrPollResponse = boottime.Now()
 		if r.state == starting {
 			r.state = running
@@ -223,6 +224,14 @@
 	}
 }
 
+// recordStart records that a worker has confirmed that a run has started. The job is running from then on.
+func (l *leader) recordStart(r *run) {
+	r.task.rec.Started = true
+	if j := r.task.unit.job; j.active() && j.phase == batch.Queued {
+		l.setPhase(j, batch.Running, nil)
+	}
+}
+
 // markUnconfirmed records that a start got no response. It is called when the missing response is
 // noticed, so the recorded time is up to commandTimeout later than maxCommandDelay after the
 // sending.
@@ -370,6 +379,7 @@
 	if s.Checkpoint != "" {
 		r.checkpoint = s.Checkpoint
 	}
+	l.recordStart(r)
 	switch r.state {
 	case adopting:
 		r.state = running
