Split the test of hopeless jobs with advice

The cases, times and checks are the same; the name of the case is no longer part of the failure's message.

--- a/internal/controller/advice_test.go
+++ b/internal/controller/advice_test.go
@@ -150,45 +150,53 @@
 // Guards against jobs with advice that never start because of earlier ones for which no call to the advice service
 // helps: the leader went on choosing the earlier ones.
 func TestHopelessJobsDoNotKeepOthersFromAdvice(t *testing.T) {
-	const hopelessJobs = 30
-	for name, hopeless := range map[string]batch.Step{
-		"label":   {Count: 1, CPU: 1000, GPU: 1, Label: "none"},
-		"refused": {Count: 1, CPU: 1000, GPU: 1},
-		"failing": {Count: 1, CPU: 1000, GPU: 1},
-		// The permitted workers suffice for one of these tasks, but the gang needs all.
-		"gang": {Count: 3, CPU: 1000, GPU: 8, Gang: true},
+	for _, test := range []struct {
+		name string
+		jobs int
+		step batch.Step
+	}{
+		{"label", 30, batch.Step{Count: 1, CPU: 1000, GPU: 1, Label: "none"}},
+		{"refused", 30, batch.Step{Count: 1, CPU: 1000, GPU: 1}},
+		{"failing", 2, batch.Step{Count: 1, CPU: 1000, GPU: 1}},
+		// The permitted workers suffice for two of these tasks, but the gang needs all.
+		{"gang", 30, batch.Step{Count: 3, CPU: 1000, GPU: 8, Gang: true}},
 		// No worker is large enough.
-		"large": {Count: 1, CPU: 1000, GPU: 9},
+		{"large", 30, batch.Step{Count: 1, CPU: 1000, GPU: 9}},
 	} {
 		for _, takeover := range []bool{false, true} {
 			inVirtualTime(t, 1, fixedWork(time.Second), func(c *cluster) {
 				advisor := &stepAdvisor{Advisor: c.useAdvice(3*time.Second, "w1", "w2"), refused: make(map[string]bool), failing: make(map[string]bool)}
-				c.advisor = advisor
-				for _, id := range []string{"w1", "w2", "other1", "other2"} {
-					c.addWorker(id, "r1")
-				}
-				for n := range hopelessJobs {
-					advisor.refused[jobID(n)], advisor.failing[jobID(n)] = name == "refused", name == "failing" && n < 2
-				}
-				leader := c.startInstance("a")
-				for n := range hopelessJobs {
-					if name != "failing" || n < 2 {
-						c.submit(jobID(n), hopeless)
-					}
-				}
-				time.Sleep(4 * time.Second)
-				if takeover {
-					leader.kill()
-					c.startInstance("b")
+				for n := range test.jobs {
+					advisor.refused[jobID(n)], advisor.failing[jobID(n)] = test.name == "refused", test.name == "failing"
 				}
-				for n := range 6 {
-					c.submit(jobID(100+n), batch.Step{Count: 2, CPU: 1000, GPU: 4}, batch.Step{Count: 1, CPU: 1000, GPU: 8, After: []int{0}})
-				}
-				for n := range 6 {
-					c.waitFor(25*time.Second, name+": completed", func() bool { return c.phase(jobID(100+n)) == batch.Completed })
-				}
-				require.Empty(t, c.fleet.Violations())
+				c.advisor = advisor
+				testHopelessJobs(c, test.jobs, test.step, takeover)
 			})
 		}
 	}
 }
+
+// testHopelessJobs submits jobs that cannot be done and then some that can. With a takeover, the leader is replaced in
+// between.
+func testHopelessJobs(c *cluster, jobs int, hopeless batch.Step, takeover bool) {
+	for _, id := range []string{"w1", "w2", "other1", "other2"} {
+		c.addWorker(id, "r1")
+	}
+	leader := c.startInstance("a")
+	for n := range jobs {
+		c.submit(jobID(n), hopeless)
+	}
+	time.Sleep(4 * time.Second)
+	if takeover {
+		leader.kill()
+		c.startInstance("b")
+	}
+	const first, last = 100, 106
+	for n := first; n < last; n++ {
+		c.submit(jobID(n), batch.Step{Count: 2, CPU: 1000, GPU: 4}, batch.Step{Count: 1, CPU: 1000, GPU: 8, After: []int{0}})
+	}
+	for n := first; n < last; n++ {
+		c.waitFor(25*time.Second, "completed", func() bool { return c.phase(jobID(n)) == batch.Completed })
+	}
+	require.Empty(c.t, c.fleet.Violations())
+}
