Poll idle workers while a start may still be delivered to them

The late start was carried out in the new incarnation.

Cause: the leader tells a new incarnation to reject such a start, but notices it only by a poll or by the registry entry, and it polled no worker without runs. Behind a cut from the store the entry comes seconds later.

--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -21,6 +21,10 @@
 	// idlePollRetryInterval replaces pollRetryInterval for a worker without runs: every poll has a
 	// cost, and an unreachable worker usually stays unreachable for some seconds.
 	idlePollRetryInterval = time.Second
+	// lateStartPollInterval is the pause after a poll of a worker without runs to which a start may still be
+	// delivered. It is shorter than the time from a restart of the worker until its registry entry is read, because
+	// a new incarnation must be told to reject the start.
+	lateStartPollInterval = 300 * time.Millisecond
 	// untrackedPollInterval is the pause after a poll that reported a run that the leader does not track.
 	untrackedPollInterval = 150 * time.Millisecond
 	// sameIncarnationWindow is the time after a poll within which the worker cannot have restarted:
@@ -78,7 +82,7 @@
 
 // poll asks a worker for the state of its runs and renews its leases. It does nothing while a poll
 // is in flight, before the time of the next poll, or if the worker is reachable and has no runs, no
-// unacknowledged ends and no needsPoll. While the records of ended runs are not stored yet, it only renews
+// unacknowledged ends, no needsPoll and no start that may still be delivered. While the records of ended runs are not stored yet, it only renews
 // the leases of the other runs.
 func (l *leader) poll(ws *workerState) {
 	now := boottime.Now()
@@ -89,7 +93,7 @@
 	if storing && (len(ws.runs) == 0 || now.Sub(ws.lastStartOrPollResponse) < pollWait) {
 		return
 	}
-	if len(ws.runs) == 0 && ws.processedEnd == ws.acknowledgedEnd && !ws.needsPoll && ws.unreachableSince == 0 {
+	if ws.isIdle() && !ws.needsPoll && ws.unreachableSince == 0 && !ws.expectsLateStart(now) {
 		return
 	}
 	command := worker.PollCommand{Token: l.term.Epoch}
@@ -178,9 +182,12 @@
 	l.restartStalled(ws)
 	l.leaveSlowWorker(ws)
 	l.adjustFillerSpeeds(ws)
-	if ws.needsPoll {
+	switch {
+	case ws.needsPoll:
 		// A stop takes about as long, and polls of a worker without runs return at once.
 		ws.nextPoll = max(ws.nextPoll, boottime.Now().Add(untrackedPollInterval))
+	case ws.isIdle():
+		ws.nextPoll = max(ws.nextPoll, boottime.Now().Add(lateStartPollInterval))
 	}
 	l.poll(ws)
 }
@@ -199,7 +206,7 @@
 	var rejected *worker.RejectedError
 	now := boottime.Now()
 	ws.nextPoll = now.Add(pollRetryInterval)
-	if len(ws.runs) == 0 {
+	if len(ws.runs) == 0 && !ws.expectsLateStart(now) {
 		ws.nextPoll = now.Add(idlePollRetryInterval)
 	}
 	if errors.As(err, &rejected) {
--- a/internal/controller/untracked_test.go
+++ b/internal/controller/untracked_test.go
@@ -122,6 +122,25 @@
 	})
 }
 
+// Guards against a task that runs twice: its run had ended, its worker had nothing to do and restarted unnoticed, and a
+// start without a response was delivered to the next incarnation before the registry entry of that one was read.
+func TestRestartOfIdleWorkerIsNoticedWhileStartMayArrive(t *testing.T) {
+	workOf := usesGPUs(500*time.Millisecond, map[string]int64{jobID(1): 1})
+	inVirtualTime(t, 1, workOf, func(c *cluster) {
+		c.addWorker("w1", "r1")
+		c.startInstance("a")
+		time.Sleep(4 * time.Second)
+		c.fleet.SetDelayedCommands(1, 6*time.Second)
+		c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 1})
+		time.Sleep(300 * time.Millisecond)
+		c.fleet.SetDelayedCommands(0, 0)
+		c.waitFor(4*time.Second, "acknowledged", func() bool { return c.fleet.EndAcknowledged(batch.TaskID{Job: jobID(1)}) })
+		time.Sleep(3 * time.Second)
+		c.restartWorker("w1", 5*time.Second)
+		require.Empty(t, c.fleet.Violations())
+	})
+}
+
 // hangingAcknowledgements lets the first poll that acknowledges ends hang until it times out. If lateBy is
 // set, the worker executes it then.
 type hangingAcknowledgements struct {
--- a/internal/controller/workerstate.go
+++ b/internal/controller/workerstate.go
@@ -98,15 +98,23 @@
 // and no effect of earlier commands or ends is outstanding. A new state of the same worker would
 // acknowledge ends whose records are not stored, and would not stop starts that arrive late.
 func (ws *workerState) forgettable(now boottime.Instant) bool {
-	if ws.registered || len(ws.runs) > 0 || ws.unstoredEnds > 0 || ws.pollInFlight || now < ws.unconfirmedAckUntil {
-		return false
-	}
+	return !ws.registered && len(ws.runs) == 0 && ws.unstoredEnds == 0 && !ws.pollInFlight && now >= ws.unconfirmedAckUntil &&
+		!ws.expectsLateStart(now)
+}
+
+// expectsLateStart reports whether a start without a response may still be delivered to the worker.
+func (ws *workerState) expectsLateStart(now boottime.Instant) bool {
 	for _, until := range ws.unconfirmedStarts {
 		if now < until {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
+}
+
+// isIdle reports whether the worker has no runs and no ends that are to be acknowledged.
+func (ws *workerState) isIdle() bool {
+	return len(ws.runs) == 0 && ws.processedEnd == ws.acknowledgedEnd
 }
 
 // tracks reports whether a run is among the runs of the worker that the leader knows of.
