Keep the advice of a queue for its jobs after its route is removed

Cause: the leader knew from the current configuration only that a queue has advice. Without the queue it sent starts without tickets, which workers reject.

The field is new in the record of a job; builds without it ignore it, and records without it are as before.

Evidence: TestJobWithAdviceGoesOnAfterItsRouteIsRemoved failed on ("not within 15s") and passes, also with the leader replaced. The stand-in accepted a start without a ticket on a worker that was never granted one, which hid this; it rejects them now.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Step is a set of identical tasks of a job.
@@ -66,6 +67,21 @@
 	// times the estimated duration of its longest chain of dependent steps, plus DurationOffsetMS.
 	DurationFactor   float64 `json:"stretch,omitempty"`
 	DurationOffsetMS int64   `json:"target,omitempty"`
+	// Advice is nil on queues without an advice service.
+	Advice *AdviceRules `json:"advice,omitempty"`
+}
+
+// AdviceRules are the rules of a queue whose jobs may run only on workers that the advice service permits.
+type AdviceRules struct {
+	// A call takes BaseLatency, plus LatencyPerWorker for each worker that it names; both are in nanoseconds
+	// in records.
+	BaseLatency      time.Duration `json:"base,omitempty"`
+	LatencyPerWorker time.Duration `json:"per_worker,omitempty"`
+}
+
+// Latency returns the time that a call takes that names the given number of workers.
+func (r *AdviceRules) Latency(workers int) time.Duration {
+	return r.BaseLatency + time.Duration(workers)*r.LatencyPerWorker
 }
 
 // Job is a job as submitted.
--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -5,8 +5,9 @@
 	"maps"
 	"time"
 
+	"github.com/oleanderbend/oleanderbend/internal/batch"
 	"github.com/oleanderbend/oleanderbend/internal/boottime"
-	"github.com/oleanderbend/oleanderbend/internal/opconfig"
+	"github.com/oleanderbend/oleanderbend/internal/intake"
 	"github.com/oleanderbend/oleanderbend/internal/worker"
 )
 
@@ -14,8 +15,7 @@
 	// ticketMargin is the remaining validity that a ticket needs so that the start can be stored
 	// and sent before the ticket expires.
 	ticketMargin = 400 * time.Millisecond
-	// adviceTimeoutMargin is added to the expected duration of a call, which is BaseLatency plus
-	// LatencyPerWorker for each worker, to get its timeout.
+	// adviceTimeoutMargin is added to the expected duration of a call to get its timeout.
 	adviceTimeoutMargin = time.Second
 	// maxWorkersPerCall limits the workers in one call, because the service needs time for each of
 	// them. It must not exceed worker.MaxAdviceWorkers.
@@ -83,12 +83,15 @@
 	return ids, len(ids) > 0
 }
 
-func (l *leader) queueOf(j *job) *opconfig.Queue {
-	config := l.c.cfg.OperatorConfig()
-	if config == nil {
-		return nil
+// adviceRules returns the rules for advice of a job's queue, or nil if the queue has no advice service. Once the queue
+// is gone, its last known rules still hold for its jobs: workers go on asking for tickets.
+func (l *leader) adviceRules(j *job) *batch.AdviceRules {
+	if config := l.c.cfg.OperatorConfig(); config != nil {
+		if q := config.Queue(j.spec.Queue); q != nil {
+			j.spec.Rules.Advice = intake.QueueRulesOf(q).Advice
+		}
 	}
-	return config.Queue(j.spec.Queue)
+	return j.spec.Rules.Advice
 }
 
 // requestAdvice calls the advice service for a unit that needs it. The service handles one call at a time.
@@ -113,7 +116,7 @@
 		ids[i] = ws.id
 		asked[ws.id] = adviceAnswer{startedAtMS: ws.startedAtMS}
 	}
-	limit := request.service.BaseLatency + time.Duration(len(ids))*request.service.LatencyPerWorker + adviceTimeoutMargin
+	limit := request.rules.Latency(len(ids)) + adviceTimeoutMargin
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, limit)
 		defer cancel()
--- a/internal/controller/advice_test.go
+++ b/internal/controller/advice_test.go
@@ -128,6 +128,31 @@
 	})
 }
 
+// Guards against a job with advice that never starts another task once a configuration has removed its route: the leader
+// knew of the advice service only from the current configuration, and its starts had no tickets.
+func TestJobWithAdviceGoesOnAfterItsRouteIsRemoved(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		inVirtualTime(t, 1, fixedWork(2*time.Second), func(c *cluster) {
+			c.useAdvice(3*time.Second, "w1")
+			c.addWorker("w1", "r1")
+			c.addWorker("w2", "r1")
+			leader := c.startInstance("a")
+			c.submit(jobID(1), wholeWorker(1), batch.Step{Count: 1, CPU: 1000, GPU: 8, After: []int{0}})
+			c.waitFor(4*time.Second, "started", func() bool { return c.fleet.RunCount("w1") == 1 })
+			c.config = &opconfig.Config{Version: 2, Orgs: testConfig.Orgs}
+			c.config.BuildIndexes()
+			if takeover {
+				leader.kill()
+				c.startInstance("b")
+			} else {
+				require.True(t, leader.intake.SetConfig(c.config))
+			}
+			c.waitFor(15*time.Second, "completed", func() bool { return c.phase(jobID(1)) == batch.Completed })
+			require.Equal(t, 1, c.fleet.Starts(batch.TaskID{Job: jobID(1), Step: 1}))
+		})
+	}
+}
+
 // stepAdvisor is an advice service that refuses all workers, or does not respond, for the steps of some jobs.
 type stepAdvisor struct {
 	*workertest.Advisor
--- a/internal/controller/adviceplan.go
+++ b/internal/controller/adviceplan.go
@@ -4,15 +4,15 @@
 	"cmp"
 	"slices"
 
+	"github.com/oleanderbend/oleanderbend/internal/batch"
 	"github.com/oleanderbend/oleanderbend/internal/boottime"
-	"github.com/oleanderbend/oleanderbend/internal/opconfig"
 	"github.com/oleanderbend/oleanderbend/internal/planner"
 )
 
 // adviceRequest is a call to the advice service for a unit.
 type adviceRequest struct {
-	unit    *unit
-	service *opconfig.AdviceService
+	unit  *unit
+	rules *batch.AdviceRules
 	// workers are the workers to ask about.
 	workers []*workerState
 	// mayStart means that tasks of the unit could start now if all of these workers were granted: one task or, of a gang,
@@ -48,13 +48,16 @@
 func (l *leader) advisedUnits(now boottime.Instant) []*adviceRequest {
 	var requests []*adviceRequest
 	for _, j := range l.jobs {
-		q := l.queueOf(j)
-		if !j.active() || q == nil || q.Advice == nil {
+		if !j.active() {
+			continue
+		}
+		rules := l.adviceRules(j)
+		if rules == nil {
 			continue
 		}
 		for _, u := range j.units {
 			if u.waiting() > 0 && now >= u.advice.retryAt && l.due(j, u.occurrence) {
-				requests = append(requests, &adviceRequest{unit: u, service: q.Advice})
+				requests = append(requests, &adviceRequest{unit: u, rules: rules})
 			}
 		}
 	}
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -223,7 +223,7 @@
 
 // jobRecord returns the record of a job that is accepted now, by a time of day with the given error.
 func (c *cluster) jobRecord(j *batch.Job, clockError time.Duration) ledger.Record {
-	j.Queue, j.Org, j.Rules = "q", "o", intake.QueueRulesOf(&testConfig.Queues[0])
+	j.Queue, j.Org, j.Rules = "q", "o", intake.QueueRulesOf(&c.config.Queues[0])
 	j.AcceptedMS = time.Now().Add(clockError).UnixMilli()
 	record, err := batch.EncodeJob(j)
 	require.NoError(c.t, err)
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -203,7 +203,7 @@
 		}
 	}
 	d.Avoid = u.avoidedWorkers()
-	if q := l.queueOf(j); q != nil && q.Advice != nil {
+	if l.adviceRules(j) != nil {
 		allowed, ok := l.workersWithTickets(u, now)
 		if !ok {
 			return d, false
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -276,10 +276,14 @@
 
 // QueueRulesOf returns the rules of a queue that are stored with its jobs.
 func QueueRulesOf(q *opconfig.Queue) batch.QueueRules {
-	return batch.QueueRules{
+	rules := batch.QueueRules{
 		Service: q.Service, Priority: q.Priority, MaxFailedRuns: q.MaxFailedRuns,
 		DurationFactor: q.DurationFactor, DurationOffsetMS: q.DurationOffset.Milliseconds(),
 	}
+	if q.Advice != nil {
+		rules.Advice = &batch.AdviceRules{BaseLatency: q.Advice.BaseLatency, LatencyPerWorker: q.Advice.LatencyPerWorker}
+	}
+	return rules
 }
 
 // lookup returns a copy of the state of a job, or nil.
--- a/internal/worker/workertest/fleet.go
+++ b/internal/worker/workertest/fleet.go
@@ -429,7 +429,7 @@
 	if w.clockMS() > cmd.LeaseExpiryMS {
 		return rejected(worker.RejectedLeaseExpired)
 	}
-	if f.validTickets != nil && f.validTickets[cmd.Task.StepName()+" "+w.info.ID] != cmd.Ticket {
+	if f.validTickets != nil && (cmd.Ticket == "" || f.validTickets[cmd.Task.StepName()+" "+w.info.ID] != cmd.Ticket) {
 		return rejected(worker.RejectedTicket)
 	}
 	w.leaseExpiryMS = max(w.leaseExpiryMS, cmd.LeaseExpiryMS)
