Pace only those polls of idle workers that wait for a late start

Since every poll of a worker without runs postponed the next one by 300 ms, also the one that follows a start. No caller saw this; it was found by reading. The limit of workers in a call for advice is derived from that of the service.

--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -18,8 +18,8 @@
 	// adviceTimeoutMargin is added to the expected duration of a call to get its timeout.
 	adviceTimeoutMargin = time.Second
 	// maxWorkersPerCall limits the workers in one call, because the service needs time for each of
-	// them. It must not exceed worker.MaxAdviceWorkers.
-	maxWorkersPerCall = 60
+	// them.
+	maxWorkersPerCall = min(60, worker.MaxAdviceWorkers)
 	// moreAdviceAfter is how long tasks wait although the workers with tickets have room, before other workers
 	// are asked about: the planner may keep that room free for other units.
 	moreAdviceAfter = time.Second
--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -82,8 +82,8 @@
 
 // poll asks a worker for the state of its runs and renews its leases. It does nothing while a poll
 // is in flight, before the time of the next poll, or if the worker is reachable and has no runs, no
-// unacknowledged ends, no needsPoll and no start that may still be delivered. While the records of ended runs are not stored yet, it only renews
-// the leases of the other runs.
+// unacknowledged ends, no needsPoll and no start that may still be delivered. While the records of ended runs are
+// not stored yet, it only renews the leases of the other runs.
 func (l *leader) poll(ws *workerState) {
 	now := boottime.Now()
 	if ws.pollInFlight || now < ws.nextPoll || !l.term.Valid() {
@@ -186,7 +186,7 @@
 	case ws.needsPoll:
 		// A stop takes about as long, and polls of a worker without runs return at once.
 		ws.nextPoll = max(ws.nextPoll, boottime.Now().Add(untrackedPollInterval))
-	case ws.isIdle():
+	case ws.isIdle() && ws.expectsLateStart(boottime.Now()):
 		ws.nextPoll = max(ws.nextPoll, boottime.Now().Add(lateStartPollInterval))
 	}
 	l.poll(ws)
