Place work by the speeds of workers

A third of the workers of a deployment each runs at 0.6, 1.0 and 1.6 times the usual speed, and urgent gangs have an objective of 1.5 times their work, which a slow member misses. The planner knew only workers below 0.3 of the median.

The leader now learns the speed of each worker from the progress of tasks of one step on different workers, so that wrong estimates cancel, and stores the speeds for the next leader. Units have a minimum speed; workers that are fast enough come first, unknown ones are explored with work of loose objective. Without workers that are too slow for the tightest objective of the queues nothing changes.

A worker that starts again under its id also loses its recent speed (Slow).

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -91,6 +91,9 @@
 type controllerMetrics struct {
 	starts, stops, polls, runsDone, runsNotDone, skippedEntries, panics *metrics.Counter
 	planTime, startDelay                                                *metrics.Histogram
+	// knownSpeeds is the number of workers of known speed, slowerWorkers that of those among them that are too slow for
+	// the tightest objective.
+	knownSpeeds, slowerWorkers *metrics.Gauge
 	// waiting is the number of steps that wait, as of the last planning round.
 	waiting map[planner.WaitReason]*metrics.Gauge
 }
@@ -113,6 +116,8 @@
 			panics:         set.GetOrCreateCounter(`oleanderbend_terms_ended_by_panic_total`),
 			planTime:       set.GetOrCreateHistogram(`oleanderbend_plan_seconds`),
 			startDelay:     set.GetOrCreateHistogram(`oleanderbend_start_delay_seconds`),
+			knownSpeeds:    set.GetOrCreateGauge(`oleanderbend_workers_of_known_speed`, nil),
+			slowerWorkers:  set.GetOrCreateGauge(`oleanderbend_workers_too_slow_for_tightest_objective`, nil),
 			waiting:        newWaitGauges(set),
 		},
 	}
--- /dev/null
+++ b/internal/controller/forecast.go
@@ -0,0 +1,210 @@
+package controller
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/boottime"
+	"github.com/oleanderbend/oleanderbend/internal/forecast"
+	"github.com/oleanderbend/oleanderbend/internal/ledger"
+	"github.com/oleanderbend/oleanderbend/internal/opconfig"
+	"github.com/oleanderbend/oleanderbend/internal/planner"
+)
+
+const (
+	// compareInterval is the minimum time between two comparisons of the runs of one unit. Polls come nearly a second
+	// apart, and each brings new paces of the runs on one worker only.
+	compareInterval = 200 * time.Millisecond
+	// speedsStoreInterval is the time between two stores of the speeds, so that they cost a few writes a minute. A new leader relearns
+	// what has changed since within seconds.
+	speedsStoreInterval = 5 * time.Second
+	// minKnownSpeeds and minSlowerShare are the number of workers of known speed, and the share of slower ones among
+	// them, from which on speeds are used for placement. Fewer may be outliers.
+	minKnownSpeeds = 8
+	minSlowerShare = 0.1
+	// startOverhead is the time from the decision to start a unit until its tasks work.
+	startOverhead = 100 * time.Millisecond
+	// speedMargin is by how much the minimum speed of a unit is raised, because speeds and estimates are not exact.
+	speedMargin = 1.05
+)
+
+// serviceSpeeds is what the leader knows of the speeds of the workers of one service.
+type serviceSpeeds struct {
+	*forecast.Speeds
+	summary forecast.Summary
+	// uneven means that so many workers are too slow for the tightest objective of the service's queues that
+	// placement takes speeds into account.
+	uneven   bool
+	storedAt boottime.Instant
+	// storedRecords is the number of records of the last store.
+	storedRecords int
+}
+
+// speedsOf returns the speeds of a service and creates them if necessary.
+func (l *leader) speedsOf(service string) *serviceSpeeds {
+	s := l.speeds[service]
+	if s == nil {
+		s = &serviceSpeeds{Speeds: forecast.NewSpeeds(), storedAt: boottime.Now()}
+		l.speeds[service] = s
+	}
+	return s
+}
+
+// comparePaces updates the speeds of workers from the progress of the runs of a unit.
+func (l *leader) comparePaces(u *unit, now boottime.Instant) {
+	if u.step.LongRunning || u.step.Filler || now.Sub(u.comparedAt) < compareInterval {
+		return
+	}
+	u.comparedAt = now
+	var paces []forecast.Pace
+	service := ""
+	for _, t := range u.tasks {
+		r := t.run
+		if r == nil || r.remote || r.state != running || now < r.worker.slowUntil {
+			continue
+		}
+		if d, ok := r.clocked.Pace(); ok {
+			service = r.worker.info.Service
+			paces = append(paces, forecast.Pace{Worker: r.worker.id, Run: t.id.String() + "/" + strconv.FormatInt(r.number, 10), Duration: d})
+		}
+	}
+	if len(paces) > 1 && service != "" {
+		l.speedsOf(service).Compare(now, paces)
+	}
+}
+
+// updateSpeeds summarizes the speeds of each service and stores them.
+func (l *leader) updateSpeeds(now boottime.Instant) {
+	config := l.c.cfg.OperatorConfig()
+	if config == nil {
+		return
+	}
+	for service, s := range l.speeds {
+		tightest := tightestSpeed(config, service)
+		s.summary = s.Summarize(tightest)
+		uneven := s.summary.Known >= minKnownSpeeds && float64(s.summary.Slower) >= minSlowerShare*float64(s.summary.Known)
+		if uneven != s.uneven {
+			s.uneven = uneven
+			l.logger.Info().Str("service", service).Bool("uneven", uneven).Int("known", s.summary.Known).Int("slower", s.summary.Slower).
+				Float64("limit", tightest).Float64("slowest", s.summary.Slowest).Float64("fastest", s.summary.Fastest).Msg("speeds of workers compared")
+			l.planDue = true
+		}
+		l.c.metrics.knownSpeeds.Set(float64(s.summary.Known))
+		l.c.metrics.slowerWorkers.Set(float64(s.summary.Slower))
+		if s.uneven && now.Sub(s.storedAt) >= speedsStoreInterval {
+			l.storeSpeeds(service, s, now)
+		}
+	}
+}
+
+// tightestSpeed returns the lowest speed at which long work of every queue of a service meets its objective if it
+// starts at once.
+func tightestSpeed(config *opconfig.Config, service string) float64 {
+	tightest := 0.0
+	for i := range config.Queues {
+		if q := &config.Queues[i]; q.Service == service && q.DurationFactor > 0 {
+			tightest = max(tightest, speedMargin/q.DurationFactor)
+		}
+	}
+	return tightest
+}
+
+// storeSpeeds stores the speeds of a service for the next leader. A lost store is repeated by the next one.
+func (l *leader) storeSpeeds(service string, s *serviceSpeeds, now boottime.Instant) {
+	s.storedAt = now
+	records, err := s.Encode(service, func(id string) (int64, bool) {
+		ws := l.workers[id]
+		if ws == nil || !ws.registered {
+			return 0, false
+		}
+		return ws.startedAtMS, true
+	})
+	if err != nil {
+		l.logger.Error().Err(err).Str("service", service).Msg("speeds of workers cannot be encoded")
+		return
+	}
+	for n := len(records); n < s.storedRecords; n++ {
+		records = append(records, ledger.Record{Key: service + "/" + strconv.Itoa(n)})
+	}
+	s.storedRecords = len(records)
+	if len(records) > 0 && !l.speedWriter.Enqueue(records, func(error) {}) {
+		l.logger.Warn().Str("service", service).Msg("speeds of workers not stored, too many writes wait")
+	}
+}
+
+// restoreSpeeds reads the speeds that earlier leaders have stored, in the background. Without them the speeds are learned anew.
+func (l *leader) restoreSpeeds() {
+	scan := ledger.NewScan(l.c.cfg.Log, forecast.Topic)
+	for done := false; !done; {
+		var err error
+		if done, err = scan.Step(l.ctx); err != nil {
+			if l.waitBeforeRetry(err) != nil {
+				return
+			}
+		}
+	}
+	l.post(func() { l.applyStoredSpeeds(scan.Entries) })
+}
+
+func (l *leader) applyStoredSpeeds(entries []ledger.Entry) {
+	now := boottime.Now()
+	restored := 0
+	for _, entry := range entries {
+		speeds, err := forecast.Decode(entry.Record)
+		if err != nil {
+			l.logger.Warn().Err(err).Msg("skipping stored speeds")
+			continue
+		}
+		for _, s := range speeds {
+			l.storedSpeeds[s.Worker] = s
+			if ws := l.workers[s.Worker]; ws != nil && ws.registered {
+				l.restoreSpeed(ws, now)
+			}
+			restored++
+		}
+	}
+	if restored > 0 {
+		l.logger.Info().Int("workers", restored).Msg("stored speeds of workers read")
+		l.updateSpeeds(now)
+	}
+}
+
+// restoreSpeed applies the stored speed of a worker if it is of the same incarnation.
+func (l *leader) restoreSpeed(ws *workerState, now boottime.Instant) {
+	s, stored := l.storedSpeeds[ws.id]
+	if !stored {
+		return
+	}
+	if s.StartedAtMS == ws.startedAtMS && s.Service == ws.info.Service {
+		l.speedsOf(s.Service).Restore(now, ws.id, s.Speed)
+	}
+	delete(l.storedSpeeds, ws.id)
+}
+
+// forgetSpeed drops what is known of the speed of a worker.
+func (l *leader) forgetSpeed(id string) {
+	for _, s := range l.speeds {
+		s.Forget(id)
+	}
+	delete(l.storedSpeeds, id)
+}
+
+// speedOf returns the speed of a worker for the planner; 0 if it is not known or speeds are not taken into account.
+func (l *leader) speedOf(ws *workerState) float64 {
+	s := l.speeds[ws.info.Service]
+	if s == nil || !s.uneven {
+		return 0
+	}
+	speed, _ := s.Speed(ws.id)
+	return speed
+}
+
+// minSpeed returns planner.Unit.MinSpeed of a unit of the given age whose remaining steps take the given time on the
+// typical worker.
+func (l *leader) minSpeed(u *unit, age, remaining, objective time.Duration) float64 {
+	s := l.speeds[u.job.spec.Rules.Service]
+	if s == nil || !s.uneven || u.step.LongRunning || u.step.Filler {
+		return 0
+	}
+	return planner.MinSpeed(age+startOverhead, remaining, objective, s.summary.Fastest) * speedMargin
+}
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -77,6 +77,8 @@
 	// from it.
 	checkpoint string
 	advice     advice
+	// comparedAt is when the paces of the unit's runs were last compared.
+	comparedAt boottime.Instant
 	// slowRestarts counts the restarts of tasks because of slow workers.
 	slowRestarts int
 	// heldBackSince is since when the unit has been held back (planner.Wait.HeldBack) in all planning rounds
@@ -94,6 +96,8 @@
 	run  *run
 	// avoid holds the IDs of workers on which the task failed.
 	avoid map[string]bool
+	// preempted means that a run of the task was preempted in this term.
+	preempted bool
 }
 
 func (u *unit) gang() bool { return u.step.Gang && u.step.Count > 1 }
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -11,6 +11,7 @@
 	"github.com/oleanderbend/oleanderbend/internal/batch"
 	"github.com/oleanderbend/oleanderbend/internal/boottime"
 	"github.com/oleanderbend/oleanderbend/internal/election"
+	"github.com/oleanderbend/oleanderbend/internal/forecast"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
 	"github.com/oleanderbend/oleanderbend/internal/planner"
 )
@@ -63,6 +64,8 @@
 	jobWriter  *ledger.Writer
 	// waveWriter stores the reports of maintenance waves, in the order of their creation.
 	waveWriter *ledger.Writer
+	// speedWriter stores the speeds of workers.
+	speedWriter *ledger.Writer
 
 	jobs    map[string]*job
 	workers map[string]*workerState
@@ -78,6 +81,10 @@
 	rounds roundStats
 	// leasesExtended means that the leases have been extended since the log began to fail.
 	leasesExtended bool
+	// speeds holds the speeds of the workers of each service, storedSpeeds what earlier leaders have stored of
+	// workers that are not registered yet.
+	speeds       map[string]*serviceSpeeds
+	storedSpeeds map[string]forecast.StoredSpeed
 	// slowCheckedAt is when updateSlowWorkers last compared the workers.
 	slowCheckedAt boottime.Instant
 	planDue       bool
@@ -101,10 +108,12 @@
 		inbox: make(chan func(), inboxCapacity),
 		jobs:  make(map[string]*job), workers: make(map[string]*workerState), skippedEntries: make(map[string]string),
 		maintenance: newMaintenanceState(),
+		speeds:      make(map[string]*serviceSpeeds), storedSpeeds: make(map[string]forecast.StoredSpeed),
 	}
 	l.taskWriter = l.newWriter(batch.TasksTopic)
 	l.jobWriter = l.newWriter(batch.JobsTopic)
 	l.waveWriter = l.newWriter(l.c.cfg.StatusTopic)
+	l.speedWriter = l.newWriter(forecast.Topic)
 	return l
 }
 
@@ -218,7 +227,7 @@
 
 // run handles all events of the term until it ends. It is the only user of the state.
 func (l *leader) run() {
-	for _, w := range []*ledger.Writer{l.taskWriter, l.jobWriter, l.waveWriter} {
+	for _, w := range []*ledger.Writer{l.taskWriter, l.jobWriter, l.waveWriter, l.speedWriter} {
 		go func() {
 			if err := w.Run(l.ctx); err != nil {
 				l.post(func() { l.stepDown(err.Error()) })
@@ -240,6 +249,7 @@
 		Logger: l.logger,
 	})
 	go workers.Run(l.ctx)
+	go l.restoreSpeeds()
 	l.pollAll()
 	l.planDue = true
 	ticker := time.NewTicker(tickInterval)
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -138,6 +138,7 @@
 	w := planner.Worker{
 		ID: ws.id, Service: ws.info.Service, Rack: ws.info.Rack, Labels: ws.info.Labels, AcceptsWork: ws.acceptsWork(now) && !l.maintenance.isPreparing(ws.id),
 		Free: ws.capacity().Sub(used), Releasing: releasing, Suspicion: len(ws.failedJobs), Slow: now < ws.slowUntil,
+		Speed: l.speedOf(ws),
 	}
 	for _, r := range ws.runs {
 		step := r.task.unit.step
@@ -149,6 +150,7 @@
 		w.Runs = append(w.Runs, planner.Run{
 			Group: r.groupID(), Need: needOf(step), Priority: r.task.unit.job.spec.Rules.Priority,
 			Guaranteed: r.guaranteed, Protected: step.LongRunning || r.state == adopting, LostWork: r.preemptionLoss(now),
+			Org: r.task.unit.job.spec.Org, Preempted: r.task.preempted,
 		})
 	}
 	return w
@@ -185,7 +187,7 @@
 func (l *leader) describeUnit(u *unit, waiting int, now boottime.Instant, guaranteed bool) (planner.Unit, bool) {
 	j := u.job
 	d := planner.Unit{
-		Service: j.spec.Rules.Service, Priority: j.spec.Rules.Priority, Guaranteed: guaranteed, Accepted: j.order,
+		Service: j.spec.Rules.Service, Org: j.spec.Org, Priority: j.spec.Rules.Priority, Guaranteed: guaranteed, Accepted: j.order,
 		Tasks: waiting, Need: needOf(u.step), Work: requestOf(u.step).WorkPerSecond() * float64(u.step.EstimateMS) / 1000 * float64(waiting), Gang: u.gang(), RackLocal: u.step.RackLocal && u.step.Count > 1,
 		DataRack: u.step.DataRack, Label: u.step.Label, MaxPerWorker: u.step.MaxPerWorker,
 		Checkpointed: u.step.Checkpoints, Filler: u.step.Filler, Serving: u.step.TailLatencyTargetMS > 0,
@@ -193,7 +195,7 @@
 		IgnoresHolds: u.heldBackSince != 0 && now.Sub(u.heldBackSince) >= planner.MaxHeldBack,
 	}
 	d.JobStarted = u.job.occurrenceStarted(u.occurrence)
-	d.Timeliness, d.Deadline = l.timeliness(u, now)
+	l.setTimeliness(&d, u, now)
 	if u.step.MaxPerWorker > 0 {
 		d.TasksByWorker = make(map[string]int)
 		for _, t := range u.tasks {
@@ -241,20 +243,21 @@
 	return avoid
 }
 
-// timeliness returns whether the unit, if started now, can meet the objective of its job (on time,
-// late or overdue), and the deadline in milliseconds of the boottime clock. Long-running units are always
-// on time.
-func (l *leader) timeliness(u *unit, now boottime.Instant) (planner.Timeliness, int64) {
+// setTimeliness sets whether the unit, if started now, can meet the objective of its job (on time, late or overdue), the
+// deadline in milliseconds of the boottime clock, and the minimum speed. Long-running units are always on time.
+func (l *leader) setTimeliness(d *planner.Unit, u *unit, now boottime.Instant) {
 	j := u.job
 	chain := longestChain(j.spec.Steps, -1)
 	objective := int64(j.spec.Rules.DurationFactor*float64(chain)) + j.spec.Rules.DurationOffsetMS
 	age := l.age(u, now).Milliseconds()
-	deadline := time.Duration(now).Milliseconds() - age + objective
+	d.Deadline = time.Duration(now).Milliseconds() - age + objective
 	if u.step.LongRunning {
-		return planner.OnTime, deadline
+		d.Timeliness = planner.OnTime
+		return
 	}
 	remaining := longestChain(j.spec.Steps, u.index)
-	return planner.TimelinessOf(millis(age), millis(remaining), millis(objective)), deadline
+	d.Timeliness = planner.TimelinessOf(millis(age), millis(remaining), millis(objective))
+	d.MinSpeed = l.minSpeed(u, millis(age), millis(remaining), millis(objective))
 }
 
 func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
@@ -352,6 +355,7 @@
 	for _, ws := range l.workers {
 		for _, r := range ws.runList() {
 			if r.groupID() == group {
+				r.task.preempted = true
 				l.stopRun(r, "preempted")
 				stopped++
 			}
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -7,6 +7,7 @@
 
 	"github.com/oleanderbend/oleanderbend/internal/boottime"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
+	"github.com/oleanderbend/oleanderbend/internal/progress"
 	"github.com/oleanderbend/oleanderbend/internal/worker"
 )
 
@@ -78,6 +79,7 @@
 	ws.heartbeatAt = writtenAfter
 	ws.shutdownAt = boottime.Now().Add(info.RemainingTime)
 	ws.registered, ws.info, ws.address = true, info, info.Address
+	l.restoreSpeed(ws, boottime.Now())
 	// Entries are read late, so an entry's clock is used only if it raises the lower bound.
 	if now := boottime.Now(); ws.clockReadAt == 0 || info.ClockMS > ws.clockMS+now.Sub(ws.clockReadAt).Milliseconds() {
 		ws.clockMS, ws.clockReadAt = info.ClockMS, now
@@ -129,6 +131,7 @@
 	l.logger.Info().Str("worker", ws.id).Int("unstored_ends", ws.unstoredEnds).Int("unanswered", len(ws.unconfirmedStarts)).
 		Int64("through", ws.processedEnd).Msg("worker forgotten")
 	delete(l.workers, ws.id)
+	l.forgetSpeed(ws.id)
 	l.c.cfg.Workers.CloseConnections(ws.address)
 }
 
@@ -146,6 +149,9 @@
 	}
 	l.logger.Info().Str("worker", ws.id).Int64("born", startedAtMS).Int("runs", len(ws.runs)).Msg("worker started again")
 	ws.processedEnd, ws.acknowledgedEnd = 0, 0
+	// The new incarnation may run on another machine.
+	l.forgetSpeed(ws.id)
+	ws.speed, ws.slowUntil = progress.Speed{}, 0
 	// The clock of the new incarnation is not known; 0 is a lower bound. Workers accept no lease
 	// longer than MaxLease, so all leases accepted until now have expired once the clock has
 	// advanced by MaxLease.
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -376,6 +376,7 @@
 	}
 	r.progress.Report(now, s.Percent)
 	r.sampleSpeed(now, clockMS)
+	l.comparePaces(r.task.unit, now)
 	if s.Checkpoint != "" {
 		r.checkpoint = s.Checkpoint
 	}
--- a/internal/controller/slow.go
+++ b/internal/controller/slow.go
@@ -107,6 +107,7 @@
 		return
 	}
 	l.slowCheckedAt = now
+	l.updateSpeeds(now)
 	known, total := make(map[string][]workerSpeed), make(map[string]int)
 	for _, ws := range l.workers {
 		if !ws.registered {
--- /dev/null
+++ b/internal/forecast/speeds.go
@@ -0,0 +1,200 @@
+// Package forecast learns how fast each worker is, from the paces of tasks of the same step on different workers. It
+// does no I/O and does not read the clock.
+//
+// The load that it answers: workers differ in speed by a factor of two or more, nobody says which are fast, and the
+// estimates of the tasks are wrong by as much. Tasks of one step do about the same work, so their paces on
+// different workers show the relative speeds of these workers whatever the estimate says.
+package forecast
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/oleanderbend/oleanderbend/internal/boottime"
+)
+
+const (
+	// maxObservations is the number of runs per worker whose paces count. The median of a few runs keeps out the
+	// few tasks that take several times as long as the others of their step.
+	maxObservations = 7
+	// maxObservationAge is the age at which the pace of a run no longer counts.
+	maxObservationAge = 2 * time.Minute
+	// minRatio and maxRatio bound the speeds that count as a worker's own. A task outside of them is an outlier of its
+	// step, or the worker has a temporary fault, which progress.Speed detects.
+	minRatio, maxRatio = 0.3, 3.3
+	// minKnownReferences is the number of other workers of known speed from which the work of a step is derived, and
+	// minReferences the number of other workers that it takes if few of them are known.
+	minKnownReferences, minReferences = 2, 3
+	// maxCompared limits the runs of a step that are compared, and so the time that it takes.
+	maxCompared = 64
+)
+
+// Pace is how fast one run of a step progresses.
+type Pace struct {
+	Worker string
+	// Run identifies the run: a later pace of the same run replaces the earlier one.
+	Run string
+	// Duration is how long the whole task takes at this pace.
+	Duration time.Duration
+}
+
+// Speeds holds the speeds of the workers of one service. Use NewSpeeds to create it.
+type Speeds struct {
+	workers map[string]*estimate
+	// scale is the median of the workers' own figures; speeds are relative to it.
+	scale float64
+}
+
+// NewSpeeds returns speeds that know no worker.
+func NewSpeeds() *Speeds { return &Speeds{workers: make(map[string]*estimate), scale: 1} }
+
+// estimate is what is known of one worker.
+type estimate struct {
+	observations []observation
+	// raw is the median of the observations, 0 if there is none.
+	raw float64
+}
+
+// observation is the speed that one run shows.
+type observation struct {
+	run   string
+	speed float64
+	at    boottime.Instant
+}
+
+// Speed returns the speed of a worker relative to the median worker, and false if it is not known.
+func (s *Speeds) Speed(worker string) (float64, bool) {
+	e := s.workers[worker]
+	if e == nil || e.raw == 0 {
+		return 0, false
+	}
+	return e.raw / s.scale, true
+}
+
+// Known returns the number of workers whose speed is known.
+func (s *Speeds) Known() int {
+	n := 0
+	for _, e := range s.workers {
+		if e.raw > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Forget drops what is known of a worker: its next incarnation may run on another machine.
+func (s *Speeds) Forget(worker string) { delete(s.workers, worker) }
+
+// Compare updates the speeds with the paces of runs of one step at the given time. Runs that are slow because of where
+// they are, away from their data or spread over racks, must not be among them.
+func (s *Speeds) Compare(now boottime.Instant, paces []Pace) {
+	if len(paces) > maxCompared {
+		paces = paces[:maxCompared]
+	}
+	type normalized struct {
+		worker string
+		work   float64
+		known  bool
+	}
+	all := make([]normalized, len(paces))
+	for i, p := range paces {
+		speed, known := s.Speed(p.Worker)
+		if !known {
+			speed = 1
+		}
+		all[i] = normalized{p.Worker, p.Duration.Seconds() * speed, known}
+	}
+	for i := range paces {
+		p := &paces[i]
+		var fromKnown, fromAll []float64
+		knownWorkers, allWorkers := make(map[string]bool), make(map[string]bool)
+		for _, o := range all {
+			if o.worker == p.Worker {
+				continue
+			}
+			fromAll = append(fromAll, o.work)
+			allWorkers[o.worker] = true
+			if o.known {
+				fromKnown = append(fromKnown, o.work)
+				knownWorkers[o.worker] = true
+			}
+		}
+		var work float64
+		switch {
+		case len(knownWorkers) >= minKnownReferences:
+			work = median(fromKnown)
+		case len(allWorkers) >= minReferences:
+			work = median(fromAll)
+		default:
+			continue
+		}
+		if ratio := work / p.Duration.Seconds(); ratio >= minRatio && ratio <= maxRatio {
+			// Speeds are kept on the scale of the observations, so that a change of the scale does not shift them.
+			s.add(p.Worker, observation{p.Run, ratio * s.scale, now})
+		}
+	}
+}
+
+func (s *Speeds) add(worker string, o observation) {
+	e := s.workers[worker]
+	if e == nil {
+		e = &estimate{}
+		s.workers[worker] = e
+	}
+	e.observations = slices.DeleteFunc(e.observations, func(old observation) bool {
+		return old.run == o.run || o.at.Sub(old.at) > maxObservationAge
+	})
+	if len(e.observations) >= maxObservations {
+		e.observations = slices.Delete(e.observations, 0, 1)
+	}
+	e.observations = append(e.observations, o)
+	e.update()
+}
+
+func (e *estimate) update() {
+	speeds := make([]float64, len(e.observations))
+	for i, o := range e.observations {
+		speeds[i] = o.speed
+	}
+	e.raw = median(speeds)
+}
+
+// Summary describes the known speeds of a service.
+type Summary struct {
+	Known int
+	// Slower is the number of known workers below the limit that was asked for.
+	Slower int
+	// Slowest, Fastest are the tenth and the ninetieth percentile of the known speeds; 0 if none is known.
+	Slowest, Fastest float64
+}
+
+// Summarize rescales the speeds so that the median worker has speed 1, and describes them. A worker below the limit
+// counts as slower.
+func (s *Speeds) Summarize(limit float64) Summary {
+	speeds := make([]float64, 0, len(s.workers))
+	for _, e := range s.workers {
+		if e.raw > 0 {
+			speeds = append(speeds, e.raw)
+		}
+	}
+	if len(speeds) == 0 {
+		return Summary{}
+	}
+	slices.Sort(speeds)
+	s.scale = speeds[len(speeds)/2]
+	sum := Summary{Known: len(speeds), Slowest: speeds[len(speeds)/10] / s.scale, Fastest: speeds[len(speeds)*9/10] / s.scale}
+	sum.Slower, _ = slices.BinarySearch(speeds, limit*s.scale)
+	return sum
+}
+
+// median returns the median of at least one value, the geometric mean of the middle two if their number is even. It
+// sorts the values.
+func median(values []float64) float64 {
+	slices.Sort(values)
+	n := len(values)
+	if n%2 == 1 {
+		return values[n/2]
+	}
+	return math.Sqrt(values[n/2-1] * values[n/2])
+}
--- /dev/null
+++ b/internal/forecast/speeds_test.go
@@ -0,0 +1,139 @@
+package forecast
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/boottime"
+	"github.com/oleanderbend/oleanderbend/internal/ledger"
+)
+
+const start = boottime.Instant(time.Hour)
+
+// trueSpeed returns the speed of the worker with a number: a third of the workers each is slow, usual and fast.
+func trueSpeed(n int) float64 { return []float64{0.6, 1.0, 1.6}[n%3] }
+
+// step returns the paces of the tasks of one step on some of the workers. Tasks of a step differ a little, and a few
+// take seven times as long.
+func step(random *rand.Rand, number, workers, tasks int) []Pace {
+	work := 6 * math.Exp(random.NormFloat64())
+	paces := make([]Pace, tasks)
+	for i := range paces {
+		n := random.IntN(workers)
+		seconds := work * math.Exp(0.15*random.NormFloat64()) / trueSpeed(n)
+		if random.Float64() < 0.03 {
+			seconds *= 7
+		}
+		paces[i] = Pace{fmt.Sprint("w", n), fmt.Sprint(number, "/", i), time.Duration(seconds * float64(time.Second))}
+	}
+	return paces
+}
+
+// Guards against speeds that follow from wrong estimates, from the few tasks that take much longer than their step, or from
+// the order in which steps are compared: after a minute of the usual load the slow workers are known.
+func TestSlowWorkersAreKnownAfterAFewSteps(t *testing.T) {
+	const workers = 60
+	for seed := range uint64(10) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		s := NewSpeeds()
+		for n := range 25 {
+			s.Compare(start.Add(time.Duration(n)*time.Second), step(random, n, workers, 10))
+			s.Summarize(0.7)
+		}
+		wrong, known := 0, 0
+		for n := range workers {
+			speed, ok := s.Speed(fmt.Sprint("w", n))
+			if !ok {
+				continue
+			}
+			known++
+			if (speed < 0.8) != (trueSpeed(n) < 0.8) {
+				wrong++
+			}
+		}
+		require.Greater(t, known, workers*4/5)
+		require.LessOrEqual(t, wrong, workers/10, "seed %d", seed)
+		summary := s.Summarize(0.7)
+		require.Equal(t, known, summary.Known)
+		require.InDelta(t, workers/3, summary.Slower, workers/8)
+		require.Less(t, summary.Slowest, 0.7)
+		require.Greater(t, summary.Fastest, 1.3)
+	}
+}
+
+// Guards against speeds from too few workers, from one run that counts several times, and from an earlier incarnation.
+func TestSpeedsNeedOtherWorkers(t *testing.T) {
+	s := NewSpeeds()
+	second := func(worker string, seconds float64) Pace {
+		return Pace{worker, worker, time.Duration(seconds * float64(time.Second))}
+	}
+	s.Compare(start, []Pace{second("a", 1), second("b", 3)})
+	require.Zero(t, s.Known(), "nobody knows which of two workers is the usual one")
+	for range 10 {
+		s.Compare(start, []Pace{second("a", 2), second("b", 2), second("c", 2), second("d", 4)})
+	}
+	speed, known := s.Speed("d")
+	require.True(t, known)
+	require.InDelta(t, 0.5, speed, 0.01)
+	require.Len(t, s.workers["d"].observations, 1)
+	s.Compare(start, []Pace{second("a", 2), second("b", 2), {"d", "other run", 2 * time.Second}})
+	require.Len(t, s.workers["d"].observations, 2)
+	s.Compare(start, []Pace{second("a", 1), second("b", 1), second("e", 20)})
+	_, known = s.Speed("e")
+	require.False(t, known, "the run stands still or is an outlier")
+	s.Forget("d")
+	_, known = s.Speed("d")
+	require.False(t, known)
+}
+
+// Guards against a new leader that uses the speed of another incarnation, and against records that end its term.
+func TestStoredSpeeds(t *testing.T) {
+	s := NewSpeeds()
+	var paces []Pace
+	for n := range 2500 {
+		paces = append(paces, Pace{fmt.Sprint("w", n), fmt.Sprint(n), time.Duration(float64(time.Second) / trueSpeed(n))})
+	}
+	for len(paces) > 0 {
+		n := min(50, len(paces))
+		s.Compare(start, paces[:n])
+		paces = paces[n:]
+	}
+	s.Summarize(0.7)
+	records, err := s.Encode("pool", func(id string) (int64, bool) { return 17, id != "w3" })
+	require.NoError(t, err)
+	require.Len(t, records, 3)
+	restored := NewSpeeds()
+	count := 0
+	for _, r := range records {
+		require.Less(t, len(r.Value), 64<<10)
+		speeds, err := Decode(r)
+		require.NoError(t, err)
+		for _, v := range speeds {
+			require.Equal(t, "pool", v.Service)
+			require.EqualValues(t, 17, v.StartedAtMS)
+			require.NotEqual(t, "w3", v.Worker, "the worker is gone")
+			restored.Restore(start, v.Worker, v.Speed)
+			count++
+		}
+	}
+	require.Equal(t, 2499, count)
+	speed, known := restored.Speed("w0")
+	require.True(t, known)
+	require.InDelta(t, 0.6, speed, 0.01)
+
+	for _, r := range []ledger.Record{{Key: "pool"}, {Key: "pool/0", Value: []byte("{")}, {Key: "pool/0", Value: []byte(`{"a":[1,"x"]}`)}} {
+		_, err := Decode(r)
+		require.ErrorIs(t, err, ErrInvalidRecord)
+	}
+	speeds, err := Decode(ledger.Record{Key: "pool/0", Value: []byte(`{"a":[1,0],"b":[1,-5],"c":[1,9000000],"d":[1,900]}`)})
+	require.NoError(t, err)
+	require.Len(t, speeds, 1, "speeds out of range are left out")
+	speeds, err = Decode(ledger.Record{Key: "pool/0"})
+	require.NoError(t, err)
+	require.Empty(t, speeds)
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -77,6 +77,10 @@
 	Guaranteed bool
 	// Protected runs are never preempted.
 	Protected bool
+	// Org is the organisation of the job.
+	Org string
+	// Preempted means that an earlier run of the task, or of its gang, was preempted.
+	Preempted bool
 	// LostWork is the work of the whole group that is lost if it is stopped, in weighted
 	// core-seconds.
 	LostWork float64
@@ -100,6 +104,10 @@
 	// Slow means that work takes several times as long on the worker. Such workers get no tasks, except those of
 	// units with AcceptsSlow.
 	Slow bool
+	// Speed is how fast the worker runs tasks; 1 is the typical worker of the service, 0 means that it is not known.
+	Speed float64
+	// Evacuated means that the availability zone of the worker is evacuated. Such a worker does not accept work.
+	Evacuated bool
 	// RunsServing means that the worker runs serving tasks, RunsFiller that it runs filler tasks.
 	RunsServing, RunsFiller bool
 	Runs                    []Run
@@ -108,6 +116,8 @@
 // Unit is the waiting tasks of a step. A gang is always one unit and is placed as a whole.
 type Unit struct {
 	Service string
+	// Org is the organisation of the job.
+	Org string
 	// Priority is the priority of the queue; 0 is the most urgent.
 	Priority   int
 	Timeliness Timeliness
@@ -159,6 +169,9 @@
 	WaitsForRack bool
 	// AcceptsSlow means that the tasks may run on slow workers if no others have room.
 	AcceptsSlow bool
+	// MinSpeed is the lowest Worker.Speed at which the unit still meets its objective if it starts now; 0 if any
+	// worker is fast enough.
+	MinSpeed float64
 	// IgnoresHolds means that resources that are kept free for others, or its preferred rack, have held the
 	// unit back for too long: it may use the headroom and what blocked gangs claim, and WaitsForRack does not
 	// apply. If the unit is not a gang, this holds for one of its tasks.
@@ -329,8 +342,9 @@
 	// spareGPU is how many accelerators each service has free in excess of its headroom; negative if
 	// fewer than the headroom are free.
 	spareGPU map[string]int64
-	// racks is the workers of each rack.
-	racks [][]int
+	// racks is the workers of each rack, rackOf the index of the rack of each worker.
+	racks  [][]int
+	rackOf []int32
 	// workerIndices is the indices of all workers.
 	workerIndices []int
 	// unplaceable is, for each shape, the last unit without limits of its own that could not be placed.
@@ -403,7 +417,7 @@
 	r := &round{
 		snapshot: s, free: make([]Resources, n), freeAfterStops: make([]Resources, n), idle: make([]Resources, n),
 		gangClaims: make([]Resources, n), emptied: make([]Resources, n), potential: make([]Resources, n), freed: make([]freedResources, n), despiteGangs: make([]Resources, n), idleVersion: 1,
-		runGroups: make([][]int32, n), victimOrder: make([][]int32, n), workerIndices: make([]int, n),
+		runGroups: make([][]int32, n), victimOrder: make([][]int32, n), workerIndices: make([]int, n), rackOf: make([]int32, n),
 		unplaceable: make(map[shape]unplacedUnit), spareGPU: make(map[string]int64),
 	}
 	r.plan.Waits = make(map[int]Wait)
@@ -430,6 +444,7 @@
 			r.racks = append(r.racks, nil)
 		}
 		r.racks[n] = append(r.racks[n], i)
+		r.rackOf[i] = int32(n)
 	}
 	r.indexGroups()
 	return r
@@ -722,12 +737,13 @@
 	return nil
 }
 
-// placeInOneRack places all tasks in one rack. Of the racks with enough room it chooses the one with
-// the fewest free accelerators, which leaves emptier racks for gangs with more tasks. It returns nil
-// if no rack has enough room.
+// placeInOneRack places all tasks in one rack. Of the racks with enough room it chooses one with workers that are fast
+// enough, and of these the one with the fewest free accelerators, which leaves emptier racks for gangs with more
+// tasks. It returns nil if no rack has enough room.
 func (r *round) placeInOneRack(u *Unit, free []Resources) []int {
 	var best []int
 	var bestLeft int64
+	var bestSpeed worstSpeed
 	for _, workers := range r.racks {
 		places := r.placeWithin(u, workers, free)
 		if len(places) != u.Tasks {
@@ -737,8 +753,9 @@
 		for _, w := range workers {
 			left += max(0, free[w].GPU)
 		}
-		if best == nil || left < bestLeft {
-			best, bestLeft = places, left
+		speed := r.worstSpeed(u, places)
+		if best == nil || cmp.Or(speed.compare(bestSpeed), cmp.Compare(left, bestLeft)) < 0 {
+			best, bestLeft, bestSpeed = places, left, speed
 		}
 	}
 	return best
@@ -785,13 +802,14 @@
 	room      int
 	avoid     bool
 	suspicion int
+	speed     speedClass
 	// key is the result of placementKey.
 	key int64
 }
 
 // placeWithin places tasks on the given workers, filling one worker after the other. Workers to avoid
-// come last, then those with more suspicion. Among equal workers the fullest come first, which keeps
-// empty workers available for large tasks; for filler tasks the one with the most idle processors.
+// come last, then those with more suspicion, then those of a later speedClass. Among equal workers the fullest come
+// first, which keeps empty workers available for large tasks; for filler tasks the one with the most idle processors.
 func (r *round) placeWithin(u *Unit, workers []int, free []Resources) []int {
 	candidates := r.candidates[:0]
 	total := 0
@@ -806,23 +824,22 @@
 		}
 		total += room
 		candidates = append(candidates, candidate{
-			worker: i, room: room, avoid: u.Avoid[w.ID] || w.Slow || mixesServingAndFiller(u, w), suspicion: w.Suspicion, key: placementKey(u, free[i]),
+			worker: i, room: room, avoid: u.Avoid[w.ID] || w.Slow || mixesServingAndFiller(u, w), suspicion: w.Suspicion,
+			speed: speedClassOf(u, w), key: placementKey(u, free[i]),
 		})
+		if c := &candidates[len(candidates)-1]; c.speed == explored {
+			// Rack by rack, so that all workers of a rack are known and gangs that stay in one rack can use them.
+			c.key = int64(r.rackOf[i])
+		}
 	}
 	r.candidates = candidates
 	if total == 0 || (u.Gang && total < u.Tasks) {
 		return nil
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(trueFirst(!a.avoid, !b.avoid), cmp.Compare(a.suspicion, b.suspicion), cmp.Compare(a.key, b.key))
+		return cmp.Or(trueFirst(!a.avoid, !b.avoid), cmp.Compare(a.suspicion, b.suspicion), cmp.Compare(a.speed, b.speed), cmp.Compare(a.key, b.key))
 	})
-	places := make([]int, 0, min(total, u.Tasks))
-	for _, c := range candidates {
-		for n := 0; n < c.room && len(places) < u.Tasks; n++ {
-			places = append(places, c.worker)
-		}
-	}
-	return places
+	return takePlaces(u, candidates, min(total, u.Tasks))
 }
 
 // placementKey returns the sort key of a worker with the given free resources; workers with lower keys
--- a/internal/planner/policy.go
+++ b/internal/planner/policy.go
@@ -41,6 +41,19 @@
 	}
 }
 
+// MinSpeed returns the lowest speed at which a job of the given age, whose remaining steps take the given time on the typical
+// worker, meets its objective. If even the fastest workers cannot meet it, the job is late, and the result is the
+// lowest speed at which it is not overdue. It is never 0.
+func MinSpeed(age, remaining, objective time.Duration, fastest float64) float64 {
+	const least = 0.01
+	for _, limit := range []time.Duration{objective, overdueFactor * objective} {
+		if left := limit - age; left > 0 && remaining.Seconds() <= fastest*left.Seconds() {
+			return max(least, remaining.Seconds()/left.Seconds())
+		}
+	}
+	return least
+}
+
 // LostWork returns Run.LostWork of a group of runs with the given request that has worked for the given time.
 func LostWork(need Resources, members int, worked time.Duration, checkpointed bool) float64 {
 	if checkpointed {
--- a/internal/planreplay/pattern.go
+++ b/internal/planreplay/pattern.go
@@ -47,6 +47,11 @@
 	Cores    int64 `toml:"cores"`
 	MemoryMB int64 `toml:"memory_mb"`
 	GPU      int64 `toml:"gpu"`
+	// Speeds are the speeds of the workers in turn; empty means that all have speed 1. Work takes its duration divided by the
+	// speed.
+	Speeds []float64 `toml:"speeds"`
+	// SpeedsKnownAfter is the time for which a worker must have run tasks until the planner is told its speed; 0 for never.
+	SpeedsKnownAfter settings.Duration `toml:"speeds_known_after"`
 }
 
 // Org is an organisation.
@@ -143,6 +148,9 @@
 	w := &p.Workers
 	check(w.Count > 0 && w.Count <= 10000, "workers.count", "must be from 1 to 10000")
 	check(w.PerRack > 0 && w.Cores > 0 && w.MemoryMB > 0 && w.GPU >= 0, "workers", "sizes must be positive")
+	for i, speed := range w.Speeds {
+		check(speed > 0 && speed <= 100, fmt.Sprintf("workers.speeds.%d", i), "must be positive and at most 100")
+	}
 	check(len(p.Orgs) > 0, "orgs", "at least one is needed")
 	for i, o := range p.Orgs {
 		check(o.Weight > 0 && o.GuaranteedGPU >= 0, fmt.Sprintf("orgs.%d", i), "the weight must be positive, the guarantee not negative")
--- a/internal/planreplay/replay.go
+++ b/internal/planreplay/replay.go
@@ -26,7 +26,10 @@
 	// slowdown is how many times as long work takes; detected means that the planner knows.
 	slowdown float64
 	detected bool
-	runs     map[*run]bool
+	// speed is the worker's own speed; worked is for how long it has run tasks.
+	speed  float64
+	worked time.Duration
+	runs   map[*run]bool
 }
 
 // run is a run of a task.
@@ -60,9 +63,11 @@
 	random := rand.New(rand.NewPCG(p.Seed, 1))
 	r := &replay{pattern: p, jobs: generate(p, random), result: newResult(p)}
 	for i := range p.Workers.Count {
-		r.workers = append(r.workers, &worker{
-			id: fmt.Sprintf("w%05d", i), rack: fmt.Sprintf("r%04d", i/p.Workers.PerRack), slowdown: 1, runs: make(map[*run]bool),
-		})
+		w := &worker{id: fmt.Sprintf("w%05d", i), rack: fmt.Sprintf("r%04d", i/p.Workers.PerRack), slowdown: 1, speed: 1, runs: make(map[*run]bool)}
+		if n := len(p.Workers.Speeds); n > 0 {
+			w.speed = p.Workers.Speeds[i%n]
+		}
+		r.workers = append(r.workers, w)
 	}
 	order := random.Perm(p.Workers.Count)
 	for r.arrived < len(r.jobs) || len(r.active) > 0 {
@@ -118,6 +123,9 @@
 // advance lets all runs work until now and ends those that are complete.
 func (r *replay) advance() {
 	for _, w := range r.workers {
+		if len(w.runs) > 0 {
+			w.worked += time.Duration(r.pattern.Round)
+		}
 		for run := range w.runs {
 			if run.stopping {
 				if r.now >= run.endsAt {
@@ -125,7 +133,7 @@
 				}
 				continue
 			}
-			factor := w.slowdown
+			factor := w.slowdown / w.speed
 			if run.remote {
 				factor *= remoteFactor
 			}
@@ -262,30 +270,7 @@
 	r.assignGuarantees()
 	used := map[string]float64{}
 	for _, w := range r.workers {
-		d := planner.Worker{
-			ID: w.id, Service: service, Rack: w.rack, AcceptsWork: !w.lost, Slow: w.detected,
-			Free: planner.Resources{CPU: 1000 * r.pattern.Workers.Cores, MemoryMB: r.pattern.Workers.MemoryMB, GPU: r.pattern.Workers.GPU},
-		}
-		for _, run := range sortedRuns(w) {
-			j := run.task.job
-			d.Free = d.Free.Sub(j.need)
-			if j.class.Priority == 0 {
-				used[service] += float64(j.need.GPU)
-			}
-			if run.stopping {
-				d.Releasing = d.Releasing.Add(j.need)
-				continue
-			}
-			members := 1
-			if j.gang {
-				members = len(j.tasks)
-			}
-			d.Runs = append(d.Runs, planner.Run{
-				Group: j.groupID(run.task.number), Need: j.need, Priority: j.class.Priority, Guaranteed: j.guaranteed,
-				LostWork: planner.LostWork(j.need, members, r.now-min(r.now, run.startedAt), j.checkpoint),
-			})
-		}
-		s.Workers = append(s.Workers, d)
+		s.Workers = append(s.Workers, r.describe(w, used))
 	}
 	s.Headroom = r.headroom.Update(r.now, used)
 	var units []*job
@@ -300,10 +285,16 @@
 			continue
 		}
 		age := r.now - j.arrivedAt
+		minSpeed := 0.0
+		if r.pattern.Workers.SpeedsKnownAfter > 0 {
+			expected := time.Duration(j.class.DurationFactor*float64(j.estimate)) + time.Duration(j.class.Offset)
+			minSpeed = 1.05 * planner.MinSpeed(age+startTime, j.estimate, expected, slices.Max(append([]float64{1}, r.pattern.Workers.Speeds...)))
+		}
 		units = append(units, j)
 		s.Units = append(s.Units, planner.Unit{
-			Service: service, Priority: j.class.Priority, Guaranteed: j.guaranteed, Accepted: int64(j.order), Tasks: waiting, Need: j.need,
+			Service: service, Org: r.pattern.Orgs[j.org].Name, Priority: j.class.Priority, Guaranteed: j.guaranteed, Accepted: int64(j.order), Tasks: waiting, Need: j.need,
 			Timeliness: planner.TimelinessOf(age, j.estimate, j.objective()), Deadline: (j.arrivedAt + j.objective()).Milliseconds(),
+			MinSpeed:   minSpeed,
 			JobStarted: j.done > 0 || j.running > 0, Checkpointed: j.checkpoint, Gang: j.gang, RackLocal: j.rackLocal,
 			Work:         j.need.WorkPerSecond() * j.estimate.Seconds() * float64(waiting),
 			WaitsForRack: age < planner.RackWait, IgnoresHolds: j.heldBackSince != 0 && r.now-j.heldBackSince >= planner.MaxHeldBack,
@@ -312,6 +303,38 @@
 	return s, units
 }
 
+// describe returns the planner's view of a worker, and adds the accelerators that urgent work uses there to used, by service.
+func (r *replay) describe(w *worker, used map[string]float64) planner.Worker {
+	d := planner.Worker{
+		ID: w.id, Service: service, Rack: w.rack, AcceptsWork: !w.lost, Slow: w.detected,
+		Free: planner.Resources{CPU: 1000 * r.pattern.Workers.Cores, MemoryMB: r.pattern.Workers.MemoryMB, GPU: r.pattern.Workers.GPU},
+	}
+	if after := time.Duration(r.pattern.Workers.SpeedsKnownAfter); after > 0 && w.worked >= after {
+		d.Speed = w.speed
+	}
+	for _, run := range sortedRuns(w) {
+		j := run.task.job
+		d.Free = d.Free.Sub(j.need)
+		if j.class.Priority == 0 {
+			used[service] += float64(j.need.GPU)
+		}
+		if run.stopping {
+			d.Releasing = d.Releasing.Add(j.need)
+			continue
+		}
+		members := 1
+		if j.gang {
+			members = len(j.tasks)
+		}
+		d.Runs = append(d.Runs, planner.Run{
+			Group: j.groupID(run.task.number), Need: j.need, Priority: j.class.Priority, Guaranteed: j.guaranteed,
+			Org:      r.pattern.Orgs[j.org].Name,
+			LostWork: planner.LostWork(j.need, members, r.now-min(r.now, run.startedAt), j.checkpoint),
+		})
+	}
+	return d
+}
+
 // sortedRuns returns the runs of a worker in a fixed order, so that a replay can be repeated.
 func sortedRuns(w *worker) []*run {
 	runs := make([]*run, 0, len(w.runs))
--- a/internal/planreplay/replay_test.go
+++ b/internal/planreplay/replay_test.go
@@ -30,7 +30,7 @@
 func TestReplayIsRepeatable(t *testing.T) {
 	files, err := filepath.Glob(filepath.Join("..", "..", "examples", "plan-replay", "*.toml"))
 	require.NoError(t, err)
-	require.Len(t, files, 3)
+	require.Len(t, files, 4)
 	for _, file := range files {
 		results := make([]bytes.Buffer, 2)
 		for i := range results {
@@ -64,6 +64,19 @@
 	require.Greater(t, Run(known).Classes[0].Value, Run(unknown).Classes[0].Value)
 }
 
+// Guards against urgent gangs that miss their objective on slow workers although enough others are fast enough.
+func TestUrgentGangsRunOnWorkersThatAreFastEnough(t *testing.T) {
+	known, unknown := readPattern(t, "uneven-workers.toml", 1), readPattern(t, "uneven-workers.toml", 1)
+	unknown.Workers.SpeedsKnownAfter = 0
+	with, without := Run(known), Run(unknown)
+	inTime := func(g Group) float64 { return float64(g.InTime) / float64(g.Jobs) }
+	require.Less(t, inTime(without.Classes[0]), 0.6)
+	require.Greater(t, inTime(with.Classes[0]), 0.8, "the first gangs start before any speed is known")
+	for i := 1; i < len(with.Classes); i++ {
+		require.Greater(t, with.Classes[i].Value, without.Classes[i].Value-0.05, "work with a loose objective can run on slow workers")
+	}
+}
+
 // Guards against patterns with mistakes that are replayed as something else.
 func TestInvalidPatterns(t *testing.T) {
 	valid := `duration = "1s"
@@ -83,6 +96,7 @@
 		{`max_work = "2s"`, `max_work = "1ms"`},
 		{"duration_factor = 2.0", "duration_factor = 0.5"},
 		{"per_second = 1.0", "per_second = -1.0"},
+		{"gpu = 8", "gpu = 8, speeds = [1.0, 0.0]"},
 	} {
 		_, err := Parse([]byte(strings.Replace(valid, replaced[0], replaced[1], 1)))
 		require.ErrorIs(t, err, ErrInvalid, replaced[1])
--- a/internal/progress/speed.go
+++ b/internal/progress/speed.go
@@ -34,6 +34,8 @@
 	// sample, lastMS and percent those of the last report. Times are in milliseconds of the worker's clock.
 	firstMS, sampledMS, lastMS            int64
 	firstPercent, sampledPercent, percent int64
+	// workingMS and workingPercent are those of the last report before the run was complete.
+	workingMS, workingPercent int64
 }
 
 // Report records the percentage that a worker reported at the given time of its clock. Working means that the run
@@ -46,6 +48,9 @@
 		*c = Clocked{begun: true, firstMS: clockMS, sampledMS: clockMS, firstPercent: percent, sampledPercent: percent}
 	}
 	c.lastMS, c.percent = clockMS, percent
+	if percent < Complete {
+		c.workingMS, c.workingPercent = clockMS, percent
+	}
 }
 
 // Sample returns the progress since the last sample, and false if there is none yet or the run is complete. The estimate
@@ -60,6 +65,23 @@
 	return s, true
 }
 
+// Minimum progress of a run for a pace: reports are in whole percents.
+const (
+	minPacePercent = 8
+	minPaceTime    = 400 * time.Millisecond
+)
+
+// Pace returns how long the whole run takes at its speed from its first to its last report, and false if they do not
+// suffice. A report of a complete run does not count: the run may have been complete for a while.
+func (c *Clocked) Pace() (time.Duration, bool) {
+	gained := c.workingPercent - c.firstPercent
+	elapsed := time.Duration(c.workingMS-c.firstMS) * time.Millisecond
+	if !c.begun || gained < minPacePercent || elapsed < minPaceTime {
+		return 0, false
+	}
+	return elapsed * Complete / time.Duration(gained), true
+}
+
 // LostTime returns how much longer the run has taken since its first report than its progress takes according to the
 // estimate.
 func (c *Clocked) LostTime(estimate time.Duration) time.Duration {
