Prefer fast workers for tight objectives, allow for errors of speeds

Urgent gangs went to the slowest workers that seemed fast enough: slow workers whose speeds were overrated. Now speeds within a factor of 1.2 of the minimum come after those that are clearly enough, and tight units prefer fast workers, as estimates are rough and tasks of a step differ.

The line "step placed" has what decided: priority, estimate, racks, minimum and lowest speed.

--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -36,7 +36,7 @@
 		l.preempt(stop.Group, units[stop.Unit], snapshot.Units[stop.Unit].Guaranteed)
 	}
 	for _, s := range decision.Starts {
-		l.placeTasks(units[s.Unit], s.Workers, workers, snapshot.Units[s.Unit].Guaranteed)
+		l.placeTasks(units[s.Unit], s.Workers, workers, &snapshot.Units[s.Unit])
 	}
 	l.c.metrics.planTime.UpdateDuration(started)
 }
@@ -367,7 +367,7 @@
 
 // placeTasks places tasks of a unit: it stores their placements and sends their starts once these
 // are stored. It takes as many tasks as there are workerIndices, which are indices into workers.
-func (l *leader) placeTasks(u *unit, workerIndices []int, workers []*workerState, guaranteed bool) {
+func (l *leader) placeTasks(u *unit, workerIndices []int, workers []*workerState, d *planner.Unit) {
 	// The run number of all members, if the unit is a gang; otherwise it is only logged.
 	gangRun := int64(0)
 	for _, t := range u.tasks {
@@ -376,6 +376,7 @@
 	var runs []*run
 	var records []ledger.Record
 	racks := make(map[string]bool)
+	slowest, unknown := 0.0, 0
 	for _, t := range u.tasks {
 		if len(runs) == len(workerIndices) {
 			break
@@ -388,17 +389,25 @@
 			n = gangRun
 		}
 		ws := workers[workerIndices[len(runs)]]
-		r, record := l.placeTask(t, ws, n, u.advice.ticket(ws.id), guaranteed)
+		r, record := l.placeTask(t, ws, n, u.advice.ticket(ws.id), d.Guaranteed)
 		runs = append(runs, r)
 		records = append(records, record)
 		racks[ws.info.Rack] = true
+		switch speed := l.speedOf(ws); {
+		case speed == 0:
+			unknown++
+		case slowest == 0 || speed < slowest:
+			slowest = speed
+		}
 	}
 	for _, r := range runs {
 		r.remote = (u.step.DataRack != "" && u.step.DataRack != r.worker.info.Rack) || (u.step.RackLocal && len(racks) > 1)
 	}
 	l.c.metrics.startDelay.Update(boottime.Since(u.readySince).Seconds())
 	l.logger.Info().Str("step", u.tasks[0].id.StepName()).Int("tasks", len(runs)).Int64("run", gangRun).
-		Bool("entitled", guaranteed).Dur("waited", boottime.Since(u.readySince)).Msg("step placed")
+		Bool("entitled", d.Guaranteed).Dur("waited", boottime.Since(u.readySince)).Int("priority", d.Priority).
+		Int64("estimate", u.step.EstimateMS).Int("racks", len(racks)).Float64("min_speed", d.MinSpeed).Float64("slowest", slowest).
+		Int("unknown_speeds", unknown).Msg("step placed")
 	l.storeTasks(records, func() {
 		for _, r := range runs {
 			l.sendStart(r)
--- a/internal/planner/speed.go
+++ b/internal/planner/speed.go
@@ -12,46 +12,54 @@
 	looseSpeed = 0.55
 	// slowSpeed and fastSpeed separate the slow and the fast workers from the usual ones.
 	slowSpeed, fastSpeed = 0.8, 1.25
+	// speedError is the factor by which a speed may be wrong. Without it, units would prefer the slow workers whose speeds
+	// are overrated to those that are fast enough.
+	speedError = 1.2
 	// tasksPerUnknown is the number of tasks of a unit with a loose objective that are placed on a worker of unknown
 	// speed. One shows the speed; more would be an obstacle for tasks that need a whole worker.
 	tasksPerUnknown = 1
 )
 
-// speedClass orders workers by how well their speed suits a unit; lower classes are used first. All workers are usual
-// for a unit without a MinSpeed.
+// speedClass orders workers by how well their speed suits a unit; lower classes are used first. All workers are of class
+// anySpeed for a unit without a MinSpeed.
 type speedClass int
 
 const (
-	// explored is the class of workers of unknown speed for units with a loose objective.
-	explored speedClass = iota
-	slow
-	usual
-	fast
+	anySpeed speedClass = iota
+	// explored workers are of unknown speed; a unit with a loose objective uses them first.
+	explored
+	// preferred, usable and reserve workers are fast enough. A unit with a tight objective prefers the fast ones,
+	// because estimates are rough and tasks of one step differ; one with a loose objective prefers the slow ones and
+	// leaves the fast ones to others.
+	preferred
+	usable
+	reserve
+	// marginal workers are fast enough or too slow within the error of their speeds.
+	marginal
 	unknown
 	tooSlow
-	muchTooSlow
 )
 
-// speedClassOf returns the class of a worker for a unit. Of the workers that are fast enough, the slowest come first.
+// speedClassOf returns the class of a worker for a unit.
 func speedClassOf(u *Unit, w *Worker) speedClass {
+	loose := u.MinSpeed <= looseSpeed
 	switch {
 	case u.MinSpeed == 0:
-		return usual
+		return anySpeed
+	case w.Speed == 0 && loose:
+		return explored
 	case w.Speed == 0:
-		if u.MinSpeed <= looseSpeed {
-			return explored
-		}
 		return unknown
-	case w.Speed < slowSpeed*u.MinSpeed:
-		return muchTooSlow
-	case w.Speed < u.MinSpeed:
+	case w.Speed < u.MinSpeed/speedError:
 		return tooSlow
-	case w.Speed < slowSpeed:
-		return slow
-	case w.Speed < fastSpeed:
-		return usual
+	case w.Speed < u.MinSpeed*speedError:
+		return marginal
+	case w.Speed >= slowSpeed && w.Speed < fastSpeed:
+		return usable
+	case (w.Speed < slowSpeed) == loose:
+		return preferred
 	default:
-		return fast
+		return reserve
 	}
 }
 
