--- a/internal/controller/forecast.go
+++ b/internal/controller/forecast.go
@@ -19,9 +19,11 @@
 	// what has changed since within seconds.
 	speedsStoreInterval = 5 * time.Second
 	// minKnownSpeeds and minSlowerShare are the number of workers of known speed, and the share of slower ones among
-	// them, from which on speeds are used for placement. Fewer may be outliers.
+	// them, from which on speeds are used for placement. Fewer may be outliers, or workers that are just fast enough. Below
+	// endSlowerShare speeds are no longer used; the difference keeps placement from changing to and fro.
 	minKnownSpeeds = 8
-	minSlowerShare = 0.1
+	minSlowerShare = 0.2
+	endSlowerShare = 0.1
 	// startOverhead is the time from the decision to start a unit until its tasks work.
 	startOverhead = 100 * time.Millisecond
 	// speedMargin is by how much the minimum speed of a unit is raised, because speeds and estimates are not exact.
@@ -82,7 +84,11 @@
 	for service, s := range l.speeds {
 		tightest := tightestSpeed(config, service)
 		s.summary = s.Summarize(tightest)
-		uneven := s.summary.Known >= minKnownSpeeds && float64(s.summary.Slower) >= minSlowerShare*float64(s.summary.Known)
+		share := minSlowerShare
+		if s.uneven {
+			share = endSlowerShare
+		}
+		uneven := s.summary.Known >= minKnownSpeeds && float64(s.summary.Slower) >= share*float64(s.summary.Known)
 		if uneven != s.uneven {
 			s.uneven = uneven
 			l.logger.Info().Str("service", service).Bool("uneven", uneven).Int("known", s.summary.Known).Int("slower", s.summary.Slower).
