--- a/internal/controller/forecast.go
+++ b/internal/controller/forecast.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"github.com/oleanderbend/oleanderbend/internal/batch"
 	"github.com/oleanderbend/oleanderbend/internal/boottime"
 	"github.com/oleanderbend/oleanderbend/internal/forecast"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
@@ -214,3 +215,26 @@
 	}
 	return planner.MinSpeed(age+startOverhead, remaining, objective, s.summary.Fastest) * speedMargin
 }
+
+// recordDuration records how long the work of a completed run takes on the typical worker.
+func (l *leader) recordDuration(r *run) {
+	u := r.task.unit
+	work, ok := r.clocked.Pace()
+	if !ok || r.remote || u.step.LongRunning || u.step.Filler || boottime.Now() < r.worker.slowUntil {
+		return
+	}
+	if s := l.speeds[r.worker.info.Service]; s != nil {
+		if speed, known := s.Speed(r.worker.id); known {
+			work = time.Duration(float64(work) * speed)
+		}
+	}
+	l.durations.Add(u.job.spec.Queue, millis(u.step.EstimateMS), work, 1/float64(u.step.Count))
+}
+
+// expectedMS returns how long the tasks of a step are expected to work on the typical worker, in milliseconds.
+func (l *leader) expectedMS(j *job, step *batch.Step) int64 {
+	if step.LongRunning {
+		return step.EstimateMS
+	}
+	return l.durations.Expect(j.spec.Queue, millis(step.EstimateMS)).Milliseconds()
+}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -85,6 +85,8 @@
 	// workers that are not registered yet.
 	speeds       map[string]*serviceSpeeds
 	storedSpeeds map[string]forecast.StoredSpeed
+	// durations is how long the work of each queue takes.
+	durations forecast.Durations
 	// slowCheckedAt is when updateSlowWorkers last compared the workers.
 	slowCheckedAt boottime.Instant
 	planDue       bool
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -247,7 +247,8 @@
 // deadline in milliseconds of the boottime clock, and the minimum speed. Long-running units are always on time.
 func (l *leader) setTimeliness(d *planner.Unit, u *unit, now boottime.Instant) {
 	j := u.job
-	chain := longestChain(j.spec.Steps, -1)
+	expected := func(s *batch.Step) int64 { return l.expectedMS(j, s) }
+	chain := longestChain(j.spec.Steps, -1, expected)
 	objective := int64(j.spec.Rules.DurationFactor*float64(chain)) + j.spec.Rules.DurationOffsetMS
 	age := l.age(u, now).Milliseconds()
 	d.Deadline = time.Duration(now).Milliseconds() - age + objective
@@ -255,7 +256,7 @@
 		d.Timeliness = planner.OnTime
 		return
 	}
-	remaining := longestChain(j.spec.Steps, u.index)
+	remaining := longestChain(j.spec.Steps, u.index, expected)
 	d.Timeliness = planner.TimelinessOf(millis(age), millis(remaining), millis(objective))
 	d.MinSpeed = l.minSpeed(u, millis(age), millis(remaining), millis(objective))
 }
@@ -276,10 +277,10 @@
 	return max(0, time.Duration(l.c.timeOfDay.unixMilli()-start)*time.Millisecond)
 }
 
-// longestChain returns the estimated duration of the longest chain of dependent steps, in
+// longestChain returns the expected duration of the longest chain of dependent steps, in
 // milliseconds: of all steps if first is negative, otherwise of the chains that begin with step
-// first. Steps must depend only on steps with lower indices.
-func longestChain(steps []batch.Step, first int) int64 {
+// first. Steps must depend only on steps with lower indices; expected returns the duration of a step.
+func longestChain(steps []batch.Step, first int, expected func(*batch.Step) int64) int64 {
 	ends := make([]int64, len(steps))
 	longest := int64(0)
 	for i := range steps {
@@ -293,7 +294,7 @@
 			}
 		}
 		if reached {
-			ends[i] = begin + max(1, steps[i].EstimateMS)
+			ends[i] = begin + max(1, expected(&steps[i]))
 			longest = max(longest, ends[i])
 		}
 	}
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -432,6 +432,7 @@
 	case worker.EndDone:
 		l.c.metrics.runsDone.Inc()
 		clear(ws.failedJobs)
+		l.recordDuration(r)
 		if u.step.LongRunning {
 			return // The task is started again.
 		}
