Count jobs as overdue by the usual durations of their queue

A job whose estimate is much too short seemed overdue and was put last, since its objective follows from the same estimate; estimates of some queues are wrong by up to ten times.

--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -247,20 +247,35 @@
 // deadline in milliseconds of the boottime clock, and the minimum speed. Long-running units are always on time.
 func (l *leader) setTimeliness(d *planner.Unit, u *unit, now boottime.Instant) {
 	j := u.job
-	expected := func(s *batch.Step) int64 { return l.expectedMS(j, s) }
-	chain := longestChain(j.spec.Steps, -1, expected)
-	objective := int64(j.spec.Rules.DurationFactor*float64(chain)) + j.spec.Rules.DurationOffsetMS
+	estimated := func(s *batch.Step) int64 { return s.EstimateMS }
+	objective := objectiveMS(j, estimated)
 	age := l.age(u, now).Milliseconds()
 	d.Deadline = time.Duration(now).Milliseconds() - age + objective
 	if u.step.LongRunning {
 		d.Timeliness = planner.OnTime
 		return
 	}
-	remaining := longestChain(j.spec.Steps, u.index, expected)
+	remaining := longestChain(j.spec.Steps, u.index, estimated)
 	d.Timeliness = planner.TimelinessOf(millis(age), millis(remaining), millis(objective))
+	if d.Timeliness == planner.Overdue && !l.isOverdue(u, age) {
+		d.Timeliness = planner.Late
+	}
 	d.MinSpeed = l.minSpeed(u, millis(age), millis(remaining), millis(objective))
 }
 
+// isOverdue reports whether a unit of the given age in milliseconds has no value any more, by the usual durations of its queue. An estimate
+// that is much too short also makes the objective too short, and the unit would be put last although it has value.
+func (l *leader) isOverdue(u *unit, age int64) bool {
+	expected := func(s *batch.Step) int64 { return l.expectedMS(u.job, s) }
+	remaining := longestChain(u.job.spec.Steps, u.index, expected)
+	return planner.TimelinessOf(millis(age), millis(remaining), millis(objectiveMS(u.job, expected))) == planner.Overdue
+}
+
+// objectiveMS returns the objective for the duration of a job, in milliseconds; expected returns the duration of a step.
+func objectiveMS(j *job, expected func(*batch.Step) int64) int64 {
+	return int64(j.spec.Rules.DurationFactor*float64(longestChain(j.spec.Steps, -1, expected))) + j.spec.Rules.DurationOffsetMS
+}
+
 func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 // age returns the time since the unit's occurrence was due or, without a schedule, since its job was
--- a/internal/controller/plan_test.go
+++ b/internal/controller/plan_test.go
@@ -5,6 +5,10 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/batch"
+	"github.com/oleanderbend/oleanderbend/internal/boottime"
+	"github.com/oleanderbend/oleanderbend/internal/planner"
 )
 
 // Guards against a leader that places nothing for seconds after one long round: rounds that took 300 ms, while other
@@ -14,3 +18,24 @@
 	require.Equal(t, 30*time.Millisecond, planPause(10*time.Millisecond))
 	require.LessOrEqual(t, planPause(300*time.Millisecond), 100*time.Millisecond)
 }
+
+// Guards against a job that is put last as overdue because its estimate is much too short, while the usual work of its queue
+// shows that it still has value, and against one that is never overdue.
+func TestUnitWithShortEstimateIsNotOverdue(t *testing.T) {
+	now := boottime.Instant(time.Hour)
+	l := &leader{}
+	timeliness := func(age time.Duration) planner.Timeliness {
+		j := &job{acceptedAt: now.Add(-age), spec: &batch.Job{
+			Queue: "q", Rules: batch.QueueRules{DurationFactor: 3, DurationOffsetMS: 1000}, Steps: []batch.Step{{Count: 4, EstimateMS: 500}},
+		}}
+		var d planner.Unit
+		l.setTimeliness(&d, &unit{job: j, step: &j.spec.Steps[0]}, now)
+		return d.Timeliness
+	}
+	require.Equal(t, planner.Overdue, timeliness(8*time.Second))
+	for n := range 20 {
+		l.durations.Add("q", time.Duration(1+n%10)*time.Second, 5*time.Second, 1)
+	}
+	require.Equal(t, planner.Late, timeliness(8*time.Second))
+	require.Equal(t, planner.Overdue, timeliness(60*time.Second))
+}
--- a/internal/forecast/durations.go
+++ b/internal/forecast/durations.go
@@ -17,9 +17,9 @@
 	leastVariance = 0.01
 )
 
-// Durations learns how long the work of each queue takes and how far its estimates are off. It answers queues whose
-// estimates are wrong by several times: a job whose estimate is much too short would seem overdue, and be put last, while
-// it can still meet its objective. The zero value is ready to use.
+// Durations learns how long the work of each queue takes and how far its estimates are off. The load that it answers:
+// estimates that are wrong by several times, so that a job whose estimate is much too short seems overdue, and is put
+// last, while it still has value. The zero value is ready to use.
 type Durations struct{ queues map[string]*queueDurations }
 
 // queueDurations has the moments of the logarithms of the work and of work / estimate, with weights that decay.
--- a/internal/forecast/speeds.go
+++ b/internal/forecast/speeds.go
@@ -1,7 +1,7 @@
-// Package forecast learns how fast each worker is, from the paces of tasks of the same step on different workers. It
-// does no I/O and does not read the clock.
+// Package forecast learns how fast each worker is, from the paces of tasks of the same step on different workers, and
+// how long the work of each queue takes. It does no I/O and does not read the clock.
 //
-// The load that it answers: workers differ in speed by a factor of two or more, nobody says which are fast, and the
+// The load that the speeds answer: workers differ in speed by a factor of two or more, nobody says which are fast, and the
 // estimates of the tasks are wrong by as much. Tasks of one step do about the same work, so their paces on
 // different workers show the relative speeds of these workers whatever the estimate says.
 package forecast
