--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -247,19 +247,35 @@
 // deadline in milliseconds of the boottime clock, and the minimum speed. Long-running units are always on time.
 func (l *leader) setTimeliness(d *planner.Unit, u *unit, now boottime.Instant) {
 	j := u.job
-	chain := longestChain(j.spec.Steps, -1)
-	objective := int64(j.spec.Rules.DurationFactor*float64(chain)) + j.spec.Rules.DurationOffsetMS
+	estimated := func(s *batch.Step) int64 { return s.EstimateMS }
+	objective := objectiveMS(j, estimated)
 	age := l.age(u, now).Milliseconds()
 	d.Deadline = time.Duration(now).Milliseconds() - age + objective
 	if u.step.LongRunning {
 		d.Timeliness = planner.OnTime
 		return
 	}
-	remaining := longestChain(j.spec.Steps, u.index)
+	remaining := longestChain(j.spec.Steps, u.index, estimated)
 	d.Timeliness = planner.TimelinessOf(millis(age), millis(remaining), millis(objective))
+	if d.Timeliness == planner.Overdue && !l.isOverdue(u, age) {
+		d.Timeliness = planner.Late
+	}
 	d.MinSpeed = l.minSpeed(u, millis(age), millis(remaining), millis(objective))
 }
 
+// isOverdue reports whether a unit of the given age in milliseconds has no value any more, by the usual durations of its queue. An estimate
+// that is much too short also makes the objective too short, and the unit would be put last although it has value.
+func (l *leader) isOverdue(u *unit, age int64) bool {
+	expected := func(s *batch.Step) int64 { return l.expectedMS(u.job, s) }
+	remaining := longestChain(u.job.spec.Steps, u.index, expected)
+	return planner.TimelinessOf(millis(age), millis(remaining), millis(objectiveMS(u.job, expected))) == planner.Overdue
+}
+
+// objectiveMS returns the objective for the duration of a job, in milliseconds; expected returns the duration of a step.
+func objectiveMS(j *job, expected func(*batch.Step) int64) int64 {
+	return int64(j.spec.Rules.DurationFactor*float64(longestChain(j.spec.Steps, -1, expected))) + j.spec.Rules.DurationOffsetMS
+}
+
 func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 // age returns the time since the unit's occurrence was due or, without a schedule, since its job was
@@ -276,10 +292,10 @@
 	return max(0, time.Duration(l.c.timeOfDay.unixMilli()-start)*time.Millisecond)
 }
 
-// longestChain returns the estimated duration of the longest chain of dependent steps, in
+// longestChain returns the expected duration of the longest chain of dependent steps, in
 // milliseconds: of all steps if first is negative, otherwise of the chains that begin with step
-// first. Steps must depend only on steps with lower indices.
-func longestChain(steps []batch.Step, first int) int64 {
+// first. Steps must depend only on steps with lower indices; expected returns the duration of a step.
+func longestChain(steps []batch.Step, first int, expected func(*batch.Step) int64) int64 {
 	ends := make([]int64, len(steps))
 	longest := int64(0)
 	for i := range steps {
@@ -293,7 +309,7 @@
 			}
 		}
 		if reached {
-			ends[i] = begin + max(1, steps[i].EstimateMS)
+			ends[i] = begin + max(1, expected(&steps[i]))
 			longest = max(longest, ends[i])
 		}
 	}
