--- /dev/null
+++ b/internal/node/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package node_test
+
+const raceEnabled = false
