Limit what the clients of an instance can use up

Bodies are read within a common budget of memory, connections are limited below the descriptors and the memory, and headers and idle connections follow the operator's limits. The chunked test bodies are now built once for all clients: building them took most of the time of TestClientsTinyChunks.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -122,7 +122,8 @@
 
 // Limits of a job.
 const (
-	maxSteps     = 64
+	// MaxSteps is the maximum number of steps.
+	MaxSteps     = 64
 	maxStepTasks = 4096
 	maxSpecBytes = 4000
 	maxRepeat    = 10000
@@ -176,7 +177,7 @@
 // error that wraps ErrInvalid and says what is invalid.
 func (j *Job) ValidateStructure() error {
 	switch {
-	case len(j.Steps) == 0 || len(j.Steps) > maxSteps:
+	case len(j.Steps) == 0 || len(j.Steps) > MaxSteps:
 		return fmt.Errorf("%w: number of steps out of range: %d", ErrInvalid, len(j.Steps))
 	case j.Repeat < 0 || j.Repeat > maxRepeat || j.IntervalMS < 0:
 		return fmt.Errorf("%w: repeat count or interval out of range", ErrInvalid)
--- a/internal/cli/instance.go
+++ b/internal/cli/instance.go
@@ -11,6 +11,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/oleanderbend/oleanderbend/internal/clients"
 	"github.com/oleanderbend/oleanderbend/internal/intake"
 	"github.com/oleanderbend/oleanderbend/internal/logging"
 	"github.com/oleanderbend/oleanderbend/internal/node"
@@ -60,7 +61,7 @@
 		OperatorTopic: platform.OperatorTopic, WorkersTopic: platform.WorkersTopic, StatusTopic: platform.StatusTopic,
 		IsConfig: platform.IsConfig, DecodeConfig: platform.DecodeConfig, DecodeWave: platform.DecodeWave,
 		DecodeWorker: platform.DecodeWorker, WaveStatus: platform.WaveStatus,
-		FrontHandler: func(i *intake.Service) http.Handler { return platform.NewJobHandler(i) },
+		FrontHandler: func(i *intake.Service, b *clients.Budget) http.Handler { return platform.NewJobHandler(i, b) },
 	}
 	if s.AdviceAddress != "" {
 		p.Advisor = platform.NewAdviceClient(s.AdviceAddress)
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -55,18 +55,19 @@
 
 func withLength(id string) string { return post(id, fmt.Sprintf("Content-Length: %d\r\n", bodyBytes)) }
 
-// chunked returns a chunked request whose body has chunks of the given size. It lacks its last byte of data and
-// the end of the body.
-func chunked(id string, size int) []byte {
+// chunked returns a function that sends a chunked request whose body has chunks of the given size. It lacks its
+// last byte of data and the end of the body.
+func chunked(size int) func(net.Conn, string) {
 	data := paddedJob(bodyBytes)
 	var b bytes.Buffer
-	b.WriteString(post(id, "Transfer-Encoding: chunked\r\n"))
 	for ; len(data) > 0; data = data[min(size, len(data)):] {
 		chunk := data[:min(size, len(data))]
 		fmt.Fprintf(&b, "%x\r\n%s\r\n", len(chunk), chunk)
 	}
 	b.Truncate(b.Len() - len("x\r\n"))
-	return b.Bytes()
+	return sendAll(func(id string) []byte {
+		return append([]byte(post(id, "Transfer-Encoding: chunked\r\n")), b.Bytes()...)
+	})
 }
 
 // clients are the connections of uncontrolled clients to one instance.
@@ -217,17 +218,17 @@
 
 // Guards against memory for bodies of one chunk that lacks one byte.
 func TestClientsOneChunk(t *testing.T) {
-	testMemory(t, clientCount, sendAll(func(id string) []byte { return chunked(id, bodyBytes) }))
+	testMemory(t, clientCount, chunked(bodyBytes))
 }
 
 // Guards against memory for bodies of chunks of 16 KB, of which the last lacks one byte.
 func TestClientsLargeChunks(t *testing.T) {
-	testMemory(t, clientCount, sendAll(func(id string) []byte { return chunked(id, 16<<10) }))
+	testMemory(t, clientCount, chunked(16<<10))
 }
 
 // Guards against memory for bodies of chunks of one byte, of which the last is missing.
 func TestClientsTinyChunks(t *testing.T) {
-	testMemory(t, clientCount, sendAll(func(id string) []byte { return chunked(id, 1) }))
+	testMemory(t, clientCount, chunked(1))
 }
 
 // Guards against memory for long headers that do not end.
--- a/internal/node/frontserver.go
+++ b/internal/node/frontserver.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
+	"github.com/oleanderbend/oleanderbend/internal/clients"
 )
 
 const (
@@ -44,11 +44,12 @@
 	conns map[net.Conn]http.ConnState
 }
 
-// startFrontServer starts a server at an address. It sends an error to failed if the server fails.
-func startFrontServer(server *http.Server, address string, failed chan<- error) (*frontServer, error) {
-	listener, err := net.Listen("tcp", address)
+// startFrontServer starts a server at an address, with the connections and requests that a limiter permits. It
+// sends an error to failed if the server fails.
+func startFrontServer(server *http.Server, limiter *clients.Limiter, address string, failed chan<- error) (*frontServer, error) {
+	listener, err := limiter.Listen(address)
 	if err != nil {
-		return nil, eris.Wrapf(err, "listen on %s", address)
+		return nil, err
 	}
 	requestCtx, cancelRequests := context.WithCancel(context.Background())
 	s := &frontServer{
@@ -56,6 +57,7 @@
 		cancelRequests: cancelRequests, conns: make(map[net.Conn]http.ConnState),
 	}
 	server.Handler, server.ConnState = http.HandlerFunc(s.serveHTTP), s.connStateChanged
+	limiter.Configure(server)
 	server.BaseContext = func(net.Listener) context.Context { return requestCtx }
 	go func() {
 		defer close(s.served)
@@ -77,6 +79,9 @@
 	stopping *atomic.Bool
 }
 
+// Unwrap returns the writer whose connection http.ResponseController uses.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 func (w *closingWriter) WriteHeader(status int) {
 	w.setConnection()
 	w.ResponseWriter.WriteHeader(status)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	stdlog "log"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -18,6 +19,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/oleanderbend/oleanderbend/internal/batch"
+	"github.com/oleanderbend/oleanderbend/internal/clients"
 	"github.com/oleanderbend/oleanderbend/internal/controller"
 	"github.com/oleanderbend/oleanderbend/internal/election"
 	"github.com/oleanderbend/oleanderbend/internal/intake"
@@ -45,10 +47,23 @@
 	// killMargin is how long before the end of the grace period, when the process is killed, the
 	// instance stops waiting for requests. It includes cancelledResponseTime.
 	killMargin = 1200 * time.Millisecond
-	// headerTimeout is the maximum time for reading the headers of a request.
+	// headerTimeout is the maximum time for reading the headers of a request, unless the operator sets one.
 	headerTimeout = 3 * time.Second
-	// idleTimeout is how long a connection of a caller may be idle before it is closed.
+	// idleTimeout is how long a connection may be idle before it is closed, unless the operator sets a time.
 	idleTimeout = 60 * time.Second
+	// maxHeaderBytes is the maximum size of the headers of a request, unless the operator sets one.
+	maxHeaderBytes = 16 << 10
+	// bodyTimeout is the maximum time for reading the body of a request without a deadline of the caller. A body
+	// of 256 KB needs 9 KB/s.
+	bodyTimeout = 30 * time.Second
+	// internalBodyTimeout and internalWriteTimeout limit requests to the servers for probes and metrics, whose
+	// bodies are not used. An answer may wait for the leader.
+	internalBodyTimeout  = 5 * time.Second
+	internalWriteTimeout = 30 * time.Second
+	// maxProbeConns and maxMetricsConns are the maximum numbers of connections to these servers. A load balancer
+	// and a few readers of metrics use one or two each.
+	maxProbeConns   = 64
+	maxMetricsConns = 32
 )
 
 // Platform is the clients, topics and codecs of the platform that the instance runs on.
@@ -69,8 +84,9 @@
 	DecodeWorker func(ledger.Record) (worker.Info, error)
 	// WaveStatus returns the record that reports the progress of a wave.
 	WaveStatus func(wave int64, completed bool) ledger.Record
-	// FrontHandler returns the handler for the requests of callers (the front server).
-	FrontHandler func(*intake.Service) http.Handler
+	// FrontHandler returns the handler for the requests of callers (the front server). It reads their bodies
+	// within the budget.
+	FrontHandler func(*intake.Service, *clients.Budget) http.Handler
 }
 
 // Node is one instance of the service: the parts that run in one process.
@@ -79,6 +95,7 @@
 	platform Platform
 	logger   *log.Logger
 	metrics  *metrics.Set
+	refusals *clients.Refusals
 
 	intake     *intake.Service
 	elector    *election.Elector
@@ -100,6 +117,7 @@
 func New(s Settings, p Platform, logger *log.Logger) *Node {
 	incarnation := uuid.NewString()
 	n := &Node{settings: s, platform: p, logger: logger, metrics: metrics.NewSet(), waves: make(map[int64]worker.Wave)}
+	n.refusals = clients.NewRefusals(n.metrics, logger)
 	// The producer is new for each incarnation, so its epoch never changes.
 	n.writer = ledger.NewWriter(ledger.WriterConfig{
 		Log: p.Log, Topic: batch.JobsTopic, Producer: incarnation, Epoch: 1, Logger: logger,
@@ -331,15 +349,15 @@
 	ready := http.NewServeMux()
 	ready.HandleFunc("/", n.serveReady)
 	s := &servers{
-		ready: n.newServer(ready),
+		ready: newServer(ready),
 		// One error from each of the servers for callers, probes and metrics, so that none blocks.
 		failed: make(chan error, 3),
 	}
 	var err error
-	if s.front, err = startFrontServer(n.newServer(n.platform.FrontHandler(n.intake)), n.settings.FrontAddress, s.failed); err != nil {
+	if s.front, err = n.startFront(s.failed); err != nil {
 		return nil, err
 	}
-	if err := startServer(s.ready, n.settings.ReadyAddress, s.failed); err != nil {
+	if err := n.startInternal(s.ready, maxProbeConns, n.settings.ReadyAddress, s.failed); err != nil {
 		return nil, err
 	}
 	if n.settings.RelayPort != 0 {
@@ -355,20 +373,52 @@
 		return s, nil
 	}
 	address := net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.MetricsPort))
-	return s, startServer(n.newServer(http.HandlerFunc(n.serveMetrics)), address, s.failed)
+	return s, n.startInternal(newServer(http.HandlerFunc(n.serveMetrics)), maxMetricsConns, address, s.failed)
 }
 
-func (n *Node) newServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: stdlog.New(io.Discard, "", 0),
+// startFront starts the server for callers.
+func (n *Node) startFront(failed chan<- error) (*frontServer, error) {
+	budget := clients.NewBudget(n.settings.bodyBytes(), n.refusals)
+	limiter := clients.NewLimiter(n.settings.maxCallers(), n.callerLimits, n.refusals)
+	n.metrics.NewGauge("oleanderbend_caller_connections", func() float64 { return float64(limiter.Open()) })
+	n.metrics.NewGauge("oleanderbend_body_bytes", func() float64 { return float64(budget.Used()) })
+	server := newServer(n.platform.FrontHandler(n.intake, budget))
+	return startFrontServer(server, limiter, n.settings.FrontAddress, failed)
+}
+
+// callerLimits returns the limits for the requests of callers: those of the operator, or the defaults.
+func (n *Node) callerLimits() clients.Limits {
+	limits := clients.Limits{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, BodyTimeout: bodyTimeout, MaxHeaderBytes: maxHeaderBytes}
+	c := n.intake.CurrentConfig()
+	if c == nil {
+		return limits
+	}
+	if c.HeaderTimeout > 0 {
+		limits.HeaderTimeout = c.HeaderTimeout
+	}
+	if c.IdleTimeout > 0 {
+		limits.IdleTimeout = c.IdleTimeout
 	}
+	if c.MaxHeaderBytes > 0 {
+		limits.MaxHeaderBytes = int(min(c.MaxHeaderBytes, math.MaxInt32))
+	}
+	return limits
+}
+
+// newServer returns a server whose time limits are set by a limiter.
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ErrorLog: stdlog.New(io.Discard, "", 0)}
 }
 
-func startServer(s *http.Server, address string, failed chan<- error) error {
-	listener, err := net.Listen("tcp", address)
+// startInternal starts a server for probes or metrics.
+func (n *Node) startInternal(s *http.Server, maxConns int, address string, failed chan<- error) error {
+	limits := clients.Limits{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, BodyTimeout: internalBodyTimeout, MaxHeaderBytes: maxHeaderBytes}
+	limiter := clients.NewLimiter(maxConns, func() clients.Limits { return limits }, n.refusals)
+	s.WriteTimeout = internalWriteTimeout
+	limiter.Configure(s)
+	listener, err := limiter.Listen(address)
 	if err != nil {
-		return eris.Wrapf(err, "listen on %s", address)
+		return err
 	}
 	go func() {
 		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"time"
@@ -38,6 +39,8 @@
 	Cores float64
 	// MemoryMB is the memory of the instance in megabytes; 0 if unknown.
 	MemoryMB int64
+	// MaxFDs is the maximum number of open file descriptors of the process; 0 if unknown.
+	MaxFDs int64
 	// LogAddress is the address of the log.
 	LogAddress string
 	// AdviceAddress and MachinesAddress are the addresses of the advice service and of the service that
@@ -48,6 +51,40 @@
 	Timing            Timing
 }
 
+const (
+	// defaultMemoryMB and defaultMaxFDs stand for limits that the settings do not give. They are those of the
+	// smallest deployment.
+	defaultMemoryMB = 144
+	defaultMaxFDs   = 3075
+	// reservedFDs is the number of descriptors for files.
+	reservedFDs = 200
+	// callerFDFraction is the fraction of the other descriptors that callers may use. The leader has up to three
+	// connections to each of 350 workers with 3,075 descriptors, and two from each of up to 150 instances.
+	callerFDFraction = 0.25
+	// callerMemoryFraction is the fraction of the memory that connections of callers may use.
+	callerMemoryFraction = 0.25
+	// callerBytes is the memory of a connection: two buffers of 4 KB and the goroutines of net/http, a header of
+	// 16 KB, and what waits in the kernel in both directions (clients.Limiter).
+	callerBytes = 64 << 10
+	// bodyMemoryFraction is the fraction of the memory for request bodies.
+	bodyMemoryFraction = 0.125
+	// minCallers is the smallest limit of connections of callers.
+	minCallers = 16
+)
+
+// maxCallers returns the maximum number of connections of callers: 576 with 144 MB, 718 with 3,075 descriptors.
+func (s *Settings) maxCallers() int {
+	fds := cmp.Or(max(0, s.MaxFDs), defaultMaxFDs) - reservedFDs
+	return max(minCallers, min(int(float64(fds)*callerFDFraction), int(s.memoryBytes()*callerMemoryFraction/callerBytes)))
+}
+
+// bodyBytes returns the memory for request bodies in bytes.
+func (s *Settings) bodyBytes() int64 { return int64(s.memoryBytes() * bodyMemoryFraction) }
+
+func (s *Settings) memoryBytes() float64 {
+	return float64(cmp.Or(max(0, s.MemoryMB), defaultMemoryMB)) * (1 << 20)
+}
+
 // ErrInvalidSettings means that a required setting is missing.
 var ErrInvalidSettings = errors.New("node: invalid settings")
 
--- a/internal/opconfig/opconfig.go
+++ b/internal/opconfig/opconfig.go
@@ -1,5 +1,5 @@
 // Package opconfig defines the decoded configuration of the operator: queues, organisations with
-// their keys and guarantees, and the limit on the size of request bodies.
+// their keys and guarantees, and the limits of requests.
 package opconfig
 
 import (
@@ -59,6 +59,11 @@
 	Orgs    []Org
 	// MaxBodyBytes is the maximum size of a request body; 0 if the operator sets no limit.
 	MaxBodyBytes int64
+	// MaxHeaderBytes is the maximum size of the header of a request, HeaderTimeout the time within which it must
+	// arrive, and IdleTimeout the time after which a connection without a request is closed; 0 if the operator
+	// sets no limit.
+	MaxHeaderBytes             int64
+	HeaderTimeout, IdleTimeout time.Duration
 
 	queueByName  map[string]*Queue
 	orgByKey     map[string]string
