--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -191,6 +191,27 @@
 	p.requireHealthy(t, clientMaxFDs)
 }
 
+// Guards against limits that a single slow caller reaches, which gives no deadline and sends its body in longer than
+// the time for handling a request.
+func TestClientsSlowBodyIsServed(t *testing.T) {
+	p := startLimited(t, clientMemoryMB, manyFDs)
+	conn, err := net.DialTimeout("tcp", p.settings.FrontAddress, answerTimeout)
+	require.NoError(t, err)
+	defer conn.Close()
+	body := paddedJob(bodyBytes)
+	_, err = io.WriteString(conn, withLength("5c0e7a21d94b36f9"))
+	require.NoError(t, err)
+	const pieces = 8
+	for n := range pieces {
+		_, err = conn.Write(body[n*bodyBytes/pieces : (n+1)*bodyBytes/pieces])
+		require.NoError(t, err)
+		time.Sleep(500 * time.Millisecond)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+}
+
 // Guards against memory for all whole bodies that arrive at the same time.
 func TestClientsWholeBodies(t *testing.T) {
 	body := paddedJob(bodyBytes)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,10 +56,8 @@
 	// bodyTimeout is the maximum time for reading the body of a request without a deadline of the caller. A body
 	// of 256 KB needs 9 KB/s.
 	bodyTimeout = 30 * time.Second
-	// internalBodyTimeout and internalWriteTimeout limit requests to the servers for probes and metrics, whose
-	// bodies are not used. An answer may wait for the leader.
-	internalBodyTimeout  = 5 * time.Second
-	internalWriteTimeout = 30 * time.Second
+	// internalBodyTimeout limits requests to the servers for probes and metrics, whose bodies are small.
+	internalBodyTimeout = 5 * time.Second
 	// maxProbeConns and maxMetricsConns are the maximum numbers of connections to these servers. A load balancer
 	// and a few readers of metrics use one or two each.
 	maxProbeConns   = 64
@@ -365,7 +363,7 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "listen for relayed records of other instances")
 		}
-		if err := relay.Serve(listener, n.writer, n.isLeader, n.elector.AwaitEnd); err != nil {
+		if err := relay.Serve(listener, n.writer, n.isLeader, n.elector.AwaitEnd, n.refusals.Count); err != nil {
 			return nil, err
 		}
 	}
@@ -414,7 +412,6 @@
 func (n *Node) startInternal(s *http.Server, maxConns int, address string, failed chan<- error) error {
 	limits := clients.Limits{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, BodyTimeout: internalBodyTimeout, MaxHeaderBytes: maxHeaderBytes}
 	limiter := clients.NewLimiter(maxConns, func() clients.Limits { return limits }, n.refusals)
-	s.WriteTimeout = internalWriteTimeout
 	limiter.Configure(s)
 	listener, err := limiter.Listen(address)
 	if err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 
+	"github.com/oleanderbend/oleanderbend/internal/clients"
 	"github.com/oleanderbend/oleanderbend/internal/election"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
 )
@@ -88,13 +89,15 @@
 	return nil
 }
 
-// Serve starts to accept connections on a listener in the background, until the listener is closed.
-func Serve(listener net.Listener, store ledger.Storer, isLeader func() bool, awaitEnd func(context.Context, election.LeaderTerm) election.EndState) error {
+// Serve starts to accept connections on a listener in the background, until the listener is closed. It calls refused
+// for each connection that it closes because of a limit.
+func Serve(listener net.Listener, store ledger.Storer, isLeader func() bool, awaitEnd func(context.Context, election.LeaderTerm) election.EndState, refused func(clients.Cause)) error {
 	server := rpc.NewServer()
 	if err := server.RegisterName(service, &Server{store: store, isLeader: isLeader, awaitEnd: awaitEnd}); err != nil {
 		return eris.Wrap(err, "register the relay's RPC service")
 	}
-	go server.Accept(listener)
+	g := &guard{refused: refused}
+	go g.accept(listener, server)
 	return nil
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/gob"
+	"errors"
 	"io"
 	"net"
 	"net/rpc"
@@ -12,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/oleanderbend/oleanderbend/internal/clients"
 	"github.com/oleanderbend/oleanderbend/internal/election"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
 	"github.com/oleanderbend/oleanderbend/internal/logging"
@@ -37,7 +39,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { listener.Close() })
-	require.NoError(t, Serve(listener, store, func() bool { return isLeader }, neverEnds))
+	require.NoError(t, Serve(listener, store, func() bool { return isLeader }, neverEnds, func(clients.Cause) {}))
 	return listener.Addr().String()
 }
 
@@ -120,7 +122,8 @@
 	server := rpc.NewServer()
 	require.NoError(f, server.RegisterName(service, &Server{store: discardStore{}, isLeader: func() bool { return true }, awaitEnd: neverEnds}))
 	f.Fuzz(func(_ *testing.T, data []byte) {
-		server.ServeConn(&scriptedConn{Reader: bytes.NewReader(data)})
+		g := &guard{refused: func(clients.Cause) {}}
+		server.ServeCodec(newCodec(g.admit(&scriptedConn{Reader: bytes.NewReader(data)})))
 	})
 }
 
@@ -129,7 +132,52 @@
 func (discardStore) Write(context.Context, []ledger.Record) error { return nil }
 
 // scriptedConn is a connection whose other side sends fixed bytes and ignores the responses.
-type scriptedConn struct{ io.Reader }
+type scriptedConn struct {
+	net.Conn
+	io.Reader
+}
 
-func (*scriptedConn) Write(p []byte) (int, error) { return len(p), nil }
-func (*scriptedConn) Close() error                { return nil }
+func (c *scriptedConn) Read(p []byte) (int, error)     { return c.Reader.Read(p) }
+func (*scriptedConn) Write(p []byte) (int, error)      { return len(p), nil }
+func (*scriptedConn) Close() error                     { return nil }
+func (*scriptedConn) SetReadDeadline(time.Time) error  { return nil }
+func (*scriptedConn) SetWriteDeadline(time.Time) error { return nil }
+
+// Guards against connections of other programs that keep the instances out, and against messages for which the
+// decoder allocates the announced size: such a message may take 1 GB.
+func TestServeLimitsConnectionsAndMessages(t *testing.T) {
+	leaderStore := &fakeStore{}
+	address := start(t, leaderStore, true)
+	dial := func(data string) net.Conn {
+		conn, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		t.Cleanup(func() { conn.Close() })
+		_, err = io.WriteString(conn, data)
+		require.NoError(t, err)
+		return conn
+	}
+	requireClosed := func(conn net.Conn) {
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(callTimeout/2)))
+		_, err := conn.Read(make([]byte, 1))
+		var timeout net.Error
+		require.False(t, errors.As(err, &timeout) && timeout.Timeout(), "the connection is still open")
+	}
+	// Messages of 5 MB and 3 MB; the budget has room for two of the latter.
+	requireClosed(dial("\xfd\x50\x00\x00"))
+	var large []net.Conn
+	for range 2 {
+		large = append(large, dial("\xfd\x30\x00\x00xxx"))
+	}
+	time.Sleep(100 * time.Millisecond)
+	requireClosed(dial("\xfd\x30\x00\x00"))
+	for range maxConns {
+		dial("")
+	}
+	for _, conn := range large {
+		requireClosed(conn)
+	}
+	direct := &fakeStore{}
+	require.NoError(t, writeVia(t, address, direct))
+	require.Equal(t, 1, leaderStore.writes)
+	require.Zero(t, direct.writes)
+}
