--- a/internal/clients/budget.go
+++ b/internal/clients/budget.go
@@ -1,12 +1,14 @@
 package clients
 
 import (
+	"cmp"
 	"container/list"
 	"context"
 	"errors"
 	"io"
 	"os"
 	"sync"
+	"time"
 )
 
 const (
@@ -20,6 +22,14 @@
 	// smallBody is the size in bytes up to which bodies are decoded without a slot, so that usual bodies do
 	// not wait behind large ones.
 	smallBody = 16 << 10
+	// unpacedBodies is the number of incomplete bodies up to which large ones are read without pauses.
+	unpacedBodies = 32
+	// readCost is about twice the processor time for reading 8 KB in chunks of one byte, on a whole core.
+	readCost = time.Millisecond
+	// maxPause limits the pause of a large body after each 8 KB.
+	maxPause = 2 * time.Second
+	// minCores is the smallest processor time, in cores, for which readCost is scaled.
+	minCores = 0.1
 	// handlingFactor is the memory of a large job that is being stored, relative to its body: the job, its
 	// record, and the copy of the record that is sent.
 	handlingFactor = 4
@@ -37,6 +47,8 @@
 // body that has been read for the longest time is abandoned.
 type Budget struct {
 	refusals *Refusals
+	// pause is the pause after reading a chunk of a large body, for each incomplete body beyond unpacedBodies.
+	pause time.Duration
 	// buffers has one buffer for each decode slot, for the joined chunks of a body.
 	buffers chan []byte
 
@@ -49,10 +61,11 @@
 	incomplete list.List
 }
 
-// NewBudget returns a budget of the given number of bytes.
-func NewBudget(size int64, refusals *Refusals) *Budget {
+// NewBudget returns a budget of the given number of bytes, for a process with the given processor time in cores; 0
+// means one core.
+func NewBudget(size int64, cores float64, refusals *Refusals) *Budget {
 	b := &Budget{
-		refusals: refusals, buffers: make(chan []byte, decodeSlots),
+		refusals: refusals, pause: time.Duration(float64(readCost) / max(minCores, cmp.Or(cores, 1))), buffers: make(chan []byte, decodeSlots),
 		capacity: max(int(size/chunkBytes), minChunks),
 	}
 	for range decodeSlots {
@@ -112,9 +125,21 @@
 		if whole {
 			return body, nil
 		}
+		time.Sleep(b.pauseOf(body))
 	}
 }
 
+// pauseOf returns the pause before a body is read further. Many large bodies in small pieces would otherwise take the
+// processor time of all other requests. The first 16 KB of a body are read without pauses.
+func (b *Budget) pauseOf(body *Body) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if body.size < smallBody {
+		return 0
+	}
+	return min(maxPause, time.Duration(max(0, b.incomplete.Len()-unpacedBodies))*b.pause)
+}
+
 // countError counts the failure to read a body, unless the body was abandoned, which is counted already.
 func (b *Budget) countError(err error) {
 	switch {
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -42,7 +42,7 @@
 // Guards against a budget that unfinished bodies hold for ever: the oldest is abandoned, at once, and newer ones
 // and small whole ones are read.
 func TestOldestIncompleteBodyIsAbandoned(t *testing.T) {
-	b := NewBudget(1<<20, newRefusals())
+	b := NewBudget(1<<20, 1, newRefusals())
 	b.capacity = 128 // 1 MB, room for 4 bodies of 240 KB
 	var results []<-chan error
 	for range 4 {
@@ -62,7 +62,7 @@
 // Guards against a whole body that loses its content or its account to newer ones: it must be answered. Newer
 // bodies are rejected instead.
 func TestWholeBodyIsNotAbandoned(t *testing.T) {
-	b := NewBudget(0, newRefusals())
+	b := NewBudget(0, 1, newRefusals())
 	b.capacity = 40
 	content := strings.Repeat("abc", 80<<10)
 	body, err := b.Read(strings.NewReader(content), bodyLimit, func() { t.Error("abandoned") })
@@ -83,7 +83,7 @@
 
 // Guards against large bodies that are all decoded at the same time, and against small ones that wait for them.
 func TestLargeBodiesAreDecodedAFewAtATime(t *testing.T) {
-	b := NewBudget(16<<20, newRefusals())
+	b := NewBudget(16<<20, 1, newRefusals())
 	large := bytes.Repeat([]byte(" "), 200<<10)
 	release := make(chan struct{})
 	defer close(release)
@@ -108,7 +108,7 @@
 
 // Guards against a body that is read beyond its limit.
 func TestBodyTooLarge(t *testing.T) {
-	b := NewBudget(0, newRefusals())
+	b := NewBudget(0, 1, newRefusals())
 	_, err := b.Read(strings.NewReader(strings.Repeat("x", 101)), 100, func() {})
 	require.ErrorIs(t, err, ErrTooLarge)
 	require.Zero(t, b.Used())
@@ -202,6 +202,41 @@
 	requireClosed(t, idle)
 }
 
+// Guards against clients that keep all connections busy with requests that they send without waiting for answers:
+// at the limit, their connections are closed after an answer.
+func TestPipeliningDoesNotKeepOthersOut(t *testing.T) {
+	const requests = 2000
+	address, handled := serve(t, 1, usualLimits())
+	busy, _ := dial(t, address, "")
+	go func() {
+		_, _ = io.WriteString(busy, strings.Repeat("GET /busy HTTP/1.1\r\nHost: h\r\n\r\n", requests)) // The server closes the connection.
+	}()
+	require.Equal(t, "/busy", <-handled)
+	_, r := dial(t, address, "GET /other HTTP/1.1\r\nHost: h\r\n\r\n")
+	before := 0
+	for <-handled != "/other" {
+		time.Sleep(time.Millisecond)
+		before++
+	}
+	requireStatus(t, r, http.StatusOK)
+	require.Less(t, before, requests/2)
+}
+
+// Guards against pauses in the bodies of ordinary clients, and in large ones while there are few.
+func TestOnlyManyLargeBodiesArePaced(t *testing.T) {
+	b := NewBudget(16<<20, 0.5, newRefusals())
+	large, small := &Body{size: smallBody}, &Body{size: smallBody - 1}
+	for range unpacedBodies {
+		b.incomplete.PushBack(large)
+	}
+	require.Zero(t, b.pauseOf(large))
+	for range 10 {
+		b.incomplete.PushBack(large)
+	}
+	require.Equal(t, 20*readCost, b.pauseOf(large))
+	require.Zero(t, b.pauseOf(small))
+}
+
 // Guards against headers, idle connections and bodies that are waited for without end, and against headers that are
 // read without a limit.
 func TestTimeLimitsAndHeaderSize(t *testing.T) {
--- a/internal/clients/limiter.go
+++ b/internal/clients/limiter.go
@@ -59,6 +59,8 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	// full is whether a new connection waits for room.
+	full bool
 	// waiting is the connections (*conn) without a complete request, in the order in which they began to wait.
 	waiting list.List
 }
@@ -108,6 +110,8 @@
 	expired bool
 	// closing means that the next response asks the client to close the connection.
 	closing bool
+	// pipelined means that the next request was read together with an earlier one, before that was answered.
+	pipelined bool
 	// headerBytes is the bytes that were read for a header.
 	headerBytes int
 	// writingSince is when a write that still waits began, or zero.
@@ -191,9 +195,11 @@
 	if len(l.conns) < l.maxConns {
 		c := &conn{TCPConn: tcp, limiter: l}
 		l.conns[c] = struct{}{}
+		l.full = false
 		l.waitLocked(c, headerPhase)
 		return c, 0
 	}
+	l.full = true
 	now := time.Now()
 	wait := minWait
 	for e := l.waiting.Front(); e != nil; e = e.Next() {
@@ -303,6 +309,7 @@
 	if c.phase == idlePhase {
 		l.waitLocked(c, headerPhase)
 	}
+	c.pipelined = false
 	if c.phase == headerPhase {
 		c.headerBytes += n
 		if limit := l.limits().MaxHeaderBytes; c.headerBytes > limit+readAheadBytes {
@@ -375,6 +382,9 @@
 	case http.StateActive:
 		l.endWaitLocked(c)
 		c.phase, c.headerBytes = handlingPhase, 0
+		// Ordinary clients send a request after the answer to the one before. Others would keep their connections
+		// busy and new clients out.
+		c.closing = c.closing || c.pipelined && l.full
 		if c.expired {
 			// The request was read before the deadline took effect, so it is answered.
 			c.expired, c.closing = false, true
@@ -382,6 +392,7 @@
 		}
 	case http.StateIdle:
 		l.waitLocked(c, idlePhase)
+		c.pipelined = true // Until a further read.
 		l.signalFreed()
 	case http.StateClosed, http.StateHijacked:
 		l.endWaitLocked(c)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -376,7 +376,7 @@
 
 // startFront starts the server for callers.
 func (n *Node) startFront(failed chan<- error) (*frontServer, error) {
-	budget := clients.NewBudget(n.settings.bodyBytes(), n.refusals)
+	budget := clients.NewBudget(n.settings.bodyBytes(), n.settings.Cores, n.refusals)
 	limiter := clients.NewLimiter(n.settings.maxCallers(), n.callerLimits, n.refusals)
 	n.metrics.NewGauge("oleanderbend_caller_connections", func() float64 { return float64(limiter.Open()) })
 	n.metrics.NewGauge("oleanderbend_body_bytes", func() float64 { return float64(budget.Used()) })
