Size the relay's connection limit from the descriptors of the settings

The fixed limit of 512 would have closed connections with 300 instances, which have two each. A socket buffer that cannot be set no longer keeps an instance from starting.

--- a/internal/clients/limiter.go
+++ b/internal/clients/limiter.go
@@ -128,14 +128,11 @@
 // Listen listens at a TCP address (host:port).
 func (l *Limiter) Listen(address string) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		var err error
-		// Accepted connections inherit the sizes.
-		controlErr := raw.Control(func(fd uintptr) {
-			err = errors.Join(
-				syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, socketBufferBytes),
-				syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, socketBufferBytes))
+		// Accepted connections inherit the sizes. Where they cannot be set, connections work with the usual ones.
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, socketBufferBytes)
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, socketBufferBytes)
 		})
-		return errors.Join(controlErr, err)
 	}}
 	inner, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -363,7 +363,7 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "listen for relayed records of other instances")
 		}
-		if err := relay.Serve(listener, n.writer, n.isLeader, n.elector.AwaitEnd, n.refusals.Count); err != nil {
+		if err := relay.Serve(listener, n.writer, n.isLeader, n.elector.AwaitEnd, relay.Limits{MaxConns: n.settings.maxRelayConns(), Refused: n.refusals.Count}); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -61,6 +61,9 @@
 	// callerFDFraction is the fraction of the other descriptors that callers may use. The leader has up to three
 	// connections to each of 350 workers with 3,075 descriptors, and two from each of up to 150 instances.
 	callerFDFraction = 0.25
+	// relayFDFraction is the fraction for other instances at the leader: 1,950 of 4,100 descriptors, two each for
+	// 900 instances.
+	relayFDFraction = 0.5
 	// callerMemoryFraction is the fraction of the memory that connections of callers may use.
 	callerMemoryFraction = 0.25
 	// callerBytes is the memory of a connection: two buffers of 4 KB and the goroutines of net/http, a header of
@@ -78,6 +81,11 @@
 	return max(minCallers, min(int(float64(fds)*callerFDFraction), int(s.memoryBytes()*callerMemoryFraction/callerBytes)))
 }
 
+// maxRelayConns returns the maximum number of connections of other instances.
+func (s *Settings) maxRelayConns() int {
+	return max(minCallers, int(float64(cmp.Or(max(0, s.MaxFDs), defaultMaxFDs)-reservedFDs)*relayFDFraction))
+}
+
 // bodyBytes returns the memory for request bodies in bytes.
 func (s *Settings) bodyBytes() int64 { return int64(s.memoryBytes() * bodyMemoryFraction) }
 
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -15,8 +15,8 @@
 
 // Limits of the relay's server. Other programs may connect to it.
 const (
-	// maxConns is the maximum number of connections. Each of up to 150 instances has two.
-	maxConns = 512
+	// defaultMaxConns is the maximum number of connections if the settings give none.
+	defaultMaxConns = 512
 	// callTimeout is the time for the first call on a new connection, and for each call from its first byte on.
 	callTimeout = 5 * time.Second
 	// responseTimeout limits one write of a response.
@@ -40,6 +40,7 @@
 
 // guard limits the connections and the memory of a relay server.
 type guard struct {
+	maxConns int
 	// refused is called for each connection that the guard closes.
 	refused func(clients.Cause)
 
@@ -80,7 +81,7 @@
 func (g *guard) admit(conn net.Conn) *guardedConn {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.conns >= maxConns {
+	if g.conns >= g.maxConns {
 		oldest, ok := g.oldestLocked()
 		if !ok {
 			return nil
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,6 +4,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -89,14 +90,21 @@
 	return nil
 }
 
-// Serve starts to accept connections on a listener in the background, until the listener is closed. It calls refused
-// for each connection that it closes because of a limit.
-func Serve(listener net.Listener, store ledger.Storer, isLeader func() bool, awaitEnd func(context.Context, election.LeaderTerm) election.EndState, refused func(clients.Cause)) error {
+// Limits are the limits of the relay's server.
+type Limits struct {
+	// MaxConns is the maximum number of connections; 0 for a default. Each other instance has two.
+	MaxConns int
+	// Refused is called for each connection that is closed because of a limit.
+	Refused func(clients.Cause)
+}
+
+// Serve starts to accept connections on a listener in the background, until the listener is closed.
+func Serve(listener net.Listener, store ledger.Storer, isLeader func() bool, awaitEnd func(context.Context, election.LeaderTerm) election.EndState, limits Limits) error {
 	server := rpc.NewServer()
 	if err := server.RegisterName(service, &Server{store: store, isLeader: isLeader, awaitEnd: awaitEnd}); err != nil {
 		return eris.Wrap(err, "register the relay's RPC service")
 	}
-	g := &guard{refused: refused}
+	g := &guard{maxConns: cmp.Or(limits.MaxConns, defaultMaxConns), refused: limits.Refused}
 	go g.accept(listener, server)
 	return nil
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -39,7 +39,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { listener.Close() })
-	require.NoError(t, Serve(listener, store, func() bool { return isLeader }, neverEnds, func(clients.Cause) {}))
+	require.NoError(t, Serve(listener, store, func() bool { return isLeader }, neverEnds, Limits{Refused: func(clients.Cause) {}}))
 	return listener.Addr().String()
 }
 
@@ -122,7 +122,7 @@
 	server := rpc.NewServer()
 	require.NoError(f, server.RegisterName(service, &Server{store: discardStore{}, isLeader: func() bool { return true }, awaitEnd: neverEnds}))
 	f.Fuzz(func(_ *testing.T, data []byte) {
-		g := &guard{refused: func(clients.Cause) {}}
+		g := &guard{maxConns: defaultMaxConns, refused: func(clients.Cause) {}}
 		server.ServeCodec(newCodec(g.admit(&scriptedConn{Reader: bytes.NewReader(data)})))
 	})
 }
@@ -170,7 +170,7 @@
 	}
 	time.Sleep(100 * time.Millisecond)
 	requireClosed(dial("\xfd\x30\x00\x00"))
-	for range maxConns {
+	for range defaultMaxConns {
 		dial("")
 	}
 	for _, conn := range large {
