--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -92,7 +92,7 @@
 	Service string
 	Rack    string
 	Labels  []string
-	// AcceptsWork means that new tasks may start on the worker.
+	// AcceptsWork means that new tasks may start on the worker unless it is Evacuated.
 	AcceptsWork bool
 	// Free is what no run uses.
 	Free Resources
@@ -106,13 +106,20 @@
 	Slow bool
 	// Speed is how fast the worker runs tasks; 1 is the typical worker of the service, 0 means that it is not known.
 	Speed float64
-	// Evacuated means that the availability zone of the worker is evacuated. Such a worker does not accept work.
+	// Evacuated means that the availability zone of the worker is evacuated, or that it has returned to service so lately
+	// that the worker is not used yet. No task starts on such a worker, and it counts neither towards headroom nor
+	// towards minimum shares.
 	Evacuated bool
+	// Cold means that the worker has started lately and is slow for some time. Such workers are used last.
+	Cold bool
 	// RunsServing means that the worker runs serving tasks, RunsFiller that it runs filler tasks.
 	RunsServing, RunsFiller bool
 	Runs                    []Run
 }
 
+// Usable reports whether new tasks may start on the worker.
+func (w *Worker) Usable() bool { return w.AcceptsWork && !w.Evacuated }
+
 // Unit is the waiting tasks of a step. A gang is always one unit and is placed as a whole.
 type Unit struct {
 	Service string
@@ -232,10 +239,12 @@
 	WaitsForRack WaitReason = "rack"
 	// WaitsBehindGang means that the unit fits into free resources that a blocked gang claims.
 	WaitsBehindGang WaitReason = "gang"
+	// WaitsForEvacuation means that the unit would fit if no zone were evacuated.
+	WaitsForEvacuation WaitReason = "evacuation"
 )
 
 // WaitReasons lists all reasons.
-var WaitReasons = []WaitReason{WaitsForCapacity, WaitsForRelease, WaitsForHeadroom, WaitsForRack, WaitsBehindGang}
+var WaitReasons = []WaitReason{WaitsForCapacity, WaitsForRelease, WaitsForHeadroom, WaitsForRack, WaitsBehindGang, WaitsForEvacuation}
 
 // Stop preempts the runs of a group so that the tasks of a unit can start.
 type Stop struct {
@@ -342,6 +351,8 @@
 	// spareGPU is how many accelerators each service has free in excess of its headroom; negative if
 	// fewer than the headroom are free.
 	spareGPU map[string]int64
+	// evacuated is the indices of the workers that are Evacuated and would accept work otherwise.
+	evacuated []int
 	// racks is the workers of each rack, rackOf the index of the rack of each worker.
 	racks  [][]int
 	rackOf []int32
@@ -427,8 +438,10 @@
 	}
 	for i := range s.Workers {
 		w := &s.Workers[i]
-		if w.AcceptsWork {
+		if w.Usable() {
 			r.spareGPU[w.Service] += max(0, w.Free.GPU)
+		} else if w.AcceptsWork {
+			r.evacuated = append(r.evacuated, i)
 		}
 		r.free[i], r.idle[i] = w.Free, w.Free
 		r.freeAfterStops[i] = w.Free.Add(w.Releasing)
@@ -516,7 +529,11 @@
 	}
 	limit := r.startLimit(u)
 	if limit == 0 || (u.Gang && limit < u.Tasks) {
-		r.plan.Waits[part.index] = Wait{Reason: WaitsForHeadroom, Behind: -1, HeldBack: r.fitsTwiceDespiteHolds(u)}
+		wait := Wait{Reason: WaitsForHeadroom, Behind: -1, HeldBack: r.fitsTwiceDespiteHolds(u)}
+		if r.fitsWithoutEvacuation(u) {
+			wait.Reason = WaitsForEvacuation
+		}
+		r.plan.Waits[part.index] = wait
 		return
 	}
 	free := r.free
@@ -554,7 +571,7 @@
 	if shapeDecides {
 		r.unplaceable[unitShape] = unplacedUnit{u.Tasks, wait}
 	}
-	if u.Gang && u.Timeliness != Overdue && r.blockedGangClaims < maxBlockedGangClaims {
+	if u.Gang && u.Timeliness != Overdue && r.blockedGangClaims < maxBlockedGangClaims && !r.needsEvacuated(u) {
 		r.claimForBlockedGang(part.index, &rest)
 	}
 }
@@ -568,6 +585,8 @@
 		return Wait{Reason: WaitsBehindGang, Behind: r.firstClaimant, HeldBack: r.fitsTwiceDespiteHolds(u)}
 	case (u.DataRack != "" || u.RackLocal) && r.fits(&anyRack, r.free):
 		return Wait{Reason: WaitsForRack, Behind: -1, HeldBack: r.fitsTwiceDespiteHolds(u)}
+	case r.fitsWithoutEvacuation(u):
+		return Wait{Reason: WaitsForEvacuation, Behind: -1}
 	default:
 		return Wait{Reason: WaitsForCapacity, Behind: -1}
 	}
@@ -576,12 +595,17 @@
 // startLimit returns how many tasks of the unit may start: all if the unit may use the headroom,
 // otherwise those that fit into the accelerators in excess of it.
 func (r *round) startLimit(u *Unit) int {
-	if u.Priority == 0 || u.usesMinShare || u.IgnoresHolds || u.Checkpointed || u.Need.GPU == 0 || r.snapshot.Headroom[u.Service] == 0 {
+	if r.mayUseHeadroom(u) {
 		return u.Tasks
 	}
 	return int(min(int64(u.Tasks), max(0, r.spareGPU[u.Service])/u.Need.GPU))
 }
 
+// mayUseHeadroom reports whether the unit may use the accelerators that are kept free for the queues of priority 0.
+func (r *round) mayUseHeadroom(u *Unit) bool {
+	return u.Priority == 0 || u.usesMinShare || u.IgnoresHolds || u.Checkpointed || u.Need.GPU == 0 || r.snapshot.Headroom[u.Service] == 0
+}
+
 // startTasks adds the start of tasks on the given workers to the plan and uses their resources.
 func (r *round) startTasks(part *unitPart, places []int) {
 	u := &part.unit
@@ -683,7 +707,19 @@
 func (r *round) usable(u *Unit, worker int) bool {
 	w := &r.snapshot.Workers[worker]
 	switch {
-	case !w.AcceptsWork || w.Service != u.Service || (w.Slow && !u.AcceptsSlow):
+	case !w.Usable():
+		return false
+	default:
+		return r.suits(u, worker)
+	}
+}
+
+// suits reports whether a worker that accepts work, evacuated or not, may run tasks of a unit, regardless of its free
+// resources.
+func (r *round) suits(u *Unit, worker int) bool {
+	w := &r.snapshot.Workers[worker]
+	switch {
+	case w.Service != u.Service || (w.Slow && !u.AcceptsSlow):
 		return false
 	case u.Label != "" && !slices.Contains(w.Labels, u.Label):
 		return false
@@ -737,13 +773,15 @@
 	return nil
 }
 
-// placeInOneRack places all tasks in one rack. Of the racks with enough room it chooses one with workers that are fast
+// placeInOneRack places all tasks in one rack. Of the racks with enough room it chooses one without cold workers, of
+// these one with workers that are fast
 // enough, and of these the one with the fewest free accelerators, which leaves emptier racks for gangs with more
 // tasks. It returns nil if no rack has enough room.
 func (r *round) placeInOneRack(u *Unit, free []Resources) []int {
 	var best []int
 	var bestLeft int64
 	var bestSpeed worstSpeed
+	bestCold := false
 	for _, workers := range r.racks {
 		places := r.placeWithin(u, workers, free)
 		if len(places) != u.Tasks {
@@ -753,9 +791,9 @@
 		for _, w := range workers {
 			left += max(0, free[w].GPU)
 		}
-		speed := r.worstSpeed(u, places)
-		if best == nil || cmp.Or(speed.compare(bestSpeed), cmp.Compare(left, bestLeft)) < 0 {
-			best, bestLeft, bestSpeed = places, left, speed
+		speed, cold := r.worstSpeed(u, places), r.anyCold(places)
+		if best == nil || cmp.Or(trueFirst(!cold, !bestCold), speed.compare(bestSpeed), cmp.Compare(left, bestLeft)) < 0 {
+			best, bestLeft, bestSpeed, bestCold = places, left, speed, cold
 		}
 	}
 	return best
@@ -800,6 +838,7 @@
 	worker int
 	// room is the number of tasks that fit.
 	room      int
+	cold      bool
 	avoid     bool
 	suspicion int
 	speed     speedClass
@@ -807,8 +846,8 @@
 	key int64
 }
 
-// placeWithin places tasks on the given workers, filling one worker after the other. Workers to avoid
-// come last, then those with more suspicion, then those of a later speedClass. Among equal workers the fullest come
+// placeWithin places tasks on the given workers, filling one worker after the other. Cold workers come last, then
+// workers to avoid, then those with more suspicion, then those of a later speedClass. Among equal workers the fullest come
 // first, which keeps empty workers available for large tasks; for filler tasks the one with the most idle processors.
 func (r *round) placeWithin(u *Unit, workers []int, free []Resources) []int {
 	candidates := r.candidates[:0]
@@ -824,7 +863,7 @@
 		}
 		total += room
 		candidates = append(candidates, candidate{
-			worker: i, room: room, avoid: u.Avoid[w.ID] || w.Slow || mixesServingAndFiller(u, w), suspicion: w.Suspicion,
+			worker: i, room: room, cold: w.Cold, avoid: u.Avoid[w.ID] || w.Slow || mixesServingAndFiller(u, w), suspicion: w.Suspicion,
 			speed: speedClassOf(u, w), key: placementKey(u, free[i]),
 		})
 		if c := &candidates[len(candidates)-1]; c.speed == explored {
@@ -837,7 +876,7 @@
 		return nil
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(trueFirst(!a.avoid, !b.avoid), cmp.Compare(a.suspicion, b.suspicion), cmp.Compare(a.speed, b.speed), cmp.Compare(a.key, b.key))
+		return cmp.Or(trueFirst(!a.cold, !b.cold), trueFirst(!a.avoid, !b.avoid), cmp.Compare(a.suspicion, b.suspicion), cmp.Compare(a.speed, b.speed), cmp.Compare(a.key, b.key))
 	})
 	return takePlaces(u, candidates, min(total, u.Tasks))
 }
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -89,12 +89,16 @@
 // remainingShares returns, for each priority, how many accelerators of the minimum share its queues do
 // not use yet, and records in withinShare the priorities whose queues use no more than that share. The
 // result is negative for a priority whose queues use more. Workers that accept no work count towards
-// what the queues use, but not towards the total that the share is a part of.
+// what the queues use, but not towards the total that the share is a part of. Evacuated workers count towards neither:
+// their runs finish and then use nothing of what is left.
 func (r *round) remainingShares() map[priorityKey]int64 {
 	total := make(map[string]int64)
 	used := make(map[priorityKey]int64)
 	for i := range r.snapshot.Workers {
 		w := &r.snapshot.Workers[i]
+		if w.Evacuated {
+			continue
+		}
 		if w.AcceptsWork {
 			total[w.Service] += w.Free.GPU + w.Releasing.GPU
 		}
