Evacuate availability zones

The leader stops what has not begun in a zone that the operator evacuates, starts nothing there, and sends no start on the basis of a copy of the operator's records that is too old for EvacuationMs. The lease expiry of a start ends within the bound, so that a worker rejects starts that a suspended process or the network delays. Deployments without EvacuationMs honour the records and never withhold starts.

--- a/internal/cli/instance.go
+++ b/internal/cli/instance.go
@@ -58,7 +58,7 @@
 		Log:           platform.NewLogClient(s.LogAddress),
 		Workers:       platform.NewWorkerClient(),
 		OperatorTopic: platform.OperatorTopic, WorkersTopic: platform.WorkersTopic, StatusTopic: platform.StatusTopic,
-		IsConfig: platform.IsConfig, DecodeConfig: platform.DecodeConfig, DecodeWave: platform.DecodeWave,
+		IsConfig: platform.IsConfig, DecodeConfig: platform.DecodeConfig, DecodeWave: platform.DecodeWave, DecodeEvacuation: platform.DecodeEvacuation,
 		DecodeWorker: platform.DecodeWorker, WaveStatus: platform.WaveStatus,
 		FrontHandler: func(i *intake.Service) http.Handler { return platform.NewJobHandler(i) },
 	}
--- a/internal/controller/adviceplan.go
+++ b/internal/controller/adviceplan.go
@@ -86,11 +86,11 @@
 	free planner.Resources
 }
 
-// workersForAdvice returns the workers that accept work, those with the most free accelerators first.
+// workersForAdvice returns the workers that accept work and are not in an evacuated zone, those with the most free accelerators first.
 func (l *leader) workersForAdvice(now boottime.Instant) []availableWorker {
 	var workers []availableWorker
 	for _, ws := range l.workers {
-		if ws.acceptsWork(now) && !l.maintenance.isPreparing(ws.id) {
+		if ws.acceptsWork(now) && !l.evacuated(ws) && !l.maintenance.isPreparing(ws.id) {
 			workers = append(workers, availableWorker{ws, ws.free()})
 		}
 	}
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -28,6 +28,8 @@
 const (
 	workersTopic = "keyed.workers"
 	statusTopic  = "keyed.reports"
+	// operatorTopic has the evacuated zones as keys.
+	operatorTopic = "keyed.operator"
 )
 
 func waveStatus(wave int64, completed bool) ledger.Record {
@@ -54,6 +56,8 @@
 	logger *log.Logger
 	// wrapLog, if set, returns the log for the election and the controller of an instance.
 	wrapLog func(ledger.Log) ledger.Log
+	// evacuationBound is Timing.EvacuationBound of instances that start later.
+	evacuationBound time.Duration
 	// clockErrors is by how much the time of day of each instance is wrong, by the instance's name.
 	clockErrors sync.Map
 }
@@ -71,12 +75,14 @@
 
 // instance is one incarnation of an instance.
 type instance struct {
-	name       string
-	log        *ledgertest.Client
-	stop       context.CancelFunc
-	goroutines *sync.WaitGroup
-	elector    *election.Elector
-	intake     *intake.Service
+	name string
+	log  *ledgertest.Client
+	// operatorLog is the connection with which the instance reads the operator's records.
+	operatorLog *ledgertest.Client
+	stop        context.CancelFunc
+	goroutines  *sync.WaitGroup
+	elector     *election.Elector
+	intake      *intake.Service
 }
 
 // inVirtualTime runs a test in virtual time. workOf returns the work of a task's run.
@@ -106,7 +112,7 @@
 	incarnation := fmt.Sprintf("%s-%d", name, c.incarnations)
 	client := c.log.Client()
 	ctx, stop := context.WithCancel(context.Background())
-	i := &instance{name: name, log: client, stop: stop, goroutines: &sync.WaitGroup{}}
+	i := &instance{name: name, log: client, operatorLog: c.log.Client(), stop: stop, goroutines: &sync.WaitGroup{}}
 	logger := logging.Discard()
 	switch {
 	case c.logger != nil:
@@ -127,6 +133,7 @@
 		Log: client, Topic: batch.JobsTopic, Wait: time.Second, Logger: logger,
 		Apply: func(u ledger.Update) { control.JobsChanged(i.intake.Apply(u)) },
 	})
+	operator := newOperatorCopy(i.operatorLog, c.evacuationBound, logger)
 	set := metrics.NewSet()
 	writer := ledger.NewWriter(ledger.WriterConfig{Log: client, Topic: batch.JobsTopic, Producer: incarnation, Epoch: 1, Logger: logger})
 	timeOfDay := func() time.Time { return c.timeOfDay(name) }
@@ -135,9 +142,9 @@
 	control = New(Config{
 		Log: leaderLog, Workers: c.workers, Advisor: c.advisor, Machines: c.machines, Jobs: i.intake, JobsPosition: jobs.Position,
 		OperatorConfig: i.intake.CurrentConfig, Waves: func() []worker.Wave { return c.waves },
-		WorkersTopic: workersTopic, DecodeWorker: decode, Holder: name,
+		Evacuations: operator.copy, WorkersTopic: workersTopic, DecodeWorker: decode, Holder: name,
 		StatusTopic: statusTopic, WaveStatus: waveStatus,
-		Timing:    Timing{MaxLease: 6 * time.Second, FinishedJobRetention: time.Minute, HeartbeatInterval: 1500 * time.Millisecond, HolderChangeInterval: 3 * time.Second},
+		Timing:    Timing{MaxLease: 6 * time.Second, FinishedJobRetention: time.Minute, HeartbeatInterval: 1500 * time.Millisecond, HolderChangeInterval: 3 * time.Second, EvacuationBound: c.evacuationBound},
 		TimeOfDay: timeOfDay, Metrics: set, Logger: logger,
 	})
 	i.elector = election.New(election.Config{
@@ -148,7 +155,7 @@
 		Log: client, Topic: election.Topic, Wait: time.Second, Apply: i.elector.Observe, Logger: logger,
 	})
 	for _, run := range []func(context.Context){
-		jobs.Run, leader.Run, i.elector.Run, control.WatchClock, func(ctx context.Context) { _ = writer.Run(ctx) },
+		jobs.Run, leader.Run, operator.Run, i.elector.Run, control.WatchClock, func(ctx context.Context) { _ = writer.Run(ctx) },
 	} {
 		i.goroutines.Go(func() { run(ctx) })
 	}
@@ -159,6 +166,7 @@
 // kill ends an instance abruptly: it cannot even release its claim of the leadership.
 func (i *instance) kill() {
 	i.log.SetDown(true)
+	i.operatorLog.SetDown(true)
 	i.stop()
 	i.goroutines.Wait()
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -18,6 +18,7 @@
 
 	"github.com/oleanderbend/oleanderbend/internal/batch"
 	"github.com/oleanderbend/oleanderbend/internal/election"
+	"github.com/oleanderbend/oleanderbend/internal/evacuation"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
 	"github.com/oleanderbend/oleanderbend/internal/opconfig"
 	"github.com/oleanderbend/oleanderbend/internal/planner"
@@ -43,6 +44,9 @@
 	// HolderChangeInterval is the minimum time between commands of two different holders
 	// (instances) for one machine.
 	HolderChangeInterval time.Duration
+	// EvacuationBound is the longest time from the evacuation of a zone to the last start of a task there. If it is 0,
+	// starts do not depend on the age of Config.Evacuations.
+	EvacuationBound time.Duration
 }
 
 // Config holds the settings and dependencies of a controller.
@@ -59,6 +63,8 @@
 	// returns the maintenance waves.
 	OperatorConfig func() *opconfig.Config
 	Waves          func() []worker.Wave
+	// Evacuations returns the evacuated zones. Nil means that no zone is ever evacuated.
+	Evacuations func() evacuation.Copy
 	// WorkersTopic is the topic of the workers' registry entries; DecodeWorker decodes its records.
 	WorkersTopic string
 	DecodeWorker func(ledger.Record) (worker.Info, error)
@@ -89,8 +95,8 @@
 
 // controllerMetrics are the controller's metrics.
 type controllerMetrics struct {
-	starts, stops, polls, runsDone, runsNotDone, skippedEntries, panics *metrics.Counter
-	planTime, startDelay                                                *metrics.Histogram
+	starts, stops, polls, runsDone, runsNotDone, skippedEntries, panics, evacuationStops *metrics.Counter
+	planTime, startDelay                                                                 *metrics.Histogram
 	// knownSpeeds is the number of workers of known speed, slowerWorkers that of those among them that are too slow for
 	// the tightest objective.
 	knownSpeeds, slowerWorkers *metrics.Gauge
@@ -104,21 +110,25 @@
 	if cfg.TimeOfDay == nil {
 		cfg.TimeOfDay = time.Now
 	}
+	if cfg.Evacuations == nil {
+		cfg.Evacuations = func() evacuation.Copy { return evacuation.Copy{} }
+	}
 	return &Controller{
 		cfg: cfg, timeOfDay: newCautiousTimeOfDay(cfg.TimeOfDay, cfg.Logger), changed: make(map[string]bool), wake: make(chan struct{}, 1),
 		metrics: controllerMetrics{
-			starts:         set.GetOrCreateCounter(`oleanderbend_orders_total{order="start"}`),
-			stops:          set.GetOrCreateCounter(`oleanderbend_orders_total{order="stop"}`),
-			polls:          set.GetOrCreateCounter(`oleanderbend_orders_total{order="hold"}`),
-			runsDone:       set.GetOrCreateCounter(`oleanderbend_ends_total{kind="done"}`),
-			runsNotDone:    set.GetOrCreateCounter(`oleanderbend_ends_total{kind="other"}`),
-			skippedEntries: set.GetOrCreateCounter(`oleanderbend_registry_entries_skipped_total`),
-			panics:         set.GetOrCreateCounter(`oleanderbend_terms_ended_by_panic_total`),
-			planTime:       set.GetOrCreateHistogram(`oleanderbend_plan_seconds`),
-			startDelay:     set.GetOrCreateHistogram(`oleanderbend_start_delay_seconds`),
-			knownSpeeds:    set.GetOrCreateGauge(`oleanderbend_workers_of_known_speed`, nil),
-			slowerWorkers:  set.GetOrCreateGauge(`oleanderbend_workers_too_slow_for_tightest_objective`, nil),
-			waiting:        newWaitGauges(set),
+			starts:          set.GetOrCreateCounter(`oleanderbend_orders_total{order="start"}`),
+			stops:           set.GetOrCreateCounter(`oleanderbend_orders_total{order="stop"}`),
+			polls:           set.GetOrCreateCounter(`oleanderbend_orders_total{order="hold"}`),
+			runsDone:        set.GetOrCreateCounter(`oleanderbend_ends_total{kind="done"}`),
+			runsNotDone:     set.GetOrCreateCounter(`oleanderbend_ends_total{kind="other"}`),
+			skippedEntries:  set.GetOrCreateCounter(`oleanderbend_registry_entries_skipped_total`),
+			panics:          set.GetOrCreateCounter(`oleanderbend_terms_ended_by_panic_total`),
+			evacuationStops: set.GetOrCreateCounter(`oleanderbend_runs_stopped_by_evacuation_total`),
+			planTime:        set.GetOrCreateHistogram(`oleanderbend_plan_seconds`),
+			startDelay:      set.GetOrCreateHistogram(`oleanderbend_start_delay_seconds`),
+			knownSpeeds:     set.GetOrCreateGauge(`oleanderbend_workers_of_known_speed`, nil),
+			slowerWorkers:   set.GetOrCreateGauge(`oleanderbend_workers_too_slow_for_tightest_objective`, nil),
+			waiting:         newWaitGauges(set),
 		},
 	}
 }
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -100,6 +100,7 @@
 	// the unit whose last call is the longest ago.
 	adviceInFlight, adviceByAge bool
 	maintenance                 *maintenanceState
+	evacuation                  evacuationState
 }
 
 func newLeader(ctx context.Context, c *Controller, cancel context.CancelFunc, term election.Term) *leader {
@@ -310,6 +311,7 @@
 // round due if tasks wait, and cleans up.
 func (l *leader) tick() {
 	now := boottime.Now()
+	l.updateEvacuations()
 	for _, ws := range l.workers {
 		l.checkWorker(ws, now)
 	}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -22,6 +22,9 @@
 // plan runs one planning round and carries out its decisions.
 func (l *leader) plan() {
 	started := time.Now()
+	if !l.updateEvacuations() {
+		return
+	}
 	snapshot, workers, units := l.snapshot()
 	if len(units) == 0 || len(workers) == 0 {
 		l.c.metrics.setWaiting(nil)
@@ -79,6 +82,7 @@
 	var s planner.Snapshot
 	now := boottime.Now()
 	ids := slices.Sorted(maps.Keys(l.workers))
+	closed := l.closedByEvacuation(now)
 	workers := make([]*workerState, 0, len(ids))
 	for _, id := range ids {
 		ws := l.workers[id]
@@ -86,7 +90,9 @@
 			continue
 		}
 		workers = append(workers, ws)
-		s.Workers = append(s.Workers, l.describeWorker(ws, now))
+		described := l.describeWorker(ws, now)
+		described.Evacuated = closed[ws]
+		s.Workers = append(s.Workers, described)
 	}
 	s.Headroom = l.headroom(now)
 	unused := halfUnused(s.Workers)
@@ -107,7 +113,7 @@
 			}
 			d, ok := l.describeUnit(u, n, now, guaranteed[j])
 			if !ok {
-				if reason := u.advice.waitReason(); u.waitLogDue(reason, now) {
+				if reason := l.adviceWaitReason(u); u.waitLogDue(reason, now) {
 					l.logWait(u, reason, "", 0, now)
 				}
 				continue
@@ -124,6 +130,10 @@
 func (l *leader) headroom(now boottime.Instant) map[string]int64 {
 	used := make(map[string]float64)
 	for _, ws := range l.workers {
+		if l.evacuated(ws) {
+			// What these runs are followed by needs room elsewhere.
+			continue
+		}
 		for _, r := range ws.runs {
 			if r.task.unit.job.spec.Rules.Priority == 0 {
 				used[ws.info.Service] += float64(r.task.unit.step.GPU)
@@ -138,7 +148,7 @@
 	w := planner.Worker{
 		ID: ws.id, Service: ws.info.Service, Rack: ws.info.Rack, Labels: ws.info.Labels, AcceptsWork: ws.acceptsWork(now) && !l.maintenance.isPreparing(ws.id),
 		Free: ws.capacity().Sub(used), Releasing: releasing, Suspicion: len(ws.failedJobs), Slow: now < ws.slowUntil,
-		Speed: l.speedOf(ws),
+		Speed: l.speedOf(ws), Cold: now < ws.coldUntil,
 	}
 	for _, r := range ws.runs {
 		step := r.task.unit.step
--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -168,6 +168,7 @@
 	l.updateIncarnation(ws, response.StartedAtMS)
 	l.planDue = l.planDue || ws.needsPoll
 	ws.clockMS, ws.clockReadAt, ws.needsPoll = response.ClockMS, boottime.Now(), false
+	ws.raiseLeastClock(ws.clockReadAt, response.ClockMS)
 	if !ws.polledInTerm {
 		// The previous leader may have granted the longest lease just before the takeover.
 		ws.polledInTerm = true
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -78,6 +78,8 @@
 	}
 	ws.heartbeatAt = writtenAfter
 	ws.shutdownAt = boottime.Now().Add(info.RemainingTime)
+	ws.coldUntil = boottime.Now().Add(info.ColdRemaining)
+	ws.raiseLeastClock(boottime.Now(), info.ClockMS)
 	ws.registered, ws.info, ws.address = true, info, info.Address
 	l.restoreSpeed(ws, boottime.Now())
 	// Entries are read late, so an entry's clock is used only if it raises the lower bound.
@@ -156,6 +158,7 @@
 	// longer than MaxLease, so all leases accepted until now have expired once the clock has
 	// advanced by MaxLease.
 	ws.clockMS, ws.clockReadAt = 0, boottime.Now()
+	ws.leastClockMS, ws.leastClockAt = 0, ws.clockReadAt
 	ws.maxExpiryMS = l.c.cfg.Timing.MaxLease.Milliseconds()
 	ws.needsPoll = true
 	// An acknowledgement for the previous incarnation that is delivered late would make the new one
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -84,7 +84,8 @@
 	startCommands, unconfirmed int
 	// startInFlight means that the outcome of the last start command is not known yet and it has not timed out.
 	startInFlight bool
-	// startDeferred means that a start is due and was not sent because the term was not valid.
+	// startDeferred means that a start is due and was not sent because the term was not valid, or because the copy of the
+	// operator's records was too old.
 	startDeferred bool
 	// confirmedAt is when the outcome of the last command became known or, if later, when a new
 	// incarnation of the worker was noticed; 0 if the outcome is not known yet. A poll that is sent
@@ -155,6 +156,11 @@
 	}
 	now := boottime.Now()
 	expiry := l.nextExpiry(r.worker, now)
+	permitted, limit := l.startPermitted(r, now)
+	if !permitted {
+		return
+	}
+	expiry = min(expiry, limit)
 	// The term is valid again once the response to a late renewal has arrived.
 	r.startDeferred = !l.term.Valid()
 	if r.startDeferred {
--- a/internal/controller/slow.go
+++ b/internal/controller/slow.go
@@ -198,6 +198,9 @@
 	free, total := make(map[string]planner.Resources), make(map[string]planner.Resources)
 	for i := range workers {
 		w := &workers[i]
+		if w.Evacuated {
+			continue
+		}
 		free[w.Service] = free[w.Service].Add(w.Free)
 		capacity := w.Free
 		for k := range w.Runs {
--- a/internal/controller/wait.go
+++ b/internal/controller/wait.go
@@ -22,12 +22,16 @@
 	waitLogInterval = 2 * time.Second
 )
 
-// waitReason returns why a unit without valid tickets waits.
-func (a *advice) waitReason() planner.WaitReason {
-	if a.exhausted {
+// adviceWaitReason returns why a unit without valid tickets waits.
+func (l *leader) adviceWaitReason(u *unit) planner.WaitReason {
+	switch {
+	case !u.advice.exhausted:
+		return waitsForAdvice
+	case l.suitsEvacuated(u):
+		return planner.WaitsForEvacuation
+	default:
 		return waitsForPermittedWorker
 	}
-	return waitsForAdvice
 }
 
 // newWaitGauges returns the gauges of the number of waiting units, by reason.
@@ -83,11 +87,11 @@
 	}
 }
 
-// freeGPUs returns the accelerators that are free on the workers of a service that accept work.
+// freeGPUs returns the accelerators that are free on the workers of a service on which tasks may start.
 func freeGPUs(s *planner.Snapshot, service string) int64 {
 	free := int64(0)
 	for i := range s.Workers {
-		if w := &s.Workers[i]; w.AcceptsWork && w.Service == service {
+		if w := &s.Workers[i]; w.Usable() && w.Service == service {
 			free += max(0, w.Free.GPU)
 		}
 	}
--- a/internal/controller/workerstate.go
+++ b/internal/controller/workerstate.go
@@ -24,6 +24,10 @@
 	// clockMS is a lower bound of the worker's clock at clockReadAt, in milliseconds.
 	clockMS     int64
 	clockReadAt boottime.Instant
+	// leastClockMS is a reading of the worker's clock that the clock has certainly reached at leastClockAt. Unlike clockMS,
+	// it is renewed by each registry entry of the incarnation: see evacuationExpiry.
+	leastClockMS int64
+	leastClockAt boottime.Instant
 	// maxExpiryMS is an upper bound of the lease expiries that were sent to the worker, in
 	// milliseconds of its clock; 0 if none was sent.
 	maxExpiryMS int64
@@ -68,6 +72,8 @@
 	// failedJobs holds the IDs of the jobs of which a run has failed on the worker since its last
 	// successful run.
 	failedJobs map[string]bool
+	// coldUntil is until when the worker is slow because it has started lately, 0 if it is not.
+	coldUntil boottime.Instant
 	// heartbeatAt is an instant before the last update of the registry entry, 0 if not known; shutdownAt is when
 	// a draining worker may have shut down.
 	heartbeatAt, shutdownAt boottime.Instant
--- a/internal/ledger/follower.go
+++ b/internal/ledger/follower.go
@@ -33,6 +33,8 @@
 	// Wait is how long the log may delay its response to a read while there are no new records. It
 	// limits how long the local copy goes without a confirmation that it is complete.
 	Wait time.Duration
+	// WaitLimit returns a limit of Wait for the next read. Nil means no limit.
+	WaitLimit func() time.Duration
 	// Pause returns the time to wait after a read that returned records. It limits the rate of reads
 	// while records arrive one by one. Nil means no wait.
 	Pause func() time.Duration
@@ -93,6 +95,9 @@
 		return f.readLatest(ctx)
 	}
 	wait := f.cfg.Wait
+	if f.cfg.WaitLimit != nil {
+		wait = min(wait, f.cfg.WaitLimit())
+	}
 	if failing {
 		// After a failed call, read without waiting for new records, so that the end of the outage is
 		// noticed at once.
--- a/internal/ledger/ledgertest/log.go
+++ b/internal/ledger/ledgertest/log.go
@@ -71,6 +71,14 @@
 	t.entries, t.firstOffset = nil, t.end
 }
 
+// Forget removes all entries of a topic and the latest record of a key, as a loss of history does.
+func (l *Log) Forget(name, key string) {
+	l.Expire(name)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.topicLocked(name).latest, key)
+}
+
 // LatestValues returns the latest values of a topic by key.
 func (l *Log) LatestValues(name string) map[string][]byte {
 	l.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/oleanderbend/oleanderbend/internal/batch"
 	"github.com/oleanderbend/oleanderbend/internal/controller"
 	"github.com/oleanderbend/oleanderbend/internal/election"
+	"github.com/oleanderbend/oleanderbend/internal/evacuation"
 	"github.com/oleanderbend/oleanderbend/internal/intake"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
 	"github.com/oleanderbend/oleanderbend/internal/opconfig"
@@ -65,8 +66,11 @@
 	IsConfig     func(ledger.Record) bool
 	DecodeConfig func(ledger.Record) (*opconfig.Config, error)
 	// DecodeWave decodes a wave of maintenance. It returns false for any other record.
-	DecodeWave   func(ledger.Record) (worker.Wave, bool, error)
-	DecodeWorker func(ledger.Record) (worker.Info, error)
+	DecodeWave func(ledger.Record) (worker.Wave, bool, error)
+	// DecodeEvacuation decodes the evacuation of a zone or its end. It returns false for any other record. The change
+	// is valid also if there is an error.
+	DecodeEvacuation func(ledger.Entry) (evacuation.Change, bool, error)
+	DecodeWorker     func(ledger.Record) (worker.Info, error)
 	// WaveStatus returns the record that reports the progress of a wave.
 	WaveStatus func(wave int64, completed bool) ledger.Record
 	// FrontHandler returns the handler for the requests of callers (the front server).
@@ -94,6 +98,8 @@
 	mu sync.Mutex
 	// waves is the requested waves of maintenance by their number.
 	waves map[int64]worker.Wave
+	// evacuated holds the operator's records of evacuated zones.
+	evacuated evacuation.Records
 }
 
 // New returns an instance that is not running yet.
@@ -104,7 +110,9 @@
 	n.writer = ledger.NewWriter(ledger.WriterConfig{
 		Log: p.Log, Topic: batch.JobsTopic, Producer: incarnation, Epoch: 1, Logger: logger,
 	})
-	n.operatorFollower = n.follower(p.OperatorTopic, configWait, 0, n.applyOperatorRecords)
+	n.operatorFollower = ledger.NewFollower(ledger.FollowerConfig{
+		Log: p.Log, Topic: p.OperatorTopic, Wait: configWait, WaitLimit: n.operatorWaitLimit, Apply: n.applyOperatorRecords, Logger: logger,
+	})
 	n.jobsFollower = ledger.NewFollower(ledger.FollowerConfig{
 		Log: p.Log, Topic: batch.JobsTopic, Wait: jobsWait, Pause: n.jobsReadPause, Apply: n.applyJobs, Logger: logger,
 	})
@@ -114,12 +122,13 @@
 	n.controller = controller.New(controller.Config{
 		Log: p.Log, Workers: p.Workers, Advisor: p.Advisor, Machines: p.Machines,
 		Jobs: n.intake, JobsPosition: n.jobsFollower.Position,
-		OperatorConfig: n.intake.CurrentConfig, Waves: n.allWaves,
+		OperatorConfig: n.intake.CurrentConfig, Waves: n.allWaves, Evacuations: n.evacuations,
 		WorkersTopic: p.WorkersTopic, DecodeWorker: p.DecodeWorker,
 		StatusTopic: p.StatusTopic, WaveStatus: p.WaveStatus, Holder: s.Name,
 		Timing: controller.Timing{
 			MaxLease: s.Timing.MaxLease, FinishedJobRetention: s.Timing.FinishedJobRetention,
 			HolderChangeInterval: s.Timing.HolderChangeInterval, HeartbeatInterval: s.HeartbeatInterval,
+			EvacuationBound: s.Timing.EvacuationBound,
 		},
 		Metrics: n.metrics, Logger: logger,
 	})
@@ -128,6 +137,8 @@
 		ClaimDelay: claimDelay(s.Cores), Eligible: n.canLead, Lead: n.controller.Lead, Logger: logger,
 	})
 	n.electionFollower = n.follower(election.Topic, leaderWait, 0, n.elector.Observe)
+	n.metrics.GetOrCreateGauge(`oleanderbend_evacuated_zones`, func() float64 { return float64(len(n.evacuations().Zones)) })
+	n.metrics.GetOrCreateGauge(`oleanderbend_operator_records_age_seconds`, func() float64 { return n.evacuations().Age.Seconds() })
 	return n
 }
 
@@ -199,6 +210,7 @@
 }
 
 func (n *Node) applyOperatorRecords(u ledger.Update) {
+	n.applyEvacuations(u)
 	for _, entry := range u.Entries {
 		if n.platform.IsConfig(entry.Record) {
 			n.applyConfig(entry)
@@ -216,6 +228,45 @@
 	}
 }
 
+// applyEvacuations updates the evacuated zones. An update with the latest records of all keys replaces them: a zone whose
+// record was lost with the history of the log returns to service.
+func (n *Node) applyEvacuations(u ledger.Update) {
+	var changes []evacuation.Change
+	for _, entry := range u.Entries {
+		change, isEvacuation, err := n.platform.DecodeEvacuation(entry)
+		if err != nil {
+			n.logger.Warn().Err(err).Str("zone", change.Zone).Int64("offset", entry.Offset).Msg("value of evacuation not decodable, zone evacuated nevertheless")
+		}
+		if isEvacuation {
+			changes = append(changes, change)
+		}
+	}
+	if len(changes) == 0 && !u.Reset {
+		return
+	}
+	n.mu.Lock()
+	n.evacuated = n.evacuated.Apply(changes, u.Reset)
+	n.mu.Unlock()
+}
+
+// evacuations returns the evacuated zones and the age of the local copy of the operator's records.
+func (n *Node) evacuations() evacuation.Copy {
+	// The age is read before the zones, so that the zones are at least as new.
+	age, synced := n.operatorFollower.Age()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return evacuation.Copy{Zones: n.evacuated.Zones(), Age: age, Synced: synced}
+}
+
+// operatorWaitLimit returns how long a read of the operator's records may wait. The leader's copy must be younger than
+// that of the other instances if the platform bounds starts in evacuated zones.
+func (n *Node) operatorWaitLimit() time.Duration {
+	if !n.isLeader() {
+		return configWait
+	}
+	return evacuation.Bound(n.settings.Timing.EvacuationBound).ReadWait(configWait)
+}
+
 func (n *Node) applyConfig(entry ledger.Entry) {
 	if len(entry.Value) == 0 {
 		return // The record was deleted; the configuration in force stays.
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -18,6 +18,9 @@
 	FinishedJobRetention time.Duration
 	// HolderChangeInterval is the minimum time between commands of two holders for one machine.
 	HolderChangeInterval time.Duration
+	// EvacuationBound is the longest time from the evacuation of a zone to the last start of a task there; 0 if the
+	// platform sets no limit.
+	EvacuationBound time.Duration
 }
 
 // Settings are the settings of one process.
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -34,6 +34,8 @@
 	State  State
 	// RemainingTime is the minimum time until a draining worker shuts down.
 	RemainingTime time.Duration
+	// ColdRemaining is how much longer the worker is slow because it has started lately, 0 if it is not.
+	ColdRemaining time.Duration
 	// CPU is the capacity in thousandths of a core.
 	CPU      int64
 	MemoryMB int64
