--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -24,6 +24,8 @@
 	// longest lease.
 	minFaultDuration = 300 * time.Millisecond
 	maxFaultDuration = 6 * time.Second
+	// maxEvacuationInterval is the longest interval between the starts of two evacuations.
+	maxEvacuationInterval = 6 * time.Second
 	// drainTime is the time for which a worker announces that it is draining before it leaves.
 	drainTime = 2 * time.Second
 	// maxRestartDelay is the longest time between the exit of a process and its next start.
@@ -106,6 +108,9 @@
 	}},
 }
 
+// zoneFaults lists kinds of fault of whole zones, in a sequence of their own like fleetFaults.
+var zoneFaults = []fault{{"evacuation", (*injector).evacuate}}
+
 // injector starts random faults that overlap in time.
 type injector struct {
 	testbed *testbed
@@ -113,7 +118,7 @@
 
 	mu     sync.Mutex
 	counts map[string]int
-	// claimed contains the names of the instances that a fault has claimed for itself.
+	// claimed contains the names of the instances and zones that a fault has claimed for itself.
 	claimed map[string]bool
 	// err joins the errors of injecting faults that are not violations by the system.
 	err error
@@ -124,6 +129,7 @@
 	var sequences sync.WaitGroup
 	sequences.Go(func() { i.runSequence(ctx, faults, 1, maxFaultInterval) })
 	sequences.Go(func() { i.runSequence(ctx, fleetFaults, 3, maxFleetFaultInterval) })
+	sequences.Go(func() { i.runSequence(ctx, zoneFaults, 4, maxEvacuationInterval) })
 	sequences.Wait()
 }
 
@@ -154,7 +160,7 @@
 	i.err = errors.Join(i.err, err)
 }
 
-// claim claims the instance with the given name for one fault. It returns false if another fault has
+// claim claims the instance or the zone with the given name for one fault. It returns false if another fault has
 // claimed it.
 func (i *injector) claim(name string) bool {
 	i.mu.Lock()
@@ -231,6 +237,21 @@
 	}
 }
 
+// evacuate evacuates a zone for the given duration beyond the bound, and returns it to service. A start there after the bound
+// is a violation.
+func (i *injector) evacuate(r *rand.Rand, duration time.Duration) {
+	zone := zones[r.IntN(len(zones))]
+	if !i.claim(zone) {
+		return
+	}
+	defer i.release(zone)
+	i.recordError(i.testbed.appendRecord(platform.OperatorTopic, platform.EncodeEvacuation(zone, true)))
+	i.testbed.fleet.ForbidStarts(zone, time.Now().Add(evacuationBound))
+	time.Sleep(evacuationBound + duration)
+	i.testbed.fleet.AllowStarts(zone)
+	i.recordError(i.testbed.appendRecord(platform.OperatorTopic, platform.EncodeEvacuation(zone, false)))
+}
+
 func (i *injector) randomWorkerID(r *rand.Rand) string {
 	return "w" + strconv.Itoa(r.IntN(i.testbed.cfg.Workers))
 }
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -40,16 +40,20 @@
 	heartbeatInterval = 1500 * time.Millisecond
 	// maxMissedHeartbeats is the number of heartbeats that a worker may miss before its entry is removed.
 	maxMissedHeartbeats = 3
-	// maxLease, gracePeriod and finishedJobRetention are as in production deployments.
+	// maxLease, gracePeriod, finishedJobRetention and evacuationBound are as in production deployments.
 	maxLease              = 6 * time.Second
 	gracePeriod           = 6 * time.Second
 	finishedJobRetention  = 2 * time.Minute
+	evacuationBound       = 5 * time.Second
 	acceleratorsPerWorker = 8
 	// workerClockRate is the rate of a worker's clock relative to real time. It is the slowest rate that
 	// the system must tolerate.
 	workerClockRate = 0.98
 )
 
+// zones are the zones of the workers, in turn.
+var zones = []string{"z0", "z1"}
+
 // testbed consists of the platform's stand-ins, the instances as separate processes, and the proxies
 // between them.
 type testbed struct {
@@ -188,12 +192,15 @@
 	}
 	tb.draining[id] = false
 	tb.fleet.Add(worker.Info{
-		ID: id, Address: tb.workerProxies[id].addr(), Service: service, Zone: "z", Labels: []string{"a", "r" + id[len(id)-1:]},
+		ID: id, Address: tb.workerProxies[id].addr(), Service: service, Zone: zoneOf(id), Labels: []string{"a", "r" + id[len(id)-1:]},
 		CPU: 64000, MemoryMB: 128000, GPU: acceleratorsPerWorker,
 	}, workerClockRate)
 	return tb.publishEntryLocked(id)
 }
 
+// zoneOf returns the zone of a worker.
+func zoneOf(id string) string { return zones[int(id[len(id)-1])%len(zones)] }
+
 // publishEntryLocked writes the entry of a worker unless the worker is partitioned.
 func (tb *testbed) publishEntryLocked(id string) error {
 	info, ok := tb.fleet.Entry(id)
@@ -314,7 +321,7 @@
 	p.settings = node.Settings{
 		Name: p.name, IP: ip, Zone: "z", FrontAddress: addressFor(frontPort), ReadyAddress: addressFor(readyPort), MetricsPort: metricsPort, RelayPort: metricsPort + 1,
 		Cores: 1, MemoryMB: 256, LogAddress: p.logProxy.addr(), HeartbeatInterval: heartbeatInterval,
-		Timing: node.Timing{GracePeriod: gracePeriod, MaxLease: maxLease, FinishedJobRetention: finishedJobRetention, HolderChangeInterval: 3 * time.Second},
+		Timing: node.Timing{GracePeriod: gracePeriod, MaxLease: maxLease, FinishedJobRetention: finishedJobRetention, HolderChangeInterval: 3 * time.Second, EvacuationBound: evacuationBound},
 	}
 	p.settingsPath = filepath.Join(tb.dir, p.name+".json")
 	if err := platform.WriteSettings(p.settingsPath, &p.settings); err != nil {
--- a/internal/worker/workertest/fleet.go
+++ b/internal/worker/workertest/fleet.go
@@ -73,6 +73,8 @@
 	// whose end the leader has acknowledged.
 	finished, acknowledged map[batch.TaskID]bool
 	starts                 map[batch.TaskID]int
+	// noStartsAfter is from when a start in a zone is a violation, by zone.
+	noStartsAfter map[string]time.Time
 	// violations describes the violated invariants.
 	violations []string
 }
@@ -149,10 +151,24 @@
 	return &Fleet{
 		workers: make(map[string]*standinWorker), random: rand.New(rand.NewPCG(seed, 2)), workOf: workOf,
 		latency: 3 * time.Millisecond, finished: make(map[batch.TaskID]bool), acknowledged: make(map[batch.TaskID]bool),
-		starts: make(map[batch.TaskID]int),
+		starts: make(map[batch.TaskID]int), noStartsAfter: make(map[string]time.Time),
 	}
 }
 
+// ForbidStarts makes each start on a worker of a zone after the given time a violation, until AllowStarts is called.
+func (f *Fleet) ForbidStarts(zone string, after time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.noStartsAfter[zone] = after
+}
+
+// AllowStarts ends the effect of ForbidStarts.
+func (f *Fleet) AllowStarts(zone string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.noStartsAfter, zone)
+}
+
 // SetDelayedCommands makes a share of the commands get no response and be executed after a delay.
 func (f *Fleet) SetDelayedCommands(share float64, delay time.Duration) {
 	f.mu.Lock()
@@ -456,6 +472,9 @@
 	if used > w.info.GPU {
 		f.violations = append(f.violations, fmt.Sprintf("capacity exceeded: %s run %d on %s brings the worker to %d of %d accelerators", cmd.Task, cmd.Number, w.info.ID, used, w.info.GPU))
 	}
+	if limit, forbidden := f.noStartsAfter[w.info.Zone]; forbidden && time.Now().After(limit) {
+		f.violations = append(f.violations, fmt.Sprintf("start in an evacuated zone: %s run %d on %s, %v after the bound", cmd.Task, cmd.Number, w.info.ID, time.Since(limit)))
+	}
 	if f.acknowledged[cmd.Task] {
 		f.violations = append(f.violations, fmt.Sprintf("duplicate run: %s run %d started after a successful end was acknowledged", cmd.Task, cmd.Number))
 	}
