--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -355,3 +355,20 @@
 		})
 	}
 }
+
+// Guards against a run without unsaved work that is preempted again and again: on a day with overload, runs were stopped up to
+// twelve times by units of priority 1. Units of priority 0 may still preempt it.
+func TestRunIsPreemptedOnceForLessUrgentUnits(t *testing.T) {
+	for _, c := range []struct {
+		priority  int
+		preempted bool
+		stops     int
+	}{{1, false, 1}, {1, true, 0}, {0, true, 1}} {
+		workers := makeWorkers(20, 20)
+		for i := range workers {
+			occupy(&workers[i], Run{Group: i, Need: resourcesWithGPUs(8), Priority: 2, Preempted: c.preempted})
+		}
+		unit := Unit{Service: "s", Priority: c.priority, Tasks: 1, Need: resourcesWithGPUs(8), Work: 1e6}
+		require.Len(t, Decide(Snapshot{Workers: workers, Units: []Unit{unit}}).Stops, c.stops)
+	}
+}
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -37,7 +37,9 @@
 	case u.Priority == 0:
 		return true
 	default:
-		return run.LostWork <= negligibleLoss
+		// A run without unsaved work would otherwise be stopped again and again under load: each time it loses its
+		// start, and what it has not saved yet.
+		return run.LostWork <= negligibleLoss && !run.Preempted
 	}
 }
 
