--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -259,6 +259,23 @@
 	}
 }
 
+// Guards against a stopping server that waits for incomplete headers without a limit.
+func TestTimeLimitsHoldAfterListenerIsClosed(t *testing.T) {
+	limits := usualLimits()
+	limits.HeaderTimeout = 100 * time.Millisecond
+	l := NewLimiter(10, func() Limits { return limits }, newRefusals())
+	server := &http.Server{Handler: http.NotFoundHandler()}
+	l.Configure(server)
+	listener, err := l.Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { server.Close() })
+	_, header := dial(t, listener.Addr().String(), "GET / HT")
+	require.Eventually(t, func() bool { return l.Open() == 1 }, 5*time.Second, time.Millisecond)
+	require.NoError(t, listener.Close())
+	requireClosed(t, header)
+}
+
 // Guards against a request that is ended by the deadline for its body, or cancelled, after it was read whole.
 func TestWholeRequestOutlivesBodyTimeout(t *testing.T) {
 	limits := usualLimits()
--- a/internal/clients/limiter.go
+++ b/internal/clients/limiter.go
@@ -260,22 +260,29 @@
 	}
 }
 
-// sweep closes connections that have reached the timeouts for headers and idle connections, until the listener is
-// closed.
+// sweep closes connections that have reached the timeouts for headers and idle connections, until the listener and
+// all connections are closed.
 func (l *Limiter) sweep() {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
-	for {
-		select {
-		case <-l.stopped:
+	for range ticker.C {
+		l.expireOverdue(time.Now())
+		l.refusals.Flush()
+		if l.isStopped() && l.Open() == 0 {
 			return
-		case <-ticker.C:
-			l.expireOverdue(time.Now())
-			l.refusals.Flush()
 		}
 	}
 }
 
+func (l *Limiter) isStopped() bool {
+	select {
+	case <-l.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
 func (l *Limiter) expireOverdue(now time.Time) {
 	limits := l.limits()
 	l.mu.Lock()
