planner: explain the decision of a round for given units

Explain runs the same round as Decide with an observer and reports the position in the order, the workers by obstacle, and the places or the wait. usable is now derived from the obstacle, so that counts and decisions cannot differ.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -254,11 +254,18 @@
 const negligibleLoss = 1.0
 
 // Decide computes the plan for a snapshot. It may update TasksByWorker, RunsServing and RunsFiller in the snapshot.
-func Decide(s Snapshot) Plan {
+func Decide(s Snapshot) Plan { return decide(s, nil) }
+
+// decide computes the plan for a snapshot. If observe is not nil, it is called with each part of a unit before that is
+// scheduled.
+func decide(s Snapshot, observe func(*round, *unitPart)) Plan {
 	r := newRound(s)
 	parts := r.splitUnits()
 	slices.SortStableFunc(parts, func(a, b unitPart) int { return compareUnits(&a.unit, &b.unit) })
 	for i := range parts {
+		if observe != nil {
+			observe(r, &parts[i])
+		}
 		r.schedule(&parts[i])
 	}
 	return r.plan
@@ -680,18 +687,7 @@
 }
 
 // usable reports whether a worker may run tasks of a unit, regardless of its free resources.
-func (r *round) usable(u *Unit, worker int) bool {
-	w := &r.snapshot.Workers[worker]
-	switch {
-	case !w.AcceptsWork || w.Service != u.Service || (w.Slow && !u.AcceptsSlow):
-		return false
-	case u.Label != "" && !slices.Contains(w.Labels, u.Label):
-		return false
-	case u.Allowed != nil && !u.Allowed[w.ID]:
-		return false
-	}
-	return true
-}
+func (r *round) usable(u *Unit, worker int) bool { return r.obstacle(u, worker) == noObstacle }
 
 // mixesServingAndFiller reports whether placing the unit on the worker would run serving tasks beside
 // filler tasks. Such workers are used only if there is no other.
