--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -76,6 +76,7 @@
 	stop       context.CancelFunc
 	goroutines *sync.WaitGroup
 	elector    *election.Elector
+	control    *Controller
 	intake     *intake.Service
 }
 
@@ -140,6 +141,7 @@
 		Timing:    Timing{MaxLease: 6 * time.Second, FinishedJobRetention: time.Minute, HeartbeatInterval: 1500 * time.Millisecond, HolderChangeInterval: 3 * time.Second},
 		TimeOfDay: timeOfDay, Metrics: set, Logger: logger,
 	})
+	i.control = control
 	i.elector = election.New(election.Config{
 		Log: leaderLog, Identity: election.Identity{Instance: name, Incarnation: incarnation},
 		Eligible: i.intake.Ready, Lead: control.Lead, Logger: logger,
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -83,6 +84,11 @@
 	changed map[string]bool
 	wake    chan struct{}
 	leading bool
+	// current is the state of the term, nil before it has been taken over.
+	current *leader
+
+	// explaining means that a call of Explain is in progress.
+	explaining atomic.Bool
 
 	metrics controllerMetrics
 }
@@ -176,5 +182,7 @@
 		c.cfg.Logger.Warn().Err(err).Int64("epoch", term.Epoch).Msg("takeover failed")
 		return
 	}
+	c.setCurrent(l)
+	defer c.setCurrent(nil)
 	l.run()
 }
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -52,6 +52,8 @@
 	// storedTasks are the task records found at a takeover. They are removed when the job is
 	// closed.
 	storedTasks taskRecords
+	// hypothetical means that the job was not submitted and is only explained; see explain.go.
+	hypothetical bool
 }
 
 // unit is a step of one occurrence of a job.
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -74,10 +74,28 @@
 	*s = roundStats{loggedAt: now}
 }
 
-// snapshot returns the planner's input, and the workers and units that its indices refer to.
+// snapshot returns the planner's input, and the workers and units that its indices refer to. It logs the units that must not
+// be placed now.
 func (l *leader) snapshot() (planner.Snapshot, []*workerState, []*unit) {
-	var s planner.Snapshot
 	now := boottime.Now()
+	s, workers := l.describeWorkers(now)
+	s.Headroom = l.peaks.Update(time.Duration(now), l.urgentUsage())
+	units, unplanned := l.describeUnits(&s, nil, l.assignGuarantees(), now)
+	for _, u := range units {
+		u.readySince = u.waitingSince(now)
+	}
+	for _, u := range unplanned {
+		u.readySince = u.waitingSince(now)
+		if reason := u.advice.waitReason(); u.waitLogDue(reason, now) {
+			l.logWait(u, reason, "", 0, now)
+		}
+	}
+	return s, workers, units
+}
+
+// describeWorkers returns a snapshot that has only the workers, and the workers that its indices refer to.
+func (l *leader) describeWorkers(now boottime.Instant) (planner.Snapshot, []*workerState) {
+	var s planner.Snapshot
 	ids := slices.Sorted(maps.Keys(l.workers))
 	workers := make([]*workerState, 0, len(ids))
 	for _, id := range ids {
@@ -88,40 +106,54 @@
 		workers = append(workers, ws)
 		s.Workers = append(s.Workers, l.describeWorker(ws, now))
 	}
-	s.Headroom = l.headroom(now)
+	return s, workers
+}
+
+// describeUnits adds the waiting units of all jobs, and of extra if it is not nil, to a snapshot that has the workers. It
+// returns the units that the indices in the snapshot refer to, and those that must not be placed now. It changes no units.
+func (l *leader) describeUnits(s *planner.Snapshot, extra *job, guaranteed map[*job]bool, now boottime.Instant) (units, unplanned []*unit) {
 	unused := halfUnused(s.Workers)
-	guaranteed := l.assignGuarantees()
-	var units []*unit
-	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
-		j := l.jobs[id]
+	describe := func(j *job) {
 		if !j.active() {
-			continue
+			return
 		}
 		for _, u := range j.units {
 			n := u.waiting()
 			if n == 0 || now < u.notBefore || !l.due(j, u.occurrence) {
 				continue
 			}
-			if u.readySince == 0 {
-				u.readySince = now
+			if j.hypothetical {
+				n = u.step.Count
 			}
 			d, ok := l.describeUnit(u, n, now, guaranteed[j])
 			if !ok {
-				if reason := u.advice.waitReason(); u.waitLogDue(reason, now) {
-					l.logWait(u, reason, "", 0, now)
-				}
+				unplanned = append(unplanned, u)
 				continue
 			}
-			d.AcceptsSlow = unused[d.Service] && !j.hasRuns() && now.Sub(u.readySince) >= acceptsSlowAfter
+			d.AcceptsSlow = unused[d.Service] && !j.hasRuns() && now.Sub(u.waitingSince(now)) >= acceptsSlowAfter
 			units = append(units, u)
 			s.Units = append(s.Units, d)
 		}
 	}
-	return s, workers, units
+	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
+		describe(l.jobs[id])
+	}
+	if extra != nil {
+		describe(extra)
+	}
+	return units, unplanned
 }
 
-// headroom returns the number of accelerators to keep free for the queues of priority 0, by service (pool of workers).
-func (l *leader) headroom(now boottime.Instant) map[string]int64 {
+// waitingSince returns since when the unit has been considered for planning: now if this is the first time.
+func (u *unit) waitingSince(now boottime.Instant) boottime.Instant {
+	if u.readySince == 0 {
+		return now
+	}
+	return u.readySince
+}
+
+// urgentUsage returns the number of accelerators that the queues of priority 0 use, by service (pool of workers).
+func (l *leader) urgentUsage() map[string]float64 {
 	used := make(map[string]float64)
 	for _, ws := range l.workers {
 		for _, r := range ws.runs {
@@ -130,7 +162,7 @@
 			}
 		}
 	}
-	return l.peaks.Update(time.Duration(now), used)
+	return used
 }
 
 func (l *leader) describeWorker(ws *workerState, now boottime.Instant) planner.Worker {
@@ -191,7 +223,7 @@
 		Tasks: waiting, Need: needOf(u.step), Work: requestOf(u.step).WorkPerSecond() * float64(u.step.EstimateMS) / 1000 * float64(waiting), Gang: u.gang(), RackLocal: u.step.RackLocal && u.step.Count > 1,
 		DataRack: u.step.DataRack, Label: u.step.Label, MaxPerWorker: u.step.MaxPerWorker,
 		Checkpointed: u.step.Checkpoints, Filler: u.step.Filler, Serving: u.step.TailLatencyTargetMS > 0,
-		WaitsForRack: now.Sub(u.readySince) < planner.RackWait,
+		WaitsForRack: now.Sub(u.waitingSince(now)) < planner.RackWait,
 		IgnoresHolds: u.heldBackSince != 0 && now.Sub(u.heldBackSince) >= planner.MaxHeldBack,
 	}
 	d.JobStarted = u.job.occurrenceStarted(u.occurrence)
@@ -205,7 +237,7 @@
 		}
 	}
 	d.Avoid = u.avoidedWorkers()
-	if l.adviceRules(j) != nil {
+	if !j.hypothetical && l.adviceRules(j) != nil {
 		allowed, ok := l.workersWithTickets(u, now)
 		if !ok {
 			return d, false
@@ -300,21 +332,41 @@
 	return longest
 }
 
-// assignGuarantees returns the jobs of priority 0 that are covered by the guarantee of their
-// organisation, and sets guaranteed of every run accordingly. Guarantees are assigned in the order
-// in which the jobs were accepted. Without an operator configuration it returns nil and leaves the
-// runs unchanged.
+// assignGuarantees returns the result of coveredJobs, and sets guaranteed of every run accordingly. Without an operator
+// configuration it returns nil and leaves the runs unchanged.
 func (l *leader) assignGuarantees() map[*job]bool {
+	guaranteed := l.coveredJobs(nil)
+	if guaranteed == nil {
+		return nil
+	}
+	for _, ws := range l.workers {
+		for _, r := range ws.runs {
+			r.guaranteed = guaranteed[r.task.unit.job]
+		}
+	}
+	return guaranteed
+}
+
+// coveredJobs returns the jobs of priority 0, including extra if it is not nil, that are covered by the guarantee of their
+// organisation. Guarantees are assigned in the order in which the jobs were accepted. Without an operator configuration
+// it returns nil.
+func (l *leader) coveredJobs(extra *job) map[*job]bool {
 	config := l.c.cfg.OperatorConfig()
 	if config == nil {
 		return nil
 	}
 	var jobs []*job
-	for _, j := range l.jobs {
+	add := func(j *job) {
 		if j.active() && j.spec.Rules.Priority == 0 && j.spec.Org != "" && len(j.units) > 0 {
 			jobs = append(jobs, j)
 		}
 	}
+	for _, j := range l.jobs {
+		add(j)
+	}
+	if extra != nil {
+		add(extra)
+	}
 	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Compare(a.order, b.order) })
 	guarantees := make(map[string]int64)
 	for i := range config.Orgs {
@@ -330,11 +382,6 @@
 			guaranteed[jobs[i]] = true
 		}
 	}
-	for _, ws := range l.workers {
-		for _, r := range ws.runs {
-			r.guaranteed = guaranteed[r.task.unit.job]
-		}
-	}
 	return guaranteed
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -66,6 +66,7 @@
 	isLeader func() bool
 	// awaitEnd is election.Elector.AwaitEnd.
 	awaitEnd func(ctx context.Context, term election.LeaderTerm) election.EndState
+	explain  ExplainFunc
 }
 
 // Store stores the records of another instance and reports the outcome in reply. It always returns nil.
@@ -89,9 +90,9 @@
 }
 
 // Serve starts to accept connections on a listener in the background, until the listener is closed.
-func Serve(listener net.Listener, store ledger.Storer, isLeader func() bool, awaitEnd func(context.Context, election.LeaderTerm) election.EndState) error {
+func Serve(listener net.Listener, store ledger.Storer, isLeader func() bool, awaitEnd func(context.Context, election.LeaderTerm) election.EndState, explain ExplainFunc) error {
 	server := rpc.NewServer()
-	if err := server.RegisterName(service, &Server{store: store, isLeader: isLeader, awaitEnd: awaitEnd}); err != nil {
+	if err := server.RegisterName(service, &Server{store: store, isLeader: isLeader, awaitEnd: awaitEnd, explain: explain}); err != nil {
 		return eris.Wrap(err, "register the relay's RPC service")
 	}
 	go server.Accept(listener)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -31,13 +31,16 @@
 // neverEnds is the awaitEnd of a server that does not know of the term.
 func neverEnds(context.Context, election.LeaderTerm) election.EndState { return election.NotEnded }
 
+// nothingToExplain is the explain function of a server that is not asked for explanations.
+func nothingToExplain(context.Context, []byte) ([]byte, error) { return nil, nil }
+
 // start starts a relay server on the loopback interface and returns its address.
 func start(t *testing.T, store ledger.Storer, isLeader bool) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { listener.Close() })
-	require.NoError(t, Serve(listener, store, func() bool { return isLeader }, neverEnds))
+	require.NoError(t, Serve(listener, store, func() bool { return isLeader }, neverEnds, nothingToExplain))
 	return listener.Addr().String()
 }
 
@@ -118,7 +121,7 @@
 	f.Add(valid.Bytes())
 	f.Add([]byte("GET / HTTP/1.1\r\n\r\n"))
 	server := rpc.NewServer()
-	require.NoError(f, server.RegisterName(service, &Server{store: discardStore{}, isLeader: func() bool { return true }, awaitEnd: neverEnds}))
+	require.NoError(f, server.RegisterName(service, &Server{store: discardStore{}, isLeader: func() bool { return true }, awaitEnd: neverEnds, explain: nothingToExplain}))
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		server.ServeConn(&scriptedConn{Reader: bytes.NewReader(data)})
 	})
--- a/internal/relay/watch_test.go
+++ b/internal/relay/watch_test.go
@@ -49,7 +49,7 @@
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
 		t.Cleanup(func() { listener.Close() })
-		require.NoError(t, Serve(listener, &fakeStore{}, func() bool { return false }, awaitEnd))
+		require.NoError(t, Serve(listener, &fakeStore{}, func() bool { return false }, awaitEnd, nothingToExplain))
 		return listener.Addr().String(), listener
 	}
 	resigns := make(chan struct{})
