node, cli: explain a job or a request on the platform

The internal address of an instance answers GET /explain/job/ID and POST /explain/request, one call at a time. The key stays at the instance that was asked, and the text of the submitter is removed before the leader is asked.

--- a/internal/cli/instance.go
+++ b/internal/cli/instance.go
@@ -60,6 +60,7 @@
 		OperatorTopic: platform.OperatorTopic, WorkersTopic: platform.WorkersTopic, StatusTopic: platform.StatusTopic,
 		IsConfig: platform.IsConfig, DecodeConfig: platform.DecodeConfig, DecodeWave: platform.DecodeWave,
 		DecodeWorker: platform.DecodeWorker, WaveStatus: platform.WaveStatus,
+		DecodeJob:    platform.DecodeJob,
 		FrontHandler: func(i *intake.Service) http.Handler { return platform.NewJobHandler(i) },
 	}
 	if s.AdviceAddress != "" {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,6 +10,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -69,6 +70,8 @@
 	DecodeWorker func(ledger.Record) (worker.Info, error)
 	// WaveStatus returns the record that reports the progress of a wave.
 	WaveStatus func(wave int64, completed bool) ledger.Record
+	// DecodeJob decodes the body of a submission, without validating the job.
+	DecodeJob func(id string, data []byte) (*batch.Job, error)
 	// FrontHandler returns the handler for the requests of callers (the front server).
 	FrontHandler func(*intake.Service) http.Handler
 }
@@ -94,6 +97,9 @@
 	mu sync.Mutex
 	// waves is the requested waves of maintenance by their number.
 	waves map[int64]worker.Wave
+
+	// explaining means that a request for an explanation is in progress; see explain.go.
+	explaining atomic.Bool
 }
 
 // New returns an instance that is not running yet.
@@ -347,7 +353,7 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "listen for relayed records of other instances")
 		}
-		if err := relay.Serve(listener, n.writer, n.isLeader, n.elector.AwaitEnd); err != nil {
+		if err := relay.Serve(listener, n.writer, n.isLeader, n.elector.AwaitEnd, n.answerExplain); err != nil {
 			return nil, err
 		}
 	}
@@ -355,7 +361,7 @@
 		return s, nil
 	}
 	address := net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.MetricsPort))
-	return s, startServer(n.newServer(http.HandlerFunc(n.serveMetrics)), address, s.failed)
+	return s, startServer(n.newServer(n.internalHandler()), address, s.failed)
 }
 
 func (n *Node) newServer(h http.Handler) *http.Server {
