--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -194,8 +194,11 @@
 	d := e.Decision
 	fmt.Fprintf(w, "leader: %s, where the job is %s\n", orUnset(e.Leader), d.Phase)
 	covered := "not covered"
-	if d.Guarantee.Covered {
+	switch {
+	case d.Guarantee.Covered:
 		covered = "covered"
+	case e.Priority > 0:
+		covered = "not covered, because the priority is not 0"
 	}
 	fmt.Fprintf(w, "guarantee: %s; %d accelerators, %d used by earlier jobs, %d needed\n", covered, d.Guarantee.GPU, d.Guarantee.UsedByEarlierJobs, d.Guarantee.Need)
 	if d.AssumesAdvice {
--- a/internal/controller/explain_test.go
+++ b/internal/controller/explain_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/oleanderbend/oleanderbend/internal/batch"
+	"github.com/oleanderbend/oleanderbend/internal/boottime"
 	"github.com/oleanderbend/oleanderbend/internal/intake"
 	"github.com/oleanderbend/oleanderbend/internal/opconfig"
 	"github.com/oleanderbend/oleanderbend/internal/planner"
@@ -137,3 +138,50 @@
 		require.ErrorIs(t, err, batch.ErrInvalid)
 	})
 }
+
+// Guards against an explanation that changes what later planning rounds see: when a step began to wait, the headroom and the
+// guarantees of runs.
+func TestExplanationLeavesStateOfLeader(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(time.Minute), func(c *cluster) {
+		c.startInstance("a")
+		c.addWorker(jobID(0), "r1")
+		c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 8, EstimateMS: 10000})
+		c.waitFor(4*time.Second, "started", func() bool { starts, _ := c.fleet.JobCounts(jobID(1)); return starts == 1 })
+		c.submit(jobID(2), batch.Step{Count: 1, CPU: 1000, GPU: 8, EstimateMS: 10000})
+		time.Sleep(3 * time.Second)
+		l := c.instances[0].control.currentLeader()
+		done := make(chan struct{})
+		var before, after []any
+		var v *explainView
+		var err error
+		l.post(func() {
+			defer close(done)
+			waiting := l.jobs[jobID(2)].units[0]
+			waiting.readySince, l.planDue = 0, false
+			for _, ws := range l.workers {
+				for _, r := range ws.runs {
+					r.guaranteed = !r.guaranteed
+				}
+			}
+			state := func() []any {
+				values := []any{waiting.readySince, waiting.loggedWait, waiting.heldBackSince, l.planDue, l.nextUnitID, len(l.jobs), l.peaks.Clone()}
+				for _, ws := range l.workers {
+					for _, r := range ws.runs {
+						values = append(values, r.guaranteed)
+					}
+				}
+				return values
+			}
+			before = state()
+			if v, err = l.newExplainView(c.hypothetical(batch.Step{Count: 1, GPU: 1}), boottime.Now()); err == nil {
+				v.explain()
+			}
+			after = state()
+		})
+		<-done
+		require.NoError(t, err)
+		require.Equal(t, 2, v.explanation.Steps[0].Waiting)
+		require.Len(t, before, 8)
+		require.Equal(t, before, after)
+	})
+}
