--- a/internal/node/explain.go
+++ b/internal/node/explain.go
@@ -30,6 +30,8 @@
 	explainWriteTimeout = 8 * time.Second
 	// maxExplainBytes is the maximum size of a body if the configuration has no limit.
 	maxExplainBytes = 256 << 10
+	// explainStaleAge is the age of a local copy above which an answer says so. Copies are read at least once a second.
+	explainStaleAge = 3 * time.Second
 	// explainedJobID is the id of a job that is not submitted.
 	explainedJobID = "request"
 )
@@ -145,7 +147,7 @@
 	// The text of the submitter has no effect on the decision.
 	job.Queue, job.Org, job.Rules, job.Spec = queue.Name, org, intake.QueueRulesOf(queue), ""
 	e := n.newExplanation(job)
-	e.Notes = notes
+	e.Notes = append(e.Notes, notes...)
 	return e, n.askLeader(r.Context(), e, controller.ExplainRequest{Job: job})
 }
 
@@ -216,6 +218,14 @@
 	if config := n.intake.CurrentConfig(); config != nil {
 		e.ConfigVersion = config.Version
 	}
+	for _, c := range []struct {
+		name   string
+		copied intake.AgeReporter
+	}{{"configuration", n.operatorFollower}, {"jobs", n.jobsFollower}} {
+		if age, ok := c.copied.Age(); !ok || age > explainStaleAge {
+			e.Notes = append(e.Notes, fmt.Sprintf("the copy of the %s at this instance may be out of date: it was last known to be complete %v ago", c.name, age.Round(time.Second)))
+		}
+	}
 	return e
 }
 
--- a/internal/node/explain_test.go
+++ b/internal/node/explain_test.go
@@ -174,3 +174,18 @@
 	require.NoError(t, err)
 	require.Contains(t, string(body), `oleanderbend_explanations_total{outcome="rejected"}`)
 }
+
+// Guards against an instance without the log whose answer does not say that its copies are old and that nobody leads.
+func TestExplainWithoutLog(t *testing.T) {
+	t.Parallel()
+	p := startLeader(t, newLogWithOrg(t))
+	file := writeTemp(t, "job.json", string(submission(t, "5c0e7a21d94b36f8")))
+	p.logClient.SetDown(true)
+	var stdout, stderr string
+	require.Eventually(t, func() bool {
+		_, stdout, stderr = p.explain(t, "request", file, "--host", host, "--path", prefix)
+		return strings.Contains(stdout, "gave no answer") && strings.Contains(stdout, "the configuration at this instance may be out of date")
+	}, 15*time.Second, 100*time.Millisecond, "%s%s", stdout, stderr)
+	require.Contains(t, stdout, "queue: urgent")
+	require.Contains(t, stdout, "no key: ")
+}
--- a/internal/planner/explain.go
+++ b/internal/planner/explain.go
@@ -159,6 +159,7 @@
 	}
 	ahead := make(map[string]int)
 	seen := make([]bool, len(s.Units))
+	var sharesLeft map[priorityKey]int64
 	free := make(map[string]int64)
 	for i := range s.Workers {
 		if w := &s.Workers[i]; w.AcceptsWork {
@@ -172,8 +173,11 @@
 		seen[part.index] = true
 		u := &part.unit
 		if n, ok := wanted[part.index]; ok {
+			if sharesLeft == nil {
+				sharesLeft = r.remainingShares()
+			}
 			explanations[n] = Explanation{
-				Ahead: ahead[u.Service], UsesMinShare: u.usesMinShare, ShareLeft: r.remainingShares()[priorityKey{u.Service, u.Priority}],
+				Ahead: ahead[u.Service], UsesMinShare: u.usesMinShare, ShareLeft: sharesLeft[priorityKey{u.Service, u.Priority}],
 				Headroom: s.Headroom[u.Service], FreeGPU: free[u.Service], Workers: r.countWorkers(u),
 			}
 		}
