--- a/internal/controller/forecast.go
+++ b/internal/controller/forecast.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"github.com/oleanderbend/oleanderbend/internal/batch"
 	"github.com/oleanderbend/oleanderbend/internal/boottime"
 	"github.com/oleanderbend/oleanderbend/internal/forecast"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
@@ -19,9 +20,11 @@
 	// what has changed since within seconds.
 	speedsStoreInterval = 5 * time.Second
 	// minKnownSpeeds and minSlowerShare are the number of workers of known speed, and the share of slower ones among
-	// them, from which on speeds are used for placement. Fewer may be outliers.
+	// them, from which on speeds are used for placement. Fewer may be outliers, or workers that are just fast enough. Below
+	// endSlowerShare speeds are no longer used; the difference keeps placement from changing to and fro.
 	minKnownSpeeds = 8
-	minSlowerShare = 0.1
+	minSlowerShare = 0.2
+	endSlowerShare = 0.1
 	// startOverhead is the time from the decision to start a unit until its tasks work.
 	startOverhead = 100 * time.Millisecond
 	// speedMargin is by how much the minimum speed of a unit is raised, because speeds and estimates are not exact.
@@ -82,7 +85,11 @@
 	for service, s := range l.speeds {
 		tightest := tightestSpeed(config, service)
 		s.summary = s.Summarize(tightest)
-		uneven := s.summary.Known >= minKnownSpeeds && float64(s.summary.Slower) >= minSlowerShare*float64(s.summary.Known)
+		share := minSlowerShare
+		if s.uneven {
+			share = endSlowerShare
+		}
+		uneven := s.summary.Known >= minKnownSpeeds && float64(s.summary.Slower) >= share*float64(s.summary.Known)
 		if uneven != s.uneven {
 			s.uneven = uneven
 			l.logger.Info().Str("service", service).Bool("uneven", uneven).Int("known", s.summary.Known).Int("slower", s.summary.Slower).
@@ -208,3 +215,26 @@
 	}
 	return planner.MinSpeed(age+startOverhead, remaining, objective, s.summary.Fastest) * speedMargin
 }
+
+// recordDuration records how long the work of a completed run takes on the typical worker.
+func (l *leader) recordDuration(r *run) {
+	u := r.task.unit
+	work, ok := r.clocked.Pace()
+	if !ok || r.remote || u.step.LongRunning || u.step.Filler || boottime.Now() < r.worker.slowUntil {
+		return
+	}
+	if s := l.speeds[r.worker.info.Service]; s != nil {
+		if speed, known := s.Speed(r.worker.id); known {
+			work = time.Duration(float64(work) * speed)
+		}
+	}
+	l.durations.Add(u.job.spec.Queue, millis(u.step.EstimateMS), work, 1/float64(u.step.Count))
+}
+
+// expectedMS returns how long the tasks of a step are expected to work on the typical worker, in milliseconds.
+func (l *leader) expectedMS(j *job, step *batch.Step) int64 {
+	if step.LongRunning {
+		return step.EstimateMS
+	}
+	return l.durations.Expect(j.spec.Queue, millis(step.EstimateMS)).Milliseconds()
+}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -36,7 +36,7 @@
 		l.preempt(stop.Group, units[stop.Unit], snapshot.Units[stop.Unit].Guaranteed)
 	}
 	for _, s := range decision.Starts {
-		l.placeTasks(units[s.Unit], s.Workers, workers, snapshot.Units[s.Unit].Guaranteed)
+		l.placeTasks(units[s.Unit], s.Workers, workers, &snapshot.Units[s.Unit])
 	}
 	l.c.metrics.planTime.UpdateDuration(started)
 }
@@ -279,19 +279,35 @@
 // deadline in milliseconds of the boottime clock, and the minimum speed. Long-running units are always on time.
 func (l *leader) setTimeliness(d *planner.Unit, u *unit, now boottime.Instant) {
 	j := u.job
-	chain := longestChain(j.spec.Steps, -1)
-	objective := int64(j.spec.Rules.DurationFactor*float64(chain)) + j.spec.Rules.DurationOffsetMS
+	estimated := func(s *batch.Step) int64 { return s.EstimateMS }
+	objective := objectiveMS(j, estimated)
 	age := l.age(u, now).Milliseconds()
 	d.Deadline = time.Duration(now).Milliseconds() - age + objective
 	if u.step.LongRunning {
 		d.Timeliness = planner.OnTime
 		return
 	}
-	remaining := longestChain(j.spec.Steps, u.index)
+	remaining := longestChain(j.spec.Steps, u.index, estimated)
 	d.Timeliness = planner.TimelinessOf(millis(age), millis(remaining), millis(objective))
+	if d.Timeliness == planner.Overdue && !l.isOverdue(u, age) {
+		d.Timeliness = planner.Late
+	}
 	d.MinSpeed = l.minSpeed(u, millis(age), millis(remaining), millis(objective))
 }
 
+// isOverdue reports whether a unit of the given age in milliseconds has no value any more, by the usual durations of its queue. An estimate
+// that is much too short also makes the objective too short, and the unit would be put last although it has value.
+func (l *leader) isOverdue(u *unit, age int64) bool {
+	expected := func(s *batch.Step) int64 { return l.expectedMS(u.job, s) }
+	remaining := longestChain(u.job.spec.Steps, u.index, expected)
+	return planner.TimelinessOf(millis(age), millis(remaining), millis(objectiveMS(u.job, expected))) == planner.Overdue
+}
+
+// objectiveMS returns the objective for the duration of a job, in milliseconds; expected returns the duration of a step.
+func objectiveMS(j *job, expected func(*batch.Step) int64) int64 {
+	return int64(j.spec.Rules.DurationFactor*float64(longestChain(j.spec.Steps, -1, expected))) + j.spec.Rules.DurationOffsetMS
+}
+
 func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 // age returns the time since the unit's occurrence was due or, without a schedule, since its job was
@@ -308,10 +324,10 @@
 	return max(0, time.Duration(l.c.timeOfDay.unixMilli()-start)*time.Millisecond)
 }
 
-// longestChain returns the estimated duration of the longest chain of dependent steps, in
+// longestChain returns the expected duration of the longest chain of dependent steps, in
 // milliseconds: of all steps if first is negative, otherwise of the chains that begin with step
-// first. Steps must depend only on steps with lower indices.
-func longestChain(steps []batch.Step, first int) int64 {
+// first. Steps must depend only on steps with lower indices; expected returns the duration of a step.
+func longestChain(steps []batch.Step, first int, expected func(*batch.Step) int64) int64 {
 	ends := make([]int64, len(steps))
 	longest := int64(0)
 	for i := range steps {
@@ -325,7 +341,7 @@
 			}
 		}
 		if reached {
-			ends[i] = begin + max(1, steps[i].EstimateMS)
+			ends[i] = begin + max(1, expected(&steps[i]))
 			longest = max(longest, ends[i])
 		}
 	}
@@ -414,7 +430,7 @@
 
 // placeTasks places tasks of a unit: it stores their placements and sends their starts once these
 // are stored. It takes as many tasks as there are workerIndices, which are indices into workers.
-func (l *leader) placeTasks(u *unit, workerIndices []int, workers []*workerState, guaranteed bool) {
+func (l *leader) placeTasks(u *unit, workerIndices []int, workers []*workerState, d *planner.Unit) {
 	// The run number of all members, if the unit is a gang; otherwise it is only logged.
 	gangRun := int64(0)
 	for _, t := range u.tasks {
@@ -423,6 +439,7 @@
 	var runs []*run
 	var records []ledger.Record
 	racks := make(map[string]bool)
+	slowest, unknown := 0.0, 0
 	for _, t := range u.tasks {
 		if len(runs) == len(workerIndices) {
 			break
@@ -435,17 +452,25 @@
 			n = gangRun
 		}
 		ws := workers[workerIndices[len(runs)]]
-		r, record := l.placeTask(t, ws, n, u.advice.ticket(ws.id), guaranteed)
+		r, record := l.placeTask(t, ws, n, u.advice.ticket(ws.id), d.Guaranteed)
 		runs = append(runs, r)
 		records = append(records, record)
 		racks[ws.info.Rack] = true
+		switch speed := l.speedOf(ws); {
+		case speed == 0:
+			unknown++
+		case slowest == 0 || speed < slowest:
+			slowest = speed
+		}
 	}
 	for _, r := range runs {
 		r.remote = (u.step.DataRack != "" && u.step.DataRack != r.worker.info.Rack) || (u.step.RackLocal && len(racks) > 1)
 	}
 	l.c.metrics.startDelay.Update(boottime.Since(u.readySince).Seconds())
 	l.logger.Info().Str("step", u.tasks[0].id.StepName()).Int("tasks", len(runs)).Int64("run", gangRun).
-		Bool("entitled", guaranteed).Dur("waited", boottime.Since(u.readySince)).Msg("step placed")
+		Bool("entitled", d.Guaranteed).Dur("waited", boottime.Since(u.readySince)).Int("priority", d.Priority).
+		Int64("estimate", u.step.EstimateMS).Int("racks", len(racks)).Float64("min_speed", d.MinSpeed).Float64("slowest", slowest).
+		Int("unknown_speeds", unknown).Msg("step placed")
 	l.storeTasks(records, func() {
 		for _, r := range runs {
 			l.sendStart(r)
--- a/internal/relay/explain_test.go
+++ b/internal/relay/explain_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/clients"
 )
 
 // Guards against an answer or an error of the leader that does not reach the instance that was asked, and against a call
@@ -25,7 +27,7 @@
 		}
 		return append([]byte("answer to "), request...), nil
 	}
-	require.NoError(t, Serve(listener, &fakeStore{}, func() bool { return true }, neverEnds, explain))
+	require.NoError(t, Serve(listener, &fakeStore{}, func() bool { return true }, neverEnds, explain, Limits{Refused: func(clients.Cause) {}}))
 	address := listener.Addr().String()
 	answer, err := AskLeader(t.Context(), address, []byte("question"))
 	require.NoError(t, err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,6 +4,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -14,6 +15,7 @@
 	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 
+	"github.com/oleanderbend/oleanderbend/internal/clients"
 	"github.com/oleanderbend/oleanderbend/internal/election"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
 )
@@ -89,13 +91,22 @@
 	return nil
 }
 
+// Limits are the limits of the relay's server.
+type Limits struct {
+	// MaxConns is the maximum number of connections; 0 for a default. Each other instance has two, and a third one during an explanation.
+	MaxConns int
+	// Refused is called for each connection that is closed because of a limit.
+	Refused func(clients.Cause)
+}
+
 // Serve starts to accept connections on a listener in the background, until the listener is closed.
-func Serve(listener net.Listener, store ledger.Storer, isLeader func() bool, awaitEnd func(context.Context, election.LeaderTerm) election.EndState, explain ExplainFunc) error {
+func Serve(listener net.Listener, store ledger.Storer, isLeader func() bool, awaitEnd func(context.Context, election.LeaderTerm) election.EndState, explain ExplainFunc, limits Limits) error {
 	server := rpc.NewServer()
 	if err := server.RegisterName(service, &Server{store: store, isLeader: isLeader, awaitEnd: awaitEnd, explain: explain}); err != nil {
 		return eris.Wrap(err, "register the relay's RPC service")
 	}
-	go server.Accept(listener)
+	g := &guard{maxConns: cmp.Or(limits.MaxConns, defaultMaxConns), refused: limits.Refused}
+	go g.accept(listener, server)
 	return nil
 }
 
