--- a/internal/controller/evacuation_test.go
+++ b/internal/controller/evacuation_test.go
@@ -313,9 +313,9 @@
 		l.workers[zone] = ws
 	}
 	now := boottime.Now()
-	require.Equal(t, map[string]int64{"s": 0}, l.headroom(now))
+	require.Equal(t, map[string]int64{"s": 0}, l.peaks.Update(time.Duration(now), l.urgentUsage()))
 	l.evacuation.zones = map[string]int64{"z1": 1}
-	require.Equal(t, map[string]int64{"s": 8}, l.headroom(now))
+	require.Equal(t, map[string]int64{"s": 8}, l.peaks.Update(time.Duration(now), l.urgentUsage()))
 }
 
 // Guards against a start that is sent on the basis of an old copy, or that a process sends when it wakes after a
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -86,6 +87,8 @@
 	DecodeWorker     func(ledger.Record) (worker.Info, error)
 	// WaveStatus returns the record that reports the progress of a wave.
 	WaveStatus func(wave int64, completed bool) ledger.Record
+	// DecodeJob decodes the body of a submission, without validating the job.
+	DecodeJob func(id string, data []byte) (*batch.Job, error)
 	// FrontHandler returns the handler for the requests of callers (the front server). It reads their bodies
 	// within the budget.
 	FrontHandler func(*intake.Service, *clients.Budget) http.Handler
@@ -115,6 +118,9 @@
 	waves map[int64]worker.Wave
 	// evacuated holds the operator's records of evacuated zones.
 	evacuated evacuation.Records
+
+	// explaining means that a request for an explanation is in progress; see explain.go.
+	explaining atomic.Bool
 }
 
 // New returns an instance that is not running yet.
@@ -414,7 +420,7 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "listen for relayed records of other instances")
 		}
-		if err := relay.Serve(listener, n.writer, n.isLeader, n.elector.AwaitEnd, relay.Limits{MaxConns: n.settings.maxRelayConns(), Refused: n.refusals.Count}); err != nil {
+		if err := relay.Serve(listener, n.writer, n.isLeader, n.elector.AwaitEnd, n.answerExplain, relay.Limits{MaxConns: n.settings.maxRelayConns(), Refused: n.refusals.Count}); err != nil {
 			return nil, err
 		}
 	}
@@ -422,7 +428,7 @@
 		return s, nil
 	}
 	address := net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.MetricsPort))
-	return s, n.startInternal(newServer(http.HandlerFunc(n.serveMetrics)), maxMetricsConns, address, s.failed)
+	return s, n.startInternal(newServer(n.internalHandler()), maxMetricsConns, address, s.failed)
 }
 
 // startFront starts the server for callers.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -68,6 +68,7 @@
 	isLeader func() bool
 	// awaitEnd is election.Elector.AwaitEnd.
 	awaitEnd func(ctx context.Context, term election.LeaderTerm) election.EndState
+	explain  ExplainFunc
 }
 
 // Store stores the records of another instance and reports the outcome in reply. It always returns nil.
@@ -92,16 +93,16 @@
 
 // Limits are the limits of the relay's server.
 type Limits struct {
-	// MaxConns is the maximum number of connections; 0 for a default. Each other instance has two.
+	// MaxConns is the maximum number of connections; 0 for a default. Each other instance has two, and a third one during an explanation.
 	MaxConns int
 	// Refused is called for each connection that is closed because of a limit.
 	Refused func(clients.Cause)
 }
 
 // Serve starts to accept connections on a listener in the background, until the listener is closed.
-func Serve(listener net.Listener, store ledger.Storer, isLeader func() bool, awaitEnd func(context.Context, election.LeaderTerm) election.EndState, limits Limits) error {
+func Serve(listener net.Listener, store ledger.Storer, isLeader func() bool, awaitEnd func(context.Context, election.LeaderTerm) election.EndState, explain ExplainFunc, limits Limits) error {
 	server := rpc.NewServer()
-	if err := server.RegisterName(service, &Server{store: store, isLeader: isLeader, awaitEnd: awaitEnd}); err != nil {
+	if err := server.RegisterName(service, &Server{store: store, isLeader: isLeader, awaitEnd: awaitEnd, explain: explain}); err != nil {
 		return eris.Wrap(err, "register the relay's RPC service")
 	}
 	g := &guard{maxConns: cmp.Or(limits.MaxConns, defaultMaxConns), refused: limits.Refused}
