Mend what the review of the speeds found

A store of speeds that fails for good ended the term; runs of an earlier incarnation, runs that resumed from a checkpoint and runs on workers that were slow for a time counted towards speeds; a run that became an outlier left its last plausible pace behind; late urgent work had a low minimum speed and went to slow workers first; of wide steps only the first 64 runs were compared; the gauges showed one service only.

--- a/internal/controller/forecast.go
+++ b/internal/controller/forecast.go
@@ -15,7 +15,7 @@
 const (
 	// compareInterval is the minimum time between two comparisons of the runs of one unit. Polls come nearly a second
 	// apart, and each brings new paces of the runs on one worker only.
-	compareInterval = 200 * time.Millisecond
+	compareInterval = 400 * time.Millisecond
 	// speedsStoreInterval is the time between two stores of the speeds, so that they cost a few writes a minute. A new leader relearns
 	// what has changed since within seconds.
 	speedsStoreInterval = 5 * time.Second
@@ -41,6 +41,8 @@
 	storedAt boottime.Instant
 	// storedRecords is the number of records of the last store.
 	storedRecords int
+	// storing means that a store has not ended yet.
+	storing bool
 }
 
 // speedsOf returns the speeds of a service and creates them if necessary.
@@ -63,7 +65,10 @@
 	service := ""
 	for _, t := range u.tasks {
 		r := t.run
-		if r == nil || r.remote || r.state != running || now < r.worker.slowUntil {
+		if r == nil || r.remote || r.state != running {
+			continue
+		}
+		if r.paceDistorted = r.paceDistorted || now < r.worker.slowUntil; r.paceDistorted {
 			continue
 		}
 		if d, ok := r.clocked.Pace(); ok {
@@ -82,6 +87,7 @@
 	if config == nil {
 		return
 	}
+	known, slower := 0, 0
 	for service, s := range l.speeds {
 		tightest := tightestSpeed(config, service)
 		s.summary = s.Summarize(tightest)
@@ -96,12 +102,14 @@
 				Float64("limit", tightest).Float64("slowest", s.summary.Slowest).Float64("fastest", s.summary.Fastest).Msg("speeds of workers compared")
 			l.planDue = true
 		}
-		l.c.metrics.knownSpeeds.Set(float64(s.summary.Known))
-		l.c.metrics.slowerWorkers.Set(float64(s.summary.Slower))
+		known += s.summary.Known
+		slower += s.summary.Slower
 		if s.uneven && now.Sub(s.storedAt) >= speedsStoreInterval {
 			l.storeSpeeds(service, s, now)
 		}
 	}
+	l.c.metrics.knownSpeeds.Set(float64(known))
+	l.c.metrics.slowerWorkers.Set(float64(slower))
 }
 
 // tightestSpeed returns the lowest speed at which long work of every queue of a service meets its objective if it
@@ -116,9 +124,13 @@
 	return tightest
 }
 
-// storeSpeeds stores the speeds of a service for the next leader. A lost store is repeated by the next one.
+// storeSpeeds stores the speeds of a service for the next leader. A lost store is repeated by the next one, which waits until
+// this one has ended.
 func (l *leader) storeSpeeds(service string, s *serviceSpeeds, now boottime.Instant) {
 	s.storedAt = now
+	if s.storing {
+		return
+	}
 	records, err := s.Encode(service, func(id string) (int64, bool) {
 		ws := l.workers[id]
 		if ws == nil || !ws.registered {
@@ -134,9 +146,15 @@
 		records = append(records, ledger.Record{Key: service + "/" + strconv.Itoa(n)})
 	}
 	s.storedRecords = len(records)
-	if len(records) > 0 && !l.speedWriter.Enqueue(records, func(error) {}) {
-		l.logger.Warn().Str("service", service).Msg("speeds of workers not stored, too many writes wait")
+	if len(records) == 0 {
+		return
 	}
+	s.storing = l.speedWriter.Enqueue(records, func(err error) {
+		if err != nil {
+			l.logger.Warn().Err(err).Str("service", service).Msg("speeds of workers not stored")
+		}
+		l.post(func() { s.storing = false })
+	})
 }
 
 // restoreSpeeds reads the speeds that earlier leaders have stored, in the background. Without them the speeds are learned anew.
@@ -207,20 +225,25 @@
 }
 
 // minSpeed returns planner.Unit.MinSpeed of a unit of the given age whose remaining steps take the given time on the
-// typical worker.
+// typical worker. It is never below the speed that the objective of the queue needs from the start, so that late work of a
+// queue with a tight objective does not go to slow workers.
 func (l *leader) minSpeed(u *unit, age, remaining, objective time.Duration) float64 {
 	s := l.speeds[u.job.spec.Rules.Service]
 	if s == nil || !s.uneven || u.step.LongRunning || u.step.Filler {
 		return 0
 	}
-	return planner.MinSpeed(age+startOverhead, remaining, objective, s.summary.Fastest) * speedMargin
+	least := 0.0
+	if factor := u.job.spec.Rules.DurationFactor; factor > 0 {
+		least = 1 / factor
+	}
+	return max(least, planner.MinSpeed(age+startOverhead, remaining, objective, s.summary.Fastest)) * speedMargin
 }
 
 // recordDuration records how long the work of a completed run takes on the typical worker.
 func (l *leader) recordDuration(r *run) {
 	u := r.task.unit
 	work, ok := r.clocked.Pace()
-	if !ok || r.remote || u.step.LongRunning || u.step.Filler || boottime.Now() < r.worker.slowUntil {
+	if !ok || r.remote || r.paceDistorted || u.step.LongRunning || u.step.Filler {
 		return
 	}
 	if s := l.speeds[r.worker.info.Service]; s != nil {
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -230,7 +230,13 @@
 
 // run handles all events of the term until it ends. It is the only user of the state.
 func (l *leader) run() {
-	for _, w := range []*ledger.Writer{l.taskWriter, l.jobWriter, l.waveWriter, l.speedWriter} {
+	go func() {
+		if err := l.speedWriter.Run(l.ctx); err != nil {
+			// The speeds of workers are not needed to go on; a newer leader also fences the other writers.
+			l.logger.Warn().Err(err).Msg("speeds of workers are no longer stored in this term")
+		}
+	}()
+	for _, w := range []*ledger.Writer{l.taskWriter, l.jobWriter, l.waveWriter} {
 		go func() {
 			if err := w.Run(l.ctx); err != nil {
 				l.post(func() { l.stepDown(err.Error()) })
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -165,6 +165,10 @@
 	// discard ends that the leader has not seen.
 	ws.noWorkUntil = max(ws.noWorkUntil, ws.unconfirmedAckUntil)
 	l.stopUnconfirmedStarts(ws)
+	for _, r := range ws.runs {
+		// The pace of a run of the earlier incarnation says nothing of the new one.
+		r.clocked, r.sampled = progress.Clocked{}, false
+	}
 	// Runs that match no case need no change: a command will be repeated, or the next poll decides whether
 	// they are adopted.
 	ackMayArrive := ws.ackInFlight || boottime.Now() < ws.unconfirmedAckUntil
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -106,6 +106,9 @@
 	// lastSpeed is the speed of the run relative to its estimate in the last sample, if it has been sampled.
 	lastSpeed float64
 	sampled   bool
+	// paceDistorted means that the pace of the run does not show the speed of its worker: the run resumed from a
+	// checkpoint, or the worker was slow for a time.
+	paceDistorted bool
 	// usage is the last reported RunStatus.Usage: the tail latency in milliseconds for a serving
 	// task, the processor time in thousandths of a core for any other task.
 	usage int64
@@ -128,6 +131,7 @@
 	ws.runs[t.id] = r
 	t.rec.Run, t.rec.Worker, t.rec.Address, t.rec.WorkerStartedAtMS = number, ws.id, ws.address, ws.startedAtMS
 	t.rec.Checkpoint = t.resumeCheckpoint()
+	r.paceDistorted = t.rec.Checkpoint != ""
 	return r, l.taskRecord(t)
 }
 
--- a/internal/forecast/speeds.go
+++ b/internal/forecast/speeds.go
@@ -18,7 +18,8 @@
 	// maxObservations is the number of runs per worker whose paces count. The median of a few runs keeps out the
 	// few tasks that take several times as long as the others of their step.
 	maxObservations = 7
-	// maxObservationAge is the age at which the pace of a run no longer counts.
+	// maxObservationAge is the age from which the pace of a run is replaced by newer ones. A worker without newer ones
+	// keeps its speed: it belongs to the machine.
 	maxObservationAge = 2 * time.Minute
 	// minRatio and maxRatio bound the speeds that count as a worker's own. A task outside of them is an outlier of its
 	// step, or the worker has a temporary fault, which progress.Speed detects.
@@ -44,6 +45,8 @@
 	workers map[string]*estimate
 	// scale is the median of the workers' own figures; speeds are relative to it.
 	scale float64
+	// offset is where the next comparison begins in a long list of paces.
+	offset int
 }
 
 // NewSpeeds returns speeds that know no worker.
@@ -90,7 +93,9 @@
 // they are, away from their data or spread over racks, must not be among them.
 func (s *Speeds) Compare(now boottime.Instant, paces []Pace) {
 	if len(paces) > maxCompared {
-		paces = paces[:maxCompared]
+		// Others each time, so that the workers of all tasks become known.
+		s.offset = (s.offset + maxCompared) % len(paces)
+		paces = append(paces[s.offset:len(paces):len(paces)], paces[:s.offset]...)[:maxCompared]
 	}
 	type normalized struct {
 		worker string
@@ -132,6 +137,9 @@
 		if ratio := work / p.Duration.Seconds(); ratio >= minRatio && ratio <= maxRatio {
 			// Speeds are kept on the scale of the observations, so that a change of the scale does not shift them.
 			s.add(p.Worker, observation{p.Run, ratio * s.scale, now})
+		} else {
+			// The earlier paces of an outlier were on the way there.
+			s.drop(p.Worker, p.Run)
 		}
 	}
 }
@@ -152,7 +160,21 @@
 	e.update()
 }
 
+// drop removes the observation of a run.
+func (s *Speeds) drop(worker, run string) {
+	e := s.workers[worker]
+	if e == nil {
+		return
+	}
+	e.observations = slices.DeleteFunc(e.observations, func(o observation) bool { return o.run == run })
+	e.update()
+}
+
 func (e *estimate) update() {
+	if len(e.observations) == 0 {
+		e.raw = 0
+		return
+	}
 	speeds := make([]float64, len(e.observations))
 	for i, o := range e.observations {
 		speeds[i] = o.speed
--- a/internal/node/explain_test.go
+++ b/internal/node/explain_test.go
@@ -118,9 +118,13 @@
 	require.Contains(t, text, "guarantee: covered; 8 accelerators")
 
 	leader.signal(t, syscall.SIGSTOP)
-	code, stopped, _ := p.explain(t, "job", id)
-	require.Equal(t, cli.ExitOK, code)
-	require.Contains(t, stopped, "gave no answer: ")
+	var stopped string
+	// A process answers until all of its threads have stopped.
+	require.Eventually(t, func() bool {
+		code, stopped, stderr = p.explain(t, "job", id)
+		return code != cli.ExitOK || strings.Contains(stopped, "gave no answer: ")
+	}, 20*time.Second, time.Millisecond, "%s%s", stopped, stderr)
+	require.Equal(t, cli.ExitOK, code, stderr)
 	require.Contains(t, stopped, "queue: urgent")
 	leader.signal(t, syscall.SIGCONT)
 	for _, process := range []*process{p, leader} {
