Replay a load with ten organisations and count stops by cause

The pattern hard-load.toml has 350 workers whose memory binds before their processors, ten organisations of very different size, a burst, a loss of workers and slow workers. The result of a replay names the cause of stops and lost work, the worst organisation, late guarantees, runs that are preempted again, and stranded accelerators.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -242,6 +242,36 @@
 	Group int
 	// Unit is the index in Snapshot.Units of the unit that gets the resources.
 	Unit int
+	// Cause is why the unit may preempt the group.
+	Cause StopCause
+}
+
+// StopCause is the cause of a preemption.
+type StopCause string
+
+// Causes of preemptions.
+const (
+	// StopForGuarantee means that the guarantee of an organisation covers the unit.
+	StopForGuarantee StopCause = "guarantee"
+	// StopForUrgent means that the unit is of priority 0, without a guarantee.
+	StopForUrgent StopCause = "urgent"
+	// StopForPriority means that the unit is of another priority that is more urgent than that of the group.
+	StopForPriority StopCause = "priority"
+)
+
+// StopCauses lists all causes.
+var StopCauses = []StopCause{StopForGuarantee, StopForUrgent, StopForPriority}
+
+// stopCause returns why the unit may preempt runs.
+func (u *Unit) stopCause() StopCause {
+	switch {
+	case u.Guaranteed:
+		return StopForGuarantee
+	case u.Priority == 0:
+		return StopForUrgent
+	default:
+		return StopForPriority
+	}
 }
 
 // maxBlockedGangClaims is the maximum number of blocked gangs that claim resources in one round. More
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -73,7 +73,7 @@
 	occupy(&workers[1], Run{Group: 2, Need: resourcesWithGPUs(8), Priority: 2, LostWork: 20})
 	unit := Unit{Service: "s", Guaranteed: true, Tasks: 1, Need: resourcesWithGPUs(8)}
 	plan := Decide(Snapshot{Workers: workers, Units: []Unit{unit}})
-	require.Equal(t, []Stop{{Group: 2}}, plan.Stops)
+	require.Equal(t, []Stop{{Group: 2, Cause: StopForGuarantee}}, plan.Stops)
 	require.Empty(t, plan.Starts)
 
 	workers[1].Releasing, workers[1].Runs = resourcesWithGPUs(8), nil
@@ -201,7 +201,7 @@
 		occupy(&full[i], Run{Group: i, Need: resourcesWithGPUs(8), Priority: min(2, 1+i/19), LostWork: float64(1000 * (19 - i))})
 	}
 	plan := Decide(Snapshot{Workers: full, Units: []Unit{urgent}})
-	require.Equal(t, []Stop{{Group: 18}}, plan.Stops, "the cheapest run of a priority that uses more than its minimum share")
+	require.Equal(t, []Stop{{Group: 18, Cause: StopForUrgent}}, plan.Stops, "the cheapest run of a priority that uses more than its minimum share")
 }
 
 // Guards against filler tasks beside serving tasks while another worker has room, and against filler
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -54,7 +54,7 @@
 	}
 	for _, g := range best.groups {
 		r.groups[g].stopped = true
-		r.plan.Stops = append(r.plan.Stops, Stop{Group: r.groups[g].id, Unit: index})
+		r.plan.Stops = append(r.plan.Stops, Stop{Group: r.groups[g].id, Unit: index, Cause: u.stopCause()})
 		for _, share := range r.groups[g].shares {
 			r.freeAfterStops[share.worker] = r.freeAfterStops[share.worker].Add(share.need)
 		}
--- a/internal/planreplay/jobs.go
+++ b/internal/planreplay/jobs.go
@@ -40,6 +40,8 @@
 	saved time.Duration
 	done  bool
 	run   *run
+	// preempted means that an earlier run of the task was preempted.
+	preempted bool
 }
 
 func (j *job) objective() time.Duration {
--- a/internal/planreplay/replay.go
+++ b/internal/planreplay/replay.go
@@ -15,6 +15,12 @@
 	stopTime  = 200 * time.Millisecond
 	// remoteFactor is how many times as long a task takes that is spread over racks although it should not be.
 	remoteFactor = 3
+	// guaranteeLimit is the time from the arrival of a job that its organisation's guarantee covers until its tasks must
+	// have begun.
+	guaranteeLimit = 2700 * time.Millisecond
+	// causeLost is the cause of the end of runs on lost workers, causeGang that of the other members of their gangs.
+	causeLost planner.StopCause = "lost worker"
+	causeGang planner.StopCause = "gang of lost worker"
 	// service is the name of the only pool of workers.
 	service = "workers"
 )
@@ -40,9 +46,10 @@
 	startedAt, updatedAt time.Duration
 	done                 time.Duration
 	remote               bool
-	// stopping means that it has been stopped and ends at endsAt.
+	// stopping means that it has been stopped and ends at endsAt. cause is why it has been stopped or lost.
 	stopping bool
 	endsAt   time.Duration
+	cause    planner.StopCause
 }
 
 // replay is the state of a replay.
@@ -109,17 +116,26 @@
 	}
 	for i, w := range r.workers {
 		if lost[i] && !w.lost {
-			for _, run := range sortedRuns(w) {
-				r.end(run, true)
-				if j := run.task.job; j.gang {
-					r.stop(j, nil)
-				}
-			}
+			r.lose(w)
 		}
 		w.lost, w.detected, w.slowdown = lost[i], detected[i], max(1, slow[i])
 	}
 }
 
+// lose ends the runs of a lost worker, and stops the other members of their gangs.
+func (r *replay) lose(w *worker) {
+	for _, run := range sortedRuns(w) {
+		if !run.stopping {
+			r.result.stopped(run.task.job, causeLost)
+			run.cause = causeLost
+		}
+		r.end(run, true)
+		if j := run.task.job; j.gang {
+			r.stop(j, nil, causeGang)
+		}
+	}
+}
+
 // advance lets all runs work until now and ends those that are complete.
 func (r *replay) advance() {
 	for _, w := range r.workers {
@@ -183,17 +199,23 @@
 	case t.job.checkpoint:
 		t.saved = min(run.done, t.work)
 	default:
-		r.result.thrownAway(t.job, r.now-min(r.now, run.startedAt))
+		r.result.thrownAway(t.job, r.now-min(r.now, run.startedAt), run.cause)
 	}
 }
 
 // stop stops a run, or its whole gang.
-func (r *replay) stop(j *job, only *run) {
+func (r *replay) stop(j *job, only *run, cause planner.StopCause) {
 	for i := range j.tasks {
 		run := j.tasks[i].run
 		if run != nil && !run.stopping && (j.gang || run == only) {
-			run.stopping, run.endsAt = true, r.now+stopTime
-			r.result.preempted(j)
+			run.stopping, run.endsAt, run.cause = true, r.now+stopTime, cause
+			if cause != causeGang {
+				if run.task.preempted {
+					r.result.StoppedAgain++
+				}
+				run.task.preempted = true
+			}
+			r.result.stopped(j, cause)
 		}
 	}
 }
@@ -214,6 +236,7 @@
 	if len(units) == 0 {
 		return
 	}
+	r.result.stranded(planner.Stranded(snapshot.Workers, snapshot.Units)[service])
 	started := time.Now()
 	plan := planner.Decide(snapshot)
 	r.result.round(time.Since(started))
@@ -232,7 +255,7 @@
 		if index := s.Group%groupIDsPerJob - 1; index >= 0 {
 			only = j.tasks[index].run
 		}
-		r.stop(j, only)
+		r.stop(j, only, s.Cause)
 	}
 	for _, s := range plan.Starts {
 		r.start(units[s.Unit], s.Workers)
@@ -246,6 +269,9 @@
 	}
 	if j.firstStartAt == 0 {
 		j.firstStartAt = r.now + startTime
+		if j.guaranteed && j.firstStartAt-j.arrivedAt > guaranteeLimit {
+			r.result.LateGuarantees++
+		}
 	}
 	next := 0
 	for i := range j.tasks {
@@ -328,7 +354,7 @@
 		}
 		d.Runs = append(d.Runs, planner.Run{
 			Group: j.groupID(run.task.number), Need: j.need, Priority: j.class.Priority, Guaranteed: j.guaranteed,
-			Org:      r.pattern.Orgs[j.org].Name,
+			Org: r.pattern.Orgs[j.org].Name, Preempted: run.task.preempted,
 			LostWork: planner.LostWork(j.need, members, r.now-min(r.now, run.startedAt), j.checkpoint),
 		})
 	}
--- a/internal/planreplay/replay_test.go
+++ b/internal/planreplay/replay_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/planner"
 )
 
 // readPattern reads an example, on a smaller fleet with as much less load.
@@ -30,7 +32,7 @@
 func TestReplayIsRepeatable(t *testing.T) {
 	files, err := filepath.Glob(filepath.Join("..", "..", "examples", "plan-replay", "*.toml"))
 	require.NoError(t, err)
-	require.Len(t, files, 4)
+	require.Len(t, files, 5)
 	for _, file := range files {
 		results := make([]bytes.Buffer, 2)
 		for i := range results {
@@ -104,3 +106,17 @@
 	_, err = Parse([]byte(valid + "bursts = [{ class = \"x\", at = \"1s\", length = \"1s\", factor = 2.0 }]\n"))
 	require.ErrorContains(t, err, "bursts.0")
 }
+
+// Guards against stopped runs and lost work without a cause, which would not show where lost work comes from.
+func TestLostWorkHasCauses(t *testing.T) {
+	res := Run(readPattern(t, "hard-load.toml", 4))
+	lost := 0.0
+	for _, s := range res.Stops {
+		require.NotEmpty(t, s.Cause)
+		lost += s.Lost
+	}
+	require.InDelta(t, res.ThrownAway(), lost, 1)
+	require.NotZero(t, res.byCause(planner.StopForGuarantee).Lost)
+	require.NotZero(t, res.byCause(causeLost).Runs)
+	require.LessOrEqual(t, res.WorstOrg().Value, res.Value())
+}
--- a/internal/planreplay/result.go
+++ b/internal/planreplay/result.go
@@ -11,6 +11,8 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
+
+	"github.com/oleanderbend/oleanderbend/internal/planner"
 )
 
 // Result is the result of a replay.
@@ -22,6 +24,16 @@
 	Rounds                  int
 	MeanRound, LongestRound time.Duration
 
+	// Stops has the stopped and lost runs by cause.
+	Stops []Stops
+	// StoppedAgain is the number of preempted runs of which an earlier run of the same task had been preempted.
+	StoppedAgain int
+	// LateGuarantees is the number of jobs that their organisation's guarantee covered and that began later than it allows.
+	LateGuarantees int
+	// StrandedGPU is the mean share of the accelerators that are idle and that no waiting task can use for lack of
+	// another resource, in rounds with waiting jobs.
+	StrandedGPU float64
+
 	pattern    *Pattern
 	totalRound time.Duration
 	// waiting is the number of jobs without a started task, by class, at each step of the plot.
@@ -49,6 +61,14 @@
 	earned, value float64
 }
 
+// Stops is the number of runs that were stopped or lost for one cause, and the work that was lost, in weighted
+// core-seconds.
+type Stops struct {
+	Cause planner.StopCause
+	Runs  int
+	Lost  float64
+}
+
 // plotStep is the time between two points of the plot.
 const plotStep = 250 * time.Millisecond
 
@@ -69,18 +89,53 @@
 	return []*Group{&res.Classes[class], &res.Orgs[j.org]}
 }
 
-func (res *Result) preempted(j *job) {
+// stopped counts a stopped or lost run.
+func (res *Result) stopped(j *job, cause planner.StopCause) {
+	res.byCause(cause).Runs++
+	if cause == causeLost {
+		return
+	}
 	for _, g := range res.groups(j) {
 		g.Preempted++
 	}
 }
 
-func (res *Result) thrownAway(j *job, worked time.Duration) {
+func (res *Result) thrownAway(j *job, worked time.Duration, cause planner.StopCause) {
+	lost := j.need.WorkPerSecond() * worked.Seconds()
+	res.byCause(cause).Lost += lost
 	for _, g := range res.groups(j) {
-		g.ThrownAway += j.need.WorkPerSecond() * worked.Seconds()
+		g.ThrownAway += lost
 	}
 }
 
+func (res *Result) byCause(cause planner.StopCause) *Stops {
+	i := slices.IndexFunc(res.Stops, func(s Stops) bool { return s.Cause == cause })
+	if i < 0 {
+		i = len(res.Stops)
+		res.Stops = append(res.Stops, Stops{Cause: cause})
+	}
+	return &res.Stops[i]
+}
+
+// stranded adds the stranded resources of a round to the mean.
+func (res *Result) stranded(amount planner.Resources) {
+	w := &res.pattern.Workers
+	if total := w.GPU * int64(w.Count); total > 0 {
+		res.StrandedGPU += (float64(amount.GPU)/float64(total) - res.StrandedGPU) / float64(res.Rounds+1)
+	}
+}
+
+// WorstOrg returns the organisation with the lowest value.
+func (res *Result) WorstOrg() *Group {
+	worst := &res.Orgs[0]
+	for i := range res.Orgs {
+		if g := &res.Orgs[i]; g.Jobs > 0 && (worst.Jobs == 0 || g.Value < worst.Value) {
+			worst = g
+		}
+	}
+	return worst
+}
+
 func (res *Result) round(took time.Duration) {
 	res.Rounds++
 	res.totalRound += took
@@ -165,6 +220,15 @@
 	return earned / value
 }
 
+// missed returns the number of jobs that did not meet their objective.
+func (res *Result) missed() int {
+	n := 0
+	for i := range res.Classes {
+		n += res.Classes[i].Jobs - res.Classes[i].InTime
+	}
+	return n
+}
+
 // ThrownAway returns the lost work of all jobs, in weighted core-seconds.
 func (res *Result) ThrownAway() float64 {
 	total := 0.0
@@ -186,9 +250,16 @@
 		}
 	}
 	fmt.Fprintf(w, "all\t\t\t\t%.3f\t\t\t\t%.0f\n", res.Value(), res.ThrownAway())
+	fmt.Fprintf(w, "\ncause of stops\truns\tthrown away\n")
+	for _, s := range res.Stops {
+		fmt.Fprintf(w, "%s\t%d\t%.0f\n", s.Cause, s.Runs, s.Lost)
+	}
 	if err := w.Flush(); err != nil {
 		return err
 	}
+	worst := res.WorstOrg()
+	fmt.Fprintf(out, "worst organisation: %s (value %.3f); late or unfinished jobs: %d; preempted again: %d; late guarantees: %d; stranded accelerators: %.1f %%\n",
+		worst.Name, worst.Value, res.missed(), res.StoppedAgain, res.LateGuarantees, 100*res.StrandedGPU)
 	_, err := fmt.Fprintf(out, "%d rounds, %v on average, %v at most\n", res.Rounds, res.MeanRound.Round(time.Microsecond), res.LongestRound.Round(time.Microsecond))
 	return err
 }
