Count stopped runs and lost work by cause, and show stranded capacity

The counters oleanderbend_runs_stopped_total and oleanderbend_lost_core_seconds_total tell apart the causes of lost work. The gauge oleanderbend_stranded_capacity is the capacity that is idle and that no waiting task can use because another resource of the worker is exhausted. The line "making room" names the cause.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -95,7 +95,9 @@
 	// the tightest objective.
 	knownSpeeds, slowerWorkers *metrics.Gauge
 	// waiting is the number of steps that wait, as of the last planning round.
-	waiting map[planner.WaitReason]*metrics.Gauge
+	waiting  map[planner.WaitReason]*metrics.Gauge
+	losses   lossMetrics
+	stranded strandedMetrics
 }
 
 // New returns a controller. Lead runs it for one leadership term.
@@ -119,6 +121,8 @@
 			knownSpeeds:    set.GetOrCreateGauge(`oleanderbend_workers_of_known_speed`, nil),
 			slowerWorkers:  set.GetOrCreateGauge(`oleanderbend_workers_too_slow_for_tightest_objective`, nil),
 			waiting:        newWaitGauges(set),
+			losses:         newLossMetrics(set),
+			stranded:       newStrandedMetrics(set),
 		},
 	}
 }
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -25,15 +25,17 @@
 	snapshot, workers, units := l.snapshot()
 	if len(units) == 0 || len(workers) == 0 {
 		l.c.metrics.setWaiting(nil)
+		l.c.metrics.stranded.set(nil)
 		return
 	}
 	gathered := time.Since(started)
+	l.c.metrics.stranded.set(planner.Stranded(snapshot.Workers, snapshot.Units))
 	decision := planner.Decide(snapshot)
 	l.rounds.add(gathered, time.Since(started), len(workers), len(units))
 	trackHeldBack(units, decision.Waits)
 	l.reportWaits(&snapshot, units, decision.Waits)
 	for _, stop := range decision.Stops {
-		l.preempt(stop.Group, units[stop.Unit], snapshot.Units[stop.Unit].Guaranteed)
+		l.preempt(stop.Group, units[stop.Unit], stop.Cause)
 	}
 	for _, s := range decision.Starts {
 		l.placeTasks(units[s.Unit], s.Workers, workers, snapshot.Units[s.Unit].Guaranteed)
@@ -350,19 +352,22 @@
 }
 
 // preempt stops the runs of a group so that a unit gets their capacity.
-func (l *leader) preempt(group int, u *unit, guaranteed bool) {
+func (l *leader) preempt(group int, u *unit, cause planner.StopCause) {
 	stopped := 0
 	for _, ws := range l.workers {
 		for _, r := range ws.runList() {
 			if r.groupID() == group {
 				r.task.preempted = true
+				if r.state != stopping {
+					r.preemptedBy = cause
+				}
 				l.stopRun(r, "preempted")
 				stopped++
 			}
 		}
 	}
 	l.logger.Info().Str("step", u.tasks[0].id.StepName()).Int("priority", u.job.spec.Rules.Priority).
-		Bool("entitled", guaranteed).Int("group", group).Int("runs", stopped).Msg("making room")
+		Bool("entitled", cause == planner.StopForGuarantee).Str("cause", string(cause)).Int("group", group).Int("runs", stopped).Msg("making room")
 }
 
 // placeTasks places tasks of a unit: it stores their placements and sends their starts once these
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -8,6 +8,7 @@
 	"github.com/oleanderbend/oleanderbend/internal/batch"
 	"github.com/oleanderbend/oleanderbend/internal/boottime"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
+	"github.com/oleanderbend/oleanderbend/internal/planner"
 	"github.com/oleanderbend/oleanderbend/internal/progress"
 	"github.com/oleanderbend/oleanderbend/internal/worker"
 )
@@ -95,6 +96,8 @@
 	stopSentAt, stopDueAt boottime.Instant
 	// reason is why the run is being stopped, or is to be stopped once it has been adopted, for the log.
 	reason string
+	// preemptedBy is the cause of the preemption of the run; empty if it has not been preempted.
+	preemptedBy planner.StopCause
 	// checkpoint is the newest checkpoint that the worker reported.
 	checkpoint string
 	progress   progress.Tracker
@@ -418,6 +421,7 @@
 	l.logger.Info().Str("task", t.id.String()).Int64("run", r.number).Str("worker", ws.id).Str("end", string(kind)).
 		Str("reason", r.reason).Dur("ran", boottime.Since(r.placedAt)).Msg("task ended")
 	l.planDue = true
+	l.countLoss(r, kind)
 	l.applyEndKind(r, kind)
 	if u.gang() && !t.rec.Done {
 		l.stopGang(u, kind)
