--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -34,10 +34,9 @@
 		return false
 	case run.Guaranteed || run.Priority <= u.Priority || u.Timeliness == Overdue:
 		return false
-	case u.Priority == 0 && u.Timeliness == OnTime:
+	case u.Priority == 0:
 		return true
 	default:
-		// A unit that is late has lost most of its value, and gains little from the work that others would lose.
 		return run.LostWork <= negligibleLoss
 	}
 }
