--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -792,9 +792,8 @@
 }
 
 // placeInOneRack places all tasks in one rack. Of the racks with enough room it chooses one without cold workers, of
-// these one with workers that are fast
-// enough, and of these the one with the fewest free accelerators, which leaves emptier racks for gangs with more
-// tasks. It returns nil if no rack has enough room.
+// these one with workers that are fast enough, and of these the one with the fewest free accelerators, which leaves
+// emptier racks for gangs with more tasks. It returns nil if no rack has enough room.
 func (r *round) placeInOneRack(u *Unit, free []Resources) []int {
 	var best []int
 	var bestLeft int64
