--- a/internal/controller/evacuation_test.go
+++ b/internal/controller/evacuation_test.go
@@ -14,7 +14,9 @@
 	"github.com/oleanderbend/oleanderbend/internal/batch"
 	"github.com/oleanderbend/oleanderbend/internal/boottime"
 	"github.com/oleanderbend/oleanderbend/internal/evacuation"
+	"github.com/oleanderbend/oleanderbend/internal/intake"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
+	"github.com/oleanderbend/oleanderbend/internal/opconfig"
 	"github.com/oleanderbend/oleanderbend/internal/worker"
 	"github.com/oleanderbend/oleanderbend/internal/worker/workertest"
 )
@@ -535,3 +537,65 @@
 	ws.raiseLeastClock(at.Add(2*time.Second), 1995)
 	require.Equal(t, int64(2970), ws.leastClock(at.Add(2*time.Second)))
 }
+
+// Guards against a guarantee that is not fulfilled because half of the room is evacuated: the job preempts runs in the other
+// zone and begins in time, and so does another one in the zone after its return.
+func TestGuaranteeHoldsDuringEvacuation(t *testing.T) {
+	const reclaimTime = 2700 * time.Millisecond
+	inVirtualTime(t, 1, fixedWork(20*time.Second), func(c *cluster) {
+		c.evacuationBound = bound
+		c.config = &opconfig.Config{
+			Version: 1,
+			Queues: []opconfig.Queue{
+				{Name: "q", Host: "h", Prefix: "/q/", Service: "s", MaxFailedRuns: 3, DurationFactor: 3},
+				{Name: "low", Host: "h", Prefix: "/low/", Service: "s", Priority: 2, MaxFailedRuns: 3, DurationFactor: 3},
+			},
+			Orgs: []opconfig.Org{{Name: "o", GuaranteedGPU: 16}},
+		}
+		c.config.BuildIndexes()
+		gate := c.gateStarts()
+		c.addZonedWorker("w1", "z1")
+		c.addZonedWorker("w2", "z2")
+		c.startInstance("a")
+		low := &batch.Job{ID: jobID(1), Steps: []batch.Step{{Count: 16, CPU: 1000, GPU: 1, EstimateMS: 20000}}}
+		low.Queue, low.Org, low.Rules, low.AcceptedMS = "low", "o", intake.QueueRulesOf(&c.config.Queues[1]), time.Now().UnixMilli()
+		record, err := batch.EncodeJob(low)
+		require.NoError(t, err)
+		c.write(batch.JobsTopic, record)
+		c.waitFor(3*time.Second, "full", func() bool { return c.fleet.RunCount("w1")+c.fleet.RunCount("w2") == 16 })
+		c.evacuate(true, "z1")
+		time.Sleep(bound)
+		before := gate.starts("w1")
+		c.submit(jobID(2), batch.Step{Count: 2, CPU: 1000, GPU: 4, Gang: true, EstimateMS: 20000})
+		c.waitFor(reclaimTime, "guaranteed job begins", func() bool { return c.fleet.Starts(firstStepTask(2, 1)) == 1 })
+		require.Equal(t, before, gate.starts("w1"))
+		require.Equal(t, 2, c.fleet.RunCount("w2"))
+		c.evacuate(false, "z1")
+		c.submit(jobID(3), batch.Step{Count: 2, CPU: 1000, GPU: 4, Gang: true, EstimateMS: 20000})
+		c.waitFor(reclaimTime, "guaranteed job begins", func() bool { return c.fleet.Starts(firstStepTask(3, 1)) == 1 })
+		require.Empty(t, c.fleet.Violations())
+	})
+}
+
+// Guards against a wave of maintenance that waits for the end of an evacuation, and against a worker that gets work after the
+// maintenance of its machine although its zone is still evacuated.
+func TestMaintenanceGoesOnInEvacuatedZone(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(time.Second), func(c *cluster) {
+		c.evacuationBound = bound
+		gate := c.gateStarts()
+		c.addZonedWorker("w1", "z1")
+		c.addZonedWorker("w2", "z2")
+		c.machines = workertest.NewMachines(c.fleet, 2*time.Second,
+			func(id string) { c.write(workersTopic, ledger.Record{Key: id}) }, func(info worker.Info) { c.register(info) })
+		c.waves = []worker.Wave{{Number: 7, Machines: []string{"m-w1"}, TimeLimit: 30 * time.Second, MaxDown: 1}}
+		c.evacuate(true, "z1")
+		c.startInstance("a")
+		c.waitFor(20*time.Second, "wave completed", c.waveCompleted)
+		for n := range 3 {
+			c.submit(jobID(n), batch.Step{Count: 4, CPU: 1000, GPU: 2, EstimateMS: 1000})
+			c.waitFor(5*time.Second, "completed", func() bool { return c.phase(jobID(n)) == batch.Completed })
+		}
+		require.Zero(t, gate.starts("w1"))
+		require.Empty(t, c.fleet.Violations())
+	})
+}
--- a/internal/controller/losses.go
+++ b/internal/controller/losses.go
@@ -14,6 +14,7 @@
 const (
 	stoppedWithGang    planner.StopCause = "gang"
 	stoppedMaintenance planner.StopCause = "maintenance"
+	stoppedEvacuation  planner.StopCause = "evacuation"
 	stoppedStalled     planner.StopCause = "stalled"
 	stoppedSlow        planner.StopCause = "slow"
 	stoppedCancelled   planner.StopCause = "cancelled"
@@ -24,7 +25,7 @@
 
 // causeOfReason is the cause of the stops with a reason of stopRun.
 var causeOfReason = map[string]planner.StopCause{
-	"gang ended": stoppedWithGang, "worker is leaving": stoppedMaintenance, "upkeep": stoppedMaintenance, "stands still": stoppedStalled,
+	"gang ended": stoppedWithGang, "worker is leaving": stoppedMaintenance, "upkeep": stoppedMaintenance, stopForEvacuation: stoppedEvacuation, "stands still": stoppedStalled,
 	"worker is slow": stoppedSlow, "cancelled": stoppedCancelled, "job is over": stoppedCancelled,
 }
 
@@ -37,7 +38,7 @@
 func newLossMetrics(set *metrics.Set) lossMetrics {
 	m := lossMetrics{make(map[planner.StopCause]*metrics.Counter), make(map[planner.StopCause]*metrics.FloatCounter)}
 	causes := []planner.StopCause{
-		stoppedWithGang, stoppedMaintenance, stoppedStalled, stoppedSlow, stoppedCancelled, stoppedFailed, stoppedLost, stoppedOther,
+		stoppedWithGang, stoppedMaintenance, stoppedEvacuation, stoppedStalled, stoppedSlow, stoppedCancelled, stoppedFailed, stoppedLost, stoppedOther,
 	}
 	for _, cause := range append(causes, planner.StopCauses...) {
 		m.runs[cause] = set.GetOrCreateCounter(fmt.Sprintf(`oleanderbend_runs_stopped_total{cause=%q}`, string(cause)))
--- a/internal/planner/stranded.go
+++ b/internal/planner/stranded.go
@@ -17,7 +17,7 @@
 	for i := range workers {
 		w := &workers[i]
 		waiting := needs[w.Service]
-		if !w.AcceptsWork || slices.ContainsFunc(waiting, func(n Resources) bool { return n.fitsInto(&w.Free) }) {
+		if !w.Usable() || slices.ContainsFunc(waiting, func(n Resources) bool { return n.fitsInto(&w.Free) }) {
 			continue
 		}
 		var usable Resources
