--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -85,6 +85,8 @@
 	// workers that are not registered yet.
 	speeds       map[string]*serviceSpeeds
 	storedSpeeds map[string]forecast.StoredSpeed
+	// durations is how long the work of each queue takes.
+	durations forecast.Durations
 	// slowCheckedAt is when updateSlowWorkers last compared the workers.
 	slowCheckedAt boottime.Instant
 	planDue       bool
@@ -100,6 +102,7 @@
 	// the unit whose last call is the longest ago.
 	adviceInFlight, adviceByAge bool
 	maintenance                 *maintenanceState
+	evacuation                  evacuationState
 }
 
 func newLeader(ctx context.Context, c *Controller, cancel context.CancelFunc, term election.Term) *leader {
@@ -310,6 +313,7 @@
 // round due if tasks wait, and cleans up.
 func (l *leader) tick() {
 	now := boottime.Now()
+	l.updateEvacuations()
 	for _, ws := range l.workers {
 		l.checkWorker(ws, now)
 	}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -22,6 +22,9 @@
 // plan runs one planning round and carries out its decisions.
 func (l *leader) plan() {
 	started := time.Now()
+	if !l.updateEvacuations() {
+		return
+	}
 	snapshot, workers, units := l.snapshot()
 	if len(units) == 0 || len(workers) == 0 {
 		l.c.metrics.setWaiting(nil)
@@ -79,6 +82,7 @@
 	var s planner.Snapshot
 	now := boottime.Now()
 	ids := slices.Sorted(maps.Keys(l.workers))
+	closed := l.closedByEvacuation(now)
 	workers := make([]*workerState, 0, len(ids))
 	for _, id := range ids {
 		ws := l.workers[id]
@@ -86,7 +90,9 @@
 			continue
 		}
 		workers = append(workers, ws)
-		s.Workers = append(s.Workers, l.describeWorker(ws, now))
+		described := l.describeWorker(ws, now)
+		described.Evacuated = closed[ws]
+		s.Workers = append(s.Workers, described)
 	}
 	s.Headroom = l.headroom(now)
 	unused := halfUnused(s.Workers)
@@ -107,7 +113,7 @@
 			}
 			d, ok := l.describeUnit(u, n, now, guaranteed[j])
 			if !ok {
-				if reason := u.advice.waitReason(); u.waitLogDue(reason, now) {
+				if reason := l.adviceWaitReason(u); u.waitLogDue(reason, now) {
 					l.logWait(u, reason, "", 0, now)
 				}
 				continue
@@ -124,6 +130,10 @@
 func (l *leader) headroom(now boottime.Instant) map[string]int64 {
 	used := make(map[string]float64)
 	for _, ws := range l.workers {
+		if l.evacuated(ws) {
+			// What these runs are followed by needs room elsewhere.
+			continue
+		}
 		for _, r := range ws.runs {
 			if r.task.unit.job.spec.Rules.Priority == 0 {
 				used[ws.info.Service] += float64(r.task.unit.step.GPU)
@@ -138,7 +148,7 @@
 	w := planner.Worker{
 		ID: ws.id, Service: ws.info.Service, Rack: ws.info.Rack, Labels: ws.info.Labels, AcceptsWork: ws.acceptsWork(now) && !l.maintenance.isPreparing(ws.id),
 		Free: ws.capacity().Sub(used), Releasing: releasing, Suspicion: len(ws.failedJobs), Slow: now < ws.slowUntil,
-		Speed: l.speedOf(ws),
+		Speed: l.speedOf(ws), Cold: now < ws.coldUntil,
 	}
 	for _, r := range ws.runs {
 		step := r.task.unit.step
@@ -247,19 +257,35 @@
 // deadline in milliseconds of the boottime clock, and the minimum speed. Long-running units are always on time.
 func (l *leader) setTimeliness(d *planner.Unit, u *unit, now boottime.Instant) {
 	j := u.job
-	chain := longestChain(j.spec.Steps, -1)
-	objective := int64(j.spec.Rules.DurationFactor*float64(chain)) + j.spec.Rules.DurationOffsetMS
+	estimated := func(s *batch.Step) int64 { return s.EstimateMS }
+	objective := objectiveMS(j, estimated)
 	age := l.age(u, now).Milliseconds()
 	d.Deadline = time.Duration(now).Milliseconds() - age + objective
 	if u.step.LongRunning {
 		d.Timeliness = planner.OnTime
 		return
 	}
-	remaining := longestChain(j.spec.Steps, u.index)
+	remaining := longestChain(j.spec.Steps, u.index, estimated)
 	d.Timeliness = planner.TimelinessOf(millis(age), millis(remaining), millis(objective))
+	if d.Timeliness == planner.Overdue && !l.isOverdue(u, age) {
+		d.Timeliness = planner.Late
+	}
 	d.MinSpeed = l.minSpeed(u, millis(age), millis(remaining), millis(objective))
 }
 
+// isOverdue reports whether a unit of the given age in milliseconds has no value any more, by the usual durations of its queue. An estimate
+// that is much too short also makes the objective too short, and the unit would be put last although it has value.
+func (l *leader) isOverdue(u *unit, age int64) bool {
+	expected := func(s *batch.Step) int64 { return l.expectedMS(u.job, s) }
+	remaining := longestChain(u.job.spec.Steps, u.index, expected)
+	return planner.TimelinessOf(millis(age), millis(remaining), millis(objectiveMS(u.job, expected))) == planner.Overdue
+}
+
+// objectiveMS returns the objective for the duration of a job, in milliseconds; expected returns the duration of a step.
+func objectiveMS(j *job, expected func(*batch.Step) int64) int64 {
+	return int64(j.spec.Rules.DurationFactor*float64(longestChain(j.spec.Steps, -1, expected))) + j.spec.Rules.DurationOffsetMS
+}
+
 func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 // age returns the time since the unit's occurrence was due or, without a schedule, since its job was
@@ -276,10 +302,10 @@
 	return max(0, time.Duration(l.c.timeOfDay.unixMilli()-start)*time.Millisecond)
 }
 
-// longestChain returns the estimated duration of the longest chain of dependent steps, in
+// longestChain returns the expected duration of the longest chain of dependent steps, in
 // milliseconds: of all steps if first is negative, otherwise of the chains that begin with step
-// first. Steps must depend only on steps with lower indices.
-func longestChain(steps []batch.Step, first int) int64 {
+// first. Steps must depend only on steps with lower indices; expected returns the duration of a step.
+func longestChain(steps []batch.Step, first int, expected func(*batch.Step) int64) int64 {
 	ends := make([]int64, len(steps))
 	longest := int64(0)
 	for i := range steps {
@@ -293,7 +319,7 @@
 			}
 		}
 		if reached {
-			ends[i] = begin + max(1, steps[i].EstimateMS)
+			ends[i] = begin + max(1, expected(&steps[i]))
 			longest = max(longest, ends[i])
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	stdlog "log"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -18,8 +19,10 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/oleanderbend/oleanderbend/internal/batch"
+	"github.com/oleanderbend/oleanderbend/internal/clients"
 	"github.com/oleanderbend/oleanderbend/internal/controller"
 	"github.com/oleanderbend/oleanderbend/internal/election"
+	"github.com/oleanderbend/oleanderbend/internal/evacuation"
 	"github.com/oleanderbend/oleanderbend/internal/intake"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
 	"github.com/oleanderbend/oleanderbend/internal/opconfig"
@@ -45,10 +48,21 @@
 	// killMargin is how long before the end of the grace period, when the process is killed, the
 	// instance stops waiting for requests. It includes cancelledResponseTime.
 	killMargin = 1200 * time.Millisecond
-	// headerTimeout is the maximum time for reading the headers of a request.
+	// headerTimeout is the maximum time for reading the headers of a request, unless the operator sets one.
 	headerTimeout = 3 * time.Second
-	// idleTimeout is how long a connection of a caller may be idle before it is closed.
+	// idleTimeout is how long a connection may be idle before it is closed, unless the operator sets a time.
 	idleTimeout = 60 * time.Second
+	// maxHeaderBytes is the maximum size of the headers of a request, unless the operator sets one.
+	maxHeaderBytes = 16 << 10
+	// bodyTimeout is the maximum time for reading the body of a request without a deadline of the caller. A body
+	// of 256 KB needs 9 KB/s.
+	bodyTimeout = 30 * time.Second
+	// internalBodyTimeout limits requests to the servers for probes and metrics, whose bodies are small.
+	internalBodyTimeout = 5 * time.Second
+	// maxProbeConns and maxMetricsConns are the maximum numbers of connections to these servers. A load balancer
+	// and a few readers of metrics use one or two each.
+	maxProbeConns   = 64
+	maxMetricsConns = 32
 )
 
 // Platform is the clients, topics and codecs of the platform that the instance runs on.
@@ -65,12 +79,16 @@
 	IsConfig     func(ledger.Record) bool
 	DecodeConfig func(ledger.Record) (*opconfig.Config, error)
 	// DecodeWave decodes a wave of maintenance. It returns false for any other record.
-	DecodeWave   func(ledger.Record) (worker.Wave, bool, error)
-	DecodeWorker func(ledger.Record) (worker.Info, error)
+	DecodeWave func(ledger.Record) (worker.Wave, bool, error)
+	// DecodeEvacuation decodes the evacuation of a zone or its end. It returns false for any other record. The change
+	// is valid also if there is an error.
+	DecodeEvacuation func(ledger.Entry) (evacuation.Change, bool, error)
+	DecodeWorker     func(ledger.Record) (worker.Info, error)
 	// WaveStatus returns the record that reports the progress of a wave.
 	WaveStatus func(wave int64, completed bool) ledger.Record
-	// FrontHandler returns the handler for the requests of callers (the front server).
-	FrontHandler func(*intake.Service) http.Handler
+	// FrontHandler returns the handler for the requests of callers (the front server). It reads their bodies
+	// within the budget.
+	FrontHandler func(*intake.Service, *clients.Budget) http.Handler
 }
 
 // Node is one instance of the service: the parts that run in one process.
@@ -79,6 +97,7 @@
 	platform Platform
 	logger   *log.Logger
 	metrics  *metrics.Set
+	refusals *clients.Refusals
 
 	intake     *intake.Service
 	elector    *election.Elector
@@ -94,17 +113,22 @@
 	mu sync.Mutex
 	// waves is the requested waves of maintenance by their number.
 	waves map[int64]worker.Wave
+	// evacuated holds the operator's records of evacuated zones.
+	evacuated evacuation.Records
 }
 
 // New returns an instance that is not running yet.
 func New(s Settings, p Platform, logger *log.Logger) *Node {
 	incarnation := uuid.NewString()
 	n := &Node{settings: s, platform: p, logger: logger, metrics: metrics.NewSet(), waves: make(map[int64]worker.Wave)}
+	n.refusals = clients.NewRefusals(n.metrics, logger)
 	// The producer is new for each incarnation, so its epoch never changes.
 	n.writer = ledger.NewWriter(ledger.WriterConfig{
 		Log: p.Log, Topic: batch.JobsTopic, Producer: incarnation, Epoch: 1, Logger: logger,
 	})
-	n.operatorFollower = n.follower(p.OperatorTopic, configWait, 0, n.applyOperatorRecords)
+	n.operatorFollower = ledger.NewFollower(ledger.FollowerConfig{
+		Log: p.Log, Topic: p.OperatorTopic, Wait: configWait, WaitLimit: n.operatorWaitLimit, Apply: n.applyOperatorRecords, Logger: logger,
+	})
 	n.jobsFollower = ledger.NewFollower(ledger.FollowerConfig{
 		Log: p.Log, Topic: batch.JobsTopic, Wait: jobsWait, Pause: n.jobsReadPause, Apply: n.applyJobs, Logger: logger,
 	})
@@ -114,12 +138,13 @@
 	n.controller = controller.New(controller.Config{
 		Log: p.Log, Workers: p.Workers, Advisor: p.Advisor, Machines: p.Machines,
 		Jobs: n.intake, JobsPosition: n.jobsFollower.Position,
-		OperatorConfig: n.intake.CurrentConfig, Waves: n.allWaves,
+		OperatorConfig: n.intake.CurrentConfig, Waves: n.allWaves, Evacuations: n.evacuations,
 		WorkersTopic: p.WorkersTopic, DecodeWorker: p.DecodeWorker,
 		StatusTopic: p.StatusTopic, WaveStatus: p.WaveStatus, Holder: s.Name,
 		Timing: controller.Timing{
 			MaxLease: s.Timing.MaxLease, FinishedJobRetention: s.Timing.FinishedJobRetention,
 			HolderChangeInterval: s.Timing.HolderChangeInterval, HeartbeatInterval: s.HeartbeatInterval,
+			EvacuationBound: s.Timing.EvacuationBound,
 		},
 		Metrics: n.metrics, Logger: logger,
 	})
@@ -128,6 +153,8 @@
 		ClaimDelay: claimDelay(s.Cores), Eligible: n.canLead, Lead: n.controller.Lead, Logger: logger,
 	})
 	n.electionFollower = n.follower(election.Topic, leaderWait, 0, n.elector.Observe)
+	n.metrics.GetOrCreateGauge(`oleanderbend_evacuated_zones`, func() float64 { return float64(len(n.evacuations().Zones)) })
+	n.metrics.GetOrCreateGauge(`oleanderbend_operator_records_age_seconds`, func() float64 { return n.evacuations().Age.Seconds() })
 	return n
 }
 
@@ -199,6 +226,7 @@
 }
 
 func (n *Node) applyOperatorRecords(u ledger.Update) {
+	n.applyEvacuations(u)
 	for _, entry := range u.Entries {
 		if n.platform.IsConfig(entry.Record) {
 			n.applyConfig(entry)
@@ -216,6 +244,45 @@
 	}
 }
 
+// applyEvacuations updates the evacuated zones. An update with the latest records of all keys replaces them: a zone whose
+// record was lost with the history of the log returns to service.
+func (n *Node) applyEvacuations(u ledger.Update) {
+	var changes []evacuation.Change
+	for _, entry := range u.Entries {
+		change, isEvacuation, err := n.platform.DecodeEvacuation(entry)
+		if err != nil {
+			n.logger.Warn().Err(err).Str("zone", change.Zone).Int64("offset", entry.Offset).Msg("value of evacuation not decodable, zone evacuated nevertheless")
+		}
+		if isEvacuation {
+			changes = append(changes, change)
+		}
+	}
+	if len(changes) == 0 && !u.Reset {
+		return
+	}
+	n.mu.Lock()
+	n.evacuated = n.evacuated.Apply(changes, u.Reset)
+	n.mu.Unlock()
+}
+
+// evacuations returns the evacuated zones and the age of the local copy of the operator's records.
+func (n *Node) evacuations() evacuation.Copy {
+	// The age is read before the zones, so that the zones are at least as new.
+	age, synced := n.operatorFollower.Age()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return evacuation.Copy{Zones: n.evacuated.Zones(), Age: age, Synced: synced}
+}
+
+// operatorWaitLimit returns how long a read of the operator's records may wait. The leader's copy must be younger than
+// that of the other instances if the platform bounds starts in evacuated zones.
+func (n *Node) operatorWaitLimit() time.Duration {
+	if !n.isLeader() {
+		return configWait
+	}
+	return evacuation.Bound(n.settings.Timing.EvacuationBound).ReadWait(configWait)
+}
+
 func (n *Node) applyConfig(entry ledger.Entry) {
 	if len(entry.Value) == 0 {
 		return // The record was deleted; the configuration in force stays.
@@ -331,15 +398,15 @@
 	ready := http.NewServeMux()
 	ready.HandleFunc("/", n.serveReady)
 	s := &servers{
-		ready: n.newServer(ready),
+		ready: newServer(ready),
 		// One error from each of the servers for callers, probes and metrics, so that none blocks.
 		failed: make(chan error, 3),
 	}
 	var err error
-	if s.front, err = startFrontServer(n.newServer(n.platform.FrontHandler(n.intake)), n.settings.FrontAddress, s.failed); err != nil {
+	if s.front, err = n.startFront(s.failed); err != nil {
 		return nil, err
 	}
-	if err := startServer(s.ready, n.settings.ReadyAddress, s.failed); err != nil {
+	if err := n.startInternal(s.ready, maxProbeConns, n.settings.ReadyAddress, s.failed); err != nil {
 		return nil, err
 	}
 	if n.settings.RelayPort != 0 {
@@ -347,7 +414,7 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "listen for relayed records of other instances")
 		}
-		if err := relay.Serve(listener, n.writer, n.isLeader, n.elector.AwaitEnd); err != nil {
+		if err := relay.Serve(listener, n.writer, n.isLeader, n.elector.AwaitEnd, relay.Limits{MaxConns: n.settings.maxRelayConns(), Refused: n.refusals.Count}); err != nil {
 			return nil, err
 		}
 	}
@@ -355,20 +422,51 @@
 		return s, nil
 	}
 	address := net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.MetricsPort))
-	return s, startServer(n.newServer(http.HandlerFunc(n.serveMetrics)), address, s.failed)
+	return s, n.startInternal(newServer(http.HandlerFunc(n.serveMetrics)), maxMetricsConns, address, s.failed)
+}
+
+// startFront starts the server for callers.
+func (n *Node) startFront(failed chan<- error) (*frontServer, error) {
+	budget := clients.NewBudget(n.settings.bodyBytes(), n.settings.Cores, n.refusals)
+	limiter := clients.NewLimiter(n.settings.maxCallers(), n.callerLimits, n.refusals)
+	n.metrics.NewGauge("oleanderbend_caller_connections", func() float64 { return float64(limiter.Open()) })
+	n.metrics.NewGauge("oleanderbend_body_bytes", func() float64 { return float64(budget.Used()) })
+	server := newServer(n.platform.FrontHandler(n.intake, budget))
+	return startFrontServer(server, limiter, n.settings.FrontAddress, failed)
 }
 
-func (n *Node) newServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: stdlog.New(io.Discard, "", 0),
+// callerLimits returns the limits for the requests of callers: those of the operator, or the defaults.
+func (n *Node) callerLimits() clients.Limits {
+	limits := clients.Limits{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, BodyTimeout: bodyTimeout, MaxHeaderBytes: maxHeaderBytes}
+	c := n.intake.CurrentConfig()
+	if c == nil {
+		return limits
 	}
+	if c.HeaderTimeout > 0 {
+		limits.HeaderTimeout = c.HeaderTimeout
+	}
+	if c.IdleTimeout > 0 {
+		limits.IdleTimeout = c.IdleTimeout
+	}
+	if c.MaxHeaderBytes > 0 {
+		limits.MaxHeaderBytes = int(min(c.MaxHeaderBytes, math.MaxInt32))
+	}
+	return limits
 }
 
-func startServer(s *http.Server, address string, failed chan<- error) error {
-	listener, err := net.Listen("tcp", address)
+// newServer returns a server whose time limits are set by a limiter.
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ErrorLog: stdlog.New(io.Discard, "", 0)}
+}
+
+// startInternal starts a server for probes or metrics.
+func (n *Node) startInternal(s *http.Server, maxConns int, address string, failed chan<- error) error {
+	limits := clients.Limits{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, BodyTimeout: internalBodyTimeout, MaxHeaderBytes: maxHeaderBytes}
+	limiter := clients.NewLimiter(maxConns, func() clients.Limits { return limits }, n.refusals)
+	limiter.Configure(s)
+	listener, err := limiter.Listen(address)
 	if err != nil {
-		return eris.Wrapf(err, "listen on %s", address)
+		return err
 	}
 	go func() {
 		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
