--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -89,6 +90,11 @@
 	changed map[string]bool
 	wake    chan struct{}
 	leading bool
+	// current is the state of the term, nil before it has been taken over.
+	current *leader
+
+	// explaining means that a call of Explain is in progress.
+	explaining atomic.Bool
 
 	metrics controllerMetrics
 }
@@ -101,7 +107,9 @@
 	// the tightest objective.
 	knownSpeeds, slowerWorkers *metrics.Gauge
 	// waiting is the number of steps that wait, as of the last planning round.
-	waiting map[planner.WaitReason]*metrics.Gauge
+	waiting  map[planner.WaitReason]*metrics.Gauge
+	losses   lossMetrics
+	stranded strandedMetrics
 }
 
 // New returns a controller. Lead runs it for one leadership term.
@@ -129,6 +137,8 @@
 			knownSpeeds:     set.GetOrCreateGauge(`oleanderbend_workers_of_known_speed`, nil),
 			slowerWorkers:   set.GetOrCreateGauge(`oleanderbend_workers_too_slow_for_tightest_objective`, nil),
 			waiting:         newWaitGauges(set),
+			losses:          newLossMetrics(set),
+			stranded:        newStrandedMetrics(set),
 		},
 	}
 }
@@ -186,5 +196,7 @@
 		c.cfg.Logger.Warn().Err(err).Int64("epoch", term.Epoch).Msg("takeover failed")
 		return
 	}
+	c.setCurrent(l)
+	defer c.setCurrent(nil)
 	l.run()
 }
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -8,6 +8,7 @@
 	"github.com/oleanderbend/oleanderbend/internal/batch"
 	"github.com/oleanderbend/oleanderbend/internal/boottime"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
+	"github.com/oleanderbend/oleanderbend/internal/planner"
 	"github.com/oleanderbend/oleanderbend/internal/progress"
 	"github.com/oleanderbend/oleanderbend/internal/worker"
 )
@@ -96,6 +97,8 @@
 	stopSentAt, stopDueAt boottime.Instant
 	// reason is why the run is being stopped, or is to be stopped once it has been adopted, for the log.
 	reason string
+	// preemptedBy is the cause of the preemption of the run; empty if it has not been preempted.
+	preemptedBy planner.StopCause
 	// checkpoint is the newest checkpoint that the worker reported.
 	checkpoint string
 	progress   progress.Tracker
@@ -106,6 +109,9 @@
 	// lastSpeed is the speed of the run relative to its estimate in the last sample, if it has been sampled.
 	lastSpeed float64
 	sampled   bool
+	// paceDistorted means that the pace of the run does not show the speed of its worker: the run resumed from a
+	// checkpoint, or the worker was slow for a time.
+	paceDistorted bool
 	// usage is the last reported RunStatus.Usage: the tail latency in milliseconds for a serving
 	// task, the processor time in thousandths of a core for any other task.
 	usage int64
@@ -128,6 +134,7 @@
 	ws.runs[t.id] = r
 	t.rec.Run, t.rec.Worker, t.rec.Address, t.rec.WorkerStartedAtMS = number, ws.id, ws.address, ws.startedAtMS
 	t.rec.Checkpoint = t.resumeCheckpoint()
+	r.paceDistorted = t.rec.Checkpoint != ""
 	return r, l.taskRecord(t)
 }
 
@@ -424,6 +431,7 @@
 	l.logger.Info().Str("task", t.id.String()).Int64("run", r.number).Str("worker", ws.id).Str("end", string(kind)).
 		Str("reason", r.reason).Dur("ran", boottime.Since(r.placedAt)).Msg("task ended")
 	l.planDue = true
+	l.countLoss(r, kind)
 	l.applyEndKind(r, kind)
 	if u.gang() && !t.rec.Done {
 		l.stopGang(u, kind)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -251,6 +251,36 @@
 	Group int
 	// Unit is the index in Snapshot.Units of the unit that gets the resources.
 	Unit int
+	// Cause is why the unit may preempt the group.
+	Cause StopCause
+}
+
+// StopCause is the cause of a preemption.
+type StopCause string
+
+// Causes of preemptions.
+const (
+	// StopForGuarantee means that the guarantee of an organisation covers the unit.
+	StopForGuarantee StopCause = "guarantee"
+	// StopForUrgent means that the unit is of priority 0, without a guarantee.
+	StopForUrgent StopCause = "urgent"
+	// StopForPriority means that the unit is of another priority that is more urgent than that of the group.
+	StopForPriority StopCause = "priority"
+)
+
+// StopCauses lists all causes.
+var StopCauses = []StopCause{StopForGuarantee, StopForUrgent, StopForPriority}
+
+// stopCause returns why the unit may preempt runs.
+func (u *Unit) stopCause() StopCause {
+	switch {
+	case u.Guaranteed:
+		return StopForGuarantee
+	case u.Priority == 0:
+		return StopForUrgent
+	default:
+		return StopForPriority
+	}
 }
 
 // maxBlockedGangClaims is the maximum number of blocked gangs that claim resources in one round. More
@@ -263,11 +293,18 @@
 const negligibleLoss = 1.0
 
 // Decide computes the plan for a snapshot. It may update TasksByWorker, RunsServing and RunsFiller in the snapshot.
-func Decide(s Snapshot) Plan {
+func Decide(s Snapshot) Plan { return decide(s, nil) }
+
+// decide computes the plan for a snapshot. If observe is not nil, it is called with each part of a unit before that is
+// scheduled.
+func decide(s Snapshot, observe func(*round, *unitPart)) Plan {
 	r := newRound(s)
 	parts := r.splitUnits()
 	slices.SortStableFunc(parts, func(a, b unitPart) int { return compareUnits(&a.unit, &b.unit) })
 	for i := range parts {
+		if observe != nil {
+			observe(r, &parts[i])
+		}
 		r.schedule(&parts[i])
 	}
 	return r.plan
@@ -704,30 +741,11 @@
 }
 
 // usable reports whether a worker may run tasks of a unit, regardless of its free resources.
-func (r *round) usable(u *Unit, worker int) bool {
-	w := &r.snapshot.Workers[worker]
-	switch {
-	case !w.Usable():
-		return false
-	default:
-		return r.suits(u, worker)
-	}
-}
+func (r *round) usable(u *Unit, worker int) bool { return r.obstacle(u, worker) == noObstacle }
 
 // suits reports whether a worker that accepts work, evacuated or not, may run tasks of a unit, regardless of its free
 // resources.
-func (r *round) suits(u *Unit, worker int) bool {
-	w := &r.snapshot.Workers[worker]
-	switch {
-	case w.Service != u.Service || (w.Slow && !u.AcceptsSlow):
-		return false
-	case u.Label != "" && !slices.Contains(w.Labels, u.Label):
-		return false
-	case u.Allowed != nil && !u.Allowed[w.ID]:
-		return false
-	}
-	return true
-}
+func (r *round) suits(u *Unit, worker int) bool { return r.mismatch(u, worker) == noObstacle }
 
 // mixesServingAndFiller reports whether placing the unit on the worker would run serving tasks beside
 // filler tasks. Such workers are used only if there is no other.
