Spend less time of the leader on speeds and stranded capacity

Larger steps now have one median for all runs, even fleets are compared every 2 s, and stranded capacity is computed once a second.

--- a/internal/controller/forecast.go
+++ b/internal/controller/forecast.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"cmp"
+	"slices"
 	"strconv"
 	"time"
 
@@ -16,6 +18,9 @@
 	// compareInterval is the minimum time between two comparisons of the runs of one unit. Polls come nearly a second
 	// apart, and each brings new paces of the runs on one worker only.
 	compareInterval = 400 * time.Millisecond
+	// evenCompareInterval replaces compareInterval once evenWorkers workers are known and placement takes no speeds into account.
+	evenCompareInterval = 2 * time.Second
+	evenWorkers         = 100
 	// speedsStoreInterval is the time between two stores of the speeds, so that they cost a few writes a minute. A new leader relearns
 	// what has changed since within seconds.
 	speedsStoreInterval = 5 * time.Second
@@ -57,12 +62,16 @@
 
 // comparePaces updates the speeds of workers from the progress of the runs of a unit.
 func (l *leader) comparePaces(u *unit, now boottime.Instant) {
-	if u.step.LongRunning || u.step.Filler || now.Sub(u.comparedAt) < compareInterval {
+	service := u.job.spec.Rules.Service
+	interval := compareInterval
+	if s := l.speeds[service]; s != nil && !s.uneven && s.summary.Known >= evenWorkers {
+		interval = evenCompareInterval
+	}
+	if u.step.LongRunning || u.step.Filler || now.Sub(u.comparedAt) < interval {
 		return
 	}
 	u.comparedAt = now
 	var paces []forecast.Pace
-	service := ""
 	for _, t := range u.tasks {
 		r := t.run
 		if r == nil || r.remote || r.state != running {
@@ -72,11 +81,11 @@
 			continue
 		}
 		if d, ok := r.clocked.Pace(); ok {
-			service = r.worker.info.Service
-			paces = append(paces, forecast.Pace{Worker: r.worker.id, Run: t.id.String() + "/" + strconv.FormatInt(r.number, 10), Duration: d})
+			paces = append(paces, forecast.Pace{Worker: r.worker.id, Run: r.serial, Duration: d})
 		}
 	}
-	if len(paces) > 1 && service != "" {
+	if len(paces) > 1 {
+		slices.SortFunc(paces, func(a, b forecast.Pace) int { return cmp.Compare(a.Worker, b.Worker) })
 		l.speedsOf(service).Compare(now, paces)
 	}
 }
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -305,6 +305,8 @@
 	ws := l.workerOfRecord(rec.Worker, rec.Address, rec.WorkerStartedAtMS)
 	// The start sent by the previous leader may be unconfirmed.
 	r := &run{task: t, worker: ws, number: rec.Run, state: adopting, unconfirmed: 1, placedAt: boottime.Now()}
+	l.nextRunSerial++
+	r.serial = l.nextRunSerial
 	// The racks of the other members of a gang are not known before the registry has been read.
 	r.remote = u.step.DataRack != "" || u.step.RackLocal
 	t.run = r
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -79,6 +79,8 @@
 	peaks planner.HeadroomTracker
 
 	rounds roundStats
+	// strandedAt is when the stranded capacity was last computed.
+	strandedAt time.Time
 	// leasesExtended means that the leases have been extended since the log began to fail.
 	leasesExtended bool
 	// speeds holds the speeds of the workers of each service, storedSpeeds what earlier leaders have stored of
@@ -98,6 +100,7 @@
 	takeoverStartedAt boottime.Instant
 	lastCleanupAt     boottime.Instant
 	nextUnitID        int
+	nextRunSerial     int64
 	// adviceInFlight means that a call to the advice service is in flight, adviceByAge that the next one goes to
 	// the unit whose last call is the longest ago.
 	adviceInFlight, adviceByAge bool
--- a/internal/controller/losses.go
+++ b/internal/controller/losses.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -81,6 +82,9 @@
 	}
 }
 
+// strandedInterval is the minimum time between two computations of the stranded capacity, which examine every worker.
+const strandedInterval = time.Second
+
 // strandedMetrics is the capacity that is idle and that no waiting task can use for lack of another resource.
 type strandedMetrics struct{ cores, memoryMB, gpus *metrics.Gauge }
 
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -32,7 +32,10 @@
 		return
 	}
 	gathered := time.Since(started)
-	l.c.metrics.stranded.set(planner.Stranded(snapshot.Workers, snapshot.Units))
+	if started.Sub(l.strandedAt) >= strandedInterval {
+		l.strandedAt = started
+		l.c.metrics.stranded.set(planner.Stranded(snapshot.Workers, snapshot.Units))
+	}
 	decision := planner.Decide(snapshot)
 	l.rounds.add(gathered, time.Since(started), len(workers), len(units))
 	trackHeldBack(units, decision.Waits)
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -72,6 +72,8 @@
 	task   *task
 	worker *workerState
 	number int64
+	// serial numbers the runs of this term from 1.
+	serial int64
 	state  runState
 	ticket string
 
@@ -129,6 +131,8 @@
 func (l *leader) placeTask(t *task, ws *workerState, number int64, ticket string, guaranteed bool) (*run, ledger.Record) {
 	now := boottime.Now()
 	r := &run{task: t, worker: ws, number: number, state: storing, placedAt: now, ticket: ticket, guaranteed: guaranteed, speed: fullSpeed}
+	l.nextRunSerial++
+	r.serial = l.nextRunSerial
 	r.progress = progress.NewTracker(now, 0)
 	t.run = r
 	ws.runs[t.id] = r
--- a/internal/forecast/record.go
+++ b/internal/forecast/record.go
@@ -24,7 +24,7 @@
 	// speedScale is the factor by which speeds are multiplied in records, where they are whole numbers.
 	speedScale = 1000
 	// restoredRun is the run of an observation that an earlier leader has stored.
-	restoredRun = "restored"
+	restoredRun = 0
 )
 
 // ErrInvalidRecord means that a stored record cannot be used.
--- a/internal/forecast/speeds.go
+++ b/internal/forecast/speeds.go
@@ -29,13 +29,16 @@
 	minKnownReferences, minReferences = 2, 3
 	// maxCompared limits the runs of a step that are compared, and so the time that it takes.
 	maxCompared = 64
+	// maxExactReferences is the number of runs up to which each worker is compared with the others only. In larger steps its own
+	// runs hardly move the median, and one median for all saves time at the leader.
+	maxExactReferences = 12
 )
 
 // Pace is how fast one run of a step progresses.
 type Pace struct {
 	Worker string
-	// Run identifies the run: a later pace of the same run replaces the earlier one.
-	Run string
+	// Run identifies the run: a later pace of the same run replaces the earlier one. It is above 0.
+	Run int64
 	// Duration is how long the whole task takes at this pace.
 	Duration time.Duration
 }
@@ -61,7 +64,7 @@
 
 // observation is the speed that one run shows.
 type observation struct {
-	run   string
+	run   int64
 	speed float64
 	at    boottime.Instant
 }
@@ -90,58 +93,82 @@
 func (s *Speeds) Forget(worker string) { delete(s.workers, worker) }
 
 // Compare updates the speeds with the paces of runs of one step at the given time. Runs that are slow because of where
-// they are, away from their data or spread over racks, must not be among them.
+// they are, away from their data or spread over racks, must not be among them. Paces of one worker must be next to each other.
 func (s *Speeds) Compare(now boottime.Instant, paces []Pace) {
 	if len(paces) > maxCompared {
 		// Others each time, so that the workers of all tasks become known.
 		s.offset = (s.offset + maxCompared) % len(paces)
 		paces = append(paces[s.offset:len(paces):len(paces)], paces[:s.offset]...)[:maxCompared]
 	}
-	type normalized struct {
-		worker string
-		work   float64
-		known  bool
+	work := s.normalize(paces)
+	all := work.reference("")
+	for i := range paces {
+		p := &paces[i]
+		reference := all
+		if len(work.entries) <= maxExactReferences {
+			reference = work.reference(p.Worker)
+		}
+		if reference == 0 {
+			continue
+		}
+		if ratio := reference / p.Duration.Seconds(); ratio >= minRatio && ratio <= maxRatio {
+			// Speeds are kept on the scale of the observations, so that a change of the scale does not shift them.
+			s.add(p.Worker, observation{p.Run, ratio * s.scale, now})
+		} else {
+			// The earlier paces of an outlier were on the way there.
+			s.drop(p.Worker, p.Run)
+		}
 	}
-	all := make([]normalized, len(paces))
+}
+
+// stepWork is the work of a step as each of its runs shows it.
+type stepWork struct {
+	entries []workEntry
+	// values is reused by reference.
+	values []float64
+}
+
+// workEntry is the work of a step in seconds, from the pace of a run and the speed of its worker, or speed 1 if that is not known.
+type workEntry struct {
+	worker string
+	work   float64
+	known  bool
+}
+
+func (s *Speeds) normalize(paces []Pace) stepWork {
+	w := stepWork{entries: make([]workEntry, len(paces)), values: make([]float64, 0, len(paces))}
 	for i, p := range paces {
 		speed, known := s.Speed(p.Worker)
 		if !known {
 			speed = 1
 		}
-		all[i] = normalized{p.Worker, p.Duration.Seconds() * speed, known}
+		w.entries[i] = workEntry{p.Worker, p.Duration.Seconds() * speed, known}
 	}
-	for i := range paces {
-		p := &paces[i]
-		var fromKnown, fromAll []float64
-		knownWorkers, allWorkers := make(map[string]bool), make(map[string]bool)
-		for _, o := range all {
-			if o.worker == p.Worker {
+	return w
+}
+
+// reference returns the work of the step by the runs on other workers than the given one: by those of known speed if there are enough,
+// otherwise by all. It returns 0 if there are too few.
+func (w *stepWork) reference(except string) float64 {
+	for _, knownOnly := range []bool{true, false} {
+		w.values = w.values[:0]
+		workers, last := 0, ""
+		for i := range w.entries {
+			e := &w.entries[i]
+			if e.worker == except || (knownOnly && !e.known) {
 				continue
 			}
-			fromAll = append(fromAll, o.work)
-			allWorkers[o.worker] = true
-			if o.known {
-				fromKnown = append(fromKnown, o.work)
-				knownWorkers[o.worker] = true
+			w.values = append(w.values, e.work)
+			if e.worker != last {
+				workers++
+				last = e.worker
 			}
 		}
-		var work float64
-		switch {
-		case len(knownWorkers) >= minKnownReferences:
-			work = median(fromKnown)
-		case len(allWorkers) >= minReferences:
-			work = median(fromAll)
-		default:
-			continue
-		}
-		if ratio := work / p.Duration.Seconds(); ratio >= minRatio && ratio <= maxRatio {
-			// Speeds are kept on the scale of the observations, so that a change of the scale does not shift them.
-			s.add(p.Worker, observation{p.Run, ratio * s.scale, now})
-		} else {
-			// The earlier paces of an outlier were on the way there.
-			s.drop(p.Worker, p.Run)
+		if (knownOnly && workers >= minKnownReferences) || (!knownOnly && workers >= minReferences) {
+			return median(w.values)
 		}
 	}
+	return 0
 }
 
 func (s *Speeds) add(worker string, o observation) {
@@ -161,7 +188,7 @@
 }
 
 // drop removes the observation of a run.
-func (s *Speeds) drop(worker, run string) {
+func (s *Speeds) drop(worker string, run int64) {
 	e := s.workers[worker]
 	if e == nil {
 		return
--- a/internal/forecast/speeds_test.go
+++ b/internal/forecast/speeds_test.go
@@ -1,9 +1,11 @@
 package forecast
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -29,8 +31,9 @@
 		if random.Float64() < 0.03 {
 			seconds *= 7
 		}
-		paces[i] = Pace{fmt.Sprint("w", n), fmt.Sprint(number, "/", i), time.Duration(seconds * float64(time.Second))}
+		paces[i] = Pace{fmt.Sprint("w", n), int64(1000*number + i + 1), time.Duration(seconds * float64(time.Second))}
 	}
+	slices.SortFunc(paces, func(a, b Pace) int { return cmp.Compare(a.Worker, b.Worker) })
 	return paces
 }
 
@@ -70,7 +73,7 @@
 func TestSpeedsNeedOtherWorkers(t *testing.T) {
 	s := NewSpeeds()
 	second := func(worker string, seconds float64) Pace {
-		return Pace{worker, worker, time.Duration(seconds * float64(time.Second))}
+		return Pace{worker, int64(worker[0]), time.Duration(seconds * float64(time.Second))}
 	}
 	s.Compare(start, []Pace{second("a", 1), second("b", 3)})
 	require.Zero(t, s.Known(), "nobody knows which of two workers is the usual one")
@@ -81,7 +84,7 @@
 	require.True(t, known)
 	require.InDelta(t, 0.5, speed, 0.01)
 	require.Len(t, s.workers["d"].observations, 1)
-	s.Compare(start, []Pace{second("a", 2), second("b", 2), {"d", "other run", 2 * time.Second}})
+	s.Compare(start, []Pace{second("a", 2), second("b", 2), {"d", 1000, 2 * time.Second}})
 	require.Len(t, s.workers["d"].observations, 2)
 	s.Compare(start, []Pace{second("a", 1), second("b", 1), second("e", 20)})
 	_, known = s.Speed("e")
@@ -100,7 +103,7 @@
 	s := NewSpeeds()
 	var paces []Pace
 	for n := range 2500 {
-		paces = append(paces, Pace{fmt.Sprint("w", n), fmt.Sprint(n), time.Duration(float64(time.Second) / trueSpeed(n))})
+		paces = append(paces, Pace{fmt.Sprint("w", n), int64(n + 1), time.Duration(float64(time.Second) / trueSpeed(n))})
 	}
 	for len(paces) > 0 {
 		n := min(50, len(paces))
