--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -29,7 +29,7 @@
 	workersTopic = "keyed.workers"
 	statusTopic  = "keyed.reports"
 	// operatorTopic has the evacuated zones as keys.
-	operatorTopic = "keyed.operator"
+	operatorTopic = "keyed.orders"
 )
 
 func waveStatus(wave int64, completed bool) ledger.Record {
