--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -114,7 +114,9 @@
 	Cold bool
 	// RunsServing means that the worker runs serving tasks, RunsFiller that it runs filler tasks.
 	RunsServing, RunsFiller bool
-	Runs                    []Run
+	// Kinds are the kinds of work that the worker runs, without duplicates. They matter only if Snapshot.Conflicts names them.
+	Kinds []string
+	Runs  []Run
 }
 
 // Usable reports whether new tasks may start on the worker.
@@ -166,6 +168,8 @@
 	Filler bool
 	// Serving tasks have a target for their response times.
 	Serving bool
+	// Kind is the kind of work; see Snapshot.Conflicts.
+	Kind string
 	// usesMinShare means that the unit uses the minimum share of its priority; see minPriorityShare.
 	usesMinShare bool
 	// WaitsForRack means that a unit with RackLocal or DataRack waits until a suitable rack has room
@@ -193,6 +197,8 @@
 	// 0. Other queues may use them only for work that can be stopped without loss, or within the
 	// minimum share of their priority.
 	Headroom map[string]int64
+	// Conflicts are the kinds of work that are kept apart where other workers have room. They never make a unit wait.
+	Conflicts Conflicts
 }
 
 // Start places tasks of a unit on workers.
@@ -292,7 +298,7 @@
 // more than a restart.
 const negligibleLoss = 1.0
 
-// Decide computes the plan for a snapshot. It may update TasksByWorker, RunsServing and RunsFiller in the snapshot.
+// Decide computes the plan for a snapshot. It may update TasksByWorker, RunsServing, RunsFiller and Kinds in the snapshot.
 func Decide(s Snapshot) Plan { return decide(s, nil) }
 
 // decide computes the plan for a snapshot. If observe is not nil, it is called with each part of a unit before that is
@@ -663,6 +669,9 @@
 	w := &r.snapshot.Workers[worker]
 	w.RunsServing = w.RunsServing || u.Serving
 	w.RunsFiller = w.RunsFiller || u.Filler
+	if len(r.snapshot.Conflicts) > 0 && u.Kind != "" && !slices.Contains(w.Kinds, u.Kind) {
+		w.Kinds = append(w.Kinds, u.Kind)
+	}
 	if u.MaxPerWorker > 0 && u.TasksByWorker != nil {
 		u.TasksByWorker[w.ID]++
 	}
@@ -859,12 +868,13 @@
 	avoid     bool
 	suspicion int
 	speed     speedClass
+	conflict  bool
 	// key is the result of placementKey.
 	key int64
 }
 
 // placeWithin places tasks on the given workers, filling one worker after the other. Cold workers come last, then
-// workers to avoid, then those with more suspicion, then those of a later speedClass. Among equal workers the fullest come
+// workers to avoid, then those with more suspicion, then those of a later speedClass, then those with a conflict. Among equal workers the fullest come
 // first, which keeps empty workers available for large tasks; for filler tasks the one with the most idle processors.
 func (r *round) placeWithin(u *Unit, workers []int, free []Resources) []int {
 	candidates := r.candidates[:0]
@@ -881,7 +891,7 @@
 		total += room
 		candidates = append(candidates, candidate{
 			worker: i, room: room, cold: w.Cold, avoid: u.Avoid[w.ID] || w.Slow || mixesServingAndFiller(u, w), suspicion: w.Suspicion,
-			speed: speedClassOf(u, w), key: placementKey(u, free[i]),
+			speed: speedClassOf(u, w), conflict: r.conflictsWith(u, w), key: placementKey(u, free[i]),
 		})
 		if c := &candidates[len(candidates)-1]; c.speed == explored {
 			// Rack by rack, so that all workers of a rack are known and gangs that stay in one rack can use them.
@@ -893,7 +903,7 @@
 		return nil
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(trueFirst(!a.cold, !b.cold), trueFirst(!a.avoid, !b.avoid), cmp.Compare(a.suspicion, b.suspicion), cmp.Compare(a.speed, b.speed), cmp.Compare(a.key, b.key))
+		return cmp.Or(trueFirst(!a.cold, !b.cold), trueFirst(!a.avoid, !b.avoid), cmp.Compare(a.suspicion, b.suspicion), cmp.Compare(a.speed, b.speed), trueFirst(!a.conflict, !b.conflict), cmp.Compare(a.key, b.key))
 	})
 	return takePlaces(u, candidates, min(total, u.Tasks))
 }
