Bound the first polls that a new leader has in flight

Cause: a new leader polls every worker before its first work, and once it had read the registry it sent all of these polls at the same moment. In a trial with 298 instances and 3,000 workers, all instances killed at once, the leader (0.8 of a core) had 3,000 connections to open: 725 timed out, a planning round took 341 ms, its append and the renewal of its term timed out, and it resigned 2.2 s after its election. The next leader did the same with the rest.

Change: at most 256 first polls of workers without runs are in flight; the others wait in a queue. The first read of the registry has one log line instead of one for each ready worker.

The test had 768 polls in flight before.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -75,6 +75,9 @@
 	// skippedEntries holds why the last registry entry of a key was skipped, by key.
 	skippedEntries map[string]string
 
+	// firstPolls is the number of first polls in flight, queuedPolls are the workers whose first poll waits for them.
+	firstPolls  int
+	queuedPolls []*workerState
 	// peaks is the recent usage of accelerators by the queues of priority 0.
 	peaks planner.HeadroomTracker
 
--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -27,6 +27,10 @@
 	lateStartPollInterval = 300 * time.Millisecond
 	// untrackedPollInterval is the pause after a poll that reported a run that the leader does not track.
 	untrackedPollInterval = 150 * time.Millisecond
+	// maxFirstPolls is the number of first polls of workers without runs that are in flight at a time. A new leader polls
+	// every worker before its first work. With 3,000 at a time, connections and renewals of the term timed out
+	// for lack of processor time, and one leader after the other resigned.
+	maxFirstPolls = 256
 	// sameIncarnationWindow is the time after a poll within which the worker cannot have restarted:
 	// a restart takes longer.
 	sameIncarnationWindow = time.Second
@@ -96,6 +100,9 @@
 	if ws.isIdle() && !ws.needsPoll && ws.unreachableSince == 0 && !ws.expectsLateStart(now) {
 		return
 	}
+	if !l.admitPoll(ws, now) {
+		return
+	}
 	command := worker.PollCommand{Token: l.term.Epoch}
 	sameIncarnation := ws.unreachableSince == 0 && now.Sub(ws.lastPollResponse) < sameIncarnationWindow
 	if ws.processedEnd > ws.acknowledgedEnd && sameIncarnation && !storing {
@@ -130,6 +137,10 @@
 	}
 	ws.pollInFlight, ws.ackInFlight = true, command.AcknowledgedThrough > 0
 	l.c.metrics.polls.Inc()
+	first := ws.waitsForFirstPoll(now)
+	if first {
+		l.firstPolls++
+	}
 	target, startedAtMS := worker.Endpoint{ID: ws.id, Address: ws.address}, ws.startedAtMS
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, command.Wait+pollTimeoutMargin)
@@ -140,10 +151,44 @@
 				ws.recordUnconfirmedAck(now, startedAtMS)
 			}
 			l.handlePollResponse(ws, now, command, response, err)
+			if first {
+				l.firstPolls--
+				l.pollNextQueued()
+			}
 		})
 	}()
 }
 
+// waitsForFirstPoll reports whether the worker has no runs and must be polled before it gets its first work, so that its poll
+// may wait for others.
+func (ws *workerState) waitsForFirstPoll(now boottime.Instant) bool {
+	return ws.needsPoll && ws.isIdle() && !ws.expectsLateStart(now)
+}
+
+// admitPoll reports whether a poll of the worker may be sent now. If maxFirstPolls are in flight, it queues the worker.
+func (l *leader) admitPoll(ws *workerState, now boottime.Instant) bool {
+	if l.firstPolls < maxFirstPolls || !ws.waitsForFirstPoll(now) {
+		return true
+	}
+	if !ws.pollQueued {
+		ws.pollQueued = true
+		l.queuedPolls = append(l.queuedPolls, ws)
+	}
+	return false
+}
+
+// pollNextQueued polls the next workers whose first poll has waited for others.
+func (l *leader) pollNextQueued() {
+	for len(l.queuedPolls) > 0 && l.firstPolls < maxFirstPolls {
+		ws := l.queuedPolls[0]
+		l.queuedPolls = l.queuedPolls[1:]
+		ws.pollQueued = false
+		if l.workers[ws.id] == ws {
+			l.poll(ws)
+		}
+	}
+}
+
 // handlePollResponse applies the result of a poll that was sent at the given instant.
 func (l *leader) handlePollResponse(ws *workerState, sent boottime.Instant, command worker.PollCommand, response worker.PollResponse, err error) {
 	ws.pollInFlight, ws.ackInFlight = false, false
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -33,11 +33,15 @@
 // applyWorkers applies changes in the registry of workers. They were written after the given instant, which is
 // 0 if not known.
 func (l *leader) applyWorkers(u ledger.Update, writtenAfter boottime.Instant) {
+	firstRead := !l.registryRead
 	l.registryRead = true
 	seen := make(map[string]bool)
 	for _, entry := range u.Entries {
 		seen[entry.Key] = true
-		l.applyWorker(entry.Record, writtenAfter)
+		l.applyWorker(entry.Record, writtenAfter, firstRead)
+	}
+	if firstRead {
+		l.logger.Info().Int("workers", len(l.workers)).Dur("after", boottime.Since(l.takeoverStartedAt)).Msg("registry of workers read")
 	}
 	if u.Reset {
 		for id, ws := range l.workers {
@@ -50,7 +54,8 @@
 	l.planDue = true
 }
 
-func (l *leader) applyWorker(r ledger.Record, writtenAfter boottime.Instant) {
+// applyWorker applies a record of the registry. In the first read of a term, which has all workers, ready workers are not logged.
+func (l *leader) applyWorker(r ledger.Record, writtenAfter boottime.Instant, firstRead bool) {
 	ws := l.workers[r.Key]
 	if len(r.Value) == 0 {
 		if ws != nil && ws.registered {
@@ -72,7 +77,7 @@
 		return
 	}
 	l.updateIncarnation(ws, info.StartedAtMS)
-	if !ws.registered || ws.info.State != info.State {
+	if (!ws.registered || ws.info.State != info.State) && !(firstRead && info.State == worker.Ready) {
 		l.logger.Info().Str("worker", ws.id).Str("rack", info.Rack).Int("state", int(info.State)).
 			Int64("born", info.StartedAtMS).Int("runs", len(ws.runs)).Msg("worker's state changed")
 	}
--- a/internal/controller/takeover_test.go
+++ b/internal/controller/takeover_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -213,3 +215,53 @@
 		require.Empty(t, c.fleet.Violations())
 	})
 }
+
+// countedPolls counts the polls in flight and the workers that were polled.
+type countedPolls struct {
+	*workertest.Fleet
+	mu             sync.Mutex
+	inFlight, most int
+	polled         map[string]bool
+}
+
+func (p *countedPolls) Poll(ctx context.Context, to worker.Endpoint, command worker.PollCommand) (worker.PollResponse, error) {
+	p.mu.Lock()
+	p.inFlight++
+	p.most = max(p.most, p.inFlight)
+	p.mu.Unlock()
+	time.Sleep(20 * time.Millisecond)
+	response, err := p.Fleet.Poll(ctx, to, command)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.inFlight--
+	p.polled[to.ID] = p.polled[to.ID] || err == nil
+	return response, err
+}
+
+// Guards against a new leader that polls thousands of workers at the same moment: connections and renewals of its term
+// timed out for lack of processor time, and it resigned. Unreachable workers must not keep the others waiting.
+func TestFirstPollsOfManyWorkersAreBounded(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(time.Second), func(c *cluster) {
+		polls := &countedPolls{Fleet: c.fleet, polled: make(map[string]bool)}
+		c.workers = polls
+		const workers = 3 * maxFirstPolls
+		for n := range workers {
+			id := fmt.Sprintf("w%04d", n)
+			c.addWorker(id, "r1")
+			c.fleet.SetPartitioned(id, n%4 == 0)
+		}
+		c.startInstance("a")
+		c.waitFor(10*time.Second, "all reachable workers polled", func() bool {
+			polls.mu.Lock()
+			defer polls.mu.Unlock()
+			reached := 0
+			for _, ok := range polls.polled {
+				if ok {
+					reached++
+				}
+			}
+			return reached == workers-workers/4
+		})
+		require.LessOrEqual(t, polls.most, maxFirstPolls)
+	})
+}
--- a/internal/controller/workerstate.go
+++ b/internal/controller/workerstate.go
@@ -41,7 +41,9 @@
 	// which starts of previous leaders that arrive late could otherwise pass.
 	needsPoll    bool
 	pollInFlight bool
-	nextPoll     boottime.Instant
+	// pollQueued means that the worker is in leader.queuedPolls.
+	pollQueued bool
+	nextPoll   boottime.Instant
 	// unreachableSince is when a poll first failed; 0 while polls succeed. Rejected polls count as
 	// failed, except for RejectedStaleToken and RejectedWrongWorker, which are handled at once.
 	unreachableSince boottime.Instant
