planner: collect the runs that yield to a class of units once a round

Each attempt of preemption evaluated yieldsTo for every run, and each task that it placed did so again for the runs of a worker, over data that does not fit into the processor's cache: 60 % of a round. Which runs yield depends only on the service, priority and guarantee of the unit and on whether it is overdue, so they are collected once for each such class, with only what the choice needs. Groups are numbered only when preemption is attempted.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -382,11 +382,13 @@
 	freed []freedResources
 	// emptied is what would be free on each worker if it ran nothing.
 	emptied []Resources
-	// groups is the groups of runs, numbered from 0; runGroups is the number of the group of each run of each worker.
+	// groups is the groups of runs, numbered from 0, marks the mark of each; runGroups is the number of the group of each
+	// run of each worker. They are nil before preemption needs them.
 	groups    []runGroup
+	marks     []groupMark
 	runGroups [][]int32
-	// victimOrder is the indices of the runs of each worker in the order of compareVictims, nil before it is needed.
-	victimOrder [][]int32
+	// victimIndexes is the results of victimsFor.
+	victimIndexes map[yieldClass]*victimIndex
 	// candidates, losses and victimGroups are reused by placeWithin, preemption.plan and preemption.chooseVictims.
 	candidates   []candidate
 	losses       []taskLoss
@@ -411,7 +413,7 @@
 	preemptionAttempts int
 	blockedGangClaims  int
 	// preemptionPlans counts the preemption plans that were considered.
-	preemptionPlans int
+	preemptionPlans int32
 	// firstClaimant is the index of the first blocked gang that claimed resources.
 	firstClaimant int
 	plan          Plan
@@ -422,10 +424,6 @@
 	id int
 	// shares is the resources that the group uses, by worker; it may have several entries for one worker.
 	shares []groupShare
-	// stopped means that the plan preempts the group.
-	stopped bool
-	// attempt is the number of the last preemption plan that has the group.
-	attempt int
 }
 
 // groupShare is what a run of a group uses on a worker.
@@ -471,7 +469,7 @@
 	r := &round{
 		snapshot: s, free: make([]Resources, n), freeAfterStops: make([]Resources, n), idle: make([]Resources, n),
 		gangClaims: make([]Resources, n), emptied: make([]Resources, n), potential: make([]Resources, n), freed: make([]freedResources, n), despiteGangs: make([]Resources, n), idleVersion: 1,
-		runGroups: make([][]int32, n), victimOrder: make([][]int32, n), workerIndices: make([]int, n), rackOf: make([]int32, n),
+		victimIndexes: make(map[yieldClass]*victimIndex), workerIndices: make([]int, n), rackOf: make([]int32, n),
 		unplaceable: make(map[shape]unplacedUnit), spareGPU: make(map[string]int64),
 	}
 	r.plan.Waits = make(map[int]Wait)
@@ -502,7 +500,6 @@
 		r.racks[n] = append(r.racks[n], i)
 		r.rackOf[i] = int32(n)
 	}
-	r.indexGroups()
 	return r
 }
 
@@ -512,6 +509,8 @@
 	for i := range r.snapshot.Workers {
 		total += len(r.snapshot.Workers[i].Runs)
 	}
+	r.runGroups = make([][]int32, len(r.snapshot.Workers))
+	r.groups = make([]runGroup, 0, total)
 	numbers := make(map[int]int32, total)
 	indices := make([]int32, total)
 	var sizes []int
@@ -530,6 +529,7 @@
 			sizes[g]++
 		}
 	}
+	r.marks = make([]groupMark, len(r.groups))
 	shares := make([]groupShare, total)
 	for g := range r.groups {
 		r.groups[g].shares, shares = shares[:0:sizes[g]], shares[sizes[g]:]
@@ -543,21 +543,6 @@
 	}
 }
 
-// victims returns the runs of a worker, the indices of the runs in the order of compareVictims, and the numbers of
-// the groups of the runs. The order is computed when it is first needed: most rounds need that of few workers.
-func (r *round) victims(worker int) (runs []Run, order, groups []int32) {
-	runs = r.snapshot.Workers[worker].Runs
-	if r.victimOrder[worker] == nil && len(runs) > 0 {
-		order := make([]int32, len(runs))
-		for k := range order {
-			order[k] = int32(k)
-		}
-		slices.SortStableFunc(order, func(a, b int32) int { return compareVictims(&runs[a], &runs[b]) })
-		r.victimOrder[worker] = order
-	}
-	return runs, r.victimOrder[worker], r.runGroups[worker]
-}
-
 // schedule starts the tasks of a unit: all of them for a gang, otherwise as many as possible. For the
 // rest it tries, in this order, to claim resources that are being freed, to preempt runs, and, for a
 // blocked gang, to claim resources that runs still use.
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -55,11 +55,8 @@
 		return false
 	}
 	for _, g := range best.groups {
-		r.groups[g].stopped = true
+		r.stopGroup(g)
 		r.plan.Stops = append(r.plan.Stops, Stop{Group: r.groups[g].id, Unit: index, Cause: u.stopCause()})
-		for _, share := range r.groups[g].shares {
-			r.freeAfterStops[share.worker] = r.freeAfterStops[share.worker].Add(share.need)
-		}
 	}
 	r.claim(u, best.places)
 	return true
@@ -67,14 +64,14 @@
 
 // freedResources is what becomes free on a worker by the preemption plan with the number attempt.
 type freedResources struct {
-	attempt int
+	attempt int32
 	amount  Resources
 }
 
 // preemptionPlan is a set of groups to stop so that all tasks of a unit have room.
 type preemptionPlan struct {
 	// attempt is the number of the plan in its round.
-	attempt int
+	attempt int32
 	// groups is the indices of the groups to stop.
 	groups []int32
 	// places is the worker of each task.
@@ -112,32 +109,16 @@
 // preemption is an attempt to make room for a unit.
 type preemption struct {
 	*round
-	unit   *Unit
-	shares priorityShares
+	unit    *Unit
+	victims *victimIndex
 }
 
 // newPreemption begins an attempt: it sets what would be free on each worker if all runs that may be preempted for the
 // unit were stopped.
 func (r *round) newPreemption(u *Unit) *preemption {
-	c := &preemption{round: r, unit: u, shares: r.sharesOf(u)}
-	r.preemptionPlans++
-	copy(r.potential, r.freeAfterStops)
-	for i := range r.snapshot.Workers {
-		if !u.Need.fitsInto(&r.emptied[i]) || !r.usable(u, i) {
-			continue
-		}
-		runs, groups := r.snapshot.Workers[i].Runs, r.runGroups[i]
-		for k := range runs {
-			g := &r.groups[groups[k]]
-			if g.stopped || g.attempt == r.preemptionPlans || !runs[k].yieldsTo(u, c.shares.within(runs[k].Priority)) {
-				continue
-			}
-			g.attempt = r.preemptionPlans
-			for n := range g.shares {
-				s := &g.shares[n]
-				r.potential[s.worker] = r.potential[s.worker].Add(s.need)
-			}
-		}
+	c := &preemption{round: r, unit: u, victims: r.victimsFor(u)}
+	for i := range r.potential {
+		r.potential[i] = r.freeAfterStops[i].Add(c.victims.yielding[i])
 	}
 	return c
 }
@@ -218,14 +199,15 @@
 
 // addStoppedGroup adds a group to the preemption plan, with the resources that it frees on all of its workers.
 func (c *preemption) addStoppedGroup(p *preemptionPlan, index int32) {
-	g := &c.groups[index]
-	if g.attempt == p.attempt {
+	mark := &c.marks[index]
+	if mark.attempt == p.attempt {
 		return
 	}
-	g.attempt = p.attempt
+	mark.attempt = p.attempt
 	p.groups = append(p.groups, index)
-	for i := range g.shares {
-		s := &g.shares[i]
+	shares := c.groups[index].shares
+	for i := range shares {
+		s := &shares[i]
 		if f := &c.freed[s.worker]; f.attempt != p.attempt {
 			*f = freedResources{p.attempt, s.need}
 		} else {
@@ -242,21 +224,16 @@
 	if u.Need.fitsInto(&free) {
 		return l, true
 	}
-	runs, order, runGroups := c.victims(l.worker)
+	victims := c.victims.byWorker[l.worker]
 	first := len(c.victimGroups)
-	for _, k := range order {
-		run, g := &runs[k], runGroups[k]
-		withinShare := c.shares.within(run.Priority)
-		if !run.yieldsTo(u, withinShare) || c.groups[g].stopped || c.groups[g].attempt == p.attempt || slices.Contains(c.victimGroups[first:], g) {
+	for i := range victims {
+		v := &victims[i]
+		if mark := &c.marks[v.group]; mark.stopped || mark.attempt == p.attempt {
 			continue
 		}
-		c.victimGroups = append(c.victimGroups, g)
-		l.loss += run.scaledLoss(withinShare) + restartCost
-		for other := range runs {
-			if runGroups[other] == g {
-				free = free.Add(runs[other].Need)
-			}
-		}
+		c.victimGroups = append(c.victimGroups, v.group)
+		l.loss += v.loss
+		free = free.Add(v.need)
 		if u.Need.fitsInto(&free) {
 			l.groups = c.victimGroups[first:len(c.victimGroups):len(c.victimGroups)]
 			return l, true
