planner: split units without copying them and count shares by service

splitUnits took 15 % of a round: it looked up two maps for each run, sorted units of 350 bytes by value, and decide sorted them once more. Accelerators in use are now counted in a slice per service, and pointers are sorted.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -306,12 +306,11 @@
 func decide(s Snapshot, observe func(*round, *unitPart)) Plan {
 	r := newRound(s)
 	parts := r.splitUnits()
-	slices.SortStableFunc(parts, func(a, b unitPart) int { return compareUnits(&a.unit, &b.unit) })
-	for i := range parts {
+	for _, part := range parts {
 		if observe != nil {
-			observe(r, &parts[i])
+			observe(r, part)
 		}
-		r.schedule(&parts[i])
+		r.schedule(part)
 	}
 	return r.plan
 }
@@ -405,9 +404,9 @@
 	workerIndices []int
 	// unplaceable is, for each shape, the last unit without limits of its own that could not be placed.
 	unplaceable map[shape]unplacedUnit
-	// withinShare is the priorities whose queues use no more than their minimum share. It does not
+	// withinShare is, for each service, the priorities whose queues use no more than their minimum share. It does not
 	// contain priority 0, which has no minimum share.
-	withinShare map[priorityKey]bool
+	withinShare map[string]priorityShares
 	// preemptionAttempts counts the units for which preemption was attempted, blockedGangClaims the
 	// blocked gangs that claimed resources.
 	preemptionAttempts int
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -21,21 +21,6 @@
 // priorityShares tells which priorities of one service use no more than their minimum share.
 type priorityShares []bool
 
-// sharesOf returns the shares of the service of a unit. The result depends only on the service, not on the unit.
-func (r *round) sharesOf(u *Unit) priorityShares {
-	var shares priorityShares
-	for key, within := range r.withinShare {
-		if key.service != u.Service || !within {
-			continue
-		}
-		for len(shares) <= key.priority {
-			shares = append(shares, false)
-		}
-		shares[key.priority] = true
-	}
-	return shares
-}
-
 // within reports whether the queues of a priority use no more than their minimum share.
 func (s priorityShares) within(priority int) bool { return priority < len(s) && s[priority] }
 
@@ -43,23 +28,24 @@
 // than their minimum share, as many tasks as fit into the rest of the share become a part of their own,
 // which is scheduled ahead of all priorities but 0. Gangs are not split, and tasks without accelerators always
 // fit into the share. One task of a unit with IgnoresHolds that is not a gang becomes a part of its own as well.
-func (r *round) splitUnits() []unitPart {
+// The parts are in the order of compareUnits.
+func (r *round) splitUnits() []*unitPart {
 	remaining := r.remainingShares()
-	var order []unitPart
-	for i := range r.snapshot.Units {
-		order = append(order, unitPart{index: i, unit: r.snapshot.Units[i]})
+	order := make([]*unitPart, len(r.snapshot.Units))
+	for i := range order {
+		order[i] = &unitPart{index: i, unit: r.snapshot.Units[i]}
 	}
-	slices.SortStableFunc(order, func(a, b unitPart) int { return compareUnits(&a.unit, &b.unit) })
-	var all []unitPart
+	sortParts(order)
+	all := make([]*unitPart, 0, len(order))
 	for _, part := range order {
 		u := &part.unit
 		if u.IgnoresHolds && u.Gang {
 			u.WaitsForRack = false
 		}
 		if u.IgnoresHolds && !u.Gang {
-			one := part
+			one := *part
 			one.unit.Tasks, one.unit.WaitsForRack = 1, false
-			all = append(all, one)
+			all = append(all, &one)
 			u.IgnoresHolds = false
 			if u.Tasks--; u.Tasks == 0 {
 				continue
@@ -75,48 +61,88 @@
 			continue
 		}
 		remaining[key] -= u.Need.GPU * int64(n)
-		within, rest := part, part
+		within := *part
 		within.unit.usesMinShare, within.unit.Tasks = true, n
-		rest.unit.Tasks -= n
-		all = append(all, within)
-		if rest.unit.Tasks > 0 {
-			all = append(all, rest)
+		all = append(all, &within)
+		if u.Tasks -= n; u.Tasks > 0 {
+			all = append(all, part)
 		}
 	}
+	sortParts(all)
 	return all
 }
 
+// sortParts sorts by compareUnits.
+func sortParts(parts []*unitPart) {
+	slices.SortStableFunc(parts, func(a, b *unitPart) int { return compareUnits(&a.unit, &b.unit) })
+}
+
 // remainingShares returns, for each priority, how many accelerators of the minimum share its queues do
 // not use yet, and records in withinShare the priorities whose queues use no more than that share. The
 // result is negative for a priority whose queues use more. Workers that accept no work count towards
 // what the queues use, but not towards the total that the share is a part of. Evacuated workers count towards neither:
 // their runs finish and then use nothing of what is left.
 func (r *round) remainingShares() map[priorityKey]int64 {
-	total := make(map[string]int64)
-	used := make(map[priorityKey]int64)
+	services := make(map[string]*serviceUsage)
 	for i := range r.snapshot.Workers {
 		w := &r.snapshot.Workers[i]
 		if w.Evacuated {
 			continue
 		}
-		if w.AcceptsWork {
-			total[w.Service] += w.Free.GPU + w.Releasing.GPU
-		}
-		for _, run := range w.Runs {
-			used[priorityKey{w.Service, run.Priority}] += run.Need.GPU
-			if w.AcceptsWork {
-				total[w.Service] += run.Need.GPU
-			}
+		usage := services[w.Service]
+		if usage == nil {
+			usage = &serviceUsage{}
+			services[w.Service] = usage
 		}
+		usage.add(w)
 	}
 	remaining := make(map[priorityKey]int64)
-	r.withinShare = make(map[priorityKey]bool)
 	for i := range r.snapshot.Units {
 		key := priorityKey{r.snapshot.Units[i].Service, r.snapshot.Units[i].Priority}
-		remaining[key] = int64(minPriorityShare*float64(total[key.service])) - used[key]
+		if usage := services[key.service]; usage != nil {
+			remaining[key] = int64(usage.minShare()) - usage.usedBy(key.priority)
+		}
 	}
-	for key := range used {
-		r.withinShare[key] = key.priority > 0 && float64(used[key]) <= minPriorityShare*float64(total[key.service])
+	r.withinShare = make(map[string]priorityShares)
+	for service, usage := range services {
+		shares := make(priorityShares, len(usage.used))
+		for priority, used := range usage.used {
+			shares[priority] = priority > 0 && float64(used) <= usage.minShare()
+		}
+		r.withinShare[service] = shares
 	}
 	return remaining
 }
+
+// serviceUsage is the accelerators of the workers of a service.
+type serviceUsage struct {
+	// total is those of the workers that accept work.
+	total int64
+	// used is those that runs of each priority use.
+	used []int64
+}
+
+func (s *serviceUsage) add(w *Worker) {
+	total := w.Free.GPU + w.Releasing.GPU
+	for k := range w.Runs {
+		priority, gpu := w.Runs[k].Priority, w.Runs[k].Need.GPU
+		for len(s.used) <= priority {
+			s.used = append(s.used, 0)
+		}
+		s.used[priority] += gpu
+		total += gpu
+	}
+	if w.AcceptsWork {
+		s.total += total
+	}
+}
+
+func (s *serviceUsage) usedBy(priority int) int64 {
+	if priority < len(s.used) {
+		return s.used[priority]
+	}
+	return 0
+}
+
+// minShare returns the accelerators of the minimum share of each priority.
+func (s *serviceUsage) minShare() float64 { return minPriorityShare * float64(s.total) }
--- a/internal/planner/victims.go
+++ b/internal/planner/victims.go
@@ -49,7 +49,7 @@
 	x := &victimIndex{
 		byWorker: make([][]victim, len(r.snapshot.Workers)), yields: make([]bool, len(r.groups)), yielding: make([]Resources, len(r.snapshot.Workers)),
 	}
-	shares := r.sharesOf(u)
+	shares := r.withinShare[u.Service]
 	var all []victim
 	var order []int32
 	for i := range r.snapshot.Workers {
