planner: reuse the memory of dropped preemption plans

Nearly all of the 630 plans of a round are dropped, each after it had grown two slices. A victim without runs on other workers, which most are, no longer looks up its group.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -388,10 +388,12 @@
 	runGroups [][]int32
 	// victimIndexes is the results of victimsFor.
 	victimIndexes map[yieldClass]*victimIndex
-	// candidates, losses and victimGroups are reused by placeWithin, preemption.plan and preemption.chooseVictims.
-	candidates   []candidate
-	losses       []taskLoss
-	victimGroups []int32
+	// candidates, losses, chosen and dropped are reused by placeWithin, preemption.plan, preemption.chooseVictims and
+	// preemption.newPlan.
+	candidates []candidate
+	losses     []taskLoss
+	chosen     []*victim
+	dropped    *preemptionPlan
 	// spareGPU is how many accelerators each service has free in excess of its headroom; negative if
 	// fewer than the headroom are free.
 	spareGPU map[string]int64
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -68,6 +68,13 @@
 	amount  Resources
 }
 
+func (f *freedResources) add(attempt int32, amount Resources) {
+	if f.attempt == attempt {
+		amount = f.amount.Add(amount)
+	}
+	*f = freedResources{attempt, amount}
+}
+
 // preemptionPlan is a set of groups to stop so that all tasks of a unit have room.
 type preemptionPlan struct {
 	// attempt is the number of the plan in its round.
@@ -97,7 +104,7 @@
 	limit := math.Inf(1)
 	for _, workers := range r.racks {
 		if p := c.plan(workers, limit); p != nil {
-			best, limit = p, p.loss
+			best, c.dropped, limit = p, best, p.loss
 		}
 	}
 	if best == nil && (u.Guaranteed || !u.WaitsForRack) {
@@ -128,12 +135,24 @@
 	worker int
 	// placed is the number of the unit's tasks that the preemption plan already places on the worker.
 	placed int
-	// groups is the indices of the groups that must be stopped for the task.
-	groups []int32
+	// victims is the groups that must be stopped for the task.
+	victims []*victim
 	// loss is the sum of scaledLoss and restartCost over these groups, in weighted core-seconds.
 	loss float64
 }
 
+// newPlan returns an empty plan. It reuses the memory of the plan that was dropped last: most plans are.
+func (c *preemption) newPlan() *preemptionPlan {
+	c.preemptionPlans++
+	p := c.dropped
+	if p == nil {
+		p = &preemptionPlan{}
+	}
+	*p = preemptionPlan{attempt: c.preemptionPlans, groups: p.groups[:0], places: p.places[:0]}
+	c.dropped = nil
+	return p
+}
+
 // plan chooses the runs to stop on the given workers. It is greedy: it places one task after the other, each on the
 // worker with the lowest loss. It returns nil if there is no room for all tasks, or if the loss is not below the limit.
 func (c *preemption) plan(workers []int, limit float64) *preemptionPlan {
@@ -141,10 +160,9 @@
 	if c.room(u, workers, c.potential) < u.Tasks {
 		return nil
 	}
-	c.preemptionPlans++
-	p := &preemptionPlan{attempt: c.preemptionPlans}
+	p := c.newPlan()
 	losses := c.losses[:0]
-	c.victimGroups = c.victimGroups[:0]
+	c.chosen = c.chosen[:0]
 	for _, i := range workers {
 		if l, ok := c.lossOfTask(taskLoss{worker: i}, p); ok {
 			losses = append(losses, l)
@@ -153,6 +171,7 @@
 	c.losses = losses
 	for len(p.places) < u.Tasks {
 		if len(losses) == 0 || p.loss >= limit {
+			c.dropped = p
 			return nil
 		}
 		best := 0
@@ -163,8 +182,8 @@
 		}
 		l := losses[best]
 		p.loss += l.loss
-		for _, group := range l.groups {
-			c.addStoppedGroup(p, group)
+		for _, v := range l.victims {
+			c.addVictim(p, l.worker, v)
 		}
 		p.places = append(p.places, l.worker)
 		next, ok := c.lossOfTask(taskLoss{worker: l.worker, placed: l.placed + 1}, p)
@@ -175,12 +194,13 @@
 		}
 	}
 	if p.loss >= limit {
+		c.dropped = p
 		return nil
 	}
 	return p
 }
 
-// lossOfTask computes groups and loss for one more task on the worker of l. It returns false if the
+// lossOfTask computes victims and loss for one more task on the worker of l. It returns false if the
 // worker cannot get room for the task.
 func (c *preemption) lossOfTask(l taskLoss, p *preemptionPlan) (taskLoss, bool) {
 	u := c.unit
@@ -197,22 +217,21 @@
 	return c.chooseVictims(l, free, p)
 }
 
-// addStoppedGroup adds a group to the preemption plan, with the resources that it frees on all of its workers.
-func (c *preemption) addStoppedGroup(p *preemptionPlan, index int32) {
-	mark := &c.marks[index]
+// addVictim adds a group with a run on the given worker to the preemption plan, with the resources that it frees on all
+// of its workers.
+func (c *preemption) addVictim(p *preemptionPlan, worker int, v *victim) {
+	mark := &c.marks[v.group]
 	if mark.attempt == p.attempt {
 		return
 	}
 	mark.attempt = p.attempt
-	p.groups = append(p.groups, index)
-	shares := c.groups[index].shares
-	for i := range shares {
-		s := &shares[i]
-		if f := &c.freed[s.worker]; f.attempt != p.attempt {
-			*f = freedResources{p.attempt, s.need}
-		} else {
-			f.amount = f.amount.Add(s.need)
-		}
+	p.groups = append(p.groups, v.group)
+	if !v.elsewhere {
+		c.freed[worker].add(p.attempt, v.need)
+		return
+	}
+	for _, s := range c.groups[v.group].shares {
+		c.freed[s.worker].add(p.attempt, s.need)
 	}
 }
 
@@ -220,26 +239,26 @@
 // that may be preempted, in the order of compareVictims. It returns false if they cannot free enough.
 func (c *preemption) chooseVictims(l taskLoss, free Resources, p *preemptionPlan) (taskLoss, bool) {
 	u := c.unit
-	l.groups, l.loss = nil, 0
+	l.victims, l.loss = nil, 0
 	if u.Need.fitsInto(&free) {
 		return l, true
 	}
 	victims := c.victims.byWorker[l.worker]
-	first := len(c.victimGroups)
+	first := len(c.chosen)
 	for i := range victims {
 		v := &victims[i]
 		if mark := &c.marks[v.group]; mark.stopped || mark.attempt == p.attempt {
 			continue
 		}
-		c.victimGroups = append(c.victimGroups, v.group)
+		c.chosen = append(c.chosen, v)
 		l.loss += v.loss
 		free = free.Add(v.need)
 		if u.Need.fitsInto(&free) {
-			l.groups = c.victimGroups[first:len(c.victimGroups):len(c.victimGroups)]
+			l.victims = c.chosen[first:len(c.chosen):len(c.chosen)]
 			return l, true
 		}
 	}
-	c.victimGroups = c.victimGroups[:first]
+	c.chosen = c.chosen[:first]
 	return l, false
 }
 
--- a/internal/planner/victims.go
+++ b/internal/planner/victims.go
@@ -18,6 +18,8 @@
 	need Resources
 	// loss is the sum of scaledLoss of the first of these runs and restartCost.
 	loss float64
+	// elsewhere means that the group also has runs on other workers.
+	elsewhere bool
 }
 
 // yieldClass is the attributes of a unit on which Run.yieldsTo depends.
@@ -68,8 +70,9 @@
 				continue
 			}
 			x.yields[g] = true
+			need, elsewhere := r.groupNeed(i, k)
 			loss := runs[k].scaledLoss(shares.within(runs[k].Priority)) + restartCost
-			all = append(all, victim{group: g, need: r.groupNeed(i, k), loss: loss})
+			all = append(all, victim{group: g, need: need, loss: loss, elsewhere: elsewhere})
 		}
 		x.byWorker[i] = all[first:len(all):len(all)]
 	}
@@ -84,20 +87,22 @@
 	return x
 }
 
-// groupNeed returns what all runs of a group use on a worker, given the index of one of these runs.
-func (r *round) groupNeed(worker int, run int32) Resources {
+// groupNeed returns what all runs of a group use on a worker, given the index of one of these runs, and whether the group
+// also has runs on other workers.
+func (r *round) groupNeed(worker int, run int32) (need Resources, elsewhere bool) {
 	runs, groups := r.snapshot.Workers[worker].Runs, r.runGroups[worker]
 	g := groups[run]
 	if len(r.groups[g].shares) == 1 {
-		return runs[run].Need
+		return runs[run].Need, false
 	}
-	var need Resources
+	here := 0
 	for k := range runs {
 		if groups[k] == g {
 			need = need.Add(runs[k].Need)
+			here++
 		}
 	}
-	return need
+	return need, here < len(r.groups[g].shares)
 }
 
 // stopGroup preempts a group.
