planner: end a preemption plan before the task that exceeds the limit

Choosing a task updates the groups of its victims on all of their workers. Workers without room for more tasks keep their entry with an infinite loss instead of being deleted, which moved the rest of the list.

--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -170,16 +170,16 @@
 	}
 	c.losses = losses
 	for len(p.places) < u.Tasks {
-		if len(losses) == 0 || p.loss >= limit {
-			c.dropped = p
-			return nil
-		}
 		best := 0
 		for i := range losses {
 			if losses[i].loss < losses[best].loss {
 				best = i
 			}
 		}
+		if len(losses) == 0 || p.loss+losses[best].loss >= limit {
+			c.dropped = p
+			return nil
+		}
 		l := losses[best]
 		p.loss += l.loss
 		for _, v := range l.victims {
@@ -187,15 +187,10 @@
 		}
 		p.places = append(p.places, l.worker)
 		next, ok := c.lossOfTask(taskLoss{worker: l.worker, placed: l.placed + 1}, p)
-		if ok {
-			losses[best] = next
-		} else {
-			losses = slices.Delete(losses, best, best+1)
+		if !ok {
+			next.loss = math.Inf(1)
 		}
-	}
-	if p.loss >= limit {
-		c.dropped = p
-		return nil
+		losses[best] = next
 	}
 	return p
 }
