--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -514,7 +514,7 @@
 	r.groups = make([]runGroup, 0, total)
 	numbers := make(map[int]int32, total)
 	indices := make([]int32, total)
-	var sizes []int
+	sizes := make([]int32, 0, total)
 	for i := range r.snapshot.Workers {
 		runs := r.snapshot.Workers[i].Runs
 		r.runGroups[i], indices = indices[:len(runs):len(runs)], indices[len(runs):]
--- a/internal/planner/victims.go
+++ b/internal/planner/victims.go
@@ -52,7 +52,7 @@
 		byWorker: make([][]victim, len(r.snapshot.Workers)), yields: make([]bool, len(r.groups)), yielding: make([]Resources, len(r.snapshot.Workers)),
 	}
 	shares := r.withinShare[u.Service]
-	var all []victim
+	all := make([]victim, 0, len(r.groups))
 	var order []int32
 	for i := range r.snapshot.Workers {
 		runs := r.snapshot.Workers[i].Runs
