planner: skip racks in which a task fits on no worker

Each unit that waits looked at every worker up to four times. The largest free amounts of each rack, computed after a change, answer most of these questions.

--- a/internal/planner/evacuation.go
+++ b/internal/planner/evacuation.go
@@ -27,7 +27,7 @@
 	if !r.mayUseHeadroom(u) && spare < u.Need.GPU*int64(wanted) {
 		return false
 	}
-	return tasks+r.room(u, r.all(), r.free) >= wanted
+	return tasks+r.roomInFleet(u, r.free) >= wanted
 }
 
 // needsEvacuated reports whether the unit has too little room without the evacuated workers, even if the others ran
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -371,10 +371,12 @@
 	free, freeAfterStops []Resources
 	// idle is free without any claims; gangClaims is what blocked gangs claim.
 	idle, gangClaims []Resources
-	// idleVersion counts the changes of idle, freeAfterStops and gangClaims. despiteGangs is the result of
+	// idleVersion counts the changes of free, idle, freeAfterStops and gangClaims. despiteGangs is the result of
 	// freeDespiteGangs for version despiteGangsVersion.
 	idleVersion, despiteGangsVersion int
 	despiteGangs                     []Resources
+	// maxima is the results of largestByRack, by the first element of the slice.
+	maxima map[*Resources]*rackMaxima
 	// potential is set by newPreemption.
 	potential []Resources
 	// freed is what the preemption plan that is being made frees on each worker.
@@ -470,7 +472,7 @@
 	r := &round{
 		snapshot: s, free: make([]Resources, n), freeAfterStops: make([]Resources, n), idle: make([]Resources, n),
 		gangClaims: make([]Resources, n), emptied: make([]Resources, n), potential: make([]Resources, n), freed: make([]freedResources, n), despiteGangs: make([]Resources, n), idleVersion: 1,
-		victimIndexes: make(map[yieldClass]*victimIndex), workerIndices: make([]int, n), rackOf: make([]int32, n),
+		maxima: make(map[*Resources]*rackMaxima), victimIndexes: make(map[yieldClass]*victimIndex), workerIndices: make([]int, n), rackOf: make([]int32, n),
 		unplaceable: make(map[shape]unplacedUnit), spareGPU: make(map[string]int64),
 	}
 	r.plan.Waits = make(map[int]Wait)
@@ -681,7 +683,7 @@
 	if u.Gang {
 		twice.Tasks = 2 * u.Tasks
 	}
-	return r.room(&twice, r.all(), r.freeDespiteGangs()) == twice.Tasks
+	return r.roomInFleet(&twice, r.freeDespiteGangs()) == twice.Tasks
 }
 
 // freeDespiteGangs returns what is free on each worker if the claims of blocked gangs are ignored. Claims on
@@ -723,8 +725,8 @@
 		}
 	}
 	if u.RackLocal && u.Tasks > 1 {
-		for _, workers := range r.racks {
-			if r.room(u, workers, free) >= u.Tasks {
+		for rack, largest := range r.largestByRack(free) {
+			if u.Need.fitsInto(&largest) && r.room(u, r.racks[rack], free) >= u.Tasks {
 				return true
 			}
 		}
@@ -732,7 +734,7 @@
 			return false
 		}
 	}
-	return enough(r.room(u, r.all(), free))
+	return enough(r.roomInFleet(u, free))
 }
 
 // usable reports whether a worker may run tasks of a unit, regardless of its free resources.
@@ -751,7 +753,7 @@
 // place returns one worker for each task that fits into the given free resources. For a gang it
 // returns workers for all tasks or none; otherwise for as many tasks as possible.
 func (r *round) place(u *Unit, free []Resources) []int {
-	if u.Gang && r.room(u, r.all(), free) < u.Tasks {
+	if u.Gang && r.roomInFleet(u, free) < u.Tasks {
 		return nil
 	}
 	if u.DataRack != "" {
--- a/internal/planner/victims.go
+++ b/internal/planner/victims.go
@@ -107,6 +107,7 @@
 
 // stopGroup preempts a group.
 func (r *round) stopGroup(g int32) {
+	r.idleVersion++
 	r.marks[g].stopped = true
 	for _, s := range r.groups[g].shares {
 		r.freeAfterStops[s.worker] = r.freeAfterStops[s.worker].Add(s.need)
