controller: plan without examining finished jobs and occurrences

The leader keeps finished jobs for some time and examined all of them several times in each round, and sorted their IDs; of a repeated job it examined all occurrences. A list of the jobs that are active, sorted by ID, and the number of leading units that are done replace this. Jobs never become active again, and tasks that are done stay done.

--- a/internal/controller/adviceplan.go
+++ b/internal/controller/adviceplan.go
@@ -47,15 +47,12 @@
 // advisedUnits returns requests without workers for the waiting units of queues with an advice service.
 func (l *leader) advisedUnits(now boottime.Instant) []*adviceRequest {
 	var requests []*adviceRequest
-	for _, j := range l.jobs {
-		if !j.active() {
-			continue
-		}
+	for _, j := range l.activeJobs() {
 		rules := l.adviceRules(j)
 		if rules == nil {
 			continue
 		}
-		for _, u := range j.units {
+		for _, u := range j.unfinishedUnits() {
 			if u.waiting() > 0 && now >= u.advice.retryAt && l.due(j, u.occurrence) {
 				requests = append(requests, &adviceRequest{unit: u, rules: rules})
 			}
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -1,7 +1,9 @@
 package controller
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/oleanderbend/oleanderbend/internal/batch"
@@ -49,6 +51,8 @@
 	// of which a task was placed.
 	startedOccurrences int
 	units              []*unit
+	// doneUnits is a number of units at the beginning of units that are all done.
+	doneUnits int
 	// storedTasks are the task records found at a takeover. They are removed when the job is
 	// closed.
 	storedTasks taskRecords
@@ -141,6 +145,22 @@
 // active reports whether tasks of the job may still be started.
 func (j *job) active() bool { return !j.cancelled && !j.phase.Final() }
 
+// activeJobs returns the jobs that are active, in the order of their IDs. A job never becomes active again. Finished jobs
+// are kept for some time and outnumber the others many times, so periodic work must not examine them.
+func (l *leader) activeJobs() []*job {
+	l.active = slices.DeleteFunc(l.active, func(j *job) bool { return !j.active() })
+	return l.active
+}
+
+// unfinishedUnits returns the units without those at the beginning that are done. A repeated job has more of these with
+// each occurrence.
+func (j *job) unfinishedUnits() []*unit {
+	for j.doneUnits < len(j.units) && j.units[j.doneUnits].done() {
+		j.doneUnits++
+	}
+	return j.units[j.doneUnits:]
+}
+
 // hasRuns reports whether a task of the job has a run.
 func (j *job) hasRuns() bool {
 	for _, u := range j.units {
@@ -171,6 +191,10 @@
 	j.closed = j.finalStored && len(records) == 0 && len(spec.Steps) == 0
 	l.applyQueueRules(j)
 	l.jobs[j.spec.ID] = j
+	if j.active() {
+		at, _ := slices.BinarySearchFunc(l.active, j.spec.ID, func(j *job, id string) int { return cmp.Compare(j.spec.ID, id) })
+		l.active = slices.Insert(l.active, at, j)
+	}
 	switch {
 	case !j.phase.Final():
 		l.createDueOccurrences(j)
@@ -467,8 +491,8 @@
 
 // createAllDueOccurrences creates the due occurrences of all active jobs.
 func (l *leader) createAllDueOccurrences() {
-	for _, j := range l.jobs {
-		if j.active() && j.createdOccurrences < j.spec.Occurrences() {
+	for _, j := range l.activeJobs() {
+		if j.createdOccurrences < j.spec.Occurrences() {
 			l.createDueOccurrences(j)
 		}
 	}
@@ -476,11 +500,8 @@
 
 // hasWaiting reports whether any unit has tasks that wait to be placed.
 func (l *leader) hasWaiting() bool {
-	for _, j := range l.jobs {
-		if !j.active() {
-			continue
-		}
-		for _, u := range j.units {
+	for _, j := range l.activeJobs() {
+		for _, u := range j.unfinishedUnits() {
 			if u.waiting() > 0 {
 				return true
 			}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -67,7 +67,9 @@
 	// speedWriter stores the speeds of workers.
 	speedWriter *ledger.Writer
 
-	jobs    map[string]*job
+	jobs map[string]*job
+	// active holds the jobs that activeJobs returns, and some that have become inactive since its last call.
+	active  []*job
 	workers map[string]*workerState
 	// registryRead means that the registry of workers has been read in this term.
 	registryRead bool
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -125,10 +125,7 @@
 func (l *leader) describeUnits(s *planner.Snapshot, extra *job, guaranteed map[*job]bool, now boottime.Instant) (units, unplanned []*unit) {
 	unused := halfUnused(s.Workers)
 	describe := func(j *job) {
-		if !j.active() {
-			return
-		}
-		for _, u := range j.units {
+		for _, u := range j.unfinishedUnits() {
 			n := u.waiting()
 			if n == 0 || now < u.notBefore || !l.due(j, u.occurrence) {
 				continue
@@ -146,8 +143,8 @@
 			s.Units = append(s.Units, d)
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
-		describe(l.jobs[id])
+	for _, j := range l.activeJobs() {
+		describe(j)
 	}
 	if extra != nil {
 		describe(extra)
@@ -388,11 +385,11 @@
 	}
 	var jobs []*job
 	add := func(j *job) {
-		if j.active() && j.spec.Rules.Priority == 0 && j.spec.Org != "" && len(j.units) > 0 {
+		if j.spec.Rules.Priority == 0 && j.spec.Org != "" && len(j.units) > 0 {
 			jobs = append(jobs, j)
 		}
 	}
-	for _, j := range l.jobs {
+	for _, j := range l.activeJobs() {
 		add(j)
 	}
 	if extra != nil {
@@ -419,7 +416,7 @@
 // maxUnfinishedGPU returns the number of accelerators of the largest unfinished step.
 func (j *job) maxUnfinishedGPU() int64 {
 	largest := int64(0)
-	for _, u := range j.units {
+	for _, u := range j.unfinishedUnits() {
 		if !u.done() {
 			largest = max(largest, u.step.GPU*int64(u.step.Count))
 		}
