--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -113,19 +113,6 @@
 	return ws.registered && ws.info.State == worker.Ready && ws.unreachableSince == 0 && !ws.needsPoll && now >= ws.noWorkUntil
 }
 
-// usedResources returns the resources of all runs on the worker, and those of the runs that are
-// being stopped.
-func (ws *workerState) usedResources() (all, releasing planner.Resources) {
-	for _, r := range ws.runs {
-		need := needOf(r.task.unit.step)
-		all = all.Add(need)
-		if r.state == stopping {
-			releasing = releasing.Add(need)
-		}
-	}
-	return all, releasing
-}
-
 // capacity returns the resources of the worker, whether used or not.
 func (ws *workerState) capacity() planner.Resources {
 	return planner.Resources{CPU: ws.info.CPU, MemoryMB: ws.info.MemoryMB, GPU: ws.info.GPU}
@@ -133,8 +120,11 @@
 
 // free returns the resources of the worker that no run uses.
 func (ws *workerState) free() planner.Resources {
-	used, _ := ws.usedResources()
-	return ws.capacity().Sub(used)
+	free := ws.capacity()
+	for _, r := range ws.runs {
+		free = free.Sub(needOf(r.task.unit.step))
+	}
+	return free
 }
 
 // needOf returns the resources of a worker that a task of the step occupies.
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -107,6 +107,7 @@
 	ids := slices.Sorted(maps.Keys(l.workers))
 	closed := l.closedByEvacuation(now)
 	workers := make([]*workerState, 0, len(ids))
+	s.Workers = make([]planner.Worker, 0, len(ids))
 	for _, id := range ids {
 		ws := l.workers[id]
 		if !ws.registered {
@@ -178,21 +179,23 @@
 }
 
 func (l *leader) describeWorker(ws *workerState, now boottime.Instant) planner.Worker {
-	used, releasing := ws.usedResources()
 	w := planner.Worker{
 		ID: ws.id, Service: ws.info.Service, Rack: ws.info.Rack, Labels: ws.info.Labels, AcceptsWork: ws.acceptsWork(now) && !l.maintenance.isPreparing(ws.id),
-		Free: ws.capacity().Sub(used), Releasing: releasing, Suspicion: len(ws.failedJobs), Slow: now < ws.slowUntil,
-		Speed: l.speedOf(ws), Cold: now < ws.coldUntil,
+		Free: ws.capacity(), Suspicion: len(ws.failedJobs), Slow: now < ws.slowUntil,
+		Speed: l.speedOf(ws), Cold: now < ws.coldUntil, Runs: make([]planner.Run, 0, len(ws.runs)),
 	}
 	for _, r := range ws.runs {
 		step := r.task.unit.step
 		w.RunsServing = w.RunsServing || step.TailLatencyTargetMS > 0
 		w.RunsFiller = w.RunsFiller || step.Filler
+		need := needOf(step)
+		w.Free = w.Free.Sub(need)
 		if r.state == stopping {
+			w.Releasing = w.Releasing.Add(need)
 			continue
 		}
 		w.Runs = append(w.Runs, planner.Run{
-			Group: r.groupID(), Need: needOf(step), Priority: r.task.unit.job.spec.Rules.Priority,
+			Group: r.groupID(), Need: need, Priority: r.task.unit.job.spec.Rules.Priority,
 			Guaranteed: r.guaranteed, Protected: step.LongRunning || r.state == adopting, LostWork: r.preemptionLoss(now),
 			Org: r.task.unit.job.spec.Org, Preempted: r.task.preempted,
 		})
