--- a/internal/planner/compare_test.go
+++ b/internal/planner/compare_test.go
@@ -645,11 +645,22 @@
 	return u
 }
 
+// randomSeeds returns the seeds from 0 up to the flag.
+func randomSeeds() []uint64 {
+	seeds := make([]uint64, *compareSeeds)
+	for i := range seeds {
+		seeds[i] = uint64(i)
+	}
+	return seeds
+}
+
 // Guards against an optimisation that changes a decision: Decide must return the same plan as a plain implementation.
 func TestDecideMatchesPlainRound(t *testing.T) {
 	var starts, stops int
 	waits := make(map[WaitReason]int)
-	for seed := range *compareSeeds {
+	// In the last one, a preemption frees more than its unit needs in a rack that was full before. Few snapshots show it
+	// when the largest free resources of a rack are out of date.
+	for _, seed := range append(randomSeeds(), 2106) {
 		plan := Decide(randomSnapshot(seed))
 		require.Equal(t, decidePlainly(randomSnapshot(seed)), plan, "seed %d", seed)
 		starts, stops = starts+len(plan.Starts), stops+len(plan.Stops)
