--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -107,6 +107,7 @@
 	ids := slices.Sorted(maps.Keys(l.workers))
 	closed := l.closedByEvacuation(now)
 	workers := make([]*workerState, 0, len(ids))
+	s.Workers = make([]planner.Worker, 0, len(ids))
 	for _, id := range ids {
 		ws := l.workers[id]
 		if !ws.registered {
@@ -125,10 +126,7 @@
 func (l *leader) describeUnits(s *planner.Snapshot, extra *job, guaranteed map[*job]bool, now boottime.Instant) (units, unplanned []*unit) {
 	unused := halfUnused(s.Workers)
 	describe := func(j *job) {
-		if !j.active() {
-			return
-		}
-		for _, u := range j.units {
+		for _, u := range j.unfinishedUnits() {
 			n := u.waiting()
 			if n == 0 || now < u.notBefore || !l.due(j, u.occurrence) {
 				continue
@@ -146,8 +144,8 @@
 			s.Units = append(s.Units, d)
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
-		describe(l.jobs[id])
+	for _, j := range l.activeJobs() {
+		describe(j)
 	}
 	if extra != nil {
 		describe(extra)
@@ -181,21 +179,23 @@
 }
 
 func (l *leader) describeWorker(ws *workerState, now boottime.Instant) planner.Worker {
-	used, releasing := ws.usedResources()
 	w := planner.Worker{
 		ID: ws.id, Service: ws.info.Service, Rack: ws.info.Rack, Labels: ws.info.Labels, AcceptsWork: ws.acceptsWork(now) && !l.maintenance.isPreparing(ws.id),
-		Free: ws.capacity().Sub(used), Releasing: releasing, Suspicion: len(ws.failedJobs), Slow: now < ws.slowUntil,
-		Speed: l.speedOf(ws), Cold: now < ws.coldUntil,
+		Free: ws.capacity(), Suspicion: len(ws.failedJobs), Slow: now < ws.slowUntil,
+		Speed: l.speedOf(ws), Cold: now < ws.coldUntil, Runs: make([]planner.Run, 0, len(ws.runs)),
 	}
 	for _, r := range ws.runs {
 		step := r.task.unit.step
 		w.RunsServing = w.RunsServing || step.TailLatencyTargetMS > 0
 		w.RunsFiller = w.RunsFiller || step.Filler
+		need := needOf(step)
+		w.Free = w.Free.Sub(need)
 		if r.state == stopping {
+			w.Releasing = w.Releasing.Add(need)
 			continue
 		}
 		w.Runs = append(w.Runs, planner.Run{
-			Group: r.groupID(), Need: needOf(step), Priority: r.task.unit.job.spec.Rules.Priority,
+			Group: r.groupID(), Need: need, Priority: r.task.unit.job.spec.Rules.Priority,
 			Guaranteed: r.guaranteed, Protected: step.LongRunning || r.state == adopting, LostWork: r.preemptionLoss(now),
 			Org: r.task.unit.job.spec.Org, Preempted: r.task.preempted,
 		})
@@ -388,11 +388,11 @@
 	}
 	var jobs []*job
 	add := func(j *job) {
-		if j.active() && j.spec.Rules.Priority == 0 && j.spec.Org != "" && len(j.units) > 0 {
+		if j.spec.Rules.Priority == 0 && j.spec.Org != "" && len(j.units) > 0 {
 			jobs = append(jobs, j)
 		}
 	}
-	for _, j := range l.jobs {
+	for _, j := range l.activeJobs() {
 		add(j)
 	}
 	if extra != nil {
@@ -419,7 +419,7 @@
 // maxUnfinishedGPU returns the number of accelerators of the largest unfinished step.
 func (j *job) maxUnfinishedGPU() int64 {
 	largest := int64(0)
-	for _, u := range j.units {
+	for _, u := range j.unfinishedUnits() {
 		if !u.done() {
 			largest = max(largest, u.step.GPU*int64(u.step.Count))
 		}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -306,12 +306,11 @@
 func decide(s Snapshot, observe func(*round, *unitPart)) Plan {
 	r := newRound(s)
 	parts := r.splitUnits()
-	slices.SortStableFunc(parts, func(a, b unitPart) int { return compareUnits(&a.unit, &b.unit) })
-	for i := range parts {
+	for _, part := range parts {
 		if observe != nil {
-			observe(r, &parts[i])
+			observe(r, part)
 		}
-		r.schedule(&parts[i])
+		r.schedule(part)
 	}
 	return r.plan
 }
@@ -372,25 +371,32 @@
 	free, freeAfterStops []Resources
 	// idle is free without any claims; gangClaims is what blocked gangs claim.
 	idle, gangClaims []Resources
-	// idleVersion counts the changes of idle, freeAfterStops and gangClaims. despiteGangs is the result of
+	// idleVersion counts the changes of free, idle, freeAfterStops and gangClaims. despiteGangs is the result of
 	// freeDespiteGangs for version despiteGangsVersion.
 	idleVersion, despiteGangsVersion int
 	despiteGangs                     []Resources
+	// maxima is the results of largestByRack, by the first element of the slice.
+	maxima map[*Resources]*rackMaxima
 	// potential is set by newPreemption.
 	potential []Resources
 	// freed is what the preemption plan that is being made frees on each worker.
 	freed []freedResources
 	// emptied is what would be free on each worker if it ran nothing.
 	emptied []Resources
-	// groups is the groups of runs, numbered from 0; runGroups is the number of the group of each run of each worker.
+	// groups is the groups of runs, numbered from 0, marks the mark of each; runGroups is the number of the group of each
+	// run of each worker. They are nil before preemption needs them.
 	groups    []runGroup
+	shares    []groupShare
+	marks     []groupMark
 	runGroups [][]int32
-	// victimOrder is the indices of the runs of each worker in the order of compareVictims, nil before it is needed.
-	victimOrder [][]int32
-	// candidates, losses and victimGroups are reused by placeWithin, preemption.plan and preemption.chooseVictims.
-	candidates   []candidate
-	losses       []taskLoss
-	victimGroups []int32
+	// victimIndexes is the results of victimsFor.
+	victimIndexes map[yieldClass]*victimIndex
+	// candidates, losses, chosen and dropped are reused by placeWithin, preemption.plan, preemption.chooseVictims and
+	// preemption.newPlan.
+	candidates []candidate
+	losses     []taskLoss
+	chosen     []int32
+	dropped    *preemptionPlan
 	// spareGPU is how many accelerators each service has free in excess of its headroom; negative if
 	// fewer than the headroom are free.
 	spareGPU map[string]int64
@@ -403,15 +409,15 @@
 	workerIndices []int
 	// unplaceable is, for each shape, the last unit without limits of its own that could not be placed.
 	unplaceable map[shape]unplacedUnit
-	// withinShare is the priorities whose queues use no more than their minimum share. It does not
+	// withinShare is, for each service, the priorities whose queues use no more than their minimum share. It does not
 	// contain priority 0, which has no minimum share.
-	withinShare map[priorityKey]bool
+	withinShare map[string]priorityShares
 	// preemptionAttempts counts the units for which preemption was attempted, blockedGangClaims the
 	// blocked gangs that claimed resources.
 	preemptionAttempts int
 	blockedGangClaims  int
 	// preemptionPlans counts the preemption plans that were considered.
-	preemptionPlans int
+	preemptionPlans int32
 	// firstClaimant is the index of the first blocked gang that claimed resources.
 	firstClaimant int
 	plan          Plan
@@ -420,12 +426,9 @@
 // runGroup is the runs that can only be stopped together.
 type runGroup struct {
 	id int
-	// shares is the resources that the group uses, by worker; it may have several entries for one worker.
-	shares []groupShare
-	// stopped means that the plan preempts the group.
-	stopped bool
-	// attempt is the number of the last preemption plan that has the group.
-	attempt int
+	// first and end delimit in round.shares the resources that the group uses, by worker; there may be several entries
+	// for one worker.
+	first, end int32
 }
 
 // groupShare is what a run of a group uses on a worker.
@@ -471,7 +474,7 @@
 	r := &round{
 		snapshot: s, free: make([]Resources, n), freeAfterStops: make([]Resources, n), idle: make([]Resources, n),
 		gangClaims: make([]Resources, n), emptied: make([]Resources, n), potential: make([]Resources, n), freed: make([]freedResources, n), despiteGangs: make([]Resources, n), idleVersion: 1,
-		runGroups: make([][]int32, n), victimOrder: make([][]int32, n), workerIndices: make([]int, n), rackOf: make([]int32, n),
+		maxima: make(map[*Resources]*rackMaxima), victimIndexes: make(map[yieldClass]*victimIndex), workerIndices: make([]int, n), rackOf: make([]int32, n),
 		unplaceable: make(map[shape]unplacedUnit), spareGPU: make(map[string]int64),
 	}
 	r.plan.Waits = make(map[int]Wait)
@@ -502,7 +505,6 @@
 		r.racks[n] = append(r.racks[n], i)
 		r.rackOf[i] = int32(n)
 	}
-	r.indexGroups()
 	return r
 }
 
@@ -512,9 +514,10 @@
 	for i := range r.snapshot.Workers {
 		total += len(r.snapshot.Workers[i].Runs)
 	}
+	r.runGroups = make([][]int32, len(r.snapshot.Workers))
+	r.groups = make([]runGroup, 0, total)
 	numbers := make(map[int]int32, total)
 	indices := make([]int32, total)
-	var sizes []int
 	for i := range r.snapshot.Workers {
 		runs := r.snapshot.Workers[i].Runs
 		r.runGroups[i], indices = indices[:len(runs):len(runs)], indices[len(runs):]
@@ -524,38 +527,35 @@
 				g = int32(len(r.groups))
 				numbers[runs[k].Group] = g
 				r.groups = append(r.groups, runGroup{id: runs[k].Group})
-				sizes = append(sizes, 0)
 			}
 			r.runGroups[i][k] = g
-			sizes[g]++
+			r.groups[g].end++
 		}
 	}
-	shares := make([]groupShare, total)
-	for g := range r.groups {
-		r.groups[g].shares, shares = shares[:0:sizes[g]], shares[sizes[g]:]
+	r.marks = make([]groupMark, len(r.groups))
+	// The end of each group is the number of its runs at first; then it moves from the first entry to the end.
+	r.shares = make([]groupShare, total)
+	first := int32(0)
+	for i := range r.groups {
+		g := &r.groups[i]
+		size := g.end
+		g.first, g.end = first, first
+		first += size
 	}
 	for i := range r.snapshot.Workers {
 		runs := r.snapshot.Workers[i].Runs
 		for k := range runs {
 			g := &r.groups[r.runGroups[i][k]]
-			g.shares = append(g.shares, groupShare{i, runs[k].Need})
+			r.shares[g.end] = groupShare{i, runs[k].Need}
+			g.end++
 		}
 	}
 }
 
-// victims returns the runs of a worker, the indices of the runs in the order of compareVictims, and the numbers of
-// the groups of the runs. The order is computed when it is first needed: most rounds need that of few workers.
-func (r *round) victims(worker int) (runs []Run, order, groups []int32) {
-	runs = r.snapshot.Workers[worker].Runs
-	if r.victimOrder[worker] == nil && len(runs) > 0 {
-		order := make([]int32, len(runs))
-		for k := range order {
-			order[k] = int32(k)
-		}
-		slices.SortStableFunc(order, func(a, b int32) int { return compareVictims(&runs[a], &runs[b]) })
-		r.victimOrder[worker] = order
-	}
-	return runs, r.victimOrder[worker], r.runGroups[worker]
+// sharesOf returns the resources that a group uses, by worker.
+func (r *round) sharesOf(group int32) []groupShare {
+	g := &r.groups[group]
+	return r.shares[g.first:g.end]
 }
 
 // schedule starts the tasks of a unit: all of them for a gang, otherwise as many as possible. For the
@@ -695,7 +695,7 @@
 	if u.Gang {
 		twice.Tasks = 2 * u.Tasks
 	}
-	return r.room(&twice, r.all(), r.freeDespiteGangs()) == twice.Tasks
+	return r.roomInFleet(&twice, r.freeDespiteGangs()) == twice.Tasks
 }
 
 // freeDespiteGangs returns what is free on each worker if the claims of blocked gangs are ignored. Claims on
@@ -737,8 +737,8 @@
 		}
 	}
 	if u.RackLocal && u.Tasks > 1 {
-		for _, workers := range r.racks {
-			if r.room(u, workers, free) >= u.Tasks {
+		for rack, largest := range r.largestByRack(free) {
+			if u.Need.fitsInto(&largest) && r.room(u, r.racks[rack], free) >= u.Tasks {
 				return true
 			}
 		}
@@ -746,7 +746,7 @@
 			return false
 		}
 	}
-	return enough(r.room(u, r.all(), free))
+	return enough(r.roomInFleet(u, free))
 }
 
 // usable reports whether a worker may run tasks of a unit, regardless of its free resources.
@@ -765,7 +765,7 @@
 // place returns one worker for each task that fits into the given free resources. For a gang it
 // returns workers for all tasks or none; otherwise for as many tasks as possible.
 func (r *round) place(u *Unit, free []Resources) []int {
-	if u.Gang && r.room(u, r.all(), free) < u.Tasks {
+	if u.Gang && r.roomInFleet(u, free) < u.Tasks {
 		return nil
 	}
 	if u.DataRack != "" {
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -55,11 +55,8 @@
 		return false
 	}
 	for _, g := range best.groups {
-		r.groups[g].stopped = true
+		r.stopGroup(g)
 		r.plan.Stops = append(r.plan.Stops, Stop{Group: r.groups[g].id, Unit: index, Cause: u.stopCause()})
-		for _, share := range r.groups[g].shares {
-			r.freeAfterStops[share.worker] = r.freeAfterStops[share.worker].Add(share.need)
-		}
 	}
 	r.claim(u, best.places)
 	return true
@@ -67,14 +64,21 @@
 
 // freedResources is what becomes free on a worker by the preemption plan with the number attempt.
 type freedResources struct {
-	attempt int
+	attempt int32
 	amount  Resources
 }
 
+func (f *freedResources) add(attempt int32, amount Resources) {
+	if f.attempt == attempt {
+		amount = f.amount.Add(amount)
+	}
+	*f = freedResources{attempt, amount}
+}
+
 // preemptionPlan is a set of groups to stop so that all tasks of a unit have room.
 type preemptionPlan struct {
 	// attempt is the number of the plan in its round.
-	attempt int
+	attempt int32
 	// groups is the indices of the groups to stop.
 	groups []int32
 	// places is the worker of each task.
@@ -100,7 +104,7 @@
 	limit := math.Inf(1)
 	for _, workers := range r.racks {
 		if p := c.plan(workers, limit); p != nil {
-			best, limit = p, p.loss
+			best, c.dropped, limit = p, best, p.loss
 		}
 	}
 	if best == nil && (u.Guaranteed || !u.WaitsForRack) {
@@ -112,32 +116,16 @@
 // preemption is an attempt to make room for a unit.
 type preemption struct {
 	*round
-	unit   *Unit
-	shares priorityShares
+	unit    *Unit
+	victims *victimIndex
 }
 
 // newPreemption begins an attempt: it sets what would be free on each worker if all runs that may be preempted for the
 // unit were stopped.
 func (r *round) newPreemption(u *Unit) *preemption {
-	c := &preemption{round: r, unit: u, shares: r.sharesOf(u)}
-	r.preemptionPlans++
-	copy(r.potential, r.freeAfterStops)
-	for i := range r.snapshot.Workers {
-		if !u.Need.fitsInto(&r.emptied[i]) || !r.usable(u, i) {
-			continue
-		}
-		runs, groups := r.snapshot.Workers[i].Runs, r.runGroups[i]
-		for k := range runs {
-			g := &r.groups[groups[k]]
-			if g.stopped || g.attempt == r.preemptionPlans || !runs[k].yieldsTo(u, c.shares.within(runs[k].Priority)) {
-				continue
-			}
-			g.attempt = r.preemptionPlans
-			for n := range g.shares {
-				s := &g.shares[n]
-				r.potential[s.worker] = r.potential[s.worker].Add(s.need)
-			}
-		}
+	c := &preemption{round: r, unit: u, victims: r.victimsFor(u)}
+	for i := range r.potential {
+		r.potential[i] = r.freeAfterStops[i].Add(c.victims.yielding[i])
 	}
 	return c
 }
@@ -147,12 +135,24 @@
 	worker int
 	// placed is the number of the unit's tasks that the preemption plan already places on the worker.
 	placed int
-	// groups is the indices of the groups that must be stopped for the task.
-	groups []int32
+	// first and end delimit the victims that must be stopped for the task in round.chosen.
+	first, end int32
 	// loss is the sum of scaledLoss and restartCost over these groups, in weighted core-seconds.
 	loss float64
 }
 
+// newPlan returns an empty plan. It reuses the memory of the plan that was dropped last: most plans are.
+func (c *preemption) newPlan() *preemptionPlan {
+	c.preemptionPlans++
+	p := c.dropped
+	if p == nil {
+		p = &preemptionPlan{}
+	}
+	*p = preemptionPlan{attempt: c.preemptionPlans, groups: p.groups[:0], places: p.places[:0]}
+	c.dropped = nil
+	return p
+}
+
 // plan chooses the runs to stop on the given workers. It is greedy: it places one task after the other, each on the
 // worker with the lowest loss. It returns nil if there is no room for all tasks, or if the loss is not below the limit.
 func (c *preemption) plan(workers []int, limit float64) *preemptionPlan {
@@ -160,10 +160,9 @@
 	if c.room(u, workers, c.potential) < u.Tasks {
 		return nil
 	}
-	c.preemptionPlans++
-	p := &preemptionPlan{attempt: c.preemptionPlans}
+	p := c.newPlan()
 	losses := c.losses[:0]
-	c.victimGroups = c.victimGroups[:0]
+	c.chosen = c.chosen[:0]
 	for _, i := range workers {
 		if l, ok := c.lossOfTask(taskLoss{worker: i}, p); ok {
 			losses = append(losses, l)
@@ -171,35 +170,32 @@
 	}
 	c.losses = losses
 	for len(p.places) < u.Tasks {
-		if len(losses) == 0 || p.loss >= limit {
-			return nil
-		}
 		best := 0
 		for i := range losses {
 			if losses[i].loss < losses[best].loss {
 				best = i
 			}
 		}
+		if len(losses) == 0 || p.loss+losses[best].loss >= limit {
+			c.dropped = p
+			return nil
+		}
 		l := losses[best]
 		p.loss += l.loss
-		for _, group := range l.groups {
-			c.addStoppedGroup(p, group)
+		for _, n := range c.chosen[l.first:l.end] {
+			c.addVictim(p, l.worker, &c.victims.byWorker[l.worker][n])
 		}
 		p.places = append(p.places, l.worker)
 		next, ok := c.lossOfTask(taskLoss{worker: l.worker, placed: l.placed + 1}, p)
-		if ok {
-			losses[best] = next
-		} else {
-			losses = slices.Delete(losses, best, best+1)
+		if !ok {
+			next.loss = math.Inf(1)
 		}
-	}
-	if p.loss >= limit {
-		return nil
+		losses[best] = next
 	}
 	return p
 }
 
-// lossOfTask computes groups and loss for one more task on the worker of l. It returns false if the
+// lossOfTask computes victims and loss for one more task on the worker of l. It returns false if the
 // worker cannot get room for the task.
 func (c *preemption) lossOfTask(l taskLoss, p *preemptionPlan) (taskLoss, bool) {
 	u := c.unit
@@ -216,21 +212,21 @@
 	return c.chooseVictims(l, free, p)
 }
 
-// addStoppedGroup adds a group to the preemption plan, with the resources that it frees on all of its workers.
-func (c *preemption) addStoppedGroup(p *preemptionPlan, index int32) {
-	g := &c.groups[index]
-	if g.attempt == p.attempt {
+// addVictim adds a group with a run on the given worker to the preemption plan, with the resources that it frees on all
+// of its workers.
+func (c *preemption) addVictim(p *preemptionPlan, worker int, v *victim) {
+	mark := &c.marks[v.group]
+	if mark.attempt == p.attempt {
 		return
 	}
-	g.attempt = p.attempt
-	p.groups = append(p.groups, index)
-	for i := range g.shares {
-		s := &g.shares[i]
-		if f := &c.freed[s.worker]; f.attempt != p.attempt {
-			*f = freedResources{p.attempt, s.need}
-		} else {
-			f.amount = f.amount.Add(s.need)
-		}
+	mark.attempt = p.attempt
+	p.groups = append(p.groups, v.group)
+	if !v.elsewhere {
+		c.freed[worker].add(p.attempt, v.need)
+		return
+	}
+	for _, s := range c.sharesOf(v.group) {
+		c.freed[s.worker].add(p.attempt, s.need)
 	}
 }
 
@@ -238,31 +234,25 @@
 // that may be preempted, in the order of compareVictims. It returns false if they cannot free enough.
 func (c *preemption) chooseVictims(l taskLoss, free Resources, p *preemptionPlan) (taskLoss, bool) {
 	u := c.unit
-	l.groups, l.loss = nil, 0
+	l.first, l.end, l.loss = int32(len(c.chosen)), int32(len(c.chosen)), 0
 	if u.Need.fitsInto(&free) {
 		return l, true
 	}
-	runs, order, runGroups := c.victims(l.worker)
-	first := len(c.victimGroups)
-	for _, k := range order {
-		run, g := &runs[k], runGroups[k]
-		withinShare := c.shares.within(run.Priority)
-		if !run.yieldsTo(u, withinShare) || c.groups[g].stopped || c.groups[g].attempt == p.attempt || slices.Contains(c.victimGroups[first:], g) {
+	victims := c.victims.byWorker[l.worker]
+	for i := range victims {
+		v := &victims[i]
+		if mark := &c.marks[v.group]; mark.stopped || mark.attempt == p.attempt {
 			continue
 		}
-		c.victimGroups = append(c.victimGroups, g)
-		l.loss += run.scaledLoss(withinShare) + restartCost
-		for other := range runs {
-			if runGroups[other] == g {
-				free = free.Add(runs[other].Need)
-			}
-		}
+		c.chosen = append(c.chosen, int32(i))
+		l.loss += v.loss
+		free = free.Add(v.need)
 		if u.Need.fitsInto(&free) {
-			l.groups = c.victimGroups[first:len(c.victimGroups):len(c.victimGroups)]
+			l.end = int32(len(c.chosen))
 			return l, true
 		}
 	}
-	c.victimGroups = c.victimGroups[:first]
+	c.chosen = c.chosen[:l.first]
 	return l, false
 }
 
