Interference: learn which kinds of work slow each other down

Cause: tasks share more of a worker than its capacity figures show, and nobody says which images slow down which others.

An effect must be clear against the spread of the levels, on two workers or at three times on one; a neighbour that shows none where another one is absent is not blamed.

--- /dev/null
+++ b/internal/interference/table_test.go
@@ -0,0 +1,347 @@
+package interference
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderbend/oleanderbend/internal/boottime"
+)
+
+// world feeds a table with the polls of workers.
+type world struct {
+	table  *Table
+	now    boottime.Instant
+	random *rand.Rand
+	// factors has by how many times a neighbour raises the level of a victim.
+	factors map[Pair]float64
+	// noise is the standard deviation of the logarithm of single figures.
+	noise float64
+}
+
+func newWorld(factors map[Pair]float64) *world {
+	return &world{table: NewTable(), now: boottime.Instant(time.Hour), random: rand.New(rand.NewPCG(5, 1)), factors: factors, noise: 0.1}
+}
+
+// poll observes runs with the given levels of their own on a worker whose work takes slowdown times as long.
+func (w *world) poll(worker string, slowdown float64, runs ...Run) {
+	shown := make([]Run, len(runs))
+	for i, r := range runs {
+		shown[i] = r
+		shown[i].Level *= slowdown * math.Exp(w.noise*w.random.NormFloat64())
+		seen := map[string]bool{}
+		for k, other := range runs {
+			if f := w.factors[Pair{r.Kind, other.Kind}]; k != i && f > 0 && !seen[other.Kind] {
+				shown[i].Level *= f
+				seen[other.Kind] = true
+			}
+		}
+	}
+	w.table.Observe(w.now, worker, shown)
+}
+
+func (w *world) advance() { w.now = w.now.Add(900 * time.Millisecond) }
+
+// repeat calls poll n times, 900 ms apart.
+func (w *world) repeat(n int, poll func()) {
+	for range n {
+		poll()
+		w.advance()
+	}
+}
+
+func (w *world) conflicts() map[Pair]bool { return w.table.Conflicts(w.now) }
+
+func serving(id int64, level float64) Run {
+	return Run{ID: id, Kind: "serve", Level: level, Serving: true}
+}
+
+// filler is a run without a level.
+func filler(id int64, kind string) Run { return Run{ID: id, Kind: kind} }
+
+func task(id int64, kind string) Run { return Run{ID: id, Kind: kind, Level: 1} }
+
+var decodeSlowsServe = map[Pair]float64{{"serve", "decode"}: 2}
+
+// Guards against a disturbing filler that is not recognized, against blaming one that was always without effect, and against
+// blaming one that was seen beside the victim without effect, because it is mostly there together with the disturbing one and
+// on more workers.
+func TestOnlyTheDisturbingNeighbourIsBlamed(t *testing.T) {
+	w := newWorld(decodeSlowsServe)
+	require.Empty(t, w.conflicts())
+	w.repeat(6, func() {
+		for i := range int64(4) {
+			w.poll(fmt.Sprint("both", i), 1, serving(10+i, 0.5), filler(20+i, "decode"), filler(30+i, "index"))
+		}
+		w.poll("index only", 1, serving(15, 0.5), filler(35, "index"))
+		w.poll("alone 1", 1, serving(16, 0.5))
+		w.poll("alone 2", 1, serving(17, 0.5), filler(37, "sort"))
+	})
+	require.Equal(t, map[Pair]bool{{"serve", "decode"}: true}, w.conflicts())
+	evidence, known := w.table.Evidence(Pair{"serve", "decode"})
+	require.True(t, known)
+	require.InDelta(t, 1, evidence.Beside, 0.2)
+	require.InDelta(t, 0.5, evidence.Without, 0.1)
+	require.InDelta(t, 2, evidence.Effect, 0.4)
+	require.Equal(t, []int{4, 24, 18}, []int{evidence.Workers, evidence.ObservationsBeside, evidence.ObservationsWithout})
+	_, known = w.table.Evidence(Pair{"serve", "index"})
+	require.False(t, known)
+}
+
+// Guards against missing the second of two neighbours that disturb, one of which is never seen without a harmless one that is
+// everywhere.
+func TestSeveralNeighboursAreBlamed(t *testing.T) {
+	w := newWorld(map[Pair]float64{{"serve", "decode"}: 2, {"serve", "sort"}: 1.7})
+	w.repeat(6, func() {
+		for i := range int64(4) {
+			w.poll(fmt.Sprint("decode", i), 1, serving(10+i, 0.5), filler(20+i, "decode"), filler(30+i, "index"))
+			w.poll(fmt.Sprint("sort", i), 1, serving(40+i, 0.5), filler(50+i, "sort"), filler(60+i, "index"))
+			w.poll(fmt.Sprint("index", i), 1, serving(70+i, 0.5), filler(80+i, "index"))
+		}
+	})
+	require.Equal(t, map[Pair]bool{{"serve", "decode"}: true, {"serve", "sort"}: true}, w.conflicts())
+}
+
+// Guards against blaming neighbours on workers that are slow by themselves: all the time, and also for the seconds of a fault.
+func TestSlowWorkersAreNoConflict(t *testing.T) {
+	w := newWorld(nil)
+	id := int64(0)
+	for round := range 12 {
+		var polls []func()
+		for i := range int64(8) {
+			slowdown := []float64{2.2, 2.2, 1, 1, 1, 1, 1, 1}[i]
+			if (i == 2 || i == 3) && round >= 4 && round < 8 {
+				slowdown = 7
+			}
+			// On the slow workers train is mostly beside shuffle, elsewhere it never is.
+			beside := "parse"
+			if i < 4 && round%4 != 0 {
+				beside = "shuffle"
+			}
+			id += 3
+			runs := []Run{task(id, "train"), task(id+1, beside), task(id+2, "render")}
+			polls = append(polls, func() { w.poll(fmt.Sprint("w", i), slowdown, runs...) })
+		}
+		w.repeat(3, func() {
+			for _, poll := range polls {
+				poll()
+			}
+		})
+		require.Empty(t, w.conflicts(), "round %d", round)
+	}
+}
+
+// Guards against a conflict that rests on a single worker at one time, or on a single task that takes seven times as long as the
+// others of its step; and against one on a single worker that is not seen although it comes and goes with the neighbour.
+func TestOneWorkerOrTaskIsNotEnough(t *testing.T) {
+	w := newWorld(decodeSlowsServe)
+	alone := func() {
+		for i := range int64(4) {
+			w.poll(fmt.Sprint("w", i), 1, serving(10+i, 0.5))
+		}
+	}
+	w.repeat(20, func() {
+		alone()
+		w.poll("single", 1, serving(20, 0.5), filler(30, "decode"))
+	})
+	require.Empty(t, w.conflicts(), "one worker, one time")
+	for range 3 {
+		w.repeat(4, func() { w.poll("single", 1, serving(20, 0.5)) })
+		w.repeat(4, func() { w.poll("single", 1, serving(20, 0.5), filler(31, "decode")) })
+	}
+	require.NotEmpty(t, w.conflicts(), "several times")
+
+	w = newWorld(nil)
+	long := Run{ID: 1, Kind: "train", Level: 7}
+	w.repeat(20, func() {
+		w.poll("w0", 1, long, filler(2, "decode"))
+		w.poll("w1", 1, task(3, "train"), filler(4, "decode"))
+		for i := range int64(6) {
+			w.poll(fmt.Sprint("alone", i), 1, task(10+i, "train"))
+		}
+		require.Empty(t, w.conflicts())
+	})
+}
+
+// Guards against conflicts of serving tasks that are far below their target: keeping them apart would only cost packing.
+func TestHarmlessEffectOnServing(t *testing.T) {
+	w := newWorld(decodeSlowsServe)
+	w.repeat(6, func() {
+		for i := range int64(4) {
+			w.poll(fmt.Sprint("b", i), 1, serving(10+i, 0.1), filler(20+i, "decode"))
+			w.poll(fmt.Sprint("a", i), 1, serving(30+i, 0.1))
+		}
+	})
+	require.Empty(t, w.conflicts())
+}
+
+// Guards against conflicts that stay in force after the interference has ended, or after nothing was observed for two minutes, and
+// against ones that end while nothing contradicts them for some seconds because the kinds are kept apart.
+func TestConflictsEnd(t *testing.T) {
+	observe := func(w *world) {
+		for i := range int64(4) {
+			w.poll(fmt.Sprint("b", i), 1, serving(10+i, 0.5), filler(20+i, "decode"))
+			w.poll(fmt.Sprint("a", i), 1, serving(30+i, 0.5))
+		}
+	}
+	w := newWorld(decodeSlowsServe)
+	w.repeat(6, func() { observe(w) })
+	require.NotEmpty(t, w.conflicts())
+	w.now = w.now.Add(15 * time.Second)
+	require.NotEmpty(t, w.conflicts(), "kept apart")
+	w.now = w.now.Add(2 * time.Minute)
+	require.Empty(t, w.conflicts(), "aged")
+	require.Empty(t, w.table.current)
+
+	w = newWorld(decodeSlowsServe)
+	w.repeat(6, func() { observe(w) })
+	w.factors = nil
+	id := int64(100)
+	w.repeat(40, func() {
+		id++
+		for i := range int64(4) {
+			w.poll(fmt.Sprint("b", i), 1, serving(10+i, 0.5), filler(200+i, "decode"))
+			w.poll(fmt.Sprint("a", i), 1, serving(30+i, 0.5))
+		}
+	})
+	require.Empty(t, w.conflicts(), "interference has ended")
+
+	w = newWorld(decodeSlowsServe)
+	w.repeat(6, func() { observe(w) })
+	for i := range 4 {
+		w.table.Forget(fmt.Sprint("b", i))
+	}
+	w.advance()
+	require.Empty(t, w.conflicts(), "workers are gone")
+}
+
+// Guards against a table that grows with the number of runs, workers or kinds, against a rare neighbour whose observations are
+// replaced by those of frequent ones, and against new kinds that are ignored for good when many have been seen before.
+func TestTableIsBounded(t *testing.T) {
+	w := newWorld(decodeSlowsServe)
+	id := int64(0)
+	w.repeat(30, func() {
+		for i := range 300 {
+			id += 2
+			neighbour := filler(id+1, "index")
+			if i < 4 {
+				neighbour = filler(id+1, "decode")
+			} else if i%2 == 0 {
+				neighbour = filler(id+1, fmt.Sprint("image", id))
+			}
+			w.poll(fmt.Sprint("w", i), 1, serving(id, 0.5), neighbour)
+		}
+	})
+	require.Len(t, w.table.kinds, maxKinds)
+	for k := range w.table.kinds {
+		require.LessOrEqual(t, len(w.table.kinds[k].episodes), maxEpisodes)
+	}
+	require.LessOrEqual(t, len(w.table.current), maxEpisodes)
+	require.True(t, w.conflicts()[Pair{"serve", "decode"}])
+	require.Len(t, w.conflicts(), 1)
+	w.now = w.now.Add(maxAge + time.Second)
+	w.poll("w", 1, task(id+10, "new"))
+	require.Contains(t, w.table.slots, "new")
+	require.Len(t, w.table.slots, maxKinds)
+}
+
+// fleet is workers with four tasks each of eight kinds that come and go.
+type fleet struct {
+	*world
+	tasks  [60][4]fleetTask
+	lastID int64
+}
+
+type fleetTask struct {
+	run  Run
+	left int
+}
+
+// round polls all workers once. They differ in speed, and a sixth of them is at fault if faulty is set.
+func (f *fleet) round(faulty bool) {
+	for i := range f.tasks {
+		var runs []Run
+		for k := range f.tasks[i] {
+			s := &f.tasks[i][k]
+			if s.left--; s.left < 0 {
+				f.lastID++
+				level := math.Exp(0.3 * f.random.NormFloat64())
+				if f.random.IntN(33) == 0 {
+					level *= 7
+				}
+				*s = fleetTask{Run{ID: f.lastID, Kind: fmt.Sprint("k", f.random.IntN(8)), Level: level}, 2 + f.random.IntN(8)}
+			}
+			runs = append(runs, s.run)
+		}
+		slowdown := 0.8 + 0.4*float64(i)/float64(len(f.tasks))
+		if faulty && i%6 == 0 {
+			slowdown *= 7
+		}
+		f.poll(fmt.Sprint("w", i), slowdown, runs...)
+	}
+	f.advance()
+}
+
+// Guards against conflicts that are not there, or are missed, on a fleet as in service: tasks of eight images that come and go,
+// tasks that take seven times as long, workers that differ in speed, faults, and two pairs that interfere.
+func TestFleet(t *testing.T) {
+	truth := map[Pair]float64{{"k0", "k1"}: 1.8, {"k2", "k3"}: 2, {"k3", "k2"}: 2}
+	spurious, missed, evaluations := 0, 0, 0
+	for seed := range uint64(4) {
+		f := &fleet{world: newWorld(truth)}
+		f.random = rand.New(rand.NewPCG(seed, 2))
+		for round := range 60 {
+			f.round(round >= 20 && round < 28)
+			conflicts := f.conflicts()
+			if round < 15 {
+				continue
+			}
+			evaluations++
+			right := 0
+			for p := range conflicts {
+				if truth[p] > 0 {
+					right++
+				}
+			}
+			spurious += len(conflicts) - right
+			missed += len(truth) - right
+		}
+	}
+	t.Logf("%d spurious and %d of %d missed conflicts in %d evaluations", spurious, missed, evaluations*len(truth), evaluations)
+	require.LessOrEqual(t, float64(spurious), 0.1*float64(evaluations))
+	require.LessOrEqual(t, float64(missed), 0.1*float64(evaluations*len(truth)))
+}
+
+func BenchmarkEvaluate(b *testing.B) {
+	w := newWorld(decodeSlowsServe)
+	id := int64(0)
+	for range 40 {
+		for i := range 1100 {
+			var runs []Run
+			for range 8 {
+				id++
+				runs = append(runs, Run{ID: id, Kind: fmt.Sprint("k", w.random.IntN(20)), Level: math.Exp(0.3 * w.random.NormFloat64())})
+			}
+			w.table.Observe(w.now, fmt.Sprint("w", i), runs)
+		}
+		w.advance()
+	}
+	for b.Loop() {
+		w.table.evaluate(w.now)
+	}
+}
+
+func BenchmarkObserve(b *testing.B) {
+	w := newWorld(nil)
+	var runs []Run
+	for i := range int64(8) {
+		runs = append(runs, task(i+1, fmt.Sprint("k", i)))
+	}
+	for b.Loop() {
+		w.table.Observe(w.now, "w", runs)
+	}
+}
