Planner: compare racks by conflicts between kinds of work

Cause: workers were ordered by conflicts, racks for a gang were not.

Change: placeInOneRack counts the workers of a gang that run a conflicting kind, after cold workers and speeds and before packing. Without conflicts nothing is compared.

--- a/internal/planner/interference.go
+++ b/internal/planner/interference.go
@@ -22,3 +22,19 @@
 	}
 	return slices.ContainsFunc(w.Kinds, func(kind string) bool { return r.snapshot.Conflicts.between(u.Kind, kind) })
 }
+
+// countConflicts returns the number of workers among the places of a unit, which are next to each other for one worker, that run a
+// kind of work that conflicts with that of the unit.
+func (r *round) countConflicts(u *Unit, places []int) int {
+	if len(r.snapshot.Conflicts) == 0 {
+		return 0
+	}
+	n, previous := 0, -1
+	for _, w := range places {
+		if w != previous && r.conflictsWith(u, &r.snapshot.Workers[w]) {
+			n++
+		}
+		previous = w
+	}
+	return n
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -801,13 +801,13 @@
 }
 
 // placeInOneRack places all tasks in one rack. Of the racks with enough room it chooses one without cold workers, of
-// these one with workers that are fast enough, and of these the one with the fewest free accelerators, which leaves
-// emptier racks for gangs with more tasks. It returns nil if no rack has enough room.
+// these one with workers that are fast enough, of these one with few conflicts, and of these the one with the fewest free
+// accelerators, which leaves emptier racks for gangs with more tasks. It returns nil if no rack has enough room.
 func (r *round) placeInOneRack(u *Unit, free []Resources) []int {
 	var best []int
 	var bestLeft int64
 	var bestSpeed worstSpeed
-	bestCold := false
+	bestCold, bestConflicts := false, 0
 	for _, workers := range r.racks {
 		places := r.placeWithin(u, workers, free)
 		if len(places) != u.Tasks {
@@ -817,9 +817,9 @@
 		for _, w := range workers {
 			left += max(0, free[w].GPU)
 		}
-		speed, cold := r.worstSpeed(u, places), r.anyCold(places)
-		if best == nil || cmp.Or(trueFirst(!cold, !bestCold), speed.compare(bestSpeed), cmp.Compare(left, bestLeft)) < 0 {
-			best, bestLeft, bestSpeed, bestCold = places, left, speed, cold
+		speed, cold, conflicts := r.worstSpeed(u, places), r.anyCold(places), r.countConflicts(u, places)
+		if best == nil || cmp.Or(trueFirst(!cold, !bestCold), speed.compare(bestSpeed), cmp.Compare(conflicts, bestConflicts), cmp.Compare(left, bestLeft)) < 0 {
+			best, bestLeft, bestSpeed, bestCold, bestConflicts = places, left, speed, cold, conflicts
 		}
 	}
 	return best
