plan-replay: kinds of work that slow each other down

Cause: no pattern showed what interference costs and what learning it gains.

Change: classes have a kind, a serving level or the mark of fillers; a pattern lists which kind slows which by what factor.

--- a/internal/planreplay/jobs.go
+++ b/internal/planreplay/jobs.go
@@ -28,6 +28,8 @@
 	heldBackSince         time.Duration
 	done                  int
 	running               int
+	// harmed means that a serving task of the job was harmed.
+	harmed bool
 }
 
 // task is a task of a job.
@@ -42,6 +44,8 @@
 	run   *run
 	// preempted means that an earlier run of the task was preempted.
 	preempted bool
+	// harmed means that it is a serving task that was above its target for harmTime.
+	harmed bool
 }
 
 func (j *job) objective() time.Duration {
@@ -58,9 +62,10 @@
 
 // size returns the work of the job in weighted core-seconds.
 func (j *job) size() float64 {
-	total := 0.0
+	total, need := 0.0, j.need
+	need.CPU = 1000 * j.class.Cores
 	for i := range j.tasks {
-		total += j.need.WorkPerSecond() * j.tasks[i].work.Seconds()
+		total += need.WorkPerSecond() * j.tasks[i].work.Seconds()
 	}
 	return total
 }
@@ -104,7 +109,7 @@
 func newJob(p *Pattern, c *Class, at time.Duration, random *rand.Rand) *job {
 	j := &job{
 		class: c, org: pickOrg(p.Orgs, random), arrivedAt: at,
-		need:       planner.Resources{CPU: 1000 * c.Cores, MemoryMB: c.MemoryMB, GPU: c.GPUs[random.IntN(len(c.GPUs))]},
+		need:       planner.Resources{CPU: c.countedCPU(), MemoryMB: c.MemoryMB, GPU: c.GPUs[random.IntN(len(c.GPUs))]},
 		checkpoint: random.Float64() < c.CheckpointShare,
 	}
 	count := min(c.MaxTasks, max(1, int(math.Round(logNormal(random, c.Tasks, c.TasksSpread)))))
@@ -119,6 +124,14 @@
 	return j
 }
 
+// countedCPU returns what a task takes of the processors of a worker; fillers use what others leave idle.
+func (c *Class) countedCPU() int64 {
+	if c.Filler {
+		return 0
+	}
+	return 1000 * c.Cores
+}
+
 func pickOrg(orgs []Org, random *rand.Rand) int {
 	total := 0.0
 	for _, o := range orgs {
--- a/internal/planreplay/pattern.go
+++ b/internal/planreplay/pattern.go
@@ -37,6 +37,10 @@
 	// Losses are workers that are lost with their runs at the same moment, and Slowdowns workers that are slow.
 	Losses    []Loss     `toml:"losses"`
 	Slowdowns []Slowdown `toml:"slowdowns"`
+	// Interference is the kinds of work that slow each other down on one worker.
+	Interference []Interference `toml:"interference"`
+	// LearnInterference means that the planner is told which kinds conflict, as learned from what polls would show.
+	LearnInterference bool `toml:"learn_interference"`
 }
 
 // Workers describes the fleet.
@@ -93,6 +97,25 @@
 	// Value is what a job of mean work is worth within its objective, LateValue within three times the objective.
 	Value     float64 `toml:"value"`
 	LateValue float64 `toml:"late_value"`
+	// Kind is the kind of work; see Pattern.Interference.
+	Kind string `toml:"kind"`
+	// ServingLevel is the tail of the response times of serving tasks divided by their target, without interference; 0 for
+	// other tasks. A serving task takes as long beside others; it is harmed if it is above its target for 4.5 s, and its job
+	// is then worth no more than a late one.
+	ServingLevel float64 `toml:"serving_level"`
+	// Filler tasks use processor time that others leave idle.
+	Filler bool `toml:"filler"`
+}
+
+// Interference is a kind of work that is Factor times as slow beside another one on the same worker: its work takes as many
+// times as long or, if it is serving, its response times are as many times as long.
+type Interference struct {
+	Victim    string  `toml:"victim"`
+	Neighbour string  `toml:"neighbour"`
+	Factor    float64 `toml:"factor"`
+	// At and Length limit it in time; a Length of 0 means until the end.
+	At     settings.Duration `toml:"at"`
+	Length settings.Duration `toml:"length"`
 }
 
 // Burst multiplies the arrivals of a class, or of all classes.
@@ -156,7 +179,7 @@
 		check(o.Weight > 0 && o.GuaranteedGPU >= 0, fmt.Sprintf("orgs.%d", i), "the weight must be positive, the guarantee not negative")
 	}
 	check(len(p.Classes) > 0, "classes", "at least one is needed")
-	names := map[string]bool{"": true}
+	names, kinds := map[string]bool{"": true}, map[string]bool{}
 	for i := range p.Classes {
 		c := &p.Classes[i]
 		key := "classes." + c.Name
@@ -170,7 +193,10 @@
 		check(c.DurationFactor >= 1 && c.Offset >= 0, key+".duration_factor", "must be at least 1, the offset not negative")
 		check(c.Value >= c.LateValue && c.LateValue >= 0, key+".value", "must be at least late_value")
 		check(c.Priority >= 0, key+".priority", "must not be negative")
+		check(c.ServingLevel >= 0 && c.ServingLevel <= 1 && (c.ServingLevel == 0 || !c.Filler), key+".serving_level", "must be from 0 to 1, and 0 for fillers")
+		kinds[c.Kind] = true
 	}
+	p.checkInterference(check, kinds)
 	for i, b := range p.Bursts {
 		check(names[b.Class] && b.Factor > 0 && b.Length > 0, fmt.Sprintf("bursts.%d", i), "unknown class, or factor or length not positive")
 	}
@@ -182,3 +208,10 @@
 	}
 	return errors.Join(errs...)
 }
+
+func (p *Pattern) checkInterference(check func(ok bool, key, rule string), kinds map[string]bool) {
+	for i, f := range p.Interference {
+		check(f.Victim != "" && f.Neighbour != "" && kinds[f.Victim] && kinds[f.Neighbour] && f.Factor >= 1 && f.At >= 0 && f.Length >= 0,
+			fmt.Sprintf("interference.%d", i), "unknown kind, a factor below 1, or a negative time")
+	}
+}
--- a/internal/planreplay/replay.go
+++ b/internal/planreplay/replay.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/oleanderbend/oleanderbend/internal/interference"
 	"github.com/oleanderbend/oleanderbend/internal/planner"
 )
 
@@ -50,6 +51,15 @@
 	stopping bool
 	endsAt   time.Duration
 	cause    planner.StopCause
+	// interference is by how many times other runs on the worker slow it down; aboveSince is since when a serving run has
+	// been above its target, 0 if it is not.
+	interference float64
+	aboveSince   time.Duration
+	// id identifies the run in polls, 0 before the first. polledAt and polledDone are the time and the work done at the last
+	// poll, pace the work per time between the last two, corrected by the speed of the worker.
+	id                   int64
+	polledAt, polledDone time.Duration
+	pace                 float64
 }
 
 // replay is the state of a replay.
@@ -62,6 +72,7 @@
 	arrived  int
 	active   []*job
 	headroom planner.HeadroomTracker
+	learning interferenceState
 	result   *Result
 }
 
@@ -69,6 +80,7 @@
 func Run(p *Pattern) *Result {
 	random := rand.New(rand.NewPCG(p.Seed, 1))
 	r := &replay{pattern: p, jobs: generate(p, random), result: newResult(p)}
+	r.learning = interferenceState{table: interference.NewTable(), random: rand.New(rand.NewPCG(p.Seed, 2)), medians: make(map[*job]float64)}
 	for i := range p.Workers.Count {
 		w := &worker{id: fmt.Sprintf("w%05d", i), rack: fmt.Sprintf("r%04d", i/p.Workers.PerRack), slowdown: 1, speed: 1, runs: make(map[*run]bool)}
 		if n := len(p.Workers.Speeds); n > 0 {
@@ -87,6 +99,7 @@
 			r.active = append(r.active, r.jobs[r.arrived])
 			r.arrived++
 		}
+		r.pollWorkers()
 		r.plan()
 		r.result.observe(r)
 		r.now += time.Duration(p.Round)
@@ -142,6 +155,7 @@
 		if len(w.runs) > 0 {
 			w.worked += time.Duration(r.pattern.Round)
 		}
+		r.disturb(w)
 		for run := range w.runs {
 			if run.stopping {
 				if r.now >= run.endsAt {
@@ -153,6 +167,9 @@
 			if run.remote {
 				factor *= remoteFactor
 			}
+			if run.task.job.class.ServingLevel == 0 {
+				factor *= run.interference
+			}
 			from := max(run.updatedAt, run.startedAt)
 			run.done += time.Duration(float64(max(0, r.now-from)) / factor)
 			run.updatedAt = r.now
@@ -284,7 +301,7 @@
 		}
 		w := r.workers[places[next]]
 		next++
-		t.run = &run{task: t, worker: w, startedAt: r.now + startTime, updatedAt: r.now, done: t.saved, remote: j.rackLocal && len(racks) > 1}
+		t.run = &run{task: t, worker: w, startedAt: r.now + startTime, updatedAt: r.now, done: t.saved, remote: j.rackLocal && len(racks) > 1, interference: 1}
 		w.runs[t.run] = true
 		j.running++
 	}
@@ -299,6 +316,7 @@
 		s.Workers = append(s.Workers, r.describe(w, used))
 	}
 	s.Headroom = r.headroom.Update(r.now, used)
+	s.Conflicts = r.learning.conflicts
 	var units []*job
 	for _, j := range r.active {
 		waiting := 0
@@ -320,7 +338,7 @@
 		s.Units = append(s.Units, planner.Unit{
 			Service: service, Org: r.pattern.Orgs[j.org].Name, Priority: j.class.Priority, Guaranteed: j.guaranteed, Accepted: int64(j.order), Tasks: waiting, Need: j.need,
 			Timeliness: planner.TimelinessOf(age, j.estimate, j.objective()), Deadline: (j.arrivedAt + j.objective()).Milliseconds(),
-			MinSpeed:   minSpeed,
+			MinSpeed: minSpeed, Kind: j.class.Kind, Serving: j.class.ServingLevel > 0, Filler: j.class.Filler,
 			JobStarted: j.done > 0 || j.running > 0, Checkpointed: j.checkpoint, Gang: j.gang, RackLocal: j.rackLocal,
 			Work:         j.need.WorkPerSecond() * j.estimate.Seconds() * float64(waiting),
 			WaitsForRack: age < planner.RackWait, IgnoresHolds: j.heldBackSince != 0 && r.now-j.heldBackSince >= planner.MaxHeldBack,
@@ -348,6 +366,11 @@
 			d.Releasing = d.Releasing.Add(j.need)
 			continue
 		}
+		d.RunsServing = d.RunsServing || j.class.ServingLevel > 0
+		d.RunsFiller = d.RunsFiller || j.class.Filler
+		if kind := j.class.Kind; kind != "" && !slices.Contains(d.Kinds, kind) {
+			d.Kinds = append(d.Kinds, kind)
+		}
 		members := 1
 		if j.gang {
 			members = len(j.tasks)
--- a/internal/planreplay/replay_test.go
+++ b/internal/planreplay/replay_test.go
@@ -32,7 +32,7 @@
 func TestReplayIsRepeatable(t *testing.T) {
 	files, err := filepath.Glob(filepath.Join("..", "..", "examples", "plan-replay", "*.toml"))
 	require.NoError(t, err)
-	require.Len(t, files, 5)
+	require.Len(t, files, 6)
 	for _, file := range files {
 		results := make([]bytes.Buffer, 2)
 		for i := range results {
@@ -99,12 +99,16 @@
 		{"duration_factor = 2.0", "duration_factor = 0.5"},
 		{"per_second = 1.0", "per_second = -1.0"},
 		{"gpu = 8", "gpu = 8, speeds = [1.0, 0.0]"},
+		{"value = 1.0", "value = 1.0, serving_level = 1.5"},
+		{"value = 1.0", "value = 1.0, serving_level = 0.5, filler = true"},
 	} {
 		_, err := Parse([]byte(strings.Replace(valid, replaced[0], replaced[1], 1)))
 		require.ErrorIs(t, err, ErrInvalid, replaced[1])
 	}
 	_, err = Parse([]byte(valid + "bursts = [{ class = \"x\", at = \"1s\", length = \"1s\", factor = 2.0 }]\n"))
 	require.ErrorContains(t, err, "bursts.0")
+	_, err = Parse([]byte(valid + "interference = [{ victim = \"x\", neighbour = \"c\", factor = 2.0 }]\n"))
+	require.ErrorContains(t, err, "interference.0")
 }
 
 // Guards against stopped runs and lost work without a cause, which would not show where lost work comes from.
--- a/internal/planreplay/result.go
+++ b/internal/planreplay/result.go
@@ -33,6 +33,8 @@
 	// StrandedGPU is the mean share of the accelerators that are idle and that no waiting task can use for lack of
 	// another resource, in rounds with waiting jobs.
 	StrandedGPU float64
+	// Interference is nil if the pattern has none.
+	Interference *InterferenceResult
 
 	pattern    *Pattern
 	totalRound time.Duration
@@ -77,6 +79,9 @@
 	for i := range p.Classes {
 		res.Classes = append(res.Classes, Group{Name: p.Classes[i].Name})
 	}
+	if len(p.Interference) > 0 || p.LearnInterference {
+		res.Interference = &InterferenceResult{}
+	}
 	for i := range p.Orgs {
 		res.Orgs = append(res.Orgs, Group{Name: p.Orgs[i].Name})
 	}
@@ -169,6 +174,9 @@
 		counts[j.class]++
 	}
 	for _, j := range r.jobs {
+		if res.Interference != nil && j.class.ServingLevel > 0 {
+			res.Interference.Serving += len(j.tasks)
+		}
 		// Larger jobs are worth more, up to four times the value of the class.
 		weight := min(4, 0.3+0.7*j.size()*counts[j.class]/sizes[j.class])
 		took := j.endedAt - j.arrivedAt
@@ -182,7 +190,7 @@
 			g.waits = append(g.waits, wait)
 			switch {
 			case j.endedAt == 0 || took > 3*j.objective():
-			case took > j.objective():
+			case took > j.objective() || j.harmed:
 				g.Late++
 				g.earned += weight * j.class.LateValue
 			default:
@@ -260,6 +268,11 @@
 	worst := res.WorstOrg()
 	fmt.Fprintf(out, "worst organisation: %s (value %.3f); late or unfinished jobs: %d; preempted again: %d; late guarantees: %d; stranded accelerators: %.1f %%\n",
 		worst.Name, worst.Value, res.missed(), res.StoppedAgain, res.LateGuarantees, 100*res.StrandedGPU)
+	if res.Interference != nil {
+		if err := res.Interference.write(out); err != nil {
+			return err
+		}
+	}
 	_, err := fmt.Fprintf(out, "%d rounds, %v on average, %v at most\n", res.Rounds, res.MeanRound.Round(time.Microsecond), res.LongestRound.Round(time.Microsecond))
 	return err
 }
