plan-replay: test each rule for patterns with interference

Cause: removing the check of a victim's kind was not detected, because the neighbour in the test was unknown as well.

Measured: each of the checks of kinds and factor is now detected when removed.

--- a/internal/planreplay/replay_test.go
+++ b/internal/planreplay/replay_test.go
@@ -107,8 +107,20 @@
 	}
 	_, err = Parse([]byte(valid + "bursts = [{ class = \"x\", at = \"1s\", length = \"1s\", factor = 2.0 }]\n"))
 	require.ErrorContains(t, err, "bursts.0")
-	_, err = Parse([]byte(valid + "interference = [{ victim = \"x\", neighbour = \"c\", factor = 2.0 }]\n"))
-	require.ErrorContains(t, err, "interference.0")
+	withKind := strings.Replace(valid, `name = "c"`, `name = "c", kind = "k"`, 1)
+	for rule, ok := range map[string]bool{
+		`victim = "k", neighbour = "k", factor = 2.0`: true,
+		`victim = "x", neighbour = "k", factor = 2.0`: false,
+		`victim = "k", neighbour = "c", factor = 2.0`: false,
+		`victim = "k", neighbour = "k", factor = 0.5`: false,
+	} {
+		_, err = Parse([]byte(withKind + "interference = [{ " + rule + " }]\n"))
+		if ok {
+			require.NoError(t, err)
+		} else {
+			require.ErrorContains(t, err, "interference.0", rule)
+		}
+	}
 }
 
 // Guards against stopped runs and lost work without a cause, which would not show where lost work comes from.
