--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -1,9 +1,3 @@
-// Package controller schedules jobs while this instance is the leader: it places waiting tasks on
-// workers, renews the leases of their runs, stores their progress, and takes over the runs of the
-// previous leader.
-//
-// One goroutine owns the whole state of a leadership term. Calls to other systems run in goroutines
-// of their own and pass their results to the owner through a bounded channel.
 package controller
 
 import (
