Return how much longer runs take than their step elsewhere

Interference between tasks needs the level of a run: its pace against the runs of its step on other workers, corrected by the speeds. Compare already computes the reference, so it returns the deviations with it. The speed of a run's worker is taken without the run itself, which would otherwise hide half of its own slowness (1.41 instead of 2 in the test).

TestDeviationIsCorrectedBySpeeds fails with the run's own observation included, without the correction by speeds, and with deviations on workers of unknown speed.

--- a/internal/forecast/speeds.go
+++ b/internal/forecast/speeds.go
@@ -50,6 +50,16 @@
 	scale float64
 	// offset is where the next comparison begins in a long list of paces.
 	offset int
+	// deviations and values are reused by Compare.
+	deviations []Deviation
+	values     []float64
+}
+
+// Deviation is how much longer a run takes than the runs of the same step on other workers.
+type Deviation struct {
+	Run int64
+	// Factor is 1 if the run takes as long as the others, corrected by the speeds of all workers.
+	Factor float64
 }
 
 // NewSpeeds returns speeds that know no worker.
@@ -94,7 +104,10 @@
 
 // Compare updates the speeds with the paces of runs of one step at the given time. Runs that are slow because of where
 // they are, away from their data or spread over racks, must not be among them. Paces of one worker must be next to each other.
-func (s *Speeds) Compare(now boottime.Instant, paces []Pace) {
+//
+// It returns the deviations of the runs on workers whose speed other runs show. They are valid until the next call.
+func (s *Speeds) Compare(now boottime.Instant, paces []Pace) []Deviation {
+	s.deviations = s.deviations[:0]
 	if len(paces) > maxCompared {
 		// Others each time, so that the workers of all tasks become known.
 		s.offset = (s.offset + maxCompared) % len(paces)
@@ -111,6 +124,9 @@
 		if reference == 0 {
 			continue
 		}
+		if speed := s.speedByOthers(p.Worker, p.Run); speed > 0 {
+			s.deviations = append(s.deviations, Deviation{p.Run, p.Duration.Seconds() * speed / reference})
+		}
 		if ratio := reference / p.Duration.Seconds(); ratio >= minRatio && ratio <= maxRatio {
 			// Speeds are kept on the scale of the observations, so that a change of the scale does not shift them.
 			s.add(p.Worker, observation{p.Run, ratio * s.scale, now})
@@ -119,6 +135,26 @@
 			s.drop(p.Worker, p.Run)
 		}
 	}
+	return s.deviations
+}
+
+// speedByOthers returns the speed of a worker without what the given run shows, so that a run that is slower than usual does
+// not count as the usual speed of its worker. It returns 0 if there is no other observation.
+func (s *Speeds) speedByOthers(worker string, run int64) float64 {
+	e := s.workers[worker]
+	if e == nil {
+		return 0
+	}
+	s.values = s.values[:0]
+	for _, o := range e.observations {
+		if o.run != run {
+			s.values = append(s.values, o.speed)
+		}
+	}
+	if len(s.values) == 0 {
+		return 0
+	}
+	return median(s.values) / s.scale
 }
 
 // stepWork is the work of a step as each of its runs shows it.
--- a/internal/forecast/speeds_test.go
+++ b/internal/forecast/speeds_test.go
@@ -144,3 +144,35 @@
 	require.NoError(t, err)
 	require.Empty(t, speeds)
 }
+
+// Guards against a slow worker that counts as a disturbance of its runs, against a disturbed run that hides itself because it is
+// taken for the usual speed of its worker, and against a deviation on a worker whose speed nothing else shows.
+func TestDeviationIsCorrectedBySpeeds(t *testing.T) {
+	s := NewSpeeds()
+	paces := func(first int64, disturbed int) []Pace {
+		var paces []Pace
+		for n := range 6 {
+			seconds := 3 / trueSpeed(n)
+			if n == disturbed {
+				seconds *= 2
+			}
+			paces = append(paces, Pace{fmt.Sprint("w", n), first + int64(n), time.Duration(seconds * float64(time.Second))})
+		}
+		return paces
+	}
+	require.Empty(t, s.Compare(start, paces(1, -1)))
+	s.Summarize(0.7)
+	unseen := Pace{"w9", 20, 9 * time.Second}
+	for range 3 {
+		deviations := s.Compare(start.Add(time.Second), append(paces(11, 3), unseen))
+		require.Len(t, deviations, 6)
+		for n, d := range deviations {
+			expected := 1.0
+			if n == 3 {
+				expected = 2
+			}
+			require.EqualValues(t, 11+n, d.Run)
+			require.InDelta(t, expected, d.Factor, 0.05)
+		}
+	}
+}
