Fake fleet: influence of the tasks of one worker on each other

Tests of interference need tasks that slow each other down, and tail latencies that depend on the neighbours. Halted fillers have no influence. Without an influence the fleet behaves as before.

--- a/internal/worker/workertest/fleet.go
+++ b/internal/worker/workertest/fleet.go
@@ -47,6 +47,15 @@
 	GPU int64
 }
 
+// Influence is how tasks at work on one worker influence each other. Fields may be nil for no influence. The functions are called with
+// the fleet's lock held.
+type Influence struct {
+	// Slowdown returns by what the neighbour multiplies the time of the task's work; 1 for no influence.
+	Slowdown func(id, neighbour batch.TaskID) int
+	// Tail returns the tail latency in milliseconds of a serving task beside the given neighbours, which have no halted task.
+	Tail func(id batch.TaskID, neighbours []batch.TaskID) int64
+}
+
 // Fleet is a set of stand-in workers. It implements worker.Client.
 type Fleet struct {
 	mu      sync.Mutex
@@ -75,6 +84,7 @@
 	starts                 map[batch.TaskID]int
 	// noStartsAfter is from when a start in a zone is a violation, by zone.
 	noStartsAfter map[string]time.Time
+	influence     Influence
 	// violations describes the violated invariants.
 	violations []string
 }
@@ -121,6 +131,8 @@
 	// workDone is set for a gang member that has finished its work and waits for the other members.
 	workDone bool
 	timer    *time.Timer
+	// halted means that the last speed command was 0. It ends the influence on others, not the progress of the run.
+	halted bool
 }
 
 // stopTimer stops the run's pending timer, if there is one.
@@ -318,6 +330,19 @@
 	return 0
 }
 
+// JobsOn returns the number of runs on a worker by job.
+func (f *Fleet) JobsOn(id string) map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	jobs := make(map[string]int)
+	if w := f.workers[id]; w != nil {
+		for task := range w.runs {
+			jobs[task.Job]++
+		}
+	}
+	return jobs
+}
+
 // discardRuns removes all runs without reporting their ends, as when the worker's process ends.
 func (w *standinWorker) discardRuns() {
 	for _, r := range w.runs {
@@ -359,6 +384,36 @@
 	})
 	close(w.changed)
 	w.changed = make(chan struct{})
+	f.updateProgress(w)
+}
+
+// SetInfluence sets how the tasks of one worker influence each other.
+func (f *Fleet) SetInfluence(influence Influence) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.influence = influence
+}
+
+// neighbours returns the other tasks at work beside a run, without halted ones.
+func (w *standinWorker) neighbours(id batch.TaskID) []batch.TaskID {
+	var others []batch.TaskID
+	for other, r := range w.runs {
+		if other != id && r.working && !r.halted {
+			others = append(others, other)
+		}
+	}
+	return others
+}
+
+// slowdownOf returns by what the worker and the neighbours of a run multiply the time of its work.
+func (f *Fleet) slowdownOf(w *standinWorker, id batch.TaskID) time.Duration {
+	slowdown := w.slowdown
+	if f.influence.Slowdown != nil {
+		for _, other := range w.neighbours(id) {
+			slowdown *= time.Duration(f.influence.Slowdown(id, other))
+		}
+	}
+	return slowdown
 }
 
 // deliver executes a command on a worker. If the worker is partitioned or the command is delayed,
@@ -490,6 +545,7 @@
 func (f *Fleet) beginWork(w *standinWorker, id batch.TaskID, r *standinRun) {
 	r.working = true
 	f.resumeWork(w, id, r)
+	f.updateProgress(w)
 }
 
 // resumeWork lets a run work until its end, unless its worker is stalled.
@@ -538,16 +594,16 @@
 
 // SetStalled stops the progress of all runs on a worker, or resumes it.
 func (f *Fleet) SetStalled(id string, stalled bool) {
-	f.changeProgress(id, func(w *standinWorker) { w.stalled = stalled })
+	f.changeWorker(id, func(w *standinWorker) { w.stalled = stalled })
 }
 
 // SetSlowdown makes the work of all runs on a worker take a multiple of its time from now on; 1 is the usual time.
 func (f *Fleet) SetSlowdown(id string, factor int) {
-	f.changeProgress(id, func(w *standinWorker) { w.slowdown = time.Duration(factor) })
+	f.changeWorker(id, func(w *standinWorker) { w.slowdown = time.Duration(factor) })
 }
 
-// changeProgress changes how the runs on a worker progress from now on.
-func (f *Fleet) changeProgress(id string, change func(*standinWorker)) {
+// changeWorker changes how the runs on a worker progress from now on.
+func (f *Fleet) changeWorker(id string, change func(*standinWorker)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w := f.workers[id]
@@ -555,13 +611,22 @@
 		return
 	}
 	change(w)
+	f.updateProgress(w)
+}
+
+// updateProgress lets the runs on a worker progress as the worker and their neighbours determine now.
+func (f *Fleet) updateProgress(w *standinWorker) {
 	for task, r := range w.runs {
+		slowdown := f.slowdownOf(w, task)
+		if r.stalled == w.stalled && r.slowdown == slowdown {
+			continue
+		}
 		working := r.working && !r.workDone
 		if working && !r.stalled {
 			r.workedBefore += time.Since(r.resumedAt) / r.slowdown
 			r.stopTimer()
 		}
-		r.stalled, r.slowdown = w.stalled, w.slowdown
+		r.stalled, r.slowdown = w.stalled, slowdown
 		if working {
 			f.resumeWork(w, task, r)
 		}
@@ -639,12 +704,16 @@
 // CloseConnections implements worker.Client.
 func (f *Fleet) CloseConnections(string) {}
 
-// SetSpeed implements worker.Client. It checks the token and has no other effect.
-func (f *Fleet) SetSpeed(ctx context.Context, to worker.Endpoint, _ worker.Run, _ int, token int64) error {
+// SetSpeed implements worker.Client. It checks the token. Only the speed 0 has an effect; see Influence.
+func (f *Fleet) SetSpeed(ctx context.Context, to worker.Endpoint, run worker.Run, percent int, token int64) error {
 	return f.deliver(ctx, to, func(w *standinWorker) error {
 		if !w.acceptToken(token) {
 			return rejected(worker.RejectedStaleToken)
 		}
+		if r := w.runs[run.Task]; r != nil && r.number == run.Number {
+			r.halted = percent == 0
+			f.updateProgress(w)
+		}
 		return nil
 	})
 }
@@ -672,7 +741,7 @@
 	}
 	var response worker.PollResponse
 	err = f.deliver(ctx, to, func(w *standinWorker) error {
-		response = w.pollResponse()
+		response = f.pollResponse(w)
 		return nil
 	})
 	if err != nil {
@@ -699,12 +768,16 @@
 	w.ends = slices.Clone(remaining)
 }
 
-func (w *standinWorker) pollResponse() worker.PollResponse {
+func (f *Fleet) pollResponse(w *standinWorker) worker.PollResponse {
 	response := worker.PollResponse{ClockMS: w.clockMS(), StartedAtMS: w.info.StartedAtMS}
 	response.Ended = slices.Clone(w.ends[:min(len(w.ends), maxEndsPerResponse)])
 	response.EndsTruncated = len(response.Ended) == maxEndsPerResponse
 	for id, r := range w.runs {
-		response.Running = append(response.Running, worker.RunStatus{Run: worker.Run{Task: id, Number: r.number}, Percent: r.progressPercent()})
+		status := worker.RunStatus{Run: worker.Run{Task: id, Number: r.number}, Percent: r.progressPercent()}
+		if f.influence.Tail != nil {
+			status.Usage = f.influence.Tail(id, w.neighbours(id))
+		}
+		response.Running = append(response.Running, status)
 	}
 	return response
 }
