Turn polls into observations of interference, and conflicts into placements

Some tasks slow each other down on one worker, which no capacity figure shows. The leader passes what each poll shows to one table per service (pool of workers), and gives the conflicts to the planner. Runs that are slow for other reasons have no level, and a poll that came late is no observation. A long halt of fillers counts as observed beside them, because it hides their effect. The state is not stored.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -231,7 +231,11 @@
 			fmt.Fprintf(w, "  minimum share of priority %d: %d accelerators unused%s\n", priority, s.ShareLeft, within)
 		}
 		fmt.Fprintf(w, "  accelerators: %d free, %d kept for priority 0\n", s.FreeGPU, s.Headroom)
-		fmt.Fprintf(w, "  workers: %d of %d can take a task%s\n", s.Able, s.Workers, obstacleList(s.Obstacles))
+		conflicting := ""
+		if s.Conflicting > 0 {
+			conflicting = fmt.Sprintf(", %d of them less preferred because of a conflict with what runs there", s.Conflicting)
+		}
+		fmt.Fprintf(w, "  workers: %d of %d can take a task%s%s\n", s.Able, s.Workers, conflicting, obstacleList(s.Obstacles))
 	}
 	if s.Starts > 0 {
 		places := make([]string, len(s.Places))
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -110,6 +110,8 @@
 	waiting  map[planner.WaitReason]*metrics.Gauge
 	losses   lossMetrics
 	stranded strandedMetrics
+	// conflicts counts the pairs of kinds of work that are kept apart.
+	conflicts conflictMetrics
 }
 
 // New returns a controller. Lead runs it for one leadership term.
@@ -139,6 +141,7 @@
 			waiting:         newWaitGauges(set),
 			losses:          newLossMetrics(set),
 			stranded:        newStrandedMetrics(set),
+			conflicts:       newConflictMetrics(set),
 		},
 	}
 }
@@ -184,6 +187,7 @@
 	c.setLeading(true)
 	defer c.setLeading(false)
 	defer c.metrics.setWaiting(nil)
+	defer c.metrics.conflicts.inForce.Set(0)
 	// The state in memory may be inconsistent after a panic. The next term begins with what is stored.
 	defer func() {
 		if p := recover(); p != nil {
--- a/internal/controller/explain.go
+++ b/internal/controller/explain.go
@@ -121,6 +121,9 @@
 	Workers   int            `json:"workers"`
 	Able      int            `json:"able"`
 	Obstacles map[string]int `json:"obstacles,omitempty"`
+	// Conflicting is the number of able workers that are less preferred because they run a kind of work that conflicts
+	// with that of the step.
+	Conflicting int `json:"conflicting,omitempty"`
 	// Starts is the number of tasks that start now, on StartsOn workers, of which Places lists at most 16.
 	Starts   int     `json:"starts"`
 	StartsOn int     `json:"startsOn"`
@@ -376,6 +379,7 @@
 	e.UsesMinShare, e.ShareLeft = planned.UsesMinShare, planned.ShareLeft
 	e.Headroom, e.FreeGPU = planned.Headroom, planned.FreeGPU
 	e.Workers, e.Able, e.Stops = planned.Workers.Total, planned.Workers.Able, planned.Stops
+	e.Conflicting = planned.Workers.Conflicting
 	e.Obstacles = make(map[string]int, len(planned.Workers.Obstacles))
 	for obstacle, n := range planned.Workers.Obstacles {
 		e.Obstacles[obstacle.String()] = n
--- a/internal/controller/forecast.go
+++ b/internal/controller/forecast.go
@@ -77,6 +77,7 @@
 		if r == nil || r.remote || r.state != running {
 			continue
 		}
+		r.wasCold = r.wasCold || now < r.worker.coldUntil
 		if r.paceDistorted = r.paceDistorted || now < r.worker.slowUntil; r.paceDistorted {
 			continue
 		}
@@ -86,7 +87,7 @@
 	}
 	if len(paces) > 1 {
 		slices.SortFunc(paces, func(a, b forecast.Pace) int { return cmp.Compare(a.Worker, b.Worker) })
-		l.speedsOf(service).Compare(now, paces)
+		u.setLevels(l.speedsOf(service).Compare(now, paces))
 	}
 }
 
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -81,6 +81,8 @@
 	advice     advice
 	// comparedAt is when the paces of the unit's runs were last compared.
 	comparedAt boottime.Instant
+	// completedRuns is the number of runs that have completed their work in this term.
+	completedRuns int
 	// slowRestarts counts the restarts of tasks because of slow workers.
 	slowRestarts int
 	// heldBackSince is since when the unit has been held back (planner.Wait.HeldBack) in all planning rounds
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -106,6 +106,7 @@
 	adviceInFlight, adviceByAge bool
 	maintenance                 *maintenanceState
 	evacuation                  evacuationState
+	interference                interferenceState
 }
 
 func newLeader(ctx context.Context, c *Controller, cancel context.CancelFunc, term election.Term) *leader {
@@ -113,8 +114,8 @@
 		c: c, ctx: ctx, cancel: cancel, term: term, logger: c.cfg.Logger,
 		inbox: make(chan func(), inboxCapacity),
 		jobs:  make(map[string]*job), workers: make(map[string]*workerState), skippedEntries: make(map[string]string),
-		maintenance: newMaintenanceState(),
-		speeds:      make(map[string]*serviceSpeeds), storedSpeeds: make(map[string]forecast.StoredSpeed),
+		maintenance: newMaintenanceState(), interference: interferenceState{services: make(map[string]*serviceInterference)},
+		speeds: make(map[string]*serviceSpeeds), storedSpeeds: make(map[string]forecast.StoredSpeed),
 	}
 	l.taskWriter = l.newWriter(batch.TasksTopic)
 	l.jobWriter = l.newWriter(batch.JobsTopic)
@@ -329,6 +330,7 @@
 	l.extendLeasesOnce(now)
 	l.logRounds(now)
 	l.updateSlowWorkers(now)
+	l.updateConflicts(now)
 	l.createAllDueOccurrences()
 	l.checkWaves()
 	l.requestAdvice()
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -103,7 +103,7 @@
 
 // describeWorkers returns a snapshot that has only the workers, and the workers that its indices refer to.
 func (l *leader) describeWorkers(now boottime.Instant) (planner.Snapshot, []*workerState) {
-	var s planner.Snapshot
+	s := planner.Snapshot{Conflicts: l.interference.conflicts}
 	ids := slices.Sorted(maps.Keys(l.workers))
 	closed := l.closedByEvacuation(now)
 	workers := make([]*workerState, 0, len(ids))
@@ -200,6 +200,7 @@
 			Org: r.task.unit.job.spec.Org, Preempted: r.task.preempted,
 		})
 	}
+	l.addConflictKinds(&w, ws)
 	return w
 }
 
@@ -241,6 +242,7 @@
 		WaitsForRack: now.Sub(u.waitingSince(now)) < planner.RackWait,
 		IgnoresHolds: u.heldBackSince != 0 && now.Sub(u.heldBackSince) >= planner.MaxHeldBack,
 	}
+	d.Kind = l.conflictKind(d.Service, u.kind())
 	d.JobStarted = u.job.occurrenceStarted(u.occurrence)
 	l.setTimeliness(&d, u, now)
 	if u.step.MaxPerWorker > 0 {
@@ -457,7 +459,7 @@
 	var runs []*run
 	var records []ledger.Record
 	racks := make(map[string]bool)
-	slowest, unknown := 0.0, 0
+	slowest, unknown, beside := 0.0, 0, 0
 	for _, t := range u.tasks {
 		if len(runs) == len(workerIndices) {
 			break
@@ -470,6 +472,9 @@
 			n = gangRun
 		}
 		ws := workers[workerIndices[len(runs)]]
+		if l.besideConflict(u, ws) {
+			beside++
+		}
 		r, record := l.placeTask(t, ws, n, u.advice.ticket(ws.id), d.Guaranteed)
 		runs = append(runs, r)
 		records = append(records, record)
@@ -484,11 +489,12 @@
 	for _, r := range runs {
 		r.remote = (u.step.DataRack != "" && u.step.DataRack != r.worker.info.Rack) || (u.step.RackLocal && len(racks) > 1)
 	}
+	l.c.metrics.conflicts.placements.Add(beside)
 	l.c.metrics.startDelay.Update(boottime.Since(u.readySince).Seconds())
 	l.logger.Info().Str("step", u.tasks[0].id.StepName()).Int("tasks", len(runs)).Int64("run", gangRun).
 		Bool("entitled", d.Guaranteed).Dur("waited", boottime.Since(u.readySince)).Int("priority", d.Priority).
 		Int64("estimate", u.step.EstimateMS).Int("racks", len(racks)).Float64("min_speed", d.MinSpeed).Float64("slowest", slowest).
-		Int("unknown_speeds", unknown).Msg("step placed")
+		Int("unknown_speeds", unknown).Int("beside_conflict", beside).Msg("step placed")
 	l.storeTasks(records, func() {
 		for _, r := range runs {
 			l.sendStart(r)
--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -180,6 +180,7 @@
 	}
 	l.applyEnds(ws, response.Ended)
 	l.applyRunning(ws, sent, response)
+	l.observeInterference(ws, boottime.Now(), ws.showsPresent(boottime.Since(sent), &command, &response))
 	l.restartStalled(ws)
 	l.leaveSlowWorker(ws)
 	l.adjustFillerSpeeds(ws)
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -134,6 +134,7 @@
 		Int64("through", ws.processedEnd).Msg("worker forgotten")
 	delete(l.workers, ws.id)
 	l.forgetSpeed(ws.id)
+	l.forgetInterference(ws)
 	l.c.cfg.Workers.CloseConnections(ws.address)
 }
 
@@ -154,6 +155,7 @@
 	// The new incarnation may run on another machine.
 	l.forgetSpeed(ws.id)
 	ws.speed, ws.slowUntil = progress.Speed{}, 0
+	l.forgetInterference(ws)
 	// The clock of the new incarnation is not known; 0 is a lower bound. Workers accept no lease
 	// longer than MaxLease, so all leases accepted until now have expired once the clock has
 	// advanced by MaxLease.
@@ -167,7 +169,7 @@
 	l.stopUnconfirmedStarts(ws)
 	for _, r := range ws.runs {
 		// The pace of a run of the earlier incarnation says nothing of the new one.
-		r.clocked, r.sampled = progress.Clocked{}, false
+		r.clocked, r.sampled, r.level = progress.Clocked{}, false, 0
 	}
 	// Runs that match no case need no change: a command will be repeated, or the next poll decides whether
 	// they are adopted.
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -119,6 +119,22 @@
 	usage int64
 	// speed is the speed last set for the run, as a percentage of its full speed, or unknownSpeed.
 	speed int
+	// haltedSince is when the run was halted, 0 if it is not.
+	haltedSince boottime.Instant
+	// level is how much longer the run takes than the others of its step, by the last comparison that is not observed yet; 0 if
+	// there is none. See takeLevel.
+	level float64
+	// completedBefore is the value of unit.completedRuns when the run was placed or taken over.
+	completedBefore int
+	// wasCold means that the worker was cold while the run was there.
+	wasCold bool
+	// levelBesideFillers is the highest level of a serving run since the fillers beside it last had their full speed,
+	// haltObservedAt when it last counted for an observation. See servingLevel.
+	levelBesideFillers float64
+	haltObservedAt     boottime.Instant
+	// overTargetSince is since when the latency of a serving run is above its target, 0 if it is not. overTargetLogged is when
+	// that was last logged, 0 if it was not.
+	overTargetSince, overTargetLogged boottime.Instant
 }
 
 func (r *run) runID() worker.Run { return worker.Run{Task: r.task.id, Number: r.number} }
@@ -139,6 +155,7 @@
 	t.rec.Run, t.rec.Worker, t.rec.Address, t.rec.WorkerStartedAtMS = number, ws.id, ws.address, ws.startedAtMS
 	t.rec.Checkpoint = t.resumeCheckpoint()
 	r.paceDistorted = t.rec.Checkpoint != ""
+	r.wasCold, r.completedBefore = now < ws.coldUntil, t.unit.completedRuns
 	return r, l.taskRecord(t)
 }
 
@@ -449,6 +466,7 @@
 	switch kind {
 	case worker.EndDone:
 		l.c.metrics.runsDone.Inc()
+		u.completedRuns++
 		clear(ws.failedJobs)
 		l.recordDuration(r)
 		if u.step.LongRunning {
--- a/internal/controller/speed.go
+++ b/internal/controller/speed.go
@@ -1,6 +1,10 @@
 package controller
 
-import "context"
+import (
+	"context"
+
+	"github.com/oleanderbend/oleanderbend/internal/boottime"
+)
 
 const (
 	// fullSpeed is the speed of a run without a limit, in percent.
@@ -71,13 +75,19 @@
 	}
 	l.logger.Info().Str("task", r.task.id.String()).Str("worker", r.worker.id).Int("from", r.speed).Int("to", percent).
 		Msg("setting filler speed")
+	switch {
+	case percent > 0:
+		r.haltedSince = 0
+	case r.haltedSince == 0:
+		r.haltedSince = boottime.Now()
+	}
 	r.speed = percent
 	target, runID, token := r.target(), r.runID(), l.term.Epoch
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, commandTimeout)
 		defer cancel()
 		if err := l.c.cfg.Workers.SetSpeed(ctx, target, runID, percent, token); err != nil {
-			l.post(func() { r.speed = unknownSpeed })
+			l.post(func() { r.speed, r.haltedSince = unknownSpeed, 0 })
 			l.logger.Warn().Err(err).Str("task", runID.Task.String()).Msg("setting filler speed failed")
 		}
 	}()
--- a/internal/controller/workerstate.go
+++ b/internal/controller/workerstate.go
@@ -74,6 +74,9 @@
 	failedJobs map[string]bool
 	// coldUntil is until when the worker is slow because it has started lately, 0 if it is not.
 	coldUntil boottime.Instant
+	// workingKinds are the kinds of work that work on the worker as of its last poll, workingSince since when.
+	workingKinds []string
+	workingSince boottime.Instant
 	// heartbeatAt is an instant before the last update of the registry entry, 0 if not known; shutdownAt is when
 	// a draining worker may have shut down.
 	heartbeatAt, shutdownAt boottime.Instant
--- a/internal/planner/explain.go
+++ b/internal/planner/explain.go
@@ -101,6 +101,9 @@
 	Total int
 	// Able is the number of workers with room for a task.
 	Able int
+	// Conflicting is the number of those among them that are less preferred because they run a kind of work that conflicts with
+	// that of the unit.
+	Conflicting int
 	// Obstacles is the number of other workers by the first reason that applies.
 	Obstacles map[Obstacle]int
 	// LargeEnough is the number of workers of the service with the required label on which a task would fit if they ran
@@ -127,6 +130,9 @@
 		}
 		if obstacle == noObstacle {
 			counts.Able++
+			if r.conflictsWith(u, w) {
+				counts.Conflicting++
+			}
 		} else {
 			counts.Obstacles[obstacle]++
 		}
