--- a/internal/planner/explain_test.go
+++ b/internal/planner/explain_test.go
@@ -7,7 +7,7 @@
 )
 
 // Guards against counts of workers that differ from the planner's own decision: each obstacle is counted once, and the
-// workers that are able to take a task are those on which tasks start.
+// workers that are able to take a task are those on which tasks start, with or without a conflict.
 func TestExplanationCountsWorkersByObstacle(t *testing.T) {
 	workers := makeWorkers(9, 3)
 	workers[0].Service = "other"
@@ -33,6 +33,13 @@
 	require.Equal(t, 1, e.Ahead)
 	require.Equal(t, 2, e.Waiting)
 
+	s.Conflicts = Conflicts{{Victim: "a", Neighbour: "b"}: true}
+	s.Units[0].Kind = "a"
+	s.Workers[7].Kinds, s.Workers[6].Kinds = []string{"b"}, []string{"b"}
+	e = Explain(s, []int{0})[0]
+	require.Equal(t, []int{2, 1}, []int{e.Workers.Able, e.Workers.Conflicting})
+	require.False(t, e.Waits)
+
 	s.Workers[4].AcceptsWork = false
 	e = Explain(s, []int{0})[0]
 	require.Equal(t, 1, e.Workers.Obstacles[TakenAhead])
