--- a/internal/controller/interference.go
+++ b/internal/controller/interference.go
@@ -428,11 +428,12 @@
 
 // addConflictKinds adds the kinds of work with conflicts that run on a worker to its description. Without conflicts it costs nothing.
 func (l *leader) addConflictKinds(w *planner.Worker, ws *workerState) {
-	if len(l.interference.conflicts) == 0 {
+	s := l.interference.services[ws.info.Service]
+	if s == nil || len(s.names) == 0 {
 		return
 	}
 	for _, r := range ws.runs {
-		if kind := l.conflictKind(ws.info.Service, r.task.unit.kind()); kind != "" && r.state != stopping && !slices.Contains(w.Kinds, kind) {
+		if kind := s.names[r.task.unit.kind()]; kind != "" && r.state != stopping && !slices.Contains(w.Kinds, kind) {
 			w.Kinds = append(w.Kinds, kind)
 		}
 	}
