--- a/internal/controller/interference.go
+++ b/internal/controller/interference.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// conflictInterval is the time between two evaluations of the tables of interference. Interference changes within
-	// seconds, and a poll of each worker brings new observations about once a second.
-	conflictInterval = 500 * time.Millisecond
+	// conflictInterval is the time between two evaluations of the tables of interference. A table evaluates each kind of work
+	// once a second, so each evaluation takes a tenth of that work.
+	conflictInterval = 100 * time.Millisecond
 	// usageWindow is the time that RunStatus.Usage covers. A figure that covers a change of the worker's runs says
 	// nothing about the kinds that run there now.
 	usageWindow = 500 * time.Millisecond
