Count the error of the reference in the certainty of interference

Cause: the standard error of an effect came from the workers beside the neighbour only.

Change: the weight of the episodes without the neighbour counts as well.

--- a/internal/interference/evaluate.go
+++ b/internal/interference/evaluate.go
@@ -63,6 +63,8 @@
 	serving bool
 	// blamed is the set of neighbours that have been found. Episodes beside them show nothing of others.
 	blamed uint64
+	// references is the weight of the episodes that compare has found without the neighbour.
+	references float64
 	// besideWorkers is the number of workers on which collectUnits has found the neighbour. The other fields are scratch space.
 	besideWorkers     int
 	perRun, perWorker []weightedSum
@@ -282,7 +284,8 @@
 		return evidence, 0
 	}
 	deviation := max(minDeviation, robustFactor*median(ev.values), ev.noise(bit))
-	certainty := effect / deviation * math.Sqrt(total)
+	// The references have an error of their own, which all units share.
+	certainty := effect / deviation / math.Sqrt(1/total+1/ev.references)
 	switch {
 	case inForce && certainty >= endCertainty:
 		return evidence, certainty
@@ -356,6 +359,7 @@
 	if beside.weight == 0 || !known {
 		return evidence, false
 	}
+	ev.references = without.weight
 	evidence.Beside, evidence.Without = math.Exp(beside.sum/beside.weight), math.Exp(without.sum/without.weight)
 	for i := range ev.samples {
 		s := &ev.samples[i]
