Keep explanations from changing when a zone returned to service

closedByEvacuation dropped the entry of a zone that is fully used again, and explanations call it too. The leader now drops these entries when it applies the operator's records; closedByEvacuation changes nothing.

--- a/internal/controller/evacuation.go
+++ b/internal/controller/evacuation.go
@@ -30,6 +30,7 @@
 func (l *leader) updateEvacuations() bool {
 	fresh := l.applyEvacuations(l.c.cfg.Evacuations())
 	l.stopInEvacuatedZones()
+	l.dropReturnedZones(boottime.Now())
 	return fresh
 }
 
@@ -196,9 +197,33 @@
 	return ws.leastClockMS + int64(float64(passed.Milliseconds())*(1-maxClockDrift))
 }
 
+// unknownZoneRetention is how long a zone without registered workers counts as just returned to service. Its workers may
+// not have registered yet.
+const unknownZoneRetention = time.Minute
+
+// dropReturnedZones forgets the return of zones whose workers are all used again.
+func (l *leader) dropReturnedZones(now boottime.Instant) {
+	returnedAt := l.evacuation.returnedAt
+	if len(returnedAt) == 0 {
+		return
+	}
+	workers := make(map[string]int)
+	for _, ws := range l.workers {
+		if ws.registered {
+			workers[ws.info.Zone]++
+		}
+	}
+	for zone, at := range returnedAt {
+		n, since := workers[zone], now.Sub(at)
+		if evacuation.Admitted(n, since) >= n && (n > 0 || since > unknownZoneRetention) {
+			delete(returnedAt, zone)
+		}
+	}
+}
+
 // closedByEvacuation returns the workers that get no work because their zone is evacuated, or has returned to service so
 // lately that only a part of its workers is used. Of the workers of such a zone, those that are not cold are used first, and
-// then whole racks.
+// then whole racks. It changes no state: explanations call it as well.
 func (l *leader) closedByEvacuation(now boottime.Instant) map[*workerState]bool {
 	s := &l.evacuation
 	if len(s.zones) == 0 && len(s.returnedAt) == 0 {
@@ -217,9 +242,6 @@
 		workers := returned[zone]
 		admitted := evacuation.Admitted(len(workers), now.Sub(at))
 		if admitted >= len(workers) {
-			if len(workers) > 0 || now.Sub(at) > time.Minute {
-				delete(s.returnedAt, zone)
-			}
 			continue
 		}
 		slices.SortFunc(workers, func(a, b *workerState) int {
--- a/internal/controller/explain_test.go
+++ b/internal/controller/explain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -139,8 +140,8 @@
 	})
 }
 
-// Guards against an explanation that changes what later planning rounds see: when a step began to wait, the headroom and the
-// guarantees of runs.
+// Guards against an explanation that changes what later planning rounds see: when a step began to wait, the headroom, the
+// guarantees of runs, and which zones have returned to service.
 func TestExplanationLeavesStateOfLeader(t *testing.T) {
 	inVirtualTime(t, 1, fixedWork(time.Minute), func(c *cluster) {
 		c.startInstance("a")
@@ -152,19 +153,22 @@
 		l := c.instances[0].control.currentLeader()
 		done := make(chan struct{})
 		var before, after []any
+		returned := -1
 		var v *explainView
 		var err error
 		l.post(func() {
 			defer close(done)
 			waiting := l.jobs[jobID(2)].units[0]
 			waiting.readySince, l.planDue = 0, false
+			// A zone that has been back for long: the next update drops the entry.
+			l.evacuation.returnedAt = map[string]boottime.Instant{"gone": boottime.Now().Add(-2 * time.Minute)}
 			for _, ws := range l.workers {
 				for _, r := range ws.runs {
 					r.guaranteed = !r.guaranteed
 				}
 			}
 			state := func() []any {
-				values := []any{waiting.readySince, waiting.loggedWait, waiting.heldBackSince, l.planDue, l.nextUnitID, len(l.jobs), l.peaks.Clone()}
+				values := []any{waiting.readySince, waiting.loggedWait, waiting.heldBackSince, l.planDue, l.nextUnitID, len(l.jobs), l.peaks.Clone(), maps.Clone(l.evacuation.returnedAt)}
 				for _, ws := range l.workers {
 					for _, r := range ws.runs {
 						values = append(values, r.guaranteed)
@@ -177,11 +181,14 @@
 				v.explain()
 			}
 			after = state()
+			l.updateEvacuations()
+			returned = len(l.evacuation.returnedAt)
 		})
 		<-done
 		require.NoError(t, err)
 		require.Equal(t, 2, v.explanation.Steps[0].Waiting)
-		require.Len(t, before, 8)
+		require.Len(t, before, 9)
 		require.Equal(t, before, after)
+		require.Zero(t, returned, "the leader itself drops the entry")
 	})
 }
