Read the stored speeds although the term is briefly invalid

restoreSpeeds gave up without a log line if the term was not valid when a read failed, although a late renewal makes it valid again. It now goes on until the context of the term ends, and logs that case. TestStoredSpeedsAreReadWhileTermIsInvalid failed on the code before.

--- a/internal/controller/forecast.go
+++ b/internal/controller/forecast.go
@@ -166,15 +166,21 @@
 	})
 }
 
-// restoreSpeeds reads the speeds that earlier leaders have stored, in the background. Without them the speeds are learned anew.
+// restoreSpeeds reads the speeds that earlier leaders have stored, in the background, until the context of the term ends.
+// Without them the speeds are learned anew. Reading changes nothing, so it goes on while a renewal of the term is late.
 func (l *leader) restoreSpeeds() {
 	scan := ledger.NewScan(l.c.cfg.Log, forecast.Topic)
-	for done := false; !done; {
-		var err error
-		if done, err = scan.Step(l.ctx); err != nil {
-			if l.waitBeforeRetry(err) != nil {
-				return
-			}
+	for {
+		done, err := scan.Step(l.ctx)
+		if done {
+			break
+		}
+		if err != nil {
+			boottime.Sleep(l.ctx, takeoverRetryInterval)
+		}
+		if l.ctx.Err() != nil {
+			l.logger.Info().Err(err).Int64("epoch", l.term.Epoch).Msg("stored speeds of workers not read before the end of the term")
+			return
 		}
 	}
 	l.post(func() { l.applyStoredSpeeds(scan.Entries) })
--- a/internal/controller/forecast_test.go
+++ b/internal/controller/forecast_test.go
@@ -1,14 +1,18 @@
 package controller
 
 import (
+	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/stretchr/testify/require"
 
 	"github.com/oleanderbend/oleanderbend/internal/batch"
 	"github.com/oleanderbend/oleanderbend/internal/forecast"
+	"github.com/oleanderbend/oleanderbend/internal/ledger"
 	"github.com/oleanderbend/oleanderbend/internal/opconfig"
 	"github.com/oleanderbend/oleanderbend/internal/worker/workertest"
 )
@@ -61,3 +65,39 @@
 		require.Empty(t, c.fleet.Violations())
 	})
 }
+
+// failingLatest is a log whose first reads of the latest records of the stored speeds fail.
+type failingLatest struct {
+	ledger.Log
+	failures atomic.Int32
+}
+
+func (f *failingLatest) Latest(ctx context.Context, topic, after string) (ledger.LatestPage, error) {
+	if topic == forecast.Topic && f.failures.Add(-1) >= 0 {
+		return ledger.LatestPage{}, eris.Wrap(ledger.ErrUnavailable, "down")
+	}
+	return f.Log.Latest(ctx, topic, after)
+}
+
+// Guards against a leader that gives up reading the stored speeds, without a log line, because its term is not valid when a read
+// fails: the term is valid again once the response to a late renewal arrives.
+func TestStoredSpeedsAreReadWhileTermIsInvalid(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(time.Second), func(c *cluster) {
+		flaky := &failingLatest{Log: c.log.Client()}
+		a := c.startInstance("a")
+		time.Sleep(5 * time.Second)
+		former := a.control.currentLeader()
+		a.log.SetDown(true)
+		time.Sleep(5 * time.Second)
+		require.False(t, former.term.Valid())
+		cfg := former.c.cfg
+		cfg.Log = flaky
+		flaky.failures.Store(3)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		l := newLeader(ctx, &Controller{cfg: cfg}, cancel, former.term)
+		go l.restoreSpeeds()
+		time.Sleep(time.Second)
+		require.Len(t, l.inbox, 1)
+	})
+}
