Count only paces that show the speed of a worker, and only recent stored speeds

- A cold worker is slow for a while, so the paces of runs that were placed or compared while it was cold do not count.
- The pace of a gang member counted from its own start, with the wait for the other members.
It counts from when the starts of all members are confirmed.
- Stored speeds carry the time of their last observation by the worker's clock and are not restored after two minutes.
- The next leader removes the records of a longer earlier list, once.

--- a/internal/controller/forecast.go
+++ b/internal/controller/forecast.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/oleanderbend/oleanderbend/internal/batch"
@@ -44,7 +43,7 @@
 	// placement takes speeds into account.
 	uneven   bool
 	storedAt boottime.Instant
-	// storedRecords is the number of records of the last store.
+	// storedRecords is the number of records that may be in the topic, also those of earlier leaders.
 	storedRecords int
 	// storing means that a store has not ended yet.
 	storing bool
@@ -74,10 +73,11 @@
 	var paces []forecast.Pace
 	for _, t := range u.tasks {
 		r := t.run
-		if r == nil || r.remote || r.state != running {
+		// Without a registry entry it is not known whether the worker is cold.
+		if r == nil || r.remote || r.state != running || !r.worker.registered {
 			continue
 		}
-		if r.paceDistorted = r.paceDistorted || now < r.worker.slowUntil; r.paceDistorted {
+		if r.paceDistorted = r.paceDistorted || now < r.worker.slowUntil || now < r.worker.coldUntil; r.paceDistorted {
 			continue
 		}
 		if d, ok := r.clocked.Pace(); ok {
@@ -140,29 +140,37 @@
 	if s.storing {
 		return
 	}
-	records, err := s.Encode(service, func(id string) (int64, bool) {
+	records, err := s.Encode(service, now, func(id string) (forecast.Incarnation, bool) {
 		ws := l.workers[id]
 		if ws == nil || !ws.registered {
-			return 0, false
+			return forecast.Incarnation{}, false
 		}
-		return ws.startedAtMS, true
+		return forecast.Incarnation{StartedAtMS: ws.startedAtMS, ClockMS: ws.leastClock(now)}, true
 	})
 	if err != nil {
 		l.logger.Error().Err(err).Str("service", service).Msg("speeds of workers cannot be encoded")
 		return
 	}
-	for n := len(records); n < s.storedRecords; n++ {
-		records = append(records, ledger.Record{Key: service + "/" + strconv.Itoa(n)})
+	used := len(records)
+	for n := used; n < s.storedRecords; n++ {
+		records = append(records, ledger.Record{Key: forecast.RecordKey(service, n)})
 	}
-	s.storedRecords = len(records)
-	if len(records) == 0 {
+	written := len(records)
+	s.storedRecords = written
+	if written == 0 {
 		return
 	}
 	s.storing = l.speedWriter.Enqueue(records, func(err error) {
 		if err != nil {
 			l.logger.Warn().Err(err).Str("service", service).Msg("speeds of workers not stored")
 		}
-		l.post(func() { s.storing = false })
+		l.post(func() {
+			s.storing = false
+			// The records of earlier leaders may have been read in the meantime.
+			if err == nil && s.storedRecords == written {
+				s.storedRecords = used
+			}
+		})
 	})
 }
 
@@ -190,6 +198,11 @@
 	now := boottime.Now()
 	restored := 0
 	for _, entry := range entries {
+		if service, n, ok := forecast.ParseRecordKey(entry.Key); ok {
+			// The next store removes the records that it does not replace.
+			s := l.speedsOf(service)
+			s.storedRecords = max(s.storedRecords, n+1)
+		}
 		speeds, err := forecast.Decode(entry.Record)
 		if err != nil {
 			l.logger.Warn().Err(err).Msg("skipping stored speeds")
@@ -216,7 +229,8 @@
 		return
 	}
 	if s.StartedAtMS == ws.startedAtMS && s.Service == ws.info.Service {
-		l.speedsOf(s.Service).Restore(now, ws.id, s.Speed)
+		age := time.Duration(ws.leastClock(now)-s.ObservedMS) * time.Millisecond
+		l.speedsOf(s.Service).Restore(now, ws.id, s.Speed, age)
 	}
 	delete(l.storedSpeeds, ws.id)
 }
--- a/internal/controller/forecast_test.go
+++ b/internal/controller/forecast_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/oleanderbend/oleanderbend/internal/batch"
+	"github.com/oleanderbend/oleanderbend/internal/boottime"
 	"github.com/oleanderbend/oleanderbend/internal/forecast"
 	"github.com/oleanderbend/oleanderbend/internal/ledger"
 	"github.com/oleanderbend/oleanderbend/internal/opconfig"
@@ -66,6 +67,100 @@
 	})
 }
 
+// onLeader calls f on the goroutine that owns the state of the first instance's term.
+func (c *cluster) onLeader(f func(l *leader)) {
+	l, done := c.instances[0].control.currentLeader(), make(chan struct{})
+	l.post(func() {
+		defer close(done)
+		f(l)
+	})
+	<-done
+}
+
+// speedsAfter returns the speeds of eight workers that the leader learns from a step with one task on each, after prepare has
+// changed some of the workers. Unknown speeds are 0.
+func speedsAfter(t *testing.T, gang bool, prepare func(c *cluster, gate *startGate)) []float64 {
+	t.Helper()
+	var speeds []float64
+	const workers = 8
+	workOf := func(batch.TaskID) workertest.Work {
+		w := workertest.Work{Duration: 3 * time.Second}
+		if gang {
+			w.GangSize = workers
+		}
+		return w
+	}
+	inVirtualTime(t, 1, workOf, func(c *cluster) {
+		gate := c.gateStarts()
+		for n := range workers {
+			c.addWorker(fmt.Sprint("w", n), "r1")
+		}
+		prepare(c, gate)
+		c.startInstance("a")
+		c.submit(jobID(1), batch.Step{Count: workers, CPU: 1000, GPU: 8, Gang: gang, EstimateMS: 3000})
+		c.waitFor(20*time.Second, "completed", func() bool { return c.phase(jobID(1)) == batch.Completed })
+		c.onLeader(func(l *leader) {
+			for n := range workers {
+				speed, _ := l.speedsOf("s").Speed(fmt.Sprint("w", n))
+				speeds = append(speeds, speed)
+			}
+		})
+	})
+	return speeds
+}
+
+// Guards against a cold worker that counts as one of low speed for as long as nothing else runs there.
+func TestColdWorkersShowNoSpeed(t *testing.T) {
+	slowWorker := func(cold time.Duration) func(*cluster, *startGate) {
+		return func(c *cluster, _ *startGate) {
+			info, _ := c.fleet.Entry("w0")
+			info.ColdRemaining = cold
+			c.register(info)
+			c.fleet.SetSlowdown("w0", 2)
+		}
+	}
+	require.InDelta(t, 0.5, speedsAfter(t, false, slowWorker(0))[0], 0.05)
+	for _, remaining := range []time.Duration{time.Minute, 500 * time.Millisecond} {
+		cold := speedsAfter(t, false, slowWorker(remaining))
+		require.Zero(t, cold[0], remaining)
+		require.InDelta(t, 1, cold[1], 0.05)
+	}
+}
+
+// Guards against members of a gang that seem to be slow because they have waited for another member.
+func TestWaitForGangIsNotLowSpeed(t *testing.T) {
+	loseStart := func(_ *cluster, gate *startGate) { gate.lost["w0"] = 1 }
+	for n, speed := range speedsAfter(t, true, loseStart) {
+		require.InDelta(t, 1, speed, 0.05, n)
+	}
+}
+
+// Guards against stored speeds that stay in the topic for ever because a former leader knew more workers, against records that are
+// removed again with each store, and against the use of a speed that was observed long ago.
+func TestStoredSpeedsOfLongerListAreRemoved(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(time.Second), func(c *cluster) {
+		for n := range 3 {
+			c.write(forecast.Topic, ledger.Record{Key: forecast.RecordKey("s", n), Value: []byte(`{"x":[1,700,-130000]}`)})
+		}
+		info := c.addWorker("w0", "r1")
+		c.write(forecast.Topic, ledger.Record{Key: forecast.RecordKey("s", 0), Value: fmt.Appendf(nil, `{"w0":[%d,700,-130000]}`, info.StartedAtMS)})
+		c.startInstance("a")
+		time.Sleep(6 * time.Second)
+		known, counted := -1, -1
+		c.onLeader(func(l *leader) {
+			s, now := l.speedsOf("s"), boottime.Now()
+			known = s.Known()
+			s.Restore(now, "w0", 1, 0)
+			l.storeSpeeds("s", s, now)
+		})
+		require.Zero(t, known, "observed 130 s before the worker's clock began")
+		time.Sleep(time.Second)
+		require.Len(t, c.log.LatestValues(forecast.Topic), 1)
+		c.onLeader(func(l *leader) { counted = l.speeds["s"].storedRecords })
+		require.Equal(t, 1, counted)
+	})
+}
+
 // failingLatest is a log whose first reads of the latest records of the stored speeds fail.
 type failingLatest struct {
 	ledger.Log
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -112,7 +112,7 @@
 	lastSpeed float64
 	sampled   bool
 	// paceDistorted means that the pace of the run does not show the speed of its worker: the run resumed from a
-	// checkpoint, or the worker was slow for a time.
+	// checkpoint, or the worker was slow for a time, or cold.
 	paceDistorted bool
 	// usage is the last reported RunStatus.Usage: the tail latency in milliseconds for a serving
 	// task, the processor time in thousandths of a core for any other task.
@@ -138,7 +138,7 @@
 	ws.runs[t.id] = r
 	t.rec.Run, t.rec.Worker, t.rec.Address, t.rec.WorkerStartedAtMS = number, ws.id, ws.address, ws.startedAtMS
 	t.rec.Checkpoint = t.resumeCheckpoint()
-	r.paceDistorted = t.rec.Checkpoint != ""
+	r.paceDistorted = t.rec.Checkpoint != "" || now < ws.coldUntil
 	return r, l.taskRecord(t)
 }
 
--- a/internal/controller/slow.go
+++ b/internal/controller/slow.go
@@ -35,12 +35,28 @@
 	acceptsSlowAfter = 2 * time.Second
 )
 
-// beginClocked records that the run has begun. The response to the start may be handled late, which makes the run seem
-// faster than it is, not slower.
+// beginClocked records that the start of a run has been confirmed, from which on the run works. The members of a gang work
+// once the starts of all of them are confirmed: their wait for the others says nothing about the speeds of their workers.
+// The response to the start may be handled late, which makes the run seem faster than it is, not slower.
 func (r *run) beginClocked(now boottime.Instant) {
-	ws := r.worker
-	if ws.clockReadAt != 0 {
-		r.clocked.Report(ws.clockMS+now.Sub(ws.clockReadAt).Milliseconds(), 0, true)
+	if !r.task.unit.gang() {
+		r.clockFrom(now)
+		return
+	}
+	for _, t := range r.task.unit.tasks {
+		if t.run == nil || t.run.state != running {
+			return
+		}
+	}
+	for _, t := range r.task.unit.tasks {
+		t.run.clockFrom(now)
+	}
+}
+
+// clockFrom counts the progress of a run from now on, unless it already counts.
+func (r *run) clockFrom(now boottime.Instant) {
+	if ws := r.worker; ws.clockReadAt != 0 && !r.clocked.Begun() {
+		r.clocked.Report(ws.clockMS+now.Sub(ws.clockReadAt).Milliseconds(), r.progress.Percent(), true)
 	}
 }
 
--- a/internal/forecast/speeds.go
+++ b/internal/forecast/speeds.go
@@ -209,6 +209,15 @@
 	e.raw = median(speeds)
 }
 
+// lastObserved returns the time of the last observation.
+func (e *estimate) lastObserved() boottime.Instant {
+	last := boottime.Instant(0)
+	for _, o := range e.observations {
+		last = max(last, o.at)
+	}
+	return last
+}
+
 // Summary describes the known speeds of a service.
 type Summary struct {
 	Known int
--- a/internal/forecast/speeds_test.go
+++ b/internal/forecast/speeds_test.go
@@ -98,7 +98,8 @@
 	require.False(t, known)
 }
 
-// Guards against a new leader that uses the speed of another incarnation, and against records that end its term.
+// Guards against a new leader that uses the speed of another incarnation or an old one, against old speeds that each leader passes
+// on to the next as if they were new, and against records that end its term.
 func TestStoredSpeeds(t *testing.T) {
 	s := NewSpeeds()
 	var paces []Pace
@@ -111,7 +112,9 @@
 		paces = paces[n:]
 	}
 	s.Summarize(0.7)
-	records, err := s.Encode("pool", func(id string) (int64, bool) { return 17, id != "w3" })
+	later := start.Add(50 * time.Second)
+	incarnation := func(id string) (Incarnation, bool) { return Incarnation{17, 80000}, id != "w3" }
+	records, err := s.Encode("pool", later, incarnation)
 	require.NoError(t, err)
 	require.Len(t, records, 3)
 	restored := NewSpeeds()
@@ -123,8 +126,9 @@
 		for _, v := range speeds {
 			require.Equal(t, "pool", v.Service)
 			require.EqualValues(t, 17, v.StartedAtMS)
+			require.EqualValues(t, 30000, v.ObservedMS, "50 s before the reading of the clock")
 			require.NotEqual(t, "w3", v.Worker, "the worker is gone")
-			restored.Restore(start, v.Worker, v.Speed)
+			restored.Restore(later, v.Worker, v.Speed, 50*time.Second)
 			count++
 		}
 	}
@@ -132,14 +136,26 @@
 	speed, known := restored.Speed("w0")
 	require.True(t, known)
 	require.InDelta(t, 0.6, speed, 0.01)
+	records, err = restored.Encode("pool", later, incarnation)
+	require.NoError(t, err)
+	again, err := Decode(records[0])
+	require.NoError(t, err)
+	require.EqualValues(t, 30000, again[0].ObservedMS, "a restored speed keeps the time of its observation")
+	restored.Restore(later, "old", 0.6, maxObservationAge+time.Millisecond)
+	_, known = restored.Speed("old")
+	require.False(t, known)
 
+	for key, valid := range map[string]bool{RecordKey("a/b", 7): true, "pool": false, "pool/x": false, "pool/-1": false, "pool/1000000": false} {
+		_, _, ok := ParseRecordKey(key)
+		require.Equal(t, valid, ok, key)
+	}
 	for _, r := range []ledger.Record{{Key: "pool"}, {Key: "pool/0", Value: []byte("{")}, {Key: "pool/0", Value: []byte(`{"a":[1,"x"]}`)}} {
 		_, err := Decode(r)
 		require.ErrorIs(t, err, ErrInvalidRecord)
 	}
-	speeds, err := Decode(ledger.Record{Key: "pool/0", Value: []byte(`{"a":[1,0],"b":[1,-5],"c":[1,9000000],"d":[1,900]}`)})
+	speeds, err := Decode(ledger.Record{Key: "pool/0", Value: []byte(`{"a":[1,0,5],"b":[1,-5,5],"c":[1,9000000,5],"d":[1,900,5],"e":[1,900],"f":[]}`)})
 	require.NoError(t, err)
-	require.Len(t, speeds, 1, "speeds out of range are left out")
+	require.Len(t, speeds, 1, "speeds out of range and those of earlier versions are left out")
 	speeds, err = Decode(ledger.Record{Key: "pool/0"})
 	require.NoError(t, err)
 	require.Empty(t, speeds)
--- a/internal/progress/speed.go
+++ b/internal/progress/speed.go
@@ -53,6 +53,9 @@
 	}
 }
 
+// Begun reports whether a report has counted.
+func (c *Clocked) Begun() bool { return c.begun }
+
 // Sample returns the progress since the last sample, and false if there is none yet or the run is complete. The estimate
 // is the expected duration of the whole run.
 func (c *Clocked) Sample(estimate time.Duration) (Sample, bool) {
