Apply two rules only where a deployment's figures call for them

- A job counts as overdue by learned durations only on queues of which at least half of the recent estimates are off by more than a third.
The former limit of the variance was exceeded by exact estimates of work of which 3 in 100 tasks take seven times as long.
- A run without unsaved work that was preempted before is spared only while preemptions for units of priority 1 and above repeatedly hit the same runs within 10 s (planner.RepeatTracker).
The replay uses the same tracker and prints the number of such rounds.

--- a/internal/controller/forecast.go
+++ b/internal/controller/forecast.go
@@ -280,7 +280,13 @@
 			work = time.Duration(float64(work) * speed)
 		}
 	}
-	l.durations.Add(u.job.spec.Queue, millis(u.step.EstimateMS), work, 1/float64(u.step.Count))
+	change, changed := l.durations.Add(u.job.spec.Queue, millis(u.step.EstimateMS), work, 1/float64(u.step.Count))
+	if !changed {
+		return
+	}
+	l.logger.Info().Str("queue", u.job.spec.Queue).Bool("wrong", change.Misestimated).Float64("units", change.Units).Float64("share", change.Share).
+		Float64("bias", change.Bias).Float64("spread", change.Spread).Msg("estimates of queue compared")
+	l.planDue = true
 }
 
 // expectedMS returns how long the tasks of a step are expected to work on the typical worker, in milliseconds.
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -98,8 +98,8 @@
 	run  *run
 	// avoid holds the IDs of workers on which the task failed.
 	avoid map[string]bool
-	// preempted means that a run of the task was preempted in this term.
-	preempted bool
+	// preemptedAt is when a run of the task was last preempted in this term, 0 if none was.
+	preemptedAt boottime.Instant
 }
 
 func (u *unit) gang() bool { return u.step.Gang && u.step.Count > 1 }
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -77,6 +77,8 @@
 
 	// peaks is the recent usage of accelerators by the queues of priority 0.
 	peaks planner.HeadroomTracker
+	// repeats tracks the repeated preemptions of the last seconds.
+	repeats planner.RepeatTracker
 
 	rounds roundStats
 	// strandedAt is when the stranded capacity was last computed.
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -86,6 +86,7 @@
 // be placed now.
 func (l *leader) snapshot() (planner.Snapshot, []*workerState, []*unit) {
 	now := boottime.Now()
+	l.updateRepeats(now)
 	s, workers := l.describeWorkers(now)
 	s.Headroom = l.peaks.Update(time.Duration(now), l.urgentUsage())
 	units, unplanned := l.describeUnits(&s, nil, l.assignGuarantees(), now)
@@ -197,7 +198,7 @@
 		w.Runs = append(w.Runs, planner.Run{
 			Group: r.groupID(), Need: needOf(step), Priority: r.task.unit.job.spec.Rules.Priority,
 			Guaranteed: r.guaranteed, Protected: step.LongRunning || r.state == adopting, LostWork: r.preemptionLoss(now),
-			Org: r.task.unit.job.spec.Org, Preempted: r.task.preempted,
+			Org: r.task.unit.job.spec.Org, Preempted: r.task.preemptedAt != 0 && l.repeats.Spares(ws.info.Service),
 		})
 	}
 	return w
@@ -304,14 +305,15 @@
 	}
 	remaining := longestChain(j.spec.Steps, u.index, estimated)
 	d.Timeliness = planner.TimelinessOf(millis(age), millis(remaining), millis(objective))
-	if d.Timeliness == planner.Overdue && !l.isOverdue(u, age) {
+	if d.Timeliness == planner.Overdue && l.durations.Misestimated(j.spec.Queue) && !l.isOverdue(u, age) {
 		d.Timeliness = planner.Late
 	}
 	d.MinSpeed = l.minSpeed(u, millis(age), millis(remaining), millis(objective))
 }
 
-// isOverdue reports whether a unit of the given age in milliseconds has no value any more, by the usual durations of its queue. An estimate
-// that is much too short also makes the objective too short, and the unit would be put last although it has value.
+// isOverdue reports whether a unit of the given age in milliseconds has no value any more, by the usual durations of its queue,
+// whose estimates are known to be wrong. An estimate that is much too short also makes the objective too short, and the unit
+// would be put last although it has value.
 func (l *leader) isOverdue(u *unit, age int64) bool {
 	expected := func(s *batch.Step) int64 { return l.expectedMS(u.job, s) }
 	remaining := longestChain(u.job.spec.Steps, u.index, expected)
@@ -429,11 +431,14 @@
 
 // preempt stops the runs of a group so that a unit gets their capacity.
 func (l *leader) preempt(group int, u *unit, cause planner.StopCause) {
-	stopped := 0
+	stopped, now := 0, boottime.Now()
 	for _, ws := range l.workers {
 		for _, r := range ws.runList() {
 			if r.groupID() == group {
-				r.task.preempted = true
+				if stopped == 0 {
+					l.addPreemption(r, cause, now)
+				}
+				r.task.preemptedAt = now
 				if r.state != stopping {
 					r.preemptedBy = cause
 				}
@@ -446,6 +451,23 @@
 		Bool("entitled", cause == planner.StopForGuarantee).Str("cause", string(cause)).Int("group", group).Int("runs", stopped).Msg("making room")
 }
 
+// addPreemption records the preemption of a group, of which r is one run.
+func (l *leader) addPreemption(r *run, cause planner.StopCause, now boottime.Instant) {
+	previous := time.Duration(-1)
+	if at := r.task.preemptedAt; at != 0 {
+		previous = time.Duration(at)
+	}
+	l.repeats.Add(r.worker.info.Service, time.Duration(now), previous, cause, r.preemptionLoss(now))
+}
+
+// updateRepeats determines whether runs that were preempted before are spared, and logs changes with the figures that show why.
+func (l *leader) updateRepeats(now boottime.Instant) {
+	for _, c := range l.repeats.Update(time.Duration(now)) {
+		l.logger.Info().Str("service", c.Service).Bool("spared", c.Spares).Int("preempted", c.Stops).Int("again", c.Repeated).
+			Msg("repeated preemptions compared")
+	}
+}
+
 // placeTasks places tasks of a unit: it stores their placements and sends their starts once these
 // are stored. It takes as many tasks as there are workerIndices, which are indices into workers.
 func (l *leader) placeTasks(u *unit, workerIndices []int, workers []*workerState, d *planner.Unit) {
--- a/internal/controller/plan_test.go
+++ b/internal/controller/plan_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"bytes"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/oleanderbend/oleanderbend/internal/batch"
 	"github.com/oleanderbend/oleanderbend/internal/boottime"
+	"github.com/oleanderbend/oleanderbend/internal/logging"
 	"github.com/oleanderbend/oleanderbend/internal/planner"
 )
 
@@ -39,3 +41,37 @@
 	require.Equal(t, planner.Late, timeliness(8*time.Second))
 	require.Equal(t, planner.Overdue, timeliness(60*time.Second))
 }
+
+// Guards against runs that are kept from a second preemption although preemptions do not repeat, and against a change that is not
+// logged.
+func TestPreemptedRunsAreSparedWhilePreemptionsRepeat(t *testing.T) {
+	var out bytes.Buffer
+	now := boottime.Now()
+	l := &leader{c: &Controller{}, logger: logging.New(&out, "info", "a"), maintenance: newMaintenanceState()}
+	j := &job{spec: &batch.Job{Rules: batch.QueueRules{Priority: 2}}}
+	ws := newWorkerState("w", "", 0)
+	ws.info.Service = "s"
+	var runs []*run
+	for n := range 8 {
+		u := &unit{job: j, step: &batch.Step{Count: 1, CPU: 1000, Checkpoints: true}}
+		r := &run{task: &task{id: firstStepTask(n, 0), unit: u}, worker: ws, state: running, placedAt: now}
+		u.tasks = []*task{r.task}
+		ws.runs[r.task.id] = r
+		runs = append(runs, r)
+	}
+	preemptAll := func(at boottime.Instant) bool {
+		for _, r := range runs {
+			l.addPreemption(r, planner.StopForPriority, at)
+			r.task.preemptedAt = at
+		}
+		l.updateRepeats(at)
+		described := l.describeWorker(ws, at)
+		return described.Runs[0].Preempted
+	}
+	require.False(t, preemptAll(now), "preempted for the first time")
+	require.False(t, preemptAll(now.Add(30*time.Second)), "long after the first time")
+	require.True(t, preemptAll(now.Add(35*time.Second)))
+	require.Contains(t, out.String(), "repeated preemptions compared")
+	l.updateRepeats(now.Add(time.Minute))
+	require.False(t, l.describeWorker(ws, now).Runs[0].Preempted)
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -79,7 +79,7 @@
 	Protected bool
 	// Org is the organisation of the job.
 	Org string
-	// Preempted means that an earlier run of the task, or of its gang, was preempted.
+	// Preempted means that an earlier run of the task, or of its gang, was preempted, and that RepeatTracker spares such runs.
 	Preempted bool
 	// LostWork is the work of the whole group that is lost if it is stopped, in weighted
 	// core-seconds.
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -38,7 +38,7 @@
 		return true
 	default:
 		// A run without unsaved work would otherwise be stopped again and again under load: each time it loses its
-		// start, and what it has not saved yet.
+		// start, and what it has not saved yet. RepeatTracker determines when this applies.
 		return run.LostWork <= negligibleLoss && !run.Preempted
 	}
 }
--- a/internal/planreplay/jobs.go
+++ b/internal/planreplay/jobs.go
@@ -40,8 +40,9 @@
 	saved time.Duration
 	done  bool
 	run   *run
-	// preempted means that an earlier run of the task was preempted.
-	preempted bool
+	// preempted means that an earlier run of the task was preempted, lastly at preemptedAt.
+	preempted   bool
+	preemptedAt time.Duration
 }
 
 func (j *job) objective() time.Duration {
--- a/internal/planreplay/replay.go
+++ b/internal/planreplay/replay.go
@@ -62,6 +62,7 @@
 	arrived  int
 	active   []*job
 	headroom planner.HeadroomTracker
+	repeats  planner.RepeatTracker
 	result   *Result
 }
 
@@ -213,13 +214,43 @@
 				if run.task.preempted {
 					r.result.StoppedAgain++
 				}
-				run.task.preempted = true
+				r.addPreemption(run, cause)
 			}
 			r.result.stopped(j, cause)
 		}
 	}
 }
 
+// addPreemption records the preemption of a run; only the first member of a gang counts.
+func (r *replay) addPreemption(run *run, cause planner.StopCause) {
+	t := run.task
+	previous := time.Duration(-1)
+	if t.preempted {
+		previous = t.preemptedAt
+	}
+	if !t.job.gang || t.number == 0 {
+		r.repeats.Add(service, r.now, previous, cause, r.lostWork(run))
+	}
+	t.preempted, t.preemptedAt = true, r.now
+}
+
+// updateRepeats determines whether runs that were preempted before are spared.
+func (r *replay) updateRepeats() {
+	r.repeats.Update(r.now)
+	if r.repeats.Spares(service) {
+		r.result.SparedRounds++
+	}
+}
+
+// lostWork returns the work that is lost if a run, or its whole gang, is stopped.
+func (r *replay) lostWork(run *run) float64 {
+	members := 1
+	if run.task.job.gang {
+		members = len(run.task.job.tasks)
+	}
+	return planner.LostWork(run.task.job.need, members, r.now-min(r.now, run.startedAt), run.task.job.checkpoint)
+}
+
 // groupIDsPerJob is the size of the range of group numbers that each job has.
 const groupIDsPerJob = 1 << 13
 
@@ -294,6 +325,7 @@
 func (r *replay) snapshot() (planner.Snapshot, []*job) {
 	var s planner.Snapshot
 	r.assignGuarantees()
+	r.updateRepeats()
 	used := map[string]float64{}
 	for _, w := range r.workers {
 		s.Workers = append(s.Workers, r.describe(w, used))
@@ -348,14 +380,10 @@
 			d.Releasing = d.Releasing.Add(j.need)
 			continue
 		}
-		members := 1
-		if j.gang {
-			members = len(j.tasks)
-		}
 		d.Runs = append(d.Runs, planner.Run{
 			Group: j.groupID(run.task.number), Need: j.need, Priority: j.class.Priority, Guaranteed: j.guaranteed,
-			Org: r.pattern.Orgs[j.org].Name, Preempted: run.task.preempted,
-			LostWork: planner.LostWork(j.need, members, r.now-min(r.now, run.startedAt), j.checkpoint),
+			Org: r.pattern.Orgs[j.org].Name, Preempted: run.task.preempted && r.repeats.Spares(service),
+			LostWork: r.lostWork(run),
 		})
 	}
 	return d
--- a/internal/planreplay/result.go
+++ b/internal/planreplay/result.go
@@ -28,6 +28,8 @@
 	Stops []Stops
 	// StoppedAgain is the number of preempted runs of which an earlier run of the same task had been preempted.
 	StoppedAgain int
+	// SparedRounds is the number of rounds in which runs that were preempted before were spared.
+	SparedRounds int
 	// LateGuarantees is the number of jobs that their organisation's guarantee covered and that began later than it allows.
 	LateGuarantees int
 	// StrandedGPU is the mean share of the accelerators that are idle and that no waiting task can use for lack of
@@ -258,8 +260,8 @@
 		return err
 	}
 	worst := res.WorstOrg()
-	fmt.Fprintf(out, "worst organisation: %s (value %.3f); late or unfinished jobs: %d; preempted again: %d; late guarantees: %d; stranded accelerators: %.1f %%\n",
-		worst.Name, worst.Value, res.missed(), res.StoppedAgain, res.LateGuarantees, 100*res.StrandedGPU)
+	fmt.Fprintf(out, "worst organisation: %s (value %.3f); late or unfinished jobs: %d; preempted again: %d (spared in %d rounds); late guarantees: %d; stranded accelerators: %.1f %%\n",
+		worst.Name, worst.Value, res.missed(), res.StoppedAgain, res.SparedRounds, res.LateGuarantees, 100*res.StrandedGPU)
 	_, err := fmt.Fprintf(out, "%d rounds, %v on average, %v at most\n", res.Rounds, res.MeanRound.Round(time.Microsecond), res.LongestRound.Round(time.Microsecond))
 	return err
 }
