Replay evacuations of a zone

plan-replay knew losses of workers only. [[evacuations]] names a share of the workers that accept nothing for a time and finish what runs there; the zone returns step by step as in the controller. The tests were seen failing with evacuated workers open, without the steps, with lost work of other times, and with urgent work of the zone counted for the headroom.

--- a/internal/planreplay/pattern.go
+++ b/internal/planreplay/pattern.go
@@ -37,6 +37,8 @@
 	// Losses are workers that are lost with their runs at the same moment, and Slowdowns workers that are slow.
 	Losses    []Loss     `toml:"losses"`
 	Slowdowns []Slowdown `toml:"slowdowns"`
+	// Evacuations are zones that accept nothing for a time.
+	Evacuations []Evacuation `toml:"evacuations"`
 }
 
 // Workers describes the fleet.
@@ -180,5 +182,8 @@
 	for i, s := range p.Slowdowns {
 		check(share(s.Share) && s.Factor >= 1 && s.Length > 0, fmt.Sprintf("slowdowns.%d", i), "the share must be from 0 to 1, the factor at least 1, the length positive")
 	}
+	for i, e := range p.Evacuations {
+		check(share(e.Share) && e.At >= 0 && e.Length > 0, fmt.Sprintf("evacuations.%d", i), "the share must be from 0 to 1, the length positive")
+	}
 	return errors.Join(errs...)
 }
--- a/internal/planreplay/replay.go
+++ b/internal/planreplay/replay.go
@@ -29,6 +29,9 @@
 type worker struct {
 	id, rack string
 	lost     bool
+	// evacuated means that its zone is evacuated, closed that it gets no work because of that or because the zone has just
+	// returned to service.
+	evacuated, closed bool
 	// slowdown is how many times as long work takes; detected means that the planner knows.
 	slowdown float64
 	detected bool
@@ -83,6 +86,7 @@
 			break
 		}
 		r.applyEvents(order)
+		r.applyEvacuations()
 		r.advance()
 		for r.arrived < len(r.jobs) && r.jobs[r.arrived].arrivedAt <= r.now {
 			r.active = append(r.active, r.jobs[r.arrived])
@@ -301,7 +305,7 @@
 	if j.firstStartAt == 0 {
 		j.firstStartAt = r.now + startTime
 		if j.guaranteed && j.firstStartAt-j.arrivedAt > guaranteeLimit {
-			r.result.LateGuarantees++
+			r.countLateGuarantee(j)
 		}
 	}
 	next := 0
@@ -317,6 +321,7 @@
 		next++
 		t.run = &run{task: t, worker: w, startedAt: r.now + startTime, updatedAt: r.now, done: t.saved, remote: j.rackLocal && len(racks) > 1}
 		w.runs[t.run] = true
+		r.countZoneStart(w)
 		j.running++
 	}
 }
@@ -364,7 +369,7 @@
 // describe returns the planner's view of a worker, and adds the accelerators that urgent work uses there to used, by service.
 func (r *replay) describe(w *worker, used map[string]float64) planner.Worker {
 	d := planner.Worker{
-		ID: w.id, Service: service, Rack: w.rack, AcceptsWork: !w.lost, Slow: w.detected,
+		ID: w.id, Service: service, Rack: w.rack, AcceptsWork: !w.lost, Slow: w.detected, Evacuated: w.closed,
 		Free: planner.Resources{CPU: 1000 * r.pattern.Workers.Cores, MemoryMB: r.pattern.Workers.MemoryMB, GPU: r.pattern.Workers.GPU},
 	}
 	if after := time.Duration(r.pattern.Workers.SpeedsKnownAfter); after > 0 && w.worked >= after {
@@ -373,7 +378,7 @@
 	for _, run := range sortedRuns(w) {
 		j := run.task.job
 		d.Free = d.Free.Sub(j.need)
-		if j.class.Priority == 0 {
+		if j.class.Priority == 0 && !w.evacuated {
 			used[service] += float64(j.need.GPU)
 		}
 		if run.stopping {
--- a/internal/planreplay/replay_test.go
+++ b/internal/planreplay/replay_test.go
@@ -32,7 +32,7 @@
 func TestReplayIsRepeatable(t *testing.T) {
 	files, err := filepath.Glob(filepath.Join("..", "..", "examples", "plan-replay", "*.toml"))
 	require.NoError(t, err)
-	require.Len(t, files, 5)
+	require.Len(t, files, 6)
 	for _, file := range files {
 		results := make([]bytes.Buffer, 2)
 		for i := range results {
@@ -105,6 +105,8 @@
 	}
 	_, err = Parse([]byte(valid + "bursts = [{ class = \"x\", at = \"1s\", length = \"1s\", factor = 2.0 }]\n"))
 	require.ErrorContains(t, err, "bursts.0")
+	_, err = Parse([]byte(valid + "evacuations = [{ at = \"1s\", length = \"1s\", share = 1.5 }]\n"))
+	require.ErrorContains(t, err, "evacuations.0")
 }
 
 // Guards against stopped runs and lost work without a cause, which would not show where lost work comes from.
@@ -120,3 +122,60 @@
 	require.NotZero(t, res.byCause(causeLost).Runs)
 	require.LessOrEqual(t, res.WorstOrg().Value, res.Value())
 }
+
+// Guards against replays in which an evacuated zone gets work or loses what runs there, and in which all waiting work starts in the zone
+// at once when it returns.
+func TestEvacuatedZoneIsReplayed(t *testing.T) {
+	p := readPattern(t, "evacuation.toml", 4)
+	res := Run(p)
+	e := &res.Evacuations[0]
+	require.Zero(t, e.StartsDuring)
+	require.Positive(t, e.StartsPerSecond[0])
+	for _, s := range res.Stops {
+		require.NotEqual(t, causeLost, s.Cause)
+	}
+	require.Len(t, e.Classes, 3)
+	require.Greater(t, e.Classes[0].Jobs, 2)
+	require.Less(t, e.Classes[0].Jobs, res.Classes[0].Jobs)
+
+	p.Evacuations = nil
+	require.Empty(t, Run(p).Evacuations)
+}
+
+// Guards against a zone whose workers are all used at once when it returns, and against lost work of another time that counts for the
+// evacuation, and against headroom for work that needs room elsewhere.
+func TestZoneReturnsStepByStep(t *testing.T) {
+	p := readPattern(t, "evacuation.toml", 350.0/24)
+	r := &replay{pattern: p, result: newResult(p)}
+	for range p.Workers.Count {
+		r.workers = append(r.workers, &worker{})
+	}
+	for _, c := range []struct {
+		at                                time.Duration
+		evacuated, closed, lost, expected float64
+	}{
+		{7900 * time.Millisecond, 0, 0, 10, 0}, {8 * time.Second, 8, 8, 11, 1}, {15950 * time.Millisecond, 8, 8, 15, 5},
+		{16 * time.Second, 0, 6, 16, 6}, {16400 * time.Millisecond, 0, 4, 16, 6}, {17200 * time.Millisecond, 0, 0, 17, 7}, {18 * time.Second, 0, 0, 99, 7},
+	} {
+		r.now, r.result.Classes[0].ThrownAway = c.at, c.lost
+		r.applyEvacuations()
+		evacuated, closed := 0.0, 0.0
+		for i, w := range r.workers {
+			if w.evacuated {
+				evacuated++
+			}
+			if w.closed {
+				require.GreaterOrEqual(t, i, 16)
+				closed++
+			}
+		}
+		require.Equal(t, []float64{c.evacuated, c.closed}, []float64{evacuated, closed}, c.at)
+		require.InDelta(t, c.expected, r.result.Evacuations[0].ThrownAway, 1e-9, c.at)
+	}
+	urgent := &job{class: &p.Classes[0], need: planner.Resources{GPU: 4}}
+	for _, evacuated := range []bool{false, true} {
+		used := make(map[string]float64)
+		r.describe(&worker{evacuated: evacuated, runs: map[*run]bool{{task: &task{job: urgent}}: true}}, used)
+		require.Equal(t, !evacuated, used[service] == 4)
+	}
+}
--- a/internal/planreplay/result.go
+++ b/internal/planreplay/result.go
@@ -36,6 +36,9 @@
 	// another resource, in rounds with waiting jobs.
 	StrandedGPU float64
 
+	// Evacuations has the results of the evacuations of the pattern.
+	Evacuations []EvacuationResult
+
 	pattern    *Pattern
 	totalRound time.Duration
 	// waiting is the number of jobs without a started task, by class, at each step of the plot.
@@ -75,7 +78,7 @@
 const plotStep = 250 * time.Millisecond
 
 func newResult(p *Pattern) *Result {
-	res := &Result{pattern: p, waiting: make([][]float64, len(p.Classes))}
+	res := &Result{pattern: p, waiting: make([][]float64, len(p.Classes)), Evacuations: make([]EvacuationResult, len(p.Evacuations))}
 	for i := range p.Classes {
 		res.Classes = append(res.Classes, Group{Name: p.Classes[i].Name})
 	}
@@ -173,26 +176,11 @@
 	for _, j := range r.jobs {
 		// Larger jobs are worth more, up to four times the value of the class.
 		weight := min(4, 0.3+0.7*j.size()*counts[j.class]/sizes[j.class])
-		took := j.endedAt - j.arrivedAt
-		wait := j.firstStartAt - j.arrivedAt
-		if j.firstStartAt == 0 {
-			wait = r.now - j.arrivedAt
-		}
 		for _, g := range res.groups(j) {
-			g.Jobs++
-			g.value += weight * j.class.Value
-			g.waits = append(g.waits, wait)
-			switch {
-			case j.endedAt == 0 || took > 3*j.objective():
-			case took > j.objective():
-				g.Late++
-				g.earned += weight * j.class.LateValue
-			default:
-				g.InTime++
-				g.earned += weight * j.class.Value
-			}
+			g.add(r, j, weight)
 		}
 	}
+	res.finishEvacuations(r)
 	for _, groups := range [][]Group{res.Classes, res.Orgs} {
 		for i := range groups {
 			groups[i].finish()
@@ -200,6 +188,27 @@
 	}
 }
 
+// add adds the result of a job, with a weight of its value.
+func (g *Group) add(r *replay, j *job, weight float64) {
+	took := j.endedAt - j.arrivedAt
+	wait := j.firstStartAt - j.arrivedAt
+	if j.firstStartAt == 0 {
+		wait = r.now - j.arrivedAt
+	}
+	g.Jobs++
+	g.value += weight * j.class.Value
+	g.waits = append(g.waits, wait)
+	switch {
+	case j.endedAt == 0 || took > 3*j.objective():
+	case took > j.objective():
+		g.Late++
+		g.earned += weight * j.class.LateValue
+	default:
+		g.InTime++
+		g.earned += weight * j.class.Value
+	}
+}
+
 func (g *Group) finish() {
 	if g.Jobs == 0 {
 		return
@@ -262,8 +271,10 @@
 	worst := res.WorstOrg()
 	fmt.Fprintf(out, "worst organisation: %s (value %.3f); late or unfinished jobs: %d; preempted again: %d (spared in %d rounds); late guarantees: %d; stranded accelerators: %.1f %%\n",
 		worst.Name, worst.Value, res.missed(), res.StoppedAgain, res.SparedRounds, res.LateGuarantees, 100*res.StrandedGPU)
-	_, err := fmt.Fprintf(out, "%d rounds, %v on average, %v at most\n", res.Rounds, res.MeanRound.Round(time.Microsecond), res.LongestRound.Round(time.Microsecond))
-	return err
+	if _, err := fmt.Fprintf(out, "%d rounds, %v on average, %v at most\n", res.Rounds, res.MeanRound.Round(time.Microsecond), res.LongestRound.Round(time.Microsecond)); err != nil {
+		return err
+	}
+	return res.writeEvacuations(out)
 }
 
 // WritePlot writes a plot of the waiting jobs over time to a file, whose name gives the format (.svg, .png or .pdf).
