Preempt runs where the unit meets its objective

Preemption took the victims of the lowest loss on any worker, so urgent gangs stopped work on slow workers and missed their objective there. A unit with a minimum speed now gets a plan without the workers known to be too slow, if its loss is acceptable, and otherwise one with all; equal losses are decided by speed.

--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -50,8 +50,8 @@
 		return false
 	}
 	r.preemptionAttempts++
-	best := r.cheapestPreemption(u)
-	if best == nil || (!u.Guaranteed && best.loss > maxLossFactor*u.Work+restartCost*float64(len(best.groups))) {
+	best := r.preemptionFor(u)
+	if best == nil {
 		return false
 	}
 	for _, g := range best.groups {
@@ -85,11 +85,13 @@
 
 // cheapestPreemption looks for a preemption plan that loses little work. It returns nil if there is
 // none. Units with DataRack or RackLocal get a plan within one rack if possible, even if a plan over
-// several racks would lose less.
-func (r *round) cheapestPreemption(u *Unit) *preemptionPlan {
+// several racks would lose less. If skipsSlow is set, the plan leaves out the workers that are too slow for the unit; it
+// then has no other racks, where the unit would be slower still.
+func (r *round) cheapestPreemption(u *Unit, skipsSlow bool) *preemptionPlan {
 	c := r.newPreemption(u)
+	c.skipsSlow = skipsSlow
 	if u.DataRack != "" {
-		if p := c.plan(r.rack(u.DataRack), math.Inf(1)); p != nil {
+		if p := c.plan(r.rack(u.DataRack), math.Inf(1)); p != nil || skipsSlow {
 			return p
 		}
 	}
@@ -97,13 +99,12 @@
 		return c.plan(r.all(), math.Inf(1))
 	}
 	var best *preemptionPlan
-	limit := math.Inf(1)
 	for _, workers := range r.racks {
-		if p := c.plan(workers, limit); p != nil {
-			best, limit = p, p.loss
+		if p := c.plan(workers, c.limitOf(best)); p != nil && c.replaces(p, best) {
+			best = p
 		}
 	}
-	if best == nil && (u.Guaranteed || !u.WaitsForRack) {
+	if best == nil && !skipsSlow && (u.Guaranteed || !u.WaitsForRack) {
 		return c.plan(r.all(), math.Inf(1))
 	}
 	return best
@@ -114,6 +115,9 @@
 	*round
 	unit   *Unit
 	shares priorityShares
+	// skipsSlow means that plans leave out the workers that are too slow for the unit; fast is reused by fastEnough.
+	skipsSlow bool
+	fast      []int
 }
 
 // newPreemption begins an attempt: it sets what would be free on each worker if all runs that may be preempted for the
@@ -157,6 +161,7 @@
 // worker with the lowest loss. It returns nil if there is no room for all tasks, or if the loss is not below the limit.
 func (c *preemption) plan(workers []int, limit float64) *preemptionPlan {
 	u := c.unit
+	workers = c.fastEnough(workers)
 	if c.room(u, workers, c.potential) < u.Tasks {
 		return nil
 	}
@@ -176,7 +181,7 @@
 		}
 		best := 0
 		for i := range losses {
-			if losses[i].loss < losses[best].loss {
+			if a, b := &losses[i], &losses[best]; a.loss < b.loss || (a.loss == b.loss && u.MinSpeed > 0 && c.suitsBetter(a.worker, b.worker)) {
 				best = i
 			}
 		}
