--- a/internal/forecast/speeds_test.go
+++ b/internal/forecast/speeds_test.go
@@ -98,8 +98,8 @@
 	require.False(t, known)
 }
 
-// Guards against a new leader that uses the speed of another incarnation or an old one, against old speeds that each leader passes
-// on to the next as if they were new, and against records that end its term.
+// Guards against a new leader that uses the speed of another incarnation or an old one, and against old speeds that each
+// leader passes on to the next as if they were new.
 func TestStoredSpeeds(t *testing.T) {
 	s := NewSpeeds()
 	var paces []Pace
@@ -144,7 +144,10 @@
 	restored.Restore(later, "old", 0.6, maxObservationAge+time.Millisecond)
 	_, known = restored.Speed("old")
 	require.False(t, known)
+}
 
+// Guards against records of another writer that end the term of a new leader, or from which it restores speeds.
+func TestUnusableRecordsOfSpeeds(t *testing.T) {
 	for key, valid := range map[string]bool{RecordKey("a/b", 7): true, "pool": false, "pool/x": false, "pool/-1": false, "pool/1000000": false} {
 		_, _, ok := ParseRecordKey(key)
 		require.Equal(t, valid, ok, key)
