Strengthen the tests of evacuations

Broken by hand, one at a time, these were not detected: a removed record that is kept, a zone counted as newly evacuated though it stays evacuated, unsorted zones, a negative start time, a return in the future. Each is now seen failing.

--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -15,11 +15,18 @@
 	second := first.Apply([]Change{{"evacuate/a", "a", false, 4}, {"evacuate/a", "a", true, 5}, {"evacuate/b", "b", false, 6}}, false)
 	require.Equal(t, map[string]int64{"a": 5, "b": 3}, second.Zones())
 	require.Equal(t, map[string]int64{"a": 1, "b": 3}, first.Zones())
+	removed := second.Apply([]Change{{"op/evacuate/b", "b", false, 7}, {"evacuate/unknown", "unknown", false, 8}}, false)
+	require.Equal(t, map[string]int64{"a": 5}, removed.Zones(), "in service once all of its records are removed")
 	third := second.Apply([]Change{{"evacuate/c", "c", true, 9}}, true)
 	require.Equal(t, map[string]int64{"c": 9}, third.Zones())
 	began, ended := Difference(second.Zones(), third.Zones())
 	require.Equal(t, []string{"c"}, began)
 	require.Equal(t, []string{"a", "b"}, ended)
+	for range 20 { // Maps are read in random order.
+		began, ended = Difference(map[string]int64{"stays": 1, "z": 1, "y": 1}, map[string]int64{"stays": 7, "d": 1, "c": 1})
+		require.Equal(t, []string{"c", "d"}, began, "a zone whose record is replaced stays evacuated")
+		require.Equal(t, []string{"y", "z"}, ended)
+	}
 }
 
 // Guards against starts on the basis of a copy that is too old or incomplete, against starts that a worker executes
@@ -39,6 +46,8 @@
 	limit, limited := bound.StartTime(Copy{Age: 2 * time.Second, Synced: true})
 	require.True(t, limited)
 	require.Less(t, 2*time.Second+limit, 5*time.Second)
+	limit, _ = bound.StartTime(Copy{Age: 6 * time.Second, Synced: true})
+	require.Zero(t, limit, "never negative")
 	_, limited = Bound(0).StartTime(Copy{})
 	require.False(t, limited)
 	require.Equal(t, time.Second, Bound(0).ReadWait(time.Second))
@@ -61,6 +70,7 @@
 		{"gang elsewhere", true, []Run{out(NotSent), out(Unanswered)}, []bool{false, false}},
 		{"gang begun", true, []Run{in(Executing), out(Executing)}, []bool{false, false}},
 		{"gang half begun", true, []Run{in(Executing), out(InFlight), out(Stopping)}, []bool{true, true, false}},
+		{"gang stopping", true, []Run{in(Stopping), out(Stopping)}, []bool{false, false}},
 		{"gang sent", true, []Run{in(InFlight), out(Executing)}, []bool{true, true}},
 		{"gang adopted", true, []Run{in(Unreported), in(Executing)}, []bool{false, false}},
 	} {
@@ -70,7 +80,7 @@
 
 // Guards against a burst of starts at a zone that returns to service, and against one that is not used at once.
 func TestAdmitted(t *testing.T) {
-	for since, want := range map[time.Duration]int{0: 30, 500 * time.Millisecond: 60, 1200 * time.Millisecond: 120, time.Hour: 120} {
+	for since, want := range map[time.Duration]int{-time.Second: 30, 0: 30, 500 * time.Millisecond: 60, 1200 * time.Millisecond: 120, time.Hour: 120} {
 		require.Equal(t, want, Admitted(120, since), "%v", since)
 	}
 	require.Equal(t, 1, Admitted(1, 0))
