--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -4,11 +4,14 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -108,10 +111,33 @@
 
 // Guards against a body that is read beyond its limit.
 func TestBodyTooLarge(t *testing.T) {
-	b := NewBudget(0, 1, newRefusals())
+	r := newRefusals()
+	b := NewBudget(0, 1, r)
 	_, err := b.Read(strings.NewReader(strings.Repeat("x", 101)), 100, func() {})
 	require.ErrorIs(t, err, ErrTooLarge)
 	require.Zero(t, b.Used())
+	body, err := b.Read(strings.NewReader(strings.Repeat("x", 100)), 100, func() {})
+	require.NoError(t, err, "the limit itself is allowed")
+	body.Release()
+	_, err = b.Read(iotest.ErrReader(os.ErrDeadlineExceeded), 100, func() {})
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	for cause, want := range map[Cause]uint64{BodySize: 1, BodyTimeout: 1, BodyBudget: 0} {
+		require.Equal(t, want, r.metrics.GetOrCreateCounter(fmt.Sprintf(`oleanderbend_clients_refused_total{cause=%q}`, string(cause))).Get(), cause)
+	}
+}
+
+// Guards against a budget, on a small machine, that has no room for one body of the largest usual size, and against memory that
+// is allocated anew for each body of a burst, or kept after it.
+func TestSmallBudgetReusesMemory(t *testing.T) {
+	b := NewBudget(0, 1, newRefusals())
+	hold, err := b.Read(strings.NewReader("x"), bodyLimit, func() {})
+	require.NoError(t, err)
+	body, err := b.Read(strings.NewReader(strings.Repeat("x", bodyLimit)), bodyLimit, func() {})
+	require.NoError(t, err)
+	body.Release()
+	require.GreaterOrEqual(t, len(b.free), bodyLimit/chunkBytes)
+	hold.Release()
+	require.Zero(t, len(b.free)) // Empty would print the chunks.
 }
 
 // serve starts a server with a limit of connections. It answers a request after its path has been received from the
@@ -235,6 +261,19 @@
 	}
 	require.Equal(t, 20*readCost, b.pauseOf(large))
 	require.Zero(t, b.pauseOf(small))
+	for range 10000 {
+		b.incomplete.PushBack(large)
+	}
+	require.Equal(t, maxPause, b.pauseOf(large))
+
+	started := time.Now()
+	_, err := NewBudget(16<<20, 1, newRefusals()).Read(strings.NewReader(strings.Repeat("x", 3*chunkBytes)), bodyLimit, func() {})
+	require.NoError(t, err)
+	require.Less(t, time.Since(started), maxPause)
+	started = time.Now()
+	_, err = b.Read(strings.NewReader(strings.Repeat("x", 3*chunkBytes)), bodyLimit, func() {})
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, time.Since(started), maxPause)
 }
 
 // Guards against headers, idle connections and bodies that are waited for without end, and against headers that are
