Test what decoded bodies count for

handlingFactor, small bodies, the count of rejected whole bodies and the return of decode slots were not detected when broken; each is now seen failing.

--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -325,3 +325,32 @@
 	<-handled
 	requireStatus(t, r, http.StatusOK)
 }
+
+// Guards against large jobs that count less than they take while they are handled, against usual ones that count more, against a
+// whole body that is rejected without being counted, and against decode slots that are not returned.
+func TestDecodedBodyCountsForItsJob(t *testing.T) {
+	refusals := newRefusals()
+	b := NewBudget(0, 1, refusals)
+	read := func(size int) *Body {
+		body, err := b.Read(strings.NewReader(strings.Repeat("x", size)), bodyLimit, func() {})
+		require.NoError(t, err)
+		return body
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	decode := func(body *Body) error { return body.Decode(ctx, func([]byte) error { return nil }) }
+	for range 2 * decodeSlots {
+		for size, chunks := range map[int]int{smallBody: 3, 3*chunkBytes - 1: 3 * handlingFactor} {
+			body := read(size)
+			require.NoError(t, decode(body))
+			require.Equal(t, chunks*chunkBytes, b.Used(), size)
+			body.Release()
+		}
+	}
+	b.capacity = 40
+	first, second := read(5*chunkBytes), read(5*chunkBytes)
+	require.NoError(t, decode(first))
+	b.capacity = b.used
+	require.ErrorIs(t, decode(second), ErrAbandoned)
+	require.EqualValues(t, 1, refusals.metrics.GetOrCreateCounter(`oleanderbend_clients_refused_total{cause="handling"}`).Get())
+}
