--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -354,3 +354,32 @@
 	require.ErrorIs(t, decode(second), ErrAbandoned)
 	require.EqualValues(t, 1, refusals.metrics.GetOrCreateCounter(`oleanderbend_clients_refused_total{cause="handling"}`).Get())
 }
+
+// Guards against new connections that are closed before their request can arrive, against an incomplete body that keeps its place until
+// the server has answered, and against pipelining clients that lose their connections although there is room.
+func TestNewConnectionsMayWait(t *testing.T) {
+	l := NewLimiter(1, usualLimits, newRefusals())
+	c, _ := l.tryAdmit(&net.TCPConn{})
+	next, wait := l.tryAdmit(&net.TCPConn{})
+	require.Nil(t, next)
+	require.False(t, c.expired)
+	require.Positive(t, wait)
+	require.LessOrEqual(t, wait, minWait)
+
+	l.startBody(c, time.Minute)
+	c.since = c.since.Add(-minWait)
+	next, _ = l.tryAdmit(&net.TCPConn{})
+	require.Nil(t, next)
+	require.True(t, c.expired)
+	require.Zero(t, l.Open())
+	next, _ = l.tryAdmit(&net.TCPConn{})
+	require.NotNil(t, next)
+
+	l.stateChanged(next, http.StateIdle)
+	l.stateChanged(next, http.StateActive)
+	require.False(t, l.isClosing(next), "there is room")
+	l.stateChanged(next, http.StateIdle)
+	l.full = true
+	l.stateChanged(next, http.StateActive)
+	require.True(t, l.isClosing(next))
+}
