--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -4,11 +4,14 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -108,10 +111,33 @@
 
 // Guards against a body that is read beyond its limit.
 func TestBodyTooLarge(t *testing.T) {
-	b := NewBudget(0, 1, newRefusals())
+	r := newRefusals()
+	b := NewBudget(0, 1, r)
 	_, err := b.Read(strings.NewReader(strings.Repeat("x", 101)), 100, func() {})
 	require.ErrorIs(t, err, ErrTooLarge)
 	require.Zero(t, b.Used())
+	body, err := b.Read(strings.NewReader(strings.Repeat("x", 100)), 100, func() {})
+	require.NoError(t, err, "the limit itself is allowed")
+	body.Release()
+	_, err = b.Read(iotest.ErrReader(os.ErrDeadlineExceeded), 100, func() {})
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	for cause, want := range map[Cause]uint64{BodySize: 1, BodyTimeout: 1, BodyBudget: 0} {
+		require.Equal(t, want, r.metrics.GetOrCreateCounter(fmt.Sprintf(`oleanderbend_clients_refused_total{cause=%q}`, string(cause))).Get(), cause)
+	}
+}
+
+// Guards against a budget, on a small machine, that has no room for one body of the largest usual size, and against memory that
+// is allocated anew for each body of a burst, or kept after it.
+func TestSmallBudgetReusesMemory(t *testing.T) {
+	b := NewBudget(0, 1, newRefusals())
+	hold, err := b.Read(strings.NewReader("x"), bodyLimit, func() {})
+	require.NoError(t, err)
+	body, err := b.Read(strings.NewReader(strings.Repeat("x", bodyLimit)), bodyLimit, func() {})
+	require.NoError(t, err)
+	body.Release()
+	require.GreaterOrEqual(t, len(b.free), bodyLimit/chunkBytes)
+	hold.Release()
+	require.Zero(t, len(b.free)) // Empty would print the chunks.
 }
 
 // serve starts a server with a limit of connections. It answers a request after its path has been received from the
@@ -235,6 +261,19 @@
 	}
 	require.Equal(t, 20*readCost, b.pauseOf(large))
 	require.Zero(t, b.pauseOf(small))
+	for range 10000 {
+		b.incomplete.PushBack(large)
+	}
+	require.Equal(t, maxPause, b.pauseOf(large))
+
+	started := time.Now()
+	_, err := NewBudget(16<<20, 1, newRefusals()).Read(strings.NewReader(strings.Repeat("x", 3*chunkBytes)), bodyLimit, func() {})
+	require.NoError(t, err)
+	require.Less(t, time.Since(started), maxPause)
+	started = time.Now()
+	_, err = b.Read(strings.NewReader(strings.Repeat("x", 3*chunkBytes)), bodyLimit, func() {})
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, time.Since(started), maxPause)
 }
 
 // Guards against headers, idle connections and bodies that are waited for without end, and against headers that are
@@ -286,3 +325,61 @@
 	<-handled
 	requireStatus(t, r, http.StatusOK)
 }
+
+// Guards against large jobs that count less than they take while they are handled, against usual ones that count more, against a
+// whole body that is rejected without being counted, and against decode slots that are not returned.
+func TestDecodedBodyCountsForItsJob(t *testing.T) {
+	refusals := newRefusals()
+	b := NewBudget(0, 1, refusals)
+	read := func(size int) *Body {
+		body, err := b.Read(strings.NewReader(strings.Repeat("x", size)), bodyLimit, func() {})
+		require.NoError(t, err)
+		return body
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	decode := func(body *Body) error { return body.Decode(ctx, func([]byte) error { return nil }) }
+	for range 2 * decodeSlots {
+		for size, chunks := range map[int]int{smallBody: 3, 3*chunkBytes - 1: 3 * handlingFactor} {
+			body := read(size)
+			require.NoError(t, decode(body))
+			require.Equal(t, chunks*chunkBytes, b.Used(), size)
+			body.Release()
+		}
+	}
+	b.capacity = 40
+	first, second := read(5*chunkBytes), read(5*chunkBytes)
+	require.NoError(t, decode(first))
+	b.capacity = b.used
+	require.ErrorIs(t, decode(second), ErrAbandoned)
+	require.EqualValues(t, 1, refusals.metrics.GetOrCreateCounter(`oleanderbend_clients_refused_total{cause="handling"}`).Get())
+}
+
+// Guards against new connections that are closed before their request can arrive, against an incomplete body that keeps its place until
+// the server has answered, and against pipelining clients that lose their connections although there is room.
+func TestNewConnectionsMayWait(t *testing.T) {
+	l := NewLimiter(1, usualLimits, newRefusals())
+	c, _ := l.tryAdmit(&net.TCPConn{})
+	next, wait := l.tryAdmit(&net.TCPConn{})
+	require.Nil(t, next)
+	require.False(t, c.expired)
+	require.Positive(t, wait)
+	require.LessOrEqual(t, wait, minWait)
+
+	l.startBody(c, time.Minute)
+	c.since = c.since.Add(-minWait)
+	next, _ = l.tryAdmit(&net.TCPConn{})
+	require.Nil(t, next)
+	require.True(t, c.expired)
+	require.Zero(t, l.Open())
+	next, _ = l.tryAdmit(&net.TCPConn{})
+	require.NotNil(t, next)
+
+	l.stateChanged(next, http.StateIdle)
+	l.stateChanged(next, http.StateActive)
+	require.False(t, l.isClosing(next), "there is room")
+	l.stateChanged(next, http.StateIdle)
+	l.full = true
+	l.stateChanged(next, http.StateActive)
+	require.True(t, l.isClosing(next))
+}
--- a/internal/controller/interference.go
+++ b/internal/controller/interference.go
@@ -258,7 +258,7 @@
 	level := r.level
 	r.level = 0
 	steady := now.Sub(r.worker.workingSince).Seconds() >= minSteadyShare*now.Sub(r.placedAt).Seconds()
-	if r.state != running || r.remote || r.paceDistorted || r.wasCold || !steady {
+	if r.state != running || r.remote || r.paceDistorted || !steady {
 		return 0
 	}
 	return level
--- a/internal/controller/interference_test.go
+++ b/internal/controller/interference_test.go
@@ -288,8 +288,8 @@
 	}
 	deviations := []forecast.Deviation{{Run: 7, Factor: 2}, {Run: 3, Factor: 1}}
 	for name, distort := range map[string]func(r *run, u *unit){
-		"remote": func(r *run, _ *unit) { r.remote = true }, "resumed or slow": func(r *run, _ *unit) { r.paceDistorted = true },
-		"cold": func(r *run, _ *unit) { r.wasCold = true }, "stopping": func(r *run, _ *unit) { r.state = stopping },
+		"remote": func(r *run, _ *unit) { r.remote = true }, "resumed, cold or slow": func(r *run, _ *unit) { r.paceDistorted = true },
+		"stopping":                              func(r *run, _ *unit) { r.state = stopping },
 		"other neighbours for most of the time": func(r *run, _ *unit) { r.worker.workingSince = now.Add(-4 * time.Second) },
 		"most others completed":                 func(_ *run, u *unit) { u.completedRuns = 2 },
 	} {
--- a/internal/planner/compare_test.go
+++ b/internal/planner/compare_test.go
@@ -388,9 +388,18 @@
 		return false
 	}
 	p.attempts++
-	best, ok := p.cheapest(u)
-	if !ok || (!u.Guaranteed && best.loss > maxLossFactor*u.Work+restartCost*float64(len(best.groups))) {
-		return false
+	acceptable := func(b *plainPreemption) bool {
+		return u.Guaranteed || b.loss <= maxLossFactor*u.Work+restartCost*float64(len(b.groups))
+	}
+	var best plainPreemption
+	ok := false
+	if slices.ContainsFunc(p.all, func(i int) bool { return missesObjective(u, &p.Workers[i]) && p.suits(u, &p.Workers[i]) }) {
+		best, ok = p.cheapest(u, true)
+	}
+	if !ok || !acceptable(&best) {
+		if best, ok = p.cheapest(u, false); !ok || !acceptable(&best) {
+			return false
+		}
 	}
 	for _, group := range best.groups {
 		p.stopped[group] = true
@@ -409,7 +418,10 @@
 	loss           float64
 }
 
-func (p *plainRound) cheapest(u *Unit) (plainPreemption, bool) {
+func (p *plainRound) cheapest(u *Unit, skipsSlow bool) (plainPreemption, bool) {
+	fast := func(workers []int) []int {
+		return slices.DeleteFunc(slices.Clone(workers), func(i int) bool { return skipsSlow && missesObjective(u, &p.Workers[i]) })
+	}
 	potential := slices.Clone(p.afterStops)
 	counted := make(map[int]bool)
 	for i := range p.Workers {
@@ -424,20 +436,22 @@
 		}
 	}
 	if u.DataRack != "" {
-		if best, ok := p.preemptWithin(u, p.rack(u.DataRack), potential); ok {
-			return best, true
+		if best, ok := p.preemptWithin(u, fast(p.rack(u.DataRack)), potential); ok || skipsSlow {
+			return best, ok
 		}
 	}
 	if !u.RackLocal || u.Tasks == 1 {
-		return p.preemptWithin(u, p.all, potential)
+		return p.preemptWithin(u, fast(p.all), potential)
 	}
 	best, found := plainPreemption{loss: math.Inf(1)}, false
+	speed := func(b *plainPreemption) worstSpeed { return (&round{snapshot: p.Snapshot}).worstSpeed(u, b.places) }
 	for _, rack := range p.racks {
-		if other, ok := p.preemptWithin(u, rack, potential); ok && other.loss < best.loss {
+		other, ok := p.preemptWithin(u, fast(rack), potential)
+		if ok && (other.loss < best.loss || (other.loss == best.loss && speed(&other).compare(speed(&best)) < 0)) {
 			best, found = other, true
 		}
 	}
-	if !found && (u.Guaranteed || !u.WaitsForRack) {
+	if !found && !skipsSlow && (u.Guaranteed || !u.WaitsForRack) {
 		return p.preemptWithin(u, p.all, potential)
 	}
 	return best, found
@@ -501,7 +515,9 @@
 		}
 		best := 0
 		for k := range options {
-			if options[k].loss < options[best].loss {
+			a, b := &options[k], &options[best]
+			faster := u.MinSpeed > 0 && speedClassOf(u, &p.Workers[a.worker]) < speedClassOf(u, &p.Workers[b.worker])
+			if a.loss < b.loss || (a.loss == b.loss && faster) {
 				best = k
 			}
 		}
--- a/internal/planreplay/jobs.go
+++ b/internal/planreplay/jobs.go
@@ -42,8 +42,9 @@
 	saved time.Duration
 	done  bool
 	run   *run
-	// preempted means that an earlier run of the task was preempted.
-	preempted bool
+	// preempted means that an earlier run of the task was preempted, lastly at preemptedAt.
+	preempted   bool
+	preemptedAt time.Duration
 	// harmed means that it is a serving task that was above its target for harmTime.
 	harmed bool
 }
--- a/internal/planreplay/pattern.go
+++ b/internal/planreplay/pattern.go
@@ -41,6 +41,8 @@
 	Interference []Interference `toml:"interference"`
 	// LearnInterference means that the planner is told which kinds conflict, as learned from what polls would show.
 	LearnInterference bool `toml:"learn_interference"`
+	// Evacuations are zones that accept nothing for a time.
+	Evacuations []Evacuation `toml:"evacuations"`
 }
 
 // Workers describes the fleet.
@@ -206,6 +208,9 @@
 	for i, s := range p.Slowdowns {
 		check(share(s.Share) && s.Factor >= 1 && s.Length > 0, fmt.Sprintf("slowdowns.%d", i), "the share must be from 0 to 1, the factor at least 1, the length positive")
 	}
+	for i, e := range p.Evacuations {
+		check(share(e.Share) && e.At >= 0 && e.Length > 0, fmt.Sprintf("evacuations.%d", i), "the share must be from 0 to 1, the length positive")
+	}
 	return errors.Join(errs...)
 }
 
--- a/internal/planreplay/replay.go
+++ b/internal/planreplay/replay.go
@@ -30,6 +30,9 @@
 type worker struct {
 	id, rack string
 	lost     bool
+	// evacuated means that its zone is evacuated, closed that it gets no work because of that or because the zone has just
+	// returned to service.
+	evacuated, closed bool
 	// slowdown is how many times as long work takes; detected means that the planner knows.
 	slowdown float64
 	detected bool
@@ -73,6 +76,7 @@
 	active   []*job
 	headroom planner.HeadroomTracker
 	learning interferenceState
+	repeats  planner.RepeatTracker
 	result   *Result
 }
 
@@ -94,6 +98,7 @@
 			break
 		}
 		r.applyEvents(order)
+		r.applyEvacuations()
 		r.advance()
 		for r.arrived < len(r.jobs) && r.jobs[r.arrived].arrivedAt <= r.now {
 			r.active = append(r.active, r.jobs[r.arrived])
@@ -230,13 +235,43 @@
 				if run.task.preempted {
 					r.result.StoppedAgain++
 				}
-				run.task.preempted = true
+				r.addPreemption(run, cause)
 			}
 			r.result.stopped(j, cause)
 		}
 	}
 }
 
+// addPreemption records the preemption of a run; only the first member of a gang counts.
+func (r *replay) addPreemption(run *run, cause planner.StopCause) {
+	t := run.task
+	previous := time.Duration(-1)
+	if t.preempted {
+		previous = t.preemptedAt
+	}
+	if !t.job.gang || t.number == 0 {
+		r.repeats.Add(service, r.now, previous, cause, r.lostWork(run))
+	}
+	t.preempted, t.preemptedAt = true, r.now
+}
+
+// updateRepeats determines whether runs that were preempted before are spared.
+func (r *replay) updateRepeats() {
+	r.repeats.Update(r.now)
+	if r.repeats.Spares(service) {
+		r.result.SparedRounds++
+	}
+}
+
+// lostWork returns the work that is lost if a run, or its whole gang, is stopped.
+func (r *replay) lostWork(run *run) float64 {
+	members := 1
+	if run.task.job.gang {
+		members = len(run.task.job.tasks)
+	}
+	return planner.LostWork(run.task.job.need, members, r.now-min(r.now, run.startedAt), run.task.job.checkpoint)
+}
+
 // groupIDsPerJob is the size of the range of group numbers that each job has.
 const groupIDsPerJob = 1 << 13
 
@@ -287,7 +322,7 @@
 	if j.firstStartAt == 0 {
 		j.firstStartAt = r.now + startTime
 		if j.guaranteed && j.firstStartAt-j.arrivedAt > guaranteeLimit {
-			r.result.LateGuarantees++
+			r.countLateGuarantee(j)
 		}
 	}
 	next := 0
@@ -303,6 +338,7 @@
 		next++
 		t.run = &run{task: t, worker: w, startedAt: r.now + startTime, updatedAt: r.now, done: t.saved, remote: j.rackLocal && len(racks) > 1, interference: 1}
 		w.runs[t.run] = true
+		r.countZoneStart(w)
 		j.running++
 	}
 }
@@ -311,6 +347,7 @@
 func (r *replay) snapshot() (planner.Snapshot, []*job) {
 	var s planner.Snapshot
 	r.assignGuarantees()
+	r.updateRepeats()
 	used := map[string]float64{}
 	for _, w := range r.workers {
 		s.Workers = append(s.Workers, r.describe(w, used))
@@ -350,7 +387,7 @@
 // describe returns the planner's view of a worker, and adds the accelerators that urgent work uses there to used, by service.
 func (r *replay) describe(w *worker, used map[string]float64) planner.Worker {
 	d := planner.Worker{
-		ID: w.id, Service: service, Rack: w.rack, AcceptsWork: !w.lost, Slow: w.detected,
+		ID: w.id, Service: service, Rack: w.rack, AcceptsWork: !w.lost, Slow: w.detected, Evacuated: w.closed,
 		Free: planner.Resources{CPU: 1000 * r.pattern.Workers.Cores, MemoryMB: r.pattern.Workers.MemoryMB, GPU: r.pattern.Workers.GPU},
 	}
 	if after := time.Duration(r.pattern.Workers.SpeedsKnownAfter); after > 0 && w.worked >= after {
@@ -359,7 +396,7 @@
 	for _, run := range sortedRuns(w) {
 		j := run.task.job
 		d.Free = d.Free.Sub(j.need)
-		if j.class.Priority == 0 {
+		if j.class.Priority == 0 && !w.evacuated {
 			used[service] += float64(j.need.GPU)
 		}
 		if run.stopping {
@@ -371,14 +408,10 @@
 		if kind := j.class.Kind; kind != "" && !slices.Contains(d.Kinds, kind) {
 			d.Kinds = append(d.Kinds, kind)
 		}
-		members := 1
-		if j.gang {
-			members = len(j.tasks)
-		}
 		d.Runs = append(d.Runs, planner.Run{
 			Group: j.groupID(run.task.number), Need: j.need, Priority: j.class.Priority, Guaranteed: j.guaranteed,
-			Org: r.pattern.Orgs[j.org].Name, Preempted: run.task.preempted,
-			LostWork: planner.LostWork(j.need, members, r.now-min(r.now, run.startedAt), j.checkpoint),
+			Org: r.pattern.Orgs[j.org].Name, Preempted: run.task.preempted && r.repeats.Spares(service),
+			LostWork: r.lostWork(run),
 		})
 	}
 	return d
--- a/internal/planreplay/result.go
+++ b/internal/planreplay/result.go
@@ -28,6 +28,8 @@
 	Stops []Stops
 	// StoppedAgain is the number of preempted runs of which an earlier run of the same task had been preempted.
 	StoppedAgain int
+	// SparedRounds is the number of rounds in which runs that were preempted before were spared.
+	SparedRounds int
 	// LateGuarantees is the number of jobs that their organisation's guarantee covered and that began later than it allows.
 	LateGuarantees int
 	// StrandedGPU is the mean share of the accelerators that are idle and that no waiting task can use for lack of
@@ -36,6 +38,9 @@
 	// Interference is nil if the pattern has none.
 	Interference *InterferenceResult
 
+	// Evacuations has the results of the evacuations of the pattern.
+	Evacuations []EvacuationResult
+
 	pattern    *Pattern
 	totalRound time.Duration
 	// waiting is the number of jobs without a started task, by class, at each step of the plot.
@@ -75,7 +80,7 @@
 const plotStep = 250 * time.Millisecond
 
 func newResult(p *Pattern) *Result {
-	res := &Result{pattern: p, waiting: make([][]float64, len(p.Classes))}
+	res := &Result{pattern: p, waiting: make([][]float64, len(p.Classes)), Evacuations: make([]EvacuationResult, len(p.Evacuations))}
 	for i := range p.Classes {
 		res.Classes = append(res.Classes, Group{Name: p.Classes[i].Name})
 	}
@@ -179,26 +184,11 @@
 		}
 		// Larger jobs are worth more, up to four times the value of the class.
 		weight := min(4, 0.3+0.7*j.size()*counts[j.class]/sizes[j.class])
-		took := j.endedAt - j.arrivedAt
-		wait := j.firstStartAt - j.arrivedAt
-		if j.firstStartAt == 0 {
-			wait = r.now - j.arrivedAt
-		}
 		for _, g := range res.groups(j) {
-			g.Jobs++
-			g.value += weight * j.class.Value
-			g.waits = append(g.waits, wait)
-			switch {
-			case j.endedAt == 0 || took > 3*j.objective():
-			case took > j.objective() || j.harmed:
-				g.Late++
-				g.earned += weight * j.class.LateValue
-			default:
-				g.InTime++
-				g.earned += weight * j.class.Value
-			}
+			g.add(r, j, weight)
 		}
 	}
+	res.finishEvacuations(r)
 	for _, groups := range [][]Group{res.Classes, res.Orgs} {
 		for i := range groups {
 			groups[i].finish()
@@ -206,6 +196,27 @@
 	}
 }
 
+// add adds the result of a job, with a weight of its value.
+func (g *Group) add(r *replay, j *job, weight float64) {
+	took := j.endedAt - j.arrivedAt
+	wait := j.firstStartAt - j.arrivedAt
+	if j.firstStartAt == 0 {
+		wait = r.now - j.arrivedAt
+	}
+	g.Jobs++
+	g.value += weight * j.class.Value
+	g.waits = append(g.waits, wait)
+	switch {
+	case j.endedAt == 0 || took > 3*j.objective():
+	case took > j.objective() || j.harmed:
+		g.Late++
+		g.earned += weight * j.class.LateValue
+	default:
+		g.InTime++
+		g.earned += weight * j.class.Value
+	}
+}
+
 func (g *Group) finish() {
 	if g.Jobs == 0 {
 		return
@@ -266,15 +277,17 @@
 		return err
 	}
 	worst := res.WorstOrg()
-	fmt.Fprintf(out, "worst organisation: %s (value %.3f); late or unfinished jobs: %d; preempted again: %d; late guarantees: %d; stranded accelerators: %.1f %%\n",
-		worst.Name, worst.Value, res.missed(), res.StoppedAgain, res.LateGuarantees, 100*res.StrandedGPU)
+	fmt.Fprintf(out, "worst organisation: %s (value %.3f); late or unfinished jobs: %d; preempted again: %d (spared in %d rounds); late guarantees: %d; stranded accelerators: %.1f %%\n",
+		worst.Name, worst.Value, res.missed(), res.StoppedAgain, res.SparedRounds, res.LateGuarantees, 100*res.StrandedGPU)
 	if res.Interference != nil {
 		if err := res.Interference.write(out); err != nil {
 			return err
 		}
 	}
-	_, err := fmt.Fprintf(out, "%d rounds, %v on average, %v at most\n", res.Rounds, res.MeanRound.Round(time.Microsecond), res.LongestRound.Round(time.Microsecond))
-	return err
+	if _, err := fmt.Fprintf(out, "%d rounds, %v on average, %v at most\n", res.Rounds, res.MeanRound.Round(time.Microsecond), res.LongestRound.Round(time.Microsecond)); err != nil {
+		return err
+	}
+	return res.writeEvacuations(out)
 }
 
 // WritePlot writes a plot of the waiting jobs over time to a file, whose name gives the format (.svg, .png or .pdf).
