--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -90,19 +90,10 @@
 // not stored yet, it only renews the leases of the other runs.
 func (l *leader) poll(ws *workerState) {
 	now := boottime.Now()
-	if ws.pollInFlight || now < ws.nextPoll || !l.term.Valid() {
+	if !l.pollDue(ws, now) || !l.admitPoll(ws, now) {
 		return
 	}
 	storing := ws.unstoredEnds > 0
-	if storing && (len(ws.runs) == 0 || now.Sub(ws.lastStartOrPollResponse) < pollWait) {
-		return
-	}
-	if ws.isIdle() && !ws.needsPoll && ws.unreachableSince == 0 && !ws.expectsLateStart(now) {
-		return
-	}
-	if !l.admitPoll(ws, now) {
-		return
-	}
 	command := worker.PollCommand{Token: l.term.Epoch}
 	sameIncarnation := ws.unreachableSince == 0 && now.Sub(ws.lastPollResponse) < sameIncarnationWindow
 	if ws.processedEnd > ws.acknowledgedEnd && sameIncarnation && !storing {
@@ -159,6 +150,17 @@
 	}()
 }
 
+// pollDue reports whether a poll of the worker is due; see poll.
+func (l *leader) pollDue(ws *workerState, now boottime.Instant) bool {
+	if ws.pollInFlight || now < ws.nextPoll || !l.term.Valid() {
+		return false
+	}
+	if ws.unstoredEnds > 0 && (len(ws.runs) == 0 || now.Sub(ws.lastStartOrPollResponse) < pollWait) {
+		return false
+	}
+	return !ws.isIdle() || ws.needsPoll || ws.unreachableSince != 0 || ws.expectsLateStart(now)
+}
+
 // waitsForFirstPoll reports whether the worker has no runs and must be polled before it gets its first work, so that its poll
 // may wait for others.
 func (ws *workerState) waitsForFirstPoll(now boottime.Instant) bool {
--- a/internal/planner/compare_test.go
+++ b/internal/planner/compare_test.go
@@ -418,10 +418,8 @@
 	loss           float64
 }
 
-func (p *plainRound) cheapest(u *Unit, skipsSlow bool) (plainPreemption, bool) {
-	fast := func(workers []int) []int {
-		return slices.DeleteFunc(slices.Clone(workers), func(i int) bool { return skipsSlow && missesObjective(u, &p.Workers[i]) })
-	}
+// potential returns what would be free on each worker if all runs that may be preempted for the unit were stopped.
+func (p *plainRound) potential(u *Unit) []Resources {
 	potential := slices.Clone(p.afterStops)
 	counted := make(map[int]bool)
 	for i := range p.Workers {
@@ -435,6 +433,14 @@
 			}
 		}
 	}
+	return potential
+}
+
+func (p *plainRound) cheapest(u *Unit, skipsSlow bool) (plainPreemption, bool) {
+	fast := func(workers []int) []int {
+		return slices.DeleteFunc(slices.Clone(workers), func(i int) bool { return skipsSlow && missesObjective(u, &p.Workers[i]) })
+	}
+	potential := p.potential(u)
 	if u.DataRack != "" {
 		if best, ok := p.preemptWithin(u, fast(p.rack(u.DataRack)), potential); ok || skipsSlow {
 			return best, ok
--- a/internal/planreplay/pattern.go
+++ b/internal/planreplay/pattern.go
@@ -167,7 +167,6 @@
 			errs = append(errs, fmt.Errorf("%w: %s: %s", ErrInvalid, key, rule))
 		}
 	}
-	share := func(x float64) bool { return x >= 0 && x <= 1 }
 	check(p.Duration > 0, "duration", "must be positive")
 	check(time.Duration(p.Round) >= time.Millisecond, "round", "must be at least 1ms")
 	w := &p.Workers
@@ -199,6 +198,22 @@
 		kinds[c.Kind] = true
 	}
 	p.checkInterference(check, kinds)
+	p.checkEvents(check, names)
+	return errors.Join(errs...)
+}
+
+func (p *Pattern) checkInterference(check func(ok bool, key, rule string), kinds map[string]bool) {
+	for i, f := range p.Interference {
+		check(f.Victim != "" && f.Neighbour != "" && kinds[f.Victim] && kinds[f.Neighbour] && f.Factor >= 1 && f.At >= 0 && f.Length >= 0,
+			fmt.Sprintf("interference.%d", i), "unknown kind, a factor below 1, or a negative time")
+	}
+}
+
+// share reports whether x is a share.
+func share(x float64) bool { return x >= 0 && x <= 1 }
+
+// checkEvents checks what happens at certain times.
+func (p *Pattern) checkEvents(check func(ok bool, key, rule string), names map[string]bool) {
 	for i, b := range p.Bursts {
 		check(names[b.Class] && b.Factor > 0 && b.Length > 0, fmt.Sprintf("bursts.%d", i), "unknown class, or factor or length not positive")
 	}
@@ -211,12 +226,4 @@
 	for i, e := range p.Evacuations {
 		check(share(e.Share) && e.At >= 0 && e.Length > 0, fmt.Sprintf("evacuations.%d", i), "the share must be from 0 to 1, the length positive")
 	}
-	return errors.Join(errs...)
-}
-
-func (p *Pattern) checkInterference(check func(ok bool, key, rule string), kinds map[string]bool) {
-	for i, f := range p.Interference {
-		check(f.Victim != "" && f.Neighbour != "" && kinds[f.Victim] && kinds[f.Neighbour] && f.Factor >= 1 && f.At >= 0 && f.Length >= 0,
-			fmt.Sprintf("interference.%d", i), "unknown kind, a factor below 1, or a negative time")
-	}
 }
