--- a/internal/controller/takeoverfaults_test.go
+++ b/internal/controller/takeoverfaults_test.go
@@ -295,13 +295,16 @@
 	}
 	sentTo, _ := f.c.fleet.Entry(to.ID)
 	return i.command(ctx, "start "+cmd.Task.String(), start, func() {
-		now, ok := f.c.fleet.Entry(to.ID)
 		f.mu.Lock()
-		if ok && now.StartedAtMS != sentTo.StartedAtMS && now.StartedAtMS != f.polled[to.ID] {
-			f.lateStarts = append(f.lateStarts, [2]string{cmd.Task.String(), to.ID})
-		}
+		polled := f.polled[to.ID]
 		f.mu.Unlock()
 		_ = start(context.Background())
+		// The worker may restart while the start is on its way.
+		if now, ok := f.c.fleet.Entry(to.ID); ok && now.StartedAtMS != sentTo.StartedAtMS && now.StartedAtMS != polled {
+			f.mu.Lock()
+			f.lateStarts = append(f.lateStarts, [2]string{cmd.Task.String(), to.ID})
+			f.mu.Unlock()
+		}
 	})
 }
 
