Do not panic when a completed job is explained

Cause: closing a job drops its units, but not the number of units known to be done, so the guarantee's view of the job sliced beyond them. The panic was caught and the caller got an error. Found by review; the test fails before.

--- a/internal/controller/explain_test.go
+++ b/internal/controller/explain_test.go
@@ -192,3 +192,17 @@
 		require.Zero(t, returned, "the leader itself drops the entry")
 	})
 }
+
+// Guards against a panic in the explanation of a completed job with several steps: its units are dropped when it is closed, and
+// the number of units that were done stayed.
+func TestExplanationOfCompletedJob(t *testing.T) {
+	inVirtualTime(t, 1, fixedWork(time.Second), func(c *cluster) {
+		i := c.startInstance("a")
+		c.addWorker(jobID(0), "r1")
+		c.submit(jobID(1), batch.Step{Count: 1, CPU: 1000, GPU: 1}, batch.Step{Count: 1, CPU: 1000, GPU: 1, After: []int{0}})
+		c.waitFor(20*time.Second, "completed", func() bool { return c.phase(jobID(1)) == batch.Completed })
+		time.Sleep(time.Second)
+		_, err := i.control.Explain(c.t.Context(), ExplainRequest{ID: jobID(1)})
+		require.NoError(t, err)
+	})
+}
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -51,7 +51,7 @@
 	// of which a task was placed.
 	startedOccurrences int
 	units              []*unit
-	// doneUnits is a number of units at the beginning of units that are all done.
+	// The first doneUnits units are known to be done; there may be more.
 	doneUnits int
 	// storedTasks are the task records found at a takeover. They are removed when the job is
 	// closed.
@@ -479,7 +479,7 @@
 			}
 		}
 	}
-	j.units, j.storedTasks, j.closed = nil, nil, true
+	j.units, j.doneUnits, j.storedTasks, j.closed = nil, 0, nil, true
 	if len(records) > 0 {
 		l.storeTasks(records, func() {})
 	}
