planner: count shares of any priority

A negative priority in the operator's configuration ended every planning round with a panic, a huge one took gigabytes. Found by review.

The test panics before.

--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -372,3 +372,13 @@
 		require.Len(t, Decide(Snapshot{Workers: workers, Units: []Unit{unit}}).Stops, c.stops)
 	}
 }
+
+// Guards against a panic or gigabytes of memory for a priority that an operator has set by mistake.
+func TestAnyPriorityIsAccepted(t *testing.T) {
+	for _, priority := range []int{-1, 1 << 40} {
+		workers := makeWorkers(2, 2)
+		occupy(&workers[0], Run{Group: 1, Need: resourcesWithGPUs(8), Priority: priority})
+		unit := Unit{Service: "s", Priority: priority, Tasks: 2, Need: resourcesWithGPUs(8)}
+		require.Equal(t, 1, countStarts(Decide(Snapshot{Workers: workers, Units: []Unit{unit}})))
+	}
+}
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -19,10 +19,10 @@
 }
 
 // priorityShares tells which priorities of one service use no more than their minimum share.
-type priorityShares []bool
+type priorityShares map[int]bool
 
 // within reports whether the queues of a priority use no more than their minimum share.
-func (s priorityShares) within(priority int) bool { return priority < len(s) && s[priority] }
+func (s priorityShares) within(priority int) bool { return s[priority] }
 
 // splitUnits returns the units of a round, with some split. If the queues of a priority use less
 // than their minimum share, as many tasks as fit into the rest of the share become a part of their own,
@@ -91,7 +91,7 @@
 		}
 		usage := services[w.Service]
 		if usage == nil {
-			usage = &serviceUsage{}
+			usage = &serviceUsage{used: make(map[int]int64)}
 			services[w.Service] = usage
 		}
 		usage.add(w)
@@ -100,7 +100,7 @@
 	for i := range r.snapshot.Units {
 		key := priorityKey{r.snapshot.Units[i].Service, r.snapshot.Units[i].Priority}
 		if usage := services[key.service]; usage != nil {
-			remaining[key] = int64(usage.minShare()) - usage.usedBy(key.priority)
+			remaining[key] = int64(usage.minShare()) - usage.used[key.priority]
 		}
 	}
 	r.withinShare = make(map[string]priorityShares)
@@ -118,18 +118,15 @@
 type serviceUsage struct {
 	// total is those of the workers that accept work.
 	total int64
-	// used is those that runs of each priority use.
-	used []int64
+	// used is those that runs of each priority use. It is a map because operators may set any priority.
+	used map[int]int64
 }
 
 func (s *serviceUsage) add(w *Worker) {
 	total := w.Free.GPU + w.Releasing.GPU
 	for k := range w.Runs {
-		priority, gpu := w.Runs[k].Priority, w.Runs[k].Need.GPU
-		for len(s.used) <= priority {
-			s.used = append(s.used, 0)
-		}
-		s.used[priority] += gpu
+		gpu := w.Runs[k].Need.GPU
+		s.used[w.Runs[k].Priority] += gpu
 		total += gpu
 	}
 	if w.AcceptsWork {
@@ -137,12 +134,5 @@
 	}
 }
 
-func (s *serviceUsage) usedBy(priority int) int64 {
-	if priority < len(s.used) {
-		return s.used[priority]
-	}
-	return 0
-}
-
 // minShare returns the accelerators of the minimum share of each priority.
 func (s *serviceUsage) minShare() float64 { return minPriorityShare * float64(s.total) }
