Let unreachable workers not keep first polls waiting

Cause: an unreachable worker held a slot of the first polls for 0.7 s and came back every second, so that with a third of 3,300 workers gone the others waited for seconds. Found by review; the earlier test had too few such workers to show it.

Change: a first poll counts for 100 ms at most, and workers known to be unreachable are polled as before.

--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -27,10 +27,13 @@
 	lateStartPollInterval = 300 * time.Millisecond
 	// untrackedPollInterval is the pause after a poll that reported a run that the leader does not track.
 	untrackedPollInterval = 150 * time.Millisecond
-	// maxFirstPolls is the number of first polls of workers without runs that are in flight at a time. A new leader polls
-	// every worker before its first work. With 3,000 at a time, connections and renewals of the term timed out
-	// for lack of processor time, and one leader after the other resigned.
+	// maxFirstPolls is the number of first polls that are in flight at a time: polls of workers without runs that must answer
+	// one before they get work. A new leader polls every worker. With 3,000 at a time, connections and renewals of the
+	// term timed out for lack of processor time, and one leader after the other resigned.
 	maxFirstPolls = 256
+	// firstPollTime is the time after which a first poll no longer counts, so that unreachable workers do not keep
+	// others waiting. Workers that can be reached answer within some tens of milliseconds.
+	firstPollTime = 100 * time.Millisecond
 	// sameIncarnationWindow is the time after a poll within which the worker cannot have restarted:
 	// a restart takes longer.
 	sameIncarnationWindow = time.Second
@@ -128,9 +131,9 @@
 	}
 	ws.pollInFlight, ws.ackInFlight = true, command.AcknowledgedThrough > 0
 	l.c.metrics.polls.Inc()
-	first := ws.waitsForFirstPoll(now)
-	if first {
-		l.firstPolls++
+	ended := func() {}
+	if ws.waitsForFirstPoll(now) {
+		ended = l.countFirstPoll()
 	}
 	target, startedAtMS := worker.Endpoint{ID: ws.id, Address: ws.address}, ws.startedAtMS
 	go func() {
@@ -142,10 +145,7 @@
 				ws.recordUnconfirmedAck(now, startedAtMS)
 			}
 			l.handlePollResponse(ws, now, command, response, err)
-			if first {
-				l.firstPolls--
-				l.pollNextQueued()
-			}
+			ended()
 		})
 	}()
 }
@@ -161,10 +161,25 @@
 	return !ws.isIdle() || ws.needsPoll || ws.unreachableSince != 0 || ws.expectsLateStart(now)
 }
 
-// waitsForFirstPoll reports whether the worker has no runs and must be polled before it gets its first work, so that its poll
-// may wait for others.
+// waitsForFirstPoll reports whether the worker has no runs and must be polled before it gets work, so that its poll may wait
+// for others.
 func (ws *workerState) waitsForFirstPoll(now boottime.Instant) bool {
-	return ws.needsPoll && ws.isIdle() && !ws.expectsLateStart(now)
+	return ws.needsPoll && ws.unreachableSince == 0 && ws.isIdle() && !ws.expectsLateStart(now)
+}
+
+// countFirstPoll counts a first poll until the returned function is called, or for firstPollTime.
+func (l *leader) countFirstPoll() (ended func()) {
+	l.firstPolls++
+	counted := true
+	ended = func() {
+		if counted {
+			counted = false
+			l.firstPolls--
+			l.pollNextQueued()
+		}
+	}
+	time.AfterFunc(firstPollTime, func() { l.post(ended) })
+	return ended
 }
 
 // admitPoll reports whether a poll of the worker may be sent now. If maxFirstPolls are in flight, it queues the worker.
@@ -183,6 +198,7 @@
 func (l *leader) pollNextQueued() {
 	for len(l.queuedPolls) > 0 && l.firstPolls < maxFirstPolls {
 		ws := l.queuedPolls[0]
+		l.queuedPolls[0] = nil
 		l.queuedPolls = l.queuedPolls[1:]
 		ws.pollQueued = false
 		if l.workers[ws.id] == ws {
