planner: count each worker of a placement once

Places on one worker need not be next to each other: tasks of a unit with a loose objective are first spread over workers of unknown speed. Conflicts and the workers of the worst speed were counted twice. Found by review.

--- a/internal/planner/interference.go
+++ b/internal/planner/interference.go
@@ -23,18 +23,22 @@
 	return slices.ContainsFunc(w.Kinds, func(kind string) bool { return r.snapshot.Conflicts.between(u.Kind, kind) })
 }
 
-// countConflicts returns the number of workers among the places of a unit, which are next to each other for one worker, that run a
-// kind of work that conflicts with that of the unit.
+// countConflicts returns the number of workers among the places of a unit that run a kind of work that conflicts with that of
+// the unit.
 func (r *round) countConflicts(u *Unit, places []int) int {
 	if len(r.snapshot.Conflicts) == 0 {
 		return 0
 	}
-	n, previous := 0, -1
-	for _, w := range places {
-		if w != previous && r.conflictsWith(u, &r.snapshot.Workers[w]) {
+	n := 0
+	for _, w := range distinct(places) {
+		if r.conflictsWith(u, &r.snapshot.Workers[w]) {
 			n++
 		}
-		previous = w
 	}
 	return n
 }
+
+// distinct returns the places of a unit with each worker once. The places on one worker need not be next to each other.
+func distinct(places []int) []int {
+	return slices.Compact(slices.Sorted(slices.Values(places)))
+}
--- a/internal/planner/speed.go
+++ b/internal/planner/speed.go
@@ -79,12 +79,7 @@
 	if u.MinSpeed == 0 {
 		return worst
 	}
-	previous := -1
-	for _, w := range places {
-		if w == previous {
-			continue
-		}
-		previous = w
+	for _, w := range distinct(places) {
 		switch class := speedClassOf(u, &r.snapshot.Workers[w]); {
 		case class > worst.class:
 			worst = worstSpeed{class, 1}
