Keep cold workers and repeated reads out of what is learned of speeds

Cold workers no longer add to the recent speed that marks workers as slow. Failed reads of the stored speeds are repeated at growing, random intervals. The age of restored speeds no longer begins anew on a machine that has booted lately. All found by review; no test of their own.

--- a/internal/controller/forecast.go
+++ b/internal/controller/forecast.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -23,6 +24,9 @@
 	// speedsStoreInterval is the time between two stores of the speeds, so that they cost a few writes a minute. A new leader relearns
 	// what has changed since within seconds.
 	speedsStoreInterval = 5 * time.Second
+	// maxSpeedsRetryInterval limits the pause after a failed read of the stored speeds, which doubles each time. A log that
+	// rejects calls must not get more of them for speeds.
+	maxSpeedsRetryInterval = 2 * time.Second
 	// minKnownSpeeds and minSlowerShare are the number of workers of known speed, and the share of slower ones among
 	// them, from which on speeds are used for placement. Fewer may be outliers, or workers that are just fast enough. Below
 	// endSlowerShare speeds are no longer used; the difference keeps placement from changing to and fro.
@@ -178,13 +182,15 @@
 // Without them the speeds are learned anew. Reading changes nothing, so it goes on while a renewal of the term is late.
 func (l *leader) restoreSpeeds() {
 	scan := ledger.NewScan(l.c.cfg.Log, forecast.Topic)
+	pause := takeoverRetryInterval
 	for {
 		done, err := scan.Step(l.ctx)
 		if done {
 			break
 		}
 		if err != nil {
-			boottime.Sleep(l.ctx, takeoverRetryInterval)
+			boottime.Sleep(l.ctx, pause/2+rand.N(pause))
+			pause = min(2*pause, maxSpeedsRetryInterval)
 		}
 		if l.ctx.Err() != nil {
 			l.logger.Info().Err(err).Int64("epoch", l.term.Epoch).Msg("stored speeds of workers not read before the end of the term")
--- a/internal/controller/slow.go
+++ b/internal/controller/slow.go
@@ -68,7 +68,8 @@
 		return
 	}
 	r.clocked.Report(clockMS, r.progress.Percent(), !r.task.unit.gang() || r.progress.Percent() > 0)
-	if s, ok := r.clocked.Sample(time.Duration(step.EstimateMS) * time.Millisecond); ok {
+	// What a cold worker shows says nothing of its later speed, and it must not be left because of it.
+	if s, ok := r.clocked.Sample(time.Duration(step.EstimateMS) * time.Millisecond); ok && now >= r.worker.coldUntil {
 		r.lastSpeed, r.sampled = s.Expected.Seconds()/s.Elapsed.Seconds(), true
 		r.worker.speed.Add(now, s)
 	}
--- a/internal/forecast/speeds.go
+++ b/internal/forecast/speeds.go
@@ -245,9 +245,10 @@
 	e.raw = median(speeds)
 }
 
-// lastObserved returns the time of the last observation.
+// lastObserved returns the time of the last observation, of which there must be one. A restored one may be from before the
+// boot of the machine.
 func (e *estimate) lastObserved() boottime.Instant {
-	last := boottime.Instant(0)
+	last := e.observations[0].at
 	for _, o := range e.observations {
 		last = max(last, o.at)
 	}
