Do not blame fillers for peaks of a serving task's own load

A past halt counted again every 5 s as a separate time, levels above the target counted while fillers were slowed down and lower ones did not, and a halt was blamed on the fillers halted now, not on those there when the level was measured. A halt now counts once, if the level dropped within two polls; beside slow fillers no level counts; the level before a halt is dropped when other work comes or goes, when a halted filler ends, and when the worker starts again.

--- a/internal/controller/interference.go
+++ b/internal/controller/interference.go
@@ -32,9 +32,13 @@
 	// maxCompletedShare is the number of runs of a step that may have completed since a run began, relative to the number of
 	// compared ones. More of them would move the median of the others.
 	maxCompletedShare = 0.5
-	// longHalt is how long the fillers of a worker must be halted so that the halt itself indicates a conflict, and the time
-	// between two observations because of it. A filler whose halt was due to a short peak is sped up again earlier.
+	// longHalt is how long the fillers of a worker must be halted so that the halt itself indicates a conflict. A filler whose
+	// halt was due to a short peak is sped up again earlier.
 	longHalt = 5 * time.Second
+	// haltResponseTime is the time after a halt, two polls, in which the level must drop. A later drop has another cause.
+	haltResponseTime = 2 * time.Second
+	// minObservedSpeed is the speed in percent of fillers from which levels count as measured beside them.
+	minObservedSpeed = 50
 	// haltGain is the factor by which the level of a serving run must have dropped since its fillers were halted so that they
 	// count as the cause. Reported latencies are rough.
 	haltGain = 1.3
@@ -112,29 +116,44 @@
 type fillerState struct {
 	// limited means that a filler is slowed down but not halted, or that its speed is unknown.
 	limited bool
+	// slow means that a filler that is not halted runs below minObservedSpeed, or that its speed is unknown.
+	slow bool
 	// haltedSince is when the last filler was halted if all are halted, otherwise 0.
 	haltedSince boottime.Instant
 }
 
-// observeFillers returns the state of the fillers on a worker, and adds the kinds of the runs that disturb others to kinds.
+// observeFillers returns the state of the fillers on a worker, and adds the kinds of the runs that disturb others to kinds. It drops
+// the levels before a halt if other work has come or gone, because they were not measured beside what is there now.
 func (ws *workerState) observeFillers(kinds []string) (fillerState, []string) {
 	var s fillerState
+	present := make([]string, 0, len(ws.runs))
 	working := false
 	for _, r := range ws.runs {
 		disturbs := r.disturbs()
 		if kind := r.task.unit.kind(); disturbs && !slices.Contains(kinds, kind) {
 			kinds = append(kinds, kind)
 		}
+		if disturbs || (r.haltedSince != 0 && r.state == running) {
+			present = append(present, r.task.unit.kind())
+		}
 		if !r.task.unit.step.Filler {
 			continue
 		}
 		working = working || disturbs
 		s.limited = s.limited || (disturbs && r.speed != fullSpeed)
+		s.slow = s.slow || (disturbs && r.speed < minObservedSpeed)
 		s.haltedSince = max(s.haltedSince, r.haltedSince)
 	}
 	if working {
 		s.haltedSince = 0
 	}
+	slices.Sort(present)
+	if !slices.Equal(present, ws.presentKinds) {
+		ws.presentKinds = present
+		for _, r := range ws.runs {
+			r.levelBesideFillers = 0
+		}
+	}
 	return s, kinds
 }
 
@@ -220,9 +239,10 @@
 // servingLevel returns the tail latency of a serving run as a multiple of its target, 0 if it is not known or says nothing about the kinds
 // beside the run.
 //
-// Fillers are slowed down while the latency is high, which would hide that they are the cause. While they are slowed down, only a
-// latency that stays above the target counts. Once they have been halted for a long time and that has reduced the latency, the level
-// before the halt counts as observed beside them, from time to time. In this case byHalt is true.
+// Fillers are slowed down while the latency is high, which would hide that they are the cause. Levels beside slow fillers do not count,
+// whether high or low: counting only high ones would blame the fillers for each peak of the run's own load. Once the fillers have been
+// halted for a long time and the level dropped at the halt, the level before it counts once as observed beside them. In this case byHalt
+// is true.
 func (r *run) servingLevel(fillers fillerState, now boottime.Instant) (level float64, byHalt bool) {
 	step := r.task.unit.step
 	starting := step.LongRunning && r.progress.Percent() < progress.Complete
@@ -233,20 +253,21 @@
 	steady := now.Sub(r.worker.workingSince) >= usageWindow
 	switch {
 	case fillers.haltedSince != 0:
-		long := now.Sub(fillers.haltedSince) >= longHalt && now.Sub(r.haltObservedAt) >= longHalt
-		if long && level*haltGain <= r.levelBesideFillers {
+		dropped := level*haltGain <= r.levelBesideFillers
+		if dropped && now.Sub(fillers.haltedSince) <= haltResponseTime {
+			r.haltDroppedAt = now
+		}
+		long := now.Sub(fillers.haltedSince) >= longHalt
+		if long && dropped && r.haltDroppedAt >= fillers.haltedSince && r.haltObservedAt < fillers.haltedSince {
 			r.haltObservedAt = now
 			return r.levelBesideFillers, true
 		}
 	case fillers.limited:
 		r.levelBesideFillers = max(r.levelBesideFillers, level)
-		if level <= 1 {
-			return 0, false
-		}
 	default:
 		r.levelBesideFillers = level
 	}
-	if !steady {
+	if !steady || fillers.slow {
 		return 0, false
 	}
 	return level, false
@@ -326,7 +347,10 @@
 	if s := l.interference.services[ws.info.Service]; s != nil {
 		s.table.Forget(ws.id)
 	}
-	ws.workingKinds = nil
+	ws.workingKinds, ws.presentKinds = nil, nil
+	for _, r := range ws.runs {
+		r.levelBesideFillers = 0
+	}
 }
 
 // updateConflicts evaluates the tables of all services from time to time.
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -127,8 +127,9 @@
 	// completedBefore is the value of unit.completedRuns when the run was placed or taken over.
 	completedBefore int
 	// levelBesideFillers is the highest level of a serving run since the fillers beside it last had their full speed,
-	// haltObservedAt when it last counted for an observation. See servingLevel.
+	// haltDroppedAt when it last dropped soon after a halt, and haltObservedAt when it last counted for an observation. See servingLevel.
 	levelBesideFillers float64
+	haltDroppedAt      boottime.Instant
 	haltObservedAt     boottime.Instant
 	// overTargetSince is since when the latency of a serving run is above its target, 0 if it is not. overTargetLogged is when
 	// that was last logged, 0 if it was not.
--- a/internal/controller/workerstate.go
+++ b/internal/controller/workerstate.go
@@ -78,6 +78,8 @@
 	coldUntil boottime.Instant
 	// workingKinds are the kinds of work that work on the worker as of its last poll, workingSince since when.
 	workingKinds []string
+	// presentKinds has the kind of each run that works and of each halted filler as of the last poll, sorted.
+	presentKinds []string
 	workingSince boottime.Instant
 	// heartbeatAt is an instant before the last update of the registry entry, 0 if not known; shutdownAt is when
 	// a draining worker may have shut down.
