Let observations age within an episode

An episode was a plain mean over up to two minutes, so a long time side by side without effect hid interference that began then. Observations of an episode now lose half of their weight in 10 s compared with later ones.

TestInterferenceChangesWithinEpisodes, after a minute side by side: the conflict begins after 8 polls (42 before) and ends after 17 (95 before).

--- a/internal/interference/evaluate.go
+++ b/internal/interference/evaluate.go
@@ -139,7 +139,7 @@
 			runs[e.run] = r
 		}
 		ev.serving = ev.serving || e.serving
-		recency := decay(now.Sub(e.lastAt))
+		recency := decay(now.Sub(e.lastAt), halfLife)
 		quality := min(1, e.weight)
 		if e.raised > e.sound {
 			quality *= raisedTrust
@@ -159,7 +159,9 @@
 	return ev
 }
 
-func decay(age time.Duration) float64 { return math.Exp2(-age.Seconds() / halfLife.Seconds()) }
+func decay(age, halfLife time.Duration) float64 {
+	return math.Exp2(-age.Seconds() / halfLife.Seconds())
+}
 
 // usual returns the median logarithm of the level beside none of the neighbours that were found and none of the given set,
 // and false if there are too few episodes.
--- a/internal/interference/table.go
+++ b/internal/interference/table.go
@@ -17,6 +17,9 @@
 	// maxAge is the age from which observations are dropped, halfLife that in which their weight halves.
 	maxAge   = 2 * time.Minute
 	halfLife = 30 * time.Second
+	// episodeHalfLife is the time in which the weight of an observation halves compared with later ones of its episode, so that a
+	// long episode does not hide a change of the interference.
+	episodeHalfLife = 10 * time.Second
 	// maxKinds limits the kinds that are told apart to the bits of a mask. Further kinds are ignored until one has not been
 	// seen for maxAge.
 	maxKinds = 64
@@ -105,7 +108,7 @@
 	serving bool
 	// neighbours is the set of kinds of the other runs on the worker.
 	neighbours uint64
-	// sum is the weighted sum of the logarithms of the levels.
+	// sum is the sum of the logarithms of the levels, weighted as of lastAt.
 	sum, weight     float64
 	observations    int
 	firstAt, lastAt boottime.Instant
@@ -145,8 +148,9 @@
 		if e.observations == 0 {
 			weight = firstSample
 		}
-		e.sum += weight * logLevel(runs[i].Level)
-		e.weight += weight
+		kept := decay(now.Sub(e.lastAt), episodeHalfLife)
+		e.sum = e.sum*kept + weight*logLevel(runs[i].Level)
+		e.weight = e.weight*kept + weight
 		e.observations++
 		e.lastAt = now
 		switch raise, known := lowest.except(slots[i]); {
--- a/internal/interference/table_test.go
+++ b/internal/interference/table_test.go
@@ -319,6 +319,39 @@
 	require.Empty(t, w.conflicts(), "workers are gone")
 }
 
+// Guards against observations that outweigh newer ones of the same episode: interference that begins, or ends, after runs have been side by
+// side for a minute would be learned, or forgotten, only half a minute later.
+func TestInterferenceChangesWithinEpisodes(t *testing.T) {
+	w := newWorld(nil)
+	w.noise = 0.02
+	pollsUntil := func(inForce bool) int {
+		for n := range 200 {
+			for i := range int64(4) {
+				w.poll(fmt.Sprint("b", i), 1, serving(100+i, 0.7), filler(200+i, "decode"))
+				w.poll(fmt.Sprint("a", i), 1, serving(300+i, 0.7))
+			}
+			w.advance()
+			if len(w.conflicts()) > 0 == inForce {
+				return n + 1
+			}
+		}
+		return 200
+	}
+	for range 67 {
+		require.Equal(t, 1, pollsUntil(false))
+	}
+	w.factors = decodeSlowsServe
+	begins := pollsUntil(true)
+	for range 67 {
+		require.Equal(t, 1, pollsUntil(true))
+	}
+	w.factors = nil
+	ends := pollsUntil(false)
+	t.Logf("polls until the conflict begins %d, ends %d", begins, ends)
+	require.LessOrEqual(t, begins, 10)
+	require.LessOrEqual(t, ends, 25)
+}
+
 // Guards against a table that grows with the number of runs, workers or kinds, against a rare neighbour whose observations are
 // replaced by those of frequent ones, and against new kinds that are ignored for good when many have been seen before.
 func TestTableIsBounded(t *testing.T) {
