Tell apart one and several working runs of a kind on a worker

workingSince did not change when a second run of a kind came or went, unlike the episodes of the table, so a pace averaged over the time before was credited to the wrong neighbours. A kind now counts twice if several of its runs work.

TestSecondRunOfKindChangesNeighbours failed at the second run and passes.

--- a/internal/controller/interference.go
+++ b/internal/controller/interference.go
@@ -122,7 +122,7 @@
 	haltedSince boottime.Instant
 }
 
-// observeFillers returns the state of the fillers on a worker, and adds the kinds of the runs that disturb others to kinds. It drops
+// observeFillers returns the state of the fillers on a worker, and adds the kind of each run that disturbs others to kinds. It drops
 // the levels before a halt if other work has come or gone, because they were not measured beside what is there now.
 func (ws *workerState) observeFillers(kinds []string) (fillerState, []string) {
 	var s fillerState
@@ -130,8 +130,8 @@
 	working := false
 	for _, r := range ws.runs {
 		disturbs := r.disturbs()
-		if kind := r.task.unit.kind(); disturbs && !slices.Contains(kinds, kind) {
-			kinds = append(kinds, kind)
+		if disturbs {
+			kinds = append(kinds, r.task.unit.kind())
 		}
 		if disturbs || (r.haltedSince != 0 && r.state == running) {
 			present = append(present, r.task.unit.kind())
@@ -157,13 +157,19 @@
 	return s, kinds
 }
 
-// updateWorkingKinds records since when the given kinds, and no others, work on the worker.
+// updateWorkingKinds records since when the given kinds, and no others, work on the worker. It sorts them. Like the table, it tells apart
+// one run and several runs of a kind.
 func (ws *workerState) updateWorkingKinds(kinds []string, now boottime.Instant) {
-	same := len(kinds) == len(ws.workingKinds)
-	for i := 0; same && i < len(kinds); i++ {
-		same = slices.Contains(ws.workingKinds, kinds[i])
+	slices.Sort(kinds)
+	kept := 0
+	for _, kind := range kinds {
+		if kept < 2 || kind != kinds[kept-2] {
+			kinds[kept] = kind
+			kept++
+		}
 	}
-	if !same {
+	kinds = kinds[:kept]
+	if !slices.Equal(kinds, ws.workingKinds) {
 		ws.workingKinds = append(ws.workingKinds[:0], kinds...)
 		ws.workingSince = now
 	}
--- a/internal/controller/interference_test.go
+++ b/internal/controller/interference_test.go
@@ -422,6 +422,24 @@
 	require.False(t, r.disturbs(), "waits for the rest of its gang")
 }
 
+// Guards against a pace that is credited to the wrong neighbours because a second run of the same kind has come or gone.
+func TestSecondRunOfKindChangesNeighbours(t *testing.T) {
+	ws, now := newWorkerState("w", "", 0), boottime.Instant(time.Hour)
+	u := &unit{job: &job{spec: &batch.Job{Queue: "q"}}, step: &batch.Step{Count: 3}}
+	for n, changes := range []bool{true, true, false} {
+		now = now.Add(time.Second)
+		ws.runs[batch.TaskID{Index: n}] = &run{task: &task{id: batch.TaskID{Index: n}, unit: u}, worker: ws, state: running}
+		_, kinds := ws.observeFillers(nil)
+		ws.updateWorkingKinds(kinds, now)
+		require.Equal(t, changes, ws.workingSince == now, "%d runs", n+1)
+	}
+	delete(ws.runs, batch.TaskID{Index: 0})
+	delete(ws.runs, batch.TaskID{Index: 1})
+	_, kinds := ws.observeFillers(nil)
+	ws.updateWorkingKinds(kinds, now)
+	require.Equal(t, now, ws.workingSince)
+}
+
 // BenchmarkObserveInterference measures what one poll of a worker with eight runs costs, with 1,100 workers of which each is polled once in
 // 0.9 s, with its share of the evaluations. Runs last for seven polls. Without levels nothing is learned.
 func BenchmarkObserveInterference(b *testing.B) {
--- a/internal/controller/workerstate.go
+++ b/internal/controller/workerstate.go
@@ -76,7 +76,8 @@
 	failedJobs map[string]bool
 	// coldUntil is until when the worker is slow because it has started lately, 0 if it is not.
 	coldUntil boottime.Instant
-	// workingKinds are the kinds of work that work on the worker as of its last poll, workingSince since when.
+	// workingKinds are the kinds of work that work on the worker as of its last poll, sorted and twice if several runs of a kind
+	// work, workingSince since when.
 	workingKinds []string
 	// presentKinds has the kind of each run that works and of each halted filler as of the last poll, sorted.
 	presentKinds []string
