Count a gang as working once its progress counts

A gang that works counted as absent until it reported 1 %, so its neighbours were observed as if it was not there. TestDistortedRunsHaveNoLevel failed for a gang that has begun at 0 % and passes.

--- a/internal/controller/interference.go
+++ b/internal/controller/interference.go
@@ -108,7 +108,7 @@
 	case u.step.Filler:
 		return r.haltedSince == 0
 	default:
-		return !u.gang() || r.progress.Percent() > 0
+		return !u.gang() || r.clocked.Begun() || r.progress.Percent() > 0
 	}
 }
 
--- a/internal/controller/interference_test.go
+++ b/internal/controller/interference_test.go
@@ -420,6 +420,8 @@
 	}
 	r.task.unit.step = &batch.Step{Count: 4, Gang: true}
 	require.False(t, r.disturbs(), "waits for the rest of its gang")
+	r.clocked.Report(1, 0, true)
+	require.True(t, r.disturbs(), "a gang that has begun works before it has completed 1 %")
 }
 
 // Guards against a pace that is credited to the wrong neighbours because a second run of the same kind has come or gone.
