Observe no interference on workers without a registry entry

Their service is not known, so observations went to the table of the empty name. TestDistortedRunsHaveNoLevel failed for such a worker and passes.

--- a/internal/controller/interference.go
+++ b/internal/controller/interference.go
@@ -182,13 +182,13 @@
 }
 
 // observeInterference passes what a poll shows of a worker to the table of its service. The status of all of its runs must have been
-// applied. Complete is the result of showsPresent.
+// applied. Complete is the result of showsPresent. The service of a worker without a registry entry is not known.
 func (l *leader) observeInterference(ws *workerState, now boottime.Instant, complete bool) {
 	fillers, kinds := ws.observeFillers(l.interference.kinds[:0])
 	l.interference.kinds = kinds
 	ws.updateWorkingKinds(kinds, now)
 	l.logSlowServing(ws, fillers, now)
-	if !complete || now < ws.slowUntil || now < ws.coldUntil {
+	if !complete || !ws.registered || now < ws.slowUntil || now < ws.coldUntil {
 		return
 	}
 	runs, halted := ws.observedRuns(l.interference.runs[:0], fillers, now)
--- a/internal/controller/interference_test.go
+++ b/internal/controller/interference_test.go
@@ -406,17 +406,21 @@
 	require.False(t, r.worker.showsPresent(pollWait, command, response), "unknown runs")
 
 	l := &leader{interference: interferenceState{services: make(map[string]*serviceInterference)}}
-	for _, usual := range []bool{false, true} {
+	for _, state := range []string{"slow worker", "no registry entry, so the service is unknown", "usual"} {
 		r, u := newRun()
 		r.worker.runs[r.task.id] = r
-		if !usual {
+		r.worker.registered = true
+		switch state {
+		case "slow worker":
 			r.worker.slowUntil = now.Add(1)
+		case "no registry entry, so the service is unknown":
+			r.worker.registered = false
 		}
 		l.observeInterference(r.worker, now.Add(-time.Second), true)
 		r.worker.workingSince = now.Add(-time.Hour)
 		u.setLevels(deviations)
 		l.observeInterference(r.worker, now, true)
-		require.Equal(t, usual, len(l.interference.services) > 0, "slow worker")
+		require.Equal(t, state == "usual", len(l.interference.services) > 0, state)
 	}
 	r.task.unit.step = &batch.Step{Count: 4, Gang: true}
 	require.False(t, r.disturbs(), "waits for the rest of its gang")
@@ -457,7 +461,7 @@
 	states := make([]*workerState, workers)
 	for n := range states {
 		ws := newWorkerState(fmt.Sprintf("w%04d", n), "", 0)
-		ws.info.Service = "s"
+		ws.info.Service, ws.registered = "s", true
 		for i := range runs {
 			u := &unit{job: &job{spec: &batch.Job{Queue: "q"}}, step: &batch.Step{Count: 1, Image: fmt.Sprintf("image-%d", (n+i)%20)}}
 			t := &task{id: batch.TaskID{Job: fmt.Sprint(n), Index: i}, unit: u}
