Ignore levels of serving tasks during short halts of fillers

A halt begins at a peak of the load and ends when the level is low, so levels during it made the level without fillers seem low.

--- a/internal/controller/interference.go
+++ b/internal/controller/interference.go
@@ -248,7 +248,8 @@
 // Fillers are slowed down while the latency is high, which would hide that they are the cause. Levels beside slow fillers do not count,
 // whether high or low: counting only high ones would blame the fillers for each peak of the run's own load. Once the fillers have been
 // halted for a long time and the level dropped at the halt, the level before it counts once as observed beside them. In this case byHalt
-// is true.
+// is true. Levels during shorter halts do not count: a halt begins at a peak and ends when the level is low, so they would make the level
+// without fillers seem low.
 func (r *run) servingLevel(fillers fillerState, now boottime.Instant) (level float64, byHalt bool) {
 	step := r.task.unit.step
 	starting := step.LongRunning && r.progress.Percent() < progress.Complete
@@ -268,6 +269,9 @@
 			r.haltObservedAt = now
 			return r.levelBesideFillers, true
 		}
+		if !long {
+			return 0, false
+		}
 	case fillers.limited:
 		r.levelBesideFillers = max(r.levelBesideFillers, level)
 	default:
