Evaluate each kind once a second, and end conflicts below a lower level than they begin

The number of due kinds was rounded down but the whole time counted as used: with seven kinds and calls each 100 ms, 50 instead of 70 evaluations in 10 s. A serving victim around 0.6 of its target began and ended a conflict at each evaluation; a conflict in force now ends below 0.5. TestEachKindIsEvaluatedOnceASecond and TestConflictNearHarmfulLevelStays failed and pass.

--- a/internal/interference/evaluate.go
+++ b/internal/interference/evaluate.go
@@ -37,6 +37,8 @@
 	// harmfulLevel is the level of serving runs below which no neighbour needs to be kept away. It is that below which
 	// the controller speeds fillers up again.
 	harmfulLevel = 0.6
+	// endHarmfulLevel is the same for a conflict in force. It is lower so that a conflict does not begin and end again and again.
+	endHarmfulLevel = 0.5
 	// minReferences is the number of episodes without the neighbour that it takes.
 	minReferences = 2
 )
@@ -272,7 +274,11 @@
 	}
 	effect, trust, total := ev.effect(bit)
 	evidence.Effect, evidence.Workers = math.Exp(effect), ev.besideWorkers
-	if evidence.Effect < endRatio || (ev.serving && evidence.Beside < harmfulLevel) {
+	harmful := harmfulLevel
+	if inForce {
+		harmful = endHarmfulLevel
+	}
+	if evidence.Effect < endRatio || (ev.serving && evidence.Beside < harmful) {
 		return evidence, 0
 	}
 	agreement := 0.0
--- a/internal/interference/table.go
+++ b/internal/interference/table.go
@@ -176,10 +176,11 @@
 // due since the last one, so that frequent calls take a short time each.
 func (t *Table) Conflicts(now boottime.Instant) map[Pair]bool {
 	due := len(t.kinds)
-	if elapsed := now.Sub(t.evaluatedAt); t.evaluated && elapsed < evaluationInterval {
+	if elapsed := now.Sub(t.evaluatedAt); t.evaluated && due > 0 && elapsed < evaluationInterval {
 		due = int(time.Duration(due) * elapsed / evaluationInterval)
-	}
-	if due > 0 {
+		// The rest of the time counts for the next call.
+		t.evaluatedAt = t.evaluatedAt.Add(time.Duration(due) * evaluationInterval / time.Duration(len(t.kinds)))
+	} else if due > 0 {
 		t.evaluated, t.evaluatedAt = true, now
 	}
 	for range due {
--- a/internal/interference/table_test.go
+++ b/internal/interference/table_test.go
@@ -352,6 +352,46 @@
 	require.LessOrEqual(t, ends, 25)
 }
 
+// Guards against kinds that are evaluated less often than once a second because calls come between two due evaluations.
+func TestEachKindIsEvaluatedOnceASecond(t *testing.T) {
+	w := newWorld(nil)
+	for k := range int64(7) {
+		w.poll("w", 1, task(k+1, fmt.Sprint("k", k)))
+	}
+	w.conflicts()
+	evaluated, next := 0, w.table.next
+	for range 100 {
+		w.now = w.now.Add(100 * time.Millisecond)
+		w.conflicts()
+		evaluated += (w.table.next - next + 7) % 7
+		next = w.table.next
+	}
+	require.InDelta(t, 70, evaluated, 1)
+}
+
+// Guards against a conflict that begins and ends at each evaluation because its victim is near the level from which it is harmful.
+func TestConflictNearHarmfulLevelStays(t *testing.T) {
+	w := newWorld(decodeSlowsServe)
+	w.noise = 0
+	observe := func(level float64) {
+		w.repeat(30, func() {
+			for i := range int64(4) {
+				w.poll(fmt.Sprint("b", i), 1, serving(100+i, level), filler(200+i, "decode"))
+				w.poll(fmt.Sprint("a", i), 1, serving(300+i, level))
+			}
+		})
+	}
+	observe(0.29)
+	require.Empty(t, w.conflicts())
+	observe(0.32)
+	require.NotEmpty(t, w.conflicts())
+	observe(0.28)
+	require.NotEmpty(t, w.conflicts(), "below the level at which a conflict begins")
+	observe(0.2)
+	observe(0.2)
+	require.Empty(t, w.conflicts(), "harmless")
+}
+
 // Guards against a table that grows with the number of runs, workers or kinds, against a rare neighbour whose observations are
 // replaced by those of frequent ones, and against new kinds that are ignored for good when many have been seen before.
 func TestTableIsBounded(t *testing.T) {
