--- a/internal/interference/evaluate.go
+++ b/internal/interference/evaluate.go
@@ -55,13 +55,13 @@
 	deviation float64
 }
 
-// evaluation determines the neighbours that slow down one kind.
+// evaluation determines the neighbours that slow down the serving or the other runs of one kind.
 type evaluation struct {
 	samples []sample
 	// byValue is the indices of the samples in the order of their values.
 	byValue       []int32
 	workers, runs int
-	// serving means that runs of the kind have a target for their response times.
+	// serving means that the runs have a target for their response times.
 	serving bool
 	// blamed is the set of neighbours that have been found. Episodes beside them show nothing of others.
 	blamed uint64
@@ -108,7 +108,15 @@
 			delete(t.conflicts, p)
 		}
 	}
-	ev := newEvaluation(now, victim.episodes)
+	for _, serving := range []bool{false, true} {
+		t.evaluateRuns(now, victim, serving, before)
+	}
+}
+
+// evaluateRuns updates the usual level of the serving or other runs of a kind, and adds the conflicts in which they are the victim. The
+// levels of the two sorts cannot be compared. before has the neighbours with a conflict at the last evaluation.
+func (t *Table) evaluateRuns(now boottime.Instant, victim *kind, serving bool, before map[string]bool) {
+	ev := newEvaluation(now, victim.episodes, serving)
 	var union uint64
 	for i := range ev.samples {
 		union |= ev.samples[i].neighbours
@@ -120,16 +128,23 @@
 		}
 		ev.blamed |= group
 		for rest := group; rest != 0; rest &= rest - 1 {
-			t.conflicts[Pair{victim.name, t.kinds[bits.TrailingZeros64(rest)].name}] = best
+			pair := Pair{victim.name, t.kinds[bits.TrailingZeros64(rest)].name}
+			if other, found := t.conflicts[pair]; !found || other.Effect < best.Effect {
+				t.conflicts[pair] = best
+			}
 		}
 	}
-	victim.usual, victim.hasUsual = ev.usual(0)
+	u := victim.usualOf(serving)
+	u.level, u.known = ev.usual(0)
 }
 
-func newEvaluation(now boottime.Instant, episodes []*episode) *evaluation {
-	ev := &evaluation{samples: make([]sample, 0, len(episodes))}
+func newEvaluation(now boottime.Instant, episodes []*episode, serving bool) *evaluation {
+	ev := &evaluation{samples: make([]sample, 0, len(episodes)), serving: serving}
 	workers, runs := make(map[string]int), make(map[int64]int)
 	for _, e := range episodes {
+		if e.serving != serving {
+			continue
+		}
 		w, known := workers[e.worker]
 		if !known {
 			w = len(workers)
@@ -140,7 +155,6 @@
 			r = len(runs)
 			runs[e.run] = r
 		}
-		ev.serving = ev.serving || e.serving
 		recency := decay(now.Sub(e.lastAt), halfLife)
 		quality := min(1, e.weight)
 		if e.raised > e.sound {
--- a/internal/interference/table.go
+++ b/internal/interference/table.go
@@ -94,9 +94,21 @@
 	addedAt  boottime.Instant
 	// beside is the number of episodes beside each kind.
 	beside [maxKinds]int
-	// usual is the logarithm of the usual level, if hasUsual.
-	usual    float64
-	hasUsual bool
+	// servingUsual and otherUsual are the usual levels of serving and of other runs.
+	servingUsual, otherUsual usualLevel
+}
+
+// usualLevel is the logarithm of a usual level, if known.
+type usualLevel struct {
+	level float64
+	known bool
+}
+
+func (k *kind) usualOf(serving bool) *usualLevel {
+	if serving {
+		return &k.servingUsual
+	}
+	return &k.otherUsual
 }
 
 // episode is a stretch of time in which a run works beside the same kinds. Observations of one episode are not
@@ -321,10 +333,14 @@
 func (t *Table) leastRaised(runs []Run, slots []int) leastRaises {
 	least := leastRaises{{-1, math.Inf(1)}, {-1, math.Inf(1)}}
 	for i := range runs {
-		if slots[i] < 0 || runs[i].Level <= 0 || !t.kinds[slots[i]].hasUsual {
+		if slots[i] < 0 || runs[i].Level <= 0 {
+			continue
+		}
+		usual := t.kinds[slots[i]].usualOf(runs[i].Serving)
+		if !usual.known {
 			continue
 		}
-		r := raise{slots[i], logLevel(runs[i].Level) - t.kinds[slots[i]].usual}
+		r := raise{slots[i], logLevel(runs[i].Level) - usual.level}
 		switch {
 		case r.value < least[0].value && r.slot == least[0].slot:
 			least[0] = r
--- a/internal/interference/table_test.go
+++ b/internal/interference/table_test.go
@@ -392,6 +392,30 @@
 	require.Empty(t, w.conflicts(), "harmless")
 }
 
+// Guards against levels of serving and of other runs of one kind that are compared with each other: the former are relative to a target,
+// the latter to the same step elsewhere.
+func TestServingAndOtherRunsOfOneKind(t *testing.T) {
+	w := newWorld(nil)
+	w.noise = 0.02
+	w.repeat(6, func() {
+		for i := range int64(4) {
+			w.poll(fmt.Sprint("b", i), 1, task(100+i, "serve"), filler(200+i, "decode"))
+			w.poll(fmt.Sprint("a", i), 1, serving(300+i, 0.4))
+		}
+	})
+	require.Empty(t, w.conflicts())
+
+	w = newWorld(decodeSlowsServe)
+	w.repeat(6, func() {
+		for i := range int64(4) {
+			w.poll(fmt.Sprint("b", i), 1, serving(100+i, 0.5), filler(200+i, "decode"))
+			w.poll(fmt.Sprint("a", i), 1, serving(300+i, 0.5))
+			w.poll(fmt.Sprint("c", i), 1, task(400+i, "serve"))
+		}
+	})
+	require.Equal(t, map[Pair]bool{{"serve", "decode"}: true}, w.conflicts())
+}
+
 // Guards against a table that grows with the number of runs, workers or kinds, against a rare neighbour whose observations are
 // replaced by those of frequent ones, and against new kinds that are ignored for good when many have been seen before.
 func TestTableIsBounded(t *testing.T) {
