Keep a quota of episodes without neighbours

When the places of a kind were full, all of them could be replaced by episodes beside frequent neighbours, which left no references. TestEpisodesWithoutNeighboursAreKept had 0 of 20 left and has 20.

--- a/internal/interference/table.go
+++ b/internal/interference/table.go
@@ -25,7 +25,8 @@
 	maxKinds = 64
 	// maxEpisodes limits the episodes of each kind, and with maxKinds the table to a few megabytes.
 	maxEpisodes = 256
-	// kindQuota is the number of episodes beside each neighbour that are replaced only by newer ones beside the same neighbour.
+	// kindQuota is the number of episodes beside each neighbour that are replaced only by newer ones beside the same neighbour, and
+	// that of the episodes without neighbours.
 	kindQuota = 24
 	// episodeSpacing is the time between two episodes of a kind that add nothing but more of the same. Without it, the episodes
 	// of a kind with hundreds of runs would all be of the last second.
@@ -94,6 +95,8 @@
 	addedAt  boottime.Instant
 	// beside is the number of episodes beside each kind.
 	beside [maxKinds]int
+	// alone is the number of episodes without neighbours.
+	alone int
 	// servingUsual and otherUsual are the usual levels of serving and of other runs.
 	servingUsual, otherUsual usualLevel
 }
@@ -263,6 +266,9 @@
 }
 
 func (k *kind) count(neighbours uint64, n int) {
+	if neighbours == 0 {
+		k.alone += n
+	}
 	for i := range k.beside {
 		if neighbours&(1<<i) != 0 {
 			k.beside[i] += n
@@ -270,8 +276,11 @@
 	}
 }
 
-// common reports whether there are more than kindQuota episodes beside each of the neighbours.
+// common reports whether there are more than kindQuota episodes beside each of the neighbours, or without any if there are none.
 func (k *kind) common(neighbours uint64) bool {
+	if neighbours == 0 {
+		return k.alone > kindQuota
+	}
 	for i := range k.beside {
 		if neighbours&(1<<i) != 0 && k.beside[i] <= kindQuota {
 			return false
--- a/internal/interference/table_test.go
+++ b/internal/interference/table_test.go
@@ -455,6 +455,29 @@
 	require.Len(t, w.table.slots, maxKinds)
 }
 
+// Guards against episodes without neighbours, the best references, that are all replaced by those beside frequent neighbours.
+func TestEpisodesWithoutNeighboursAreKept(t *testing.T) {
+	w := newWorld(nil)
+	id := int64(0)
+	for range 20 {
+		id++
+		w.poll(fmt.Sprint("alone", id), 1, serving(id, 0.5))
+		w.now = w.now.Add(60 * time.Millisecond)
+	}
+	for range 2 * maxEpisodes {
+		id += 2
+		w.poll("shared", 1, serving(id, 0.5), filler(id+1, "index"))
+		w.now = w.now.Add(60 * time.Millisecond)
+	}
+	alone := 0
+	for _, e := range w.table.kinds[w.table.slots["serve"]].episodes {
+		if e.neighbours == 0 {
+			alone++
+		}
+	}
+	require.Equal(t, 20, alone)
+}
+
 // fleet is workers with four tasks each of eight kinds that come and go.
 type fleet struct {
 	*world
