Use literal names in the evaluation of interference

victim meant the episode to drop in makeRoom, strongest returned the most certain neighbour, unit means something else in the planner and the controller, and blamed and sound were figurative. updateServiceConflicts reports whether conflicts begin or end. No change of behaviour.

--- a/internal/controller/interference.go
+++ b/internal/controller/interference.go
@@ -393,7 +393,8 @@
 	}
 }
 
-// updateServiceConflicts evaluates the table of a service, logs the conflicts that begin and end, and reports whether there are any.
+// updateServiceConflicts evaluates the table of a service, logs the conflicts that begin and end, and reports whether any
+// begins or ends.
 func (l *leader) updateServiceConflicts(service string, s *serviceInterference, now boottime.Instant) bool {
 	current := s.table.Conflicts(now)
 	if len(current) == 0 && len(s.conflicts) == 0 {
--- a/internal/interference/evaluate.go
+++ b/internal/interference/evaluate.go
@@ -32,8 +32,8 @@
 	// shrinkage is the weight of the next wider reference (worker, then all workers) compared with that of one episode. At 0.15,
 	// two tasks that take seven times as long as others on their workers would seem to show an effect of 1.25.
 	shrinkage = 0.05
-	// soundRatio is the level in units of the usual one up to which a run does not count as slowed.
-	soundRatio = 1.2
+	// normalRatio is the level in comparisons of the usual one up to which a run does not count as slowed.
+	normalRatio = 1.2
 	// harmfulLevel is the level of serving runs below which no neighbour needs to be kept away. It is that below which
 	// the controller speeds fillers up again.
 	harmfulLevel = 0.6
@@ -63,15 +63,15 @@
 	workers, runs int
 	// serving means that the runs have a target for their response times.
 	serving bool
-	// blamed is the set of neighbours that have been found. Episodes beside them show nothing of others.
-	blamed uint64
+	// established is the set of neighbours that have been found. Episodes beside them show nothing of others.
+	established uint64
 	// references is the weight of the episodes that compare has found without the neighbour.
 	references float64
-	// besideWorkers is the number of workers on which collectUnits has found the neighbour. The other fields are scratch space.
+	// besideWorkers is the number of workers on which collectComparisons has found the neighbour. The other fields are scratch space.
 	besideWorkers     int
 	perRun, perWorker []weightedSum
-	unitOf            []int
-	units             []unit
+	comparisonOf      []int
+	comparisons       []comparison
 	values            []weighted
 }
 
@@ -86,13 +86,13 @@
 	s.weight += weight
 }
 
-// unit is what one worker, or one stretch of time on the only worker, shows of an effect.
-type unit struct {
+// comparison is what one worker, or one stretch of time on the only worker, shows of an effect.
+type comparison struct {
 	deviations []weighted
-	// trust is how much the unit counts, recency its weight by age.
+	// trust is how much the comparison counts, recency its weight by age.
 	trust, recency float64
-	// sound and raised are the weights of the samples of either kind.
-	sound, raised float64
+	// normal and raised are the weights of the samples of either kind.
+	normal, raised float64
 	// interrupted means that the last episode on the worker in the order of time was without the neighbour.
 	interrupted bool
 }
@@ -122,11 +122,11 @@
 		union |= ev.samples[i].neighbours
 	}
 	for {
-		best, group := ev.strongest(union, func(n int) bool { return before[t.kinds[n].name] })
+		best, group := ev.mostCertain(union, func(n int) bool { return before[t.kinds[n].name] })
 		if group == 0 {
 			break
 		}
-		ev.blamed |= group
+		ev.established |= group
 		for rest := group; rest != 0; rest &= rest - 1 {
 			pair := Pair{victim.name, t.kinds[bits.TrailingZeros64(rest)].name}
 			if other, found := t.conflicts[pair]; !found || other.Effect < best.Effect {
@@ -157,7 +157,7 @@
 		}
 		recency := decay(now.Sub(e.lastAt), halfLife)
 		quality := min(1, e.weight)
-		if e.raised > e.sound {
+		if e.raised > e.normal {
 			quality *= raisedTrust
 		}
 		ev.samples = append(ev.samples, sample{
@@ -171,7 +171,7 @@
 	slices.SortFunc(ev.byValue, func(a, b int32) int { return cmp.Compare(ev.samples[a].value, ev.samples[b].value) })
 	ev.workers, ev.runs = len(workers), len(runs)
 	ev.perRun, ev.perWorker = make([]weightedSum, ev.runs), make([]weightedSum, ev.workers)
-	ev.unitOf = make([]int, ev.workers)
+	ev.comparisonOf = make([]int, ev.workers)
 	return ev
 }
 
@@ -182,7 +182,7 @@
 // usual returns the median logarithm of the level beside none of the neighbours that were found and none of the given set,
 // and false if there are too few episodes.
 func (ev *evaluation) usual(except uint64) (float64, bool) {
-	except |= ev.blamed
+	except |= ev.established
 	total, n := 0.0, 0
 	for i := range ev.samples {
 		if s := &ev.samples[i]; s.neighbours&except == 0 {
@@ -208,11 +208,11 @@
 	certainty float64
 }
 
-// strongest returns the neighbour of the given set whose effect is the most certain, and all those that were always
+// mostCertain returns the neighbour of the given set whose effect is the most certain, and all those that were always
 // there at the same times. The set is empty if no other effect is certain enough.
-func (ev *evaluation) strongest(candidates uint64, inForce func(n int) bool) (Evidence, uint64) {
+func (ev *evaluation) mostCertain(candidates uint64, inForce func(n int) bool) (Evidence, uint64) {
 	var found []finding
-	for rest := candidates &^ ev.blamed; rest != 0; rest &= rest - 1 {
+	for rest := candidates &^ ev.established; rest != 0; rest &= rest - 1 {
 		n := bits.TrailingZeros64(rest)
 		if evidence, certainty := ev.measure(uint64(1)<<n, inForce(n)); certainty > 0 {
 			found = append(found, finding{uint64(1) << n, evidence, certainty})
@@ -253,9 +253,9 @@
 // effectWithout returns the effect of a neighbour in the episodes in which another one was not there, and false if there
 // are none.
 func (ev *evaluation) effectWithout(bit, other uint64) (float64, bool) {
-	blamed := ev.blamed
-	defer func() { ev.blamed = blamed }()
-	ev.blamed |= other
+	established := ev.established
+	defer func() { ev.established = established }()
+	ev.established |= other
 	if _, ok := ev.compare(bit); !ok {
 		return 0, false
 	}
@@ -269,14 +269,14 @@
 	for i := range ev.samples {
 		s := &ev.samples[i]
 		switch {
-		case s.neighbours&ev.blamed != 0:
+		case s.neighbours&ev.established != 0:
 		case s.neighbours&bit != 0:
 			group &= s.neighbours
 		default:
 			group &^= s.neighbours
 		}
 	}
-	return group &^ ev.blamed
+	return group &^ ev.established
 }
 
 // measure returns the effect of a neighbour, and how certain it is; 0 if there is no conflict. inForce means that there was
@@ -306,12 +306,12 @@
 		return evidence, 0
 	}
 	deviation := max(minDeviation, robustFactor*median(ev.values), ev.noise(bit))
-	// The references have an error of their own, which all units share.
+	// The references have an error of their own, which all comparisons share.
 	certainty := effect / deviation / math.Sqrt(1/total+1/ev.references)
 	switch {
 	case inForce && certainty >= endCertainty:
 		return evidence, certainty
-	case evidence.Effect >= beginRatio && certainty >= beginCertainty && trust >= minTrust && len(ev.units) >= minUnits(evidence.Workers):
+	case evidence.Effect >= beginRatio && certainty >= beginCertainty && trust >= minTrust && len(ev.comparisons) >= minComparisons(evidence.Workers):
 		return evidence, certainty
 	default:
 		return evidence, 0
@@ -322,20 +322,20 @@
 func (ev *evaluation) noise(bit uint64) float64 {
 	ev.values = ev.values[:0]
 	for i := range ev.samples {
-		if s := &ev.samples[i]; s.neighbours&(ev.blamed|bit) == 0 {
+		if s := &ev.samples[i]; s.neighbours&(ev.established|bit) == 0 {
 			ev.values = append(ev.values, weighted{math.Abs(s.deviation), s.weight})
 		}
 	}
 	return robustFactor * median(ev.values)
 }
 
-// effect collects the units, and returns the median of what they show, the sum of the trust in them, and that of their weights.
+// effect collects the comparisons, and returns the median of what they show, the sum of the trust in them, and that of their weights.
 // values has what each of them shows.
 func (ev *evaluation) effect(bit uint64) (effect, trust, total float64) {
-	ev.collectUnits(bit)
+	ev.collectComparisons(bit)
 	ev.values = ev.values[:0]
-	for i := range ev.units {
-		u := &ev.units[i]
+	for i := range ev.comparisons {
+		u := &ev.comparisons[i]
 		trust += u.trust
 		total += u.trust * u.recency
 		ev.values = append(ev.values, weighted{median(u.deviations), u.trust * u.recency})
@@ -343,8 +343,8 @@
 	return median(ev.values), trust, total
 }
 
-// minUnits returns the number of units that it takes for a conflict to begin.
-func minUnits(workers int) int {
+// minComparisons returns the number of comparisons that it takes for a conflict to begin.
+func minComparisons(workers int) int {
 	if workers == 1 {
 		return minTimes
 	}
@@ -365,7 +365,7 @@
 	for i := range ev.samples {
 		s := &ev.samples[i]
 		switch {
-		case s.neighbours&ev.blamed != 0:
+		case s.neighbours&ev.established != 0:
 		case s.neighbours&bit != 0:
 			beside.add(s.value, s.weight)
 			evidence.ObservationsBeside += s.observations
@@ -385,7 +385,7 @@
 	evidence.Beside, evidence.Without = math.Exp(beside.sum/beside.weight), math.Exp(without.sum/without.weight)
 	for i := range ev.samples {
 		s := &ev.samples[i]
-		if s.neighbours&ev.blamed != 0 {
+		if s.neighbours&ev.established != 0 {
 			continue
 		}
 		run, worker := ev.perRun[s.runIndex], ev.perWorker[s.workerIndex]
@@ -400,60 +400,60 @@
 	return evidence, true
 }
 
-// collectUnits fills units with one entry for each worker. If there is only one, it has an entry for each stretch of time that the
+// collectComparisons fills comparisons with one entry for each worker. If there is only one, it has an entry for each stretch of time that the
 // victim was beside the neighbour, with time without it in between.
-func (ev *evaluation) collectUnits(bit uint64) {
-	ev.units = ev.units[:0]
-	clear(ev.unitOf)
+func (ev *evaluation) collectComparisons(bit uint64) {
+	ev.comparisons = ev.comparisons[:0]
+	clear(ev.comparisonOf)
 	ev.besideWorkers = 0
 	for i := range ev.samples {
-		if s := &ev.samples[i]; s.neighbours&ev.blamed == 0 && s.neighbours&bit != 0 && ev.unitOf[s.workerIndex] == 0 {
+		if s := &ev.samples[i]; s.neighbours&ev.established == 0 && s.neighbours&bit != 0 && ev.comparisonOf[s.workerIndex] == 0 {
 			ev.besideWorkers++
-			ev.unitOf[s.workerIndex] = ev.newUnit()
+			ev.comparisonOf[s.workerIndex] = ev.newComparison()
 		}
 	}
 	for i := range ev.samples {
 		s := &ev.samples[i]
-		u := ev.unitOf[s.workerIndex]
+		u := ev.comparisonOf[s.workerIndex]
 		switch {
-		case s.neighbours&ev.blamed != 0 || u == 0:
+		case s.neighbours&ev.established != 0 || u == 0:
 		case s.neighbours&bit == 0:
-			ev.units[u-1].interrupted = len(ev.units[u-1].deviations) > 0
+			ev.comparisons[u-1].interrupted = len(ev.comparisons[u-1].deviations) > 0
 		default:
-			if ev.besideWorkers == 1 && ev.units[u-1].interrupted {
-				u = ev.newUnit()
-				ev.unitOf[s.workerIndex] = u
+			if ev.besideWorkers == 1 && ev.comparisons[u-1].interrupted {
+				u = ev.newComparison()
+				ev.comparisonOf[s.workerIndex] = u
 			}
-			ev.units[u-1].add(s, ev.perWorker[s.workerIndex].weight > 0)
+			ev.comparisons[u-1].add(s, ev.perWorker[s.workerIndex].weight > 0)
 		}
 	}
 }
 
-// newUnit adds a unit and returns its position from 1. It reuses the memory of earlier ones.
-func (ev *evaluation) newUnit() int {
-	n := len(ev.units)
-	if n < cap(ev.units) {
-		ev.units = ev.units[:n+1]
-		ev.units[n] = unit{deviations: ev.units[n].deviations[:0]}
+// newComparison adds a comparison and returns its position from 1. It reuses the memory of earlier ones.
+func (ev *evaluation) newComparison() int {
+	n := len(ev.comparisons)
+	if n < cap(ev.comparisons) {
+		ev.comparisons = ev.comparisons[:n+1]
+		ev.comparisons[n] = comparison{deviations: ev.comparisons[n].deviations[:0]}
 	} else {
-		ev.units = append(ev.units, unit{})
+		ev.comparisons = append(ev.comparisons, comparison{})
 	}
 	return n + 1
 }
 
 // add adds a sample beside the neighbour. paired means that the victim was also seen on the worker without it.
-func (u *unit) add(s *sample, paired bool) {
+func (u *comparison) add(s *sample, paired bool) {
 	u.deviations = append(u.deviations, weighted{s.deviation, s.weight})
 	u.recency = max(u.recency, s.recency)
-	if s.raised > s.sound {
+	if s.raised > s.normal {
 		u.raised += s.weight
-	} else if s.sound > 0 {
-		u.sound += s.weight
+	} else if s.normal > 0 {
+		u.normal += s.weight
 	}
 	switch {
-	case u.raised > u.sound:
+	case u.raised > u.normal:
 		u.trust = raisedTrust
-	case paired || u.sound > 0:
+	case paired || u.normal > 0:
 		u.trust = 1
 	default:
 		u.trust = unpairedTrust
--- a/internal/interference/table.go
+++ b/internal/interference/table.go
@@ -127,9 +127,9 @@
 	sum, weight     float64
 	observations    int
 	firstAt, lastAt boottime.Instant
-	// sound and raised count the observations during which some run of another kind was not slower than usual, or all runs
+	// normal and raised count the observations during which some run of another kind was not slower than usual, or all runs
 	// of other kinds were: then the worker may be slow by itself.
-	sound, raised int
+	normal, raised int
 }
 
 // NewTable returns a table that knows nothing.
@@ -170,8 +170,8 @@
 		e.lastAt = now
 		switch raise, known := lowest.except(slots[i]); {
 		case !known:
-		case raise < math.Log(soundRatio):
-			e.sound++
+		case raise < math.Log(normalRatio):
+			e.normal++
 		default:
 			e.raised++
 		}
@@ -296,14 +296,14 @@
 	if k.common(neighbours) && now.Sub(k.addedAt) < episodeSpacing {
 		return false
 	}
-	victim := k.episodes[0]
+	oldest := k.episodes[0]
 	for _, e := range k.episodes {
 		if k.common(e.neighbours) {
-			victim = e
+			oldest = e
 			break
 		}
 	}
-	t.drop(slot, func(e *episode) bool { return e == victim })
+	t.drop(slot, func(e *episode) bool { return e == oldest })
 	return true
 }
 
