--- a/internal/interference/table.go
+++ b/internal/interference/table.go
@@ -17,12 +17,16 @@
 	// maxAge is the age from which observations are dropped, halfLife that in which their weight halves.
 	maxAge   = 2 * time.Minute
 	halfLife = 30 * time.Second
+	// episodeHalfLife is the time in which the weight of an observation halves compared with later ones of its episode, so that a
+	// long episode does not hide a change of the interference.
+	episodeHalfLife = 10 * time.Second
 	// maxKinds limits the kinds that are told apart to the bits of a mask. Further kinds are ignored until one has not been
 	// seen for maxAge.
 	maxKinds = 64
 	// maxEpisodes limits the episodes of each kind, and with maxKinds the table to a few megabytes.
 	maxEpisodes = 256
-	// kindQuota is the number of episodes beside each neighbour that are replaced only by newer ones beside the same neighbour.
+	// kindQuota is the number of episodes beside each neighbour that are replaced only by newer ones beside the same neighbour, and
+	// that of the episodes without neighbours.
 	kindQuota = 24
 	// episodeSpacing is the time between two episodes of a kind that add nothing but more of the same. Without it, the episodes
 	// of a kind with hundreds of runs would all be of the last second.
@@ -91,9 +95,23 @@
 	addedAt  boottime.Instant
 	// beside is the number of episodes beside each kind.
 	beside [maxKinds]int
-	// usual is the logarithm of the usual level, if hasUsual.
-	usual    float64
-	hasUsual bool
+	// alone is the number of episodes without neighbours.
+	alone int
+	// servingUsual and otherUsual are the usual levels of serving and of other runs.
+	servingUsual, otherUsual usualLevel
+}
+
+// usualLevel is the logarithm of a usual level, if known.
+type usualLevel struct {
+	level float64
+	known bool
+}
+
+func (k *kind) usualOf(serving bool) *usualLevel {
+	if serving {
+		return &k.servingUsual
+	}
+	return &k.otherUsual
 }
 
 // episode is a stretch of time in which a run works beside the same kinds. Observations of one episode are not
@@ -105,13 +123,13 @@
 	serving bool
 	// neighbours is the set of kinds of the other runs on the worker.
 	neighbours uint64
-	// sum is the weighted sum of the logarithms of the levels.
+	// sum is the sum of the logarithms of the levels, weighted as of lastAt.
 	sum, weight     float64
 	observations    int
 	firstAt, lastAt boottime.Instant
-	// sound and raised count the observations during which some run of another kind was not slower than usual, or all runs
+	// normal and raised count the observations during which some run of another kind was not slower than usual, or all runs
 	// of other kinds were: then the worker may be slow by itself.
-	sound, raised int
+	normal, raised int
 }
 
 // NewTable returns a table that knows nothing.
@@ -145,14 +163,15 @@
 		if e.observations == 0 {
 			weight = firstSample
 		}
-		e.sum += weight * logLevel(runs[i].Level)
-		e.weight += weight
+		kept := decay(now.Sub(e.lastAt), episodeHalfLife)
+		e.sum = e.sum*kept + weight*logLevel(runs[i].Level)
+		e.weight = e.weight*kept + weight
 		e.observations++
 		e.lastAt = now
 		switch raise, known := lowest.except(slots[i]); {
 		case !known:
-		case raise < math.Log(soundRatio):
-			e.sound++
+		case raise < math.Log(normalRatio):
+			e.normal++
 		default:
 			e.raised++
 		}
@@ -172,10 +191,11 @@
 // due since the last one, so that frequent calls take a short time each.
 func (t *Table) Conflicts(now boottime.Instant) map[Pair]bool {
 	due := len(t.kinds)
-	if elapsed := now.Sub(t.evaluatedAt); t.evaluated && elapsed < evaluationInterval {
+	if elapsed := now.Sub(t.evaluatedAt); t.evaluated && due > 0 && elapsed < evaluationInterval {
 		due = int(time.Duration(due) * elapsed / evaluationInterval)
-	}
-	if due > 0 {
+		// The rest of the time counts for the next call.
+		t.evaluatedAt = t.evaluatedAt.Add(time.Duration(due) * evaluationInterval / time.Duration(len(t.kinds)))
+	} else if due > 0 {
 		t.evaluated, t.evaluatedAt = true, now
 	}
 	for range due {
@@ -246,6 +266,9 @@
 }
 
 func (k *kind) count(neighbours uint64, n int) {
+	if neighbours == 0 {
+		k.alone += n
+	}
 	for i := range k.beside {
 		if neighbours&(1<<i) != 0 {
 			k.beside[i] += n
@@ -253,8 +276,11 @@
 	}
 }
 
-// common reports whether there are more than kindQuota episodes beside each of the neighbours.
+// common reports whether there are more than kindQuota episodes beside each of the neighbours, or without any if there are none.
 func (k *kind) common(neighbours uint64) bool {
+	if neighbours == 0 {
+		return k.alone > kindQuota
+	}
 	for i := range k.beside {
 		if neighbours&(1<<i) != 0 && k.beside[i] <= kindQuota {
 			return false
@@ -270,14 +296,14 @@
 	if k.common(neighbours) && now.Sub(k.addedAt) < episodeSpacing {
 		return false
 	}
-	victim := k.episodes[0]
+	oldest := k.episodes[0]
 	for _, e := range k.episodes {
 		if k.common(e.neighbours) {
-			victim = e
+			oldest = e
 			break
 		}
 	}
-	t.drop(slot, func(e *episode) bool { return e == victim })
+	t.drop(slot, func(e *episode) bool { return e == oldest })
 	return true
 }
 
@@ -316,10 +342,14 @@
 func (t *Table) leastRaised(runs []Run, slots []int) leastRaises {
 	least := leastRaises{{-1, math.Inf(1)}, {-1, math.Inf(1)}}
 	for i := range runs {
-		if slots[i] < 0 || runs[i].Level <= 0 || !t.kinds[slots[i]].hasUsual {
+		if slots[i] < 0 || runs[i].Level <= 0 {
+			continue
+		}
+		usual := t.kinds[slots[i]].usualOf(runs[i].Serving)
+		if !usual.known {
 			continue
 		}
-		r := raise{slots[i], logLevel(runs[i].Level) - t.kinds[slots[i]].usual}
+		r := raise{slots[i], logLevel(runs[i].Level) - usual.level}
 		switch {
 		case r.value < least[0].value && r.slot == least[0].slot:
 			least[0] = r
--- a/internal/interference/table_test.go
+++ b/internal/interference/table_test.go
@@ -319,6 +319,103 @@
 	require.Empty(t, w.conflicts(), "workers are gone")
 }
 
+// Guards against observations that outweigh newer ones of the same episode: interference that begins, or ends, after runs have been side by
+// side for a minute would be learned, or forgotten, only half a minute later.
+func TestInterferenceChangesWithinEpisodes(t *testing.T) {
+	w := newWorld(nil)
+	w.noise = 0.02
+	pollsUntil := func(inForce bool) int {
+		for n := range 200 {
+			for i := range int64(4) {
+				w.poll(fmt.Sprint("b", i), 1, serving(100+i, 0.7), filler(200+i, "decode"))
+				w.poll(fmt.Sprint("a", i), 1, serving(300+i, 0.7))
+			}
+			w.advance()
+			if len(w.conflicts()) > 0 == inForce {
+				return n + 1
+			}
+		}
+		return 200
+	}
+	for range 67 {
+		require.Equal(t, 1, pollsUntil(false))
+	}
+	w.factors = decodeSlowsServe
+	begins := pollsUntil(true)
+	for range 67 {
+		require.Equal(t, 1, pollsUntil(true))
+	}
+	w.factors = nil
+	ends := pollsUntil(false)
+	t.Logf("polls until the conflict begins %d, ends %d", begins, ends)
+	require.LessOrEqual(t, begins, 10)
+	require.LessOrEqual(t, ends, 25)
+}
+
+// Guards against kinds that are evaluated less often than once a second because calls come between two due evaluations.
+func TestEachKindIsEvaluatedOnceASecond(t *testing.T) {
+	w := newWorld(nil)
+	for k := range int64(7) {
+		w.poll("w", 1, task(k+1, fmt.Sprint("k", k)))
+	}
+	w.conflicts()
+	evaluated, next := 0, w.table.next
+	for range 100 {
+		w.now = w.now.Add(100 * time.Millisecond)
+		w.conflicts()
+		evaluated += (w.table.next - next + 7) % 7
+		next = w.table.next
+	}
+	require.InDelta(t, 70, evaluated, 1)
+}
+
+// Guards against a conflict that begins and ends at each evaluation because its victim is near the level from which it is harmful.
+func TestConflictNearHarmfulLevelStays(t *testing.T) {
+	w := newWorld(decodeSlowsServe)
+	w.noise = 0
+	observe := func(level float64) {
+		w.repeat(30, func() {
+			for i := range int64(4) {
+				w.poll(fmt.Sprint("b", i), 1, serving(100+i, level), filler(200+i, "decode"))
+				w.poll(fmt.Sprint("a", i), 1, serving(300+i, level))
+			}
+		})
+	}
+	observe(0.29)
+	require.Empty(t, w.conflicts())
+	observe(0.32)
+	require.NotEmpty(t, w.conflicts())
+	observe(0.28)
+	require.NotEmpty(t, w.conflicts(), "below the level at which a conflict begins")
+	observe(0.2)
+	observe(0.2)
+	require.Empty(t, w.conflicts(), "harmless")
+}
+
+// Guards against levels of serving and of other runs of one kind that are compared with each other: the former are relative to a target,
+// the latter to the same step elsewhere.
+func TestServingAndOtherRunsOfOneKind(t *testing.T) {
+	w := newWorld(nil)
+	w.noise = 0.02
+	w.repeat(6, func() {
+		for i := range int64(4) {
+			w.poll(fmt.Sprint("b", i), 1, task(100+i, "serve"), filler(200+i, "decode"))
+			w.poll(fmt.Sprint("a", i), 1, serving(300+i, 0.4))
+		}
+	})
+	require.Empty(t, w.conflicts())
+
+	w = newWorld(decodeSlowsServe)
+	w.repeat(6, func() {
+		for i := range int64(4) {
+			w.poll(fmt.Sprint("b", i), 1, serving(100+i, 0.5), filler(200+i, "decode"))
+			w.poll(fmt.Sprint("a", i), 1, serving(300+i, 0.5))
+			w.poll(fmt.Sprint("c", i), 1, task(400+i, "serve"))
+		}
+	})
+	require.Equal(t, map[Pair]bool{{"serve", "decode"}: true}, w.conflicts())
+}
+
 // Guards against a table that grows with the number of runs, workers or kinds, against a rare neighbour whose observations are
 // replaced by those of frequent ones, and against new kinds that are ignored for good when many have been seen before.
 func TestTableIsBounded(t *testing.T) {
@@ -358,6 +455,29 @@
 	require.Len(t, w.table.slots, maxKinds)
 }
 
+// Guards against episodes without neighbours, the best references, that are all replaced by those beside frequent neighbours.
+func TestEpisodesWithoutNeighboursAreKept(t *testing.T) {
+	w := newWorld(nil)
+	id := int64(0)
+	for range 20 {
+		id++
+		w.poll(fmt.Sprint("alone", id), 1, serving(id, 0.5))
+		w.now = w.now.Add(60 * time.Millisecond)
+	}
+	for range 2 * maxEpisodes {
+		id += 2
+		w.poll("shared", 1, serving(id, 0.5), filler(id+1, "index"))
+		w.now = w.now.Add(60 * time.Millisecond)
+	}
+	alone := 0
+	for _, e := range w.table.kinds[w.table.slots["serve"]].episodes {
+		if e.neighbours == 0 {
+			alone++
+		}
+	}
+	require.Equal(t, 20, alone)
+}
+
 // fleet is workers with four tasks each of eight kinds that come and go.
 type fleet struct {
 	*world
