--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -411,7 +411,7 @@
 	unplaceable map[shape]unplacedUnit
 	// withinShare is, for each service, the priorities whose queues use no more than their minimum share. It does not
 	// contain priority 0, which has no minimum share.
-	withinShare map[string]priorityShares
+	withinShare map[string]*priorityShares
 	// preemptionAttempts counts the units for which preemption was attempted, blockedGangClaims the
 	// blocked gangs that claimed resources.
 	preemptionAttempts int
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -19,10 +19,26 @@
 }
 
 // priorityShares tells which priorities of one service use no more than their minimum share.
-type priorityShares map[int]bool
+type priorityShares struct {
+	usual  [usualPriorities]bool
+	others map[int]bool
+}
+
+// usualPriorities is the number of priorities that are kept in arrays. Operators may set any other priority as well; these are
+// in maps, which are slower to read for each run.
+const usualPriorities = 8
 
 // within reports whether the queues of a priority use no more than their minimum share.
-func (s priorityShares) within(priority int) bool { return s[priority] }
+func (s *priorityShares) within(priority int) bool {
+	switch {
+	case s == nil:
+		return false
+	case priority >= 0 && priority < usualPriorities:
+		return s.usual[priority]
+	default:
+		return s.others[priority]
+	}
+}
 
 // splitUnits returns the units of a round, with some split. If the queues of a priority use less
 // than their minimum share, as many tasks as fit into the rest of the share become a part of their own,
@@ -91,7 +107,7 @@
 		}
 		usage := services[w.Service]
 		if usage == nil {
-			usage = &serviceUsage{used: make(map[int]int64)}
+			usage = &serviceUsage{others: make(map[int]int64)}
 			services[w.Service] = usage
 		}
 		usage.add(w)
@@ -100,14 +116,17 @@
 	for i := range r.snapshot.Units {
 		key := priorityKey{r.snapshot.Units[i].Service, r.snapshot.Units[i].Priority}
 		if usage := services[key.service]; usage != nil {
-			remaining[key] = int64(usage.minShare()) - usage.used[key.priority]
+			remaining[key] = int64(usage.minShare()) - usage.usedBy(key.priority)
 		}
 	}
-	r.withinShare = make(map[string]priorityShares)
+	r.withinShare = make(map[string]*priorityShares)
 	for service, usage := range services {
-		shares := make(priorityShares, len(usage.used))
-		for priority, used := range usage.used {
-			shares[priority] = priority > 0 && float64(used) <= usage.minShare()
+		shares := &priorityShares{others: make(map[int]bool, len(usage.others))}
+		for priority, used := range usage.usual {
+			shares.usual[priority] = priority > 0 && float64(used) <= usage.minShare()
+		}
+		for priority, used := range usage.others {
+			shares.others[priority] = priority > 0 && float64(used) <= usage.minShare()
 		}
 		r.withinShare[service] = shares
 	}
@@ -118,15 +137,20 @@
 type serviceUsage struct {
 	// total is those of the workers that accept work.
 	total int64
-	// used is those that runs of each priority use. It is a map because operators may set any priority.
-	used map[int]int64
+	// usual and others are those that runs of each priority use; see usualPriorities.
+	usual  [usualPriorities]int64
+	others map[int]int64
 }
 
 func (s *serviceUsage) add(w *Worker) {
 	total := w.Free.GPU + w.Releasing.GPU
 	for k := range w.Runs {
-		gpu := w.Runs[k].Need.GPU
-		s.used[w.Runs[k].Priority] += gpu
+		priority, gpu := w.Runs[k].Priority, w.Runs[k].Need.GPU
+		if priority >= 0 && priority < usualPriorities {
+			s.usual[priority] += gpu
+		} else {
+			s.others[priority] += gpu
+		}
 		total += gpu
 	}
 	if w.AcceptsWork {
@@ -134,5 +158,12 @@
 	}
 }
 
+func (s *serviceUsage) usedBy(priority int) int64 {
+	if priority >= 0 && priority < usualPriorities {
+		return s.usual[priority]
+	}
+	return s.others[priority]
+}
+
 // minShare returns the accelerators of the minimum share of each priority.
 func (s *serviceUsage) minShare() float64 { return minPriorityShare * float64(s.total) }
