Learn interference only of work that names an image

Cause: without an image the queue stood for the kind of work.

Change: steps without an image are of no kind; nothing is learned of them and no placement changes.

Result: the new test fails before; the tests of the package pass.

--- a/internal/controller/interference.go
+++ b/internal/controller/interference.go
@@ -90,13 +90,9 @@
 	}
 }
 
-// kind returns the kind of work of the unit: its image or, without one, its queue.
-func (u *unit) kind() string {
-	if u.step.Image != "" {
-		return u.step.Image
-	}
-	return u.job.spec.Queue
-}
+// kind returns the kind of work of the unit: its image. Work without one is of no known kind, so nothing is learned of it: the steps
+// of a queue need not be alike, and a queue once seemed to slow itself down by chance.
+func (u *unit) kind() string { return u.step.Image }
 
 // disturbs reports whether the run works, so that it may slow others down. A halted filler and a member of a gang that waits for
 // the others do not.
--- a/internal/controller/interference_test.go
+++ b/internal/controller/interference_test.go
@@ -494,3 +494,11 @@
 		require.Equal(b, now, s.observedAt, "observations must reach the table")
 	}
 }
+
+// Guards against conflicts, and other placements because of them, on deployments whose jobs name no images.
+func TestWorkWithoutImageHasNoKind(t *testing.T) {
+	u := &unit{job: &job{spec: &batch.Job{Queue: "q"}}, step: &batch.Step{Count: 1}}
+	require.Empty(t, u.kind())
+	u.step.Image = "image"
+	require.Equal(t, "image", u.kind())
+}
--- a/internal/interference/table.go
+++ b/internal/interference/table.go
@@ -44,7 +44,7 @@
 type Run struct {
 	// ID identifies the run among all runs of a leader. It is above 0.
 	ID int64
-	// Kind is the kind of work: the image of the step or, without one, its queue.
+	// Kind is the kind of work, usually an image. Nothing is learned of runs whose kind is empty.
 	Kind string
 	// Level is how much slower the run is than expected; 1 is as expected, 0 means that it is not known. For a serving
 	// run it is the tail of its response times divided by their target, for any other run its duration divided by that of
