--- a/review/standin2/onejob.go
+++ b/review/standin2/onejob.go
@@ -2,16 +2,27 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
-// unlimitedAffinity: one client hands in a job with the largest whole number as AntiAffinity, for no limit.
+// unlimitedAffinity: one client hands in a job with the largest whole number as AntiAffinity, for no limit. Its 64 steps follow
+// one another; they may run on the two executors of one rack.
 func unlimitedAffinity(dir string, trouble bool) *recorder {
 	limit := "1"
 	if trouble {
 		limit = "9223372036854775807"
 	}
-	return oneJob(dir, `{"Spec":"ms=500","Steps":[{"Count":2,"Cpu":1000,"Fills":true,"EstimatedMs":500,"AntiAffinity":`+limit+`}]}`)
+	const steps = 64
+	var text strings.Builder
+	for i := range steps {
+		after := ""
+		if i > 0 {
+			after = fmt.Sprintf(`,"DependsOn":[%d]`, i-1)
+		}
+		fmt.Fprintf(&text, `{"Count":2,"Cpu":1000,"Fills":true,"EstimatedMs":100,"Requirements":"r0","AntiAffinity":%s%s},`, limit, after)
+	}
+	return oneJob(dir, `{"Spec":"ms=100","Steps":[`+strings.TrimSuffix(text.String(), ",")+`]}`)
 }
 
 // oneJob hands one job in beside ordinary ones, and checks that the ordinary ones run.
@@ -23,7 +34,7 @@
 	)
 	b := newBed(dir, 3)
 	for i := range 8 {
-		b.cloud.add(fmt.Sprintf("m%d", i+1), fmt.Sprintf("r%d", i/4))
+		b.cloud.add(fmt.Sprintf("m%d", i+1), fmt.Sprintf("r%d", i/2))
 	}
 	b.startAll()
 	time.Sleep(2 * time.Second)
@@ -34,7 +45,7 @@
 	for i := 0; time.Since(begin) < trafficTime; i++ {
 		if i == 5 {
 			status, text := b.instances[0].call("POST", "/bulk/f000000000000000", body, 3*time.Second)
-			b.rec.logf("client: POST bulk/f000000000000000 %s at %s -> %d %s", body, b.instances[0].name, status, text)
+			b.rec.logf("client: POST bulk/f000000000000000 at %s -> %d %s; %s", b.instances[0].name, status, text, body)
 		}
 		id := fmt.Sprintf("a%015x", i)
 		if b.submitOrdinary(i, id, `ms=1500|{"Count":1,"Cpu":1000,"MemMb":500,"Gpu":1,"EstimatedMs":1500}`) {
