review: case 11, two overdue schedules hold up the leader

Two scheduled jobs of 10,000 occurrences of 13 tasks, all due and none of which can be done, keep the leader's planning round busy. It handles nothing else and keeps the leadership: an ordinary job has not begun after 40 s.

--- a/review/standin3/case11.go
+++ b/review/standin3/case11.go
@@ -2,32 +2,25 @@
 
 import (
 	"fmt"
-	"strings"
-	"sync"
-	"sync/atomic"
 	"time"
 )
 
-func init() { cases["11"] = largeBodies }
+func init() { cases["11"] = overdueSchedules }
 
 const (
-	// largeJobs is the number of jobs that strangers submit until they are accepted, strangers that of the clients that submit
-	// them. They stop after strangerTime in any case.
-	largeJobs, strangers = 1260, 6
-	strangerTime         = 40 * time.Second
-	// imageBytes is the length of the name of an image: 64 steps with it make a body of 256 KB, below MaxBodyBytes (262,144).
-	imageBytes = 3900
-	// retries is how often an ordinary client repeats a request, at other instances.
-	retries = 4
-	// askTime is how long the ordinary job is asked for.
-	askTime = 30 * time.Second
+	// overdueOccurrences and overdueSteps are the numbers of occurrences and of steps of an overdue schedule.
+	overdueOccurrences, overdueSteps = 10000, 13
+	// overdueInterval is the time between two occurrences.
+	overdueInterval = time.Minute
+	// ordinaryTime is how long the ordinary job is watched.
+	ordinaryTime = 40 * time.Second
 )
 
-// largeBodies lets clients of one tenant submit jobs with bodies of legal size that can never be done. All that is accepted is
-// kept by each instance. The rule is broken if a job of an ordinary client, accepted before, is asked for from finishTime
-// after the last submission on, and a request and its retries get no answer with its state.
-func largeBodies(w *world, trouble bool) (verdict, error) {
-	for i := range 4 {
+// overdueSchedules submits two scheduled jobs that no executor can run and whose occurrences are all due already. Then another
+// tenant submits an ordinary job. The rule is broken if that has nothing running from finishTime after its submission until
+// idleTime later.
+func overdueSchedules(w *world, trouble bool) (verdict, error) {
+	for i := range 6 {
 		if err := w.addExecutor(newExecutor(w, fmt.Sprintf("i-%02d", i+1), fmt.Sprintf("m-%02d", i+1), "a", "r1-1")); err != nil {
 			return verdict{}, err
 		}
@@ -36,57 +29,35 @@
 	if err := w.startInstances(3); err != nil {
 		return verdict{}, err
 	}
-	w.limitMemory()
 	time.Sleep(2 * time.Second)
-	ordinary := newID()
-	if r := w.call(w.instances[0], "POST", urgent+ordinary, otherKey, job("work-ms=1000", step{"Count": 2, "Cpu": 1000, "MemMb": 100, "Gpu": 1, "EstimatedMs": 1000})); !r.ok() {
-		return verdict{}, fmt.Errorf("the ordinary job was not accepted: status %d", r.status)
-	}
-
-	image := strings.Repeat("x", imageBytes)
-	if !trouble {
-		image = "planner"
-	}
 	var steps []step
-	for range 64 {
-		steps = append(steps, step{"Count": 1, "Cpu": 1000, "MemMb": 100, "EstimatedMs": 1000, "Requirements": "none", "Image": image})
-	}
-	body := job("no executor has the label", steps...)
-	var accepted atomic.Int64
-	var clients sync.WaitGroup
-	stop := time.Now().Add(strangerTime)
-	for c := range strangers {
-		clients.Go(func() {
-			for n := 0; accepted.Load() < largeJobs && time.Now().Before(stop); n++ {
-				if w.call(w.instances[(c+n)%3], "POST", planned+newID(), tenantKey, body).ok() {
-					accepted.Add(1)
-				} else {
-					time.Sleep(100 * time.Millisecond)
-				}
-			}
-		})
+	for range overdueSteps {
+		steps = append(steps, step{"Count": 1, "Cpu": 1000, "MemMb": 100, "EstimatedMs": 1000, "Requirements": "none"})
 	}
-	clients.Wait()
-	w.rec.note("test", "strangers have submitted their jobs", "accepted", accepted.Load())
-	time.Sleep(finishTime)
-
-	unanswered, answered := 0, 0
-	for until := time.Now().Add(askTime); time.Now().Before(until); time.Sleep(time.Second) {
-		known := false
-		for n := 0; n <= retries && !known; n++ {
-			known = w.call(w.instances[n%3], "GET", urgent+ordinary, otherKey, nil).state != ""
-			if !known {
-				time.Sleep(200 * time.Millisecond)
-			}
+	for i := range 2 {
+		body := job("no executor has the label", steps...)
+		body["RepeatCount"], body["IntervalMs"] = overdueOccurrences, overdueInterval.Milliseconds()
+		body["StartAtMs"] = time.Now().Add(-overdueOccurrences * overdueInterval).UnixMilli()
+		if !trouble {
+			body["RepeatCount"] = 1
 		}
-		if known {
-			answered++
-		} else {
-			unanswered++
+		if r := w.call(w.instances[i], "POST", planned+newID(), tenantKey, body); !r.ok() {
+			return verdict{}, fmt.Errorf("a scheduled job was not accepted: status %d", r.status)
 		}
 	}
-	_, ends := w.endsOf()
-	text := fmt.Sprintf("of %d requests for the state of an ordinary job, %d and all their retries got no answer with it; %d jobs of strangers were accepted; processes ended over %d MB: %s",
-		answered+unanswered, unanswered, accepted.Load(), memoryMB, ends)
-	return verdict{broken: unanswered > 0, text: text}, nil
+	time.Sleep(time.Second)
+	id := newID()
+	r := w.call(w.instances[2], "POST", urgent+id, otherKey, job("work-ms=1000", step{"Count": 2, "Cpu": 1000, "MemMb": 100, "Gpu": 1, "EstimatedMs": 1000}))
+	if !r.ok() {
+		return verdict{}, fmt.Errorf("the ordinary job was not accepted: status %d", r.status)
+	}
+	state := ""
+	for time.Since(r.at) < ordinaryTime && state != "completed" {
+		time.Sleep(time.Second)
+		state = w.call(w.instances[2], "GET", urgent+id, otherKey, nil).state
+	}
+	took := time.Since(r.at)
+	begun, _ := w.tasks.counts(id)
+	text := fmt.Sprintf("the ordinary job is %q %.1f s after its acceptance, with %d starts; claims of leadership: %d", state, took.Seconds(), begun, w.terms())
+	return verdict{broken: begun == 0 && took > finishTime+idleTime, text: text}, nil
 }
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -16,18 +15,9 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
-const (
-	// gracePeriod is the time between SIGTERM and SIGKILL.
-	gracePeriod = 6 * time.Second
-	// memoryMB is the memory of a machine. A process that exceeds it is ended and restarted after restartDelay.
-	memoryMB     = 284
-	restartDelay = 500 * time.Millisecond
-)
-
 // recorder writes the record of a case: what was sent, answered and run.
 type recorder struct {
 	began time.Time
@@ -62,17 +52,13 @@
 	tasks *taskLog
 	// program is the path of the oleanderbend program, root the repository.
 	program, root, dir string
-	// cloudAddress is the address of the machine service, if there is one.
-	cloudAddress string
-	ports        struct{ front, ready, internal int }
+	ports              struct{ front, ready, internal int }
 
 	instances []*instance
 
 	mu sync.Mutex
 	// closed means that no process may be started any more.
 	closed bool
-	// ends is how often the platform has ended the process of each instance, by name.
-	ends map[string]int
 }
 
 // instance is one instance of the system.
@@ -97,7 +83,7 @@
 	}
 	return &world{
 		rec: rec, store: newStore(rec), tasks: newTaskLog(rec), root: root, dir: dir,
-		program: filepath.Join(root, "target", "oleanderbend"), ends: make(map[string]int),
+		program: filepath.Join(root, "target", "oleanderbend"),
 	}, nil
 }
 
@@ -186,7 +172,7 @@
 		"Zone": "z1", "Region": "r1", "Zones": map[string]string{"z1": "r1"},
 		"ListenAddrs":   map[string]string{"Front": in.front, "ReadyAddr": in.ready},
 		"InternalPorts": []int{w.ports.internal, w.ports.internal + 15}, "SeedNodes": []string{}, "Bootstrap": true, "InTolerance": false,
-		"Limits":  map[string]any{"CpuShare": 0.4, "Cores": 1, "MemoryMb": memoryMB, "MaxFds": 4100, "LinkMbps": 1000.0, "DiskMb": 0},
+		"Limits":  map[string]any{"CpuShare": 0.4, "Cores": 1, "MemoryMb": 284, "MaxFds": 4100, "LinkMbps": 1000.0, "DiskMb": 0},
 		"DataDir": nil, "Discovery": "platform", "Entry": "vip", "HeartbeatMs": heartbeat.Milliseconds(),
 		"Contracts":      []string{"base", "drain", "config", "cost", "recover", "sched", "tenants", "platform", "advice", "upkeep", "sharing"},
 		"FaultTolerance": map[string]int{"Machines": 2, "Zones": 0, "Regions": 0},
@@ -203,7 +189,7 @@
 			"Address": storeAddress, "form": "log", "WritesPerS": 600, "ReadsPerS": 2000, "parts": 8, "AppendMs": 4.0, "PartMbPerS": 20.0,
 			"ReadMbPerS": 80.0, "RecordBytes": recordBytes, "CallBytes": callBytes, "keep_s": 300, "PartMb": 200, "MinTtlMs": 1000,
 		},
-		"CloudApi": map[string]any{"Address": w.cloudAddress, "RatePerS": 60.0, "Duties": []string{}, "DutyPerS": 60.0},
+		"CloudApi": map[string]any{"Address": "", "RatePerS": 60.0, "Duties": []string{}, "DutyPerS": 60.0},
 	}
 	data, err := json.MarshalIndent(settings, "", "  ")
 	if err != nil {
@@ -257,44 +243,6 @@
 	return fmt.Errorf("%s is not ready", in.name)
 }
 
-// restart stops an instance gracefully and starts it again, as a rolling restart does.
-func (w *world) restart(in *instance) error {
-	w.rec.note("test", "SIGTERM", "name", in.name)
-	_ = in.cmd.Process.Signal(syscall.SIGTERM)
-	select {
-	case <-in.exited:
-	case <-time.After(gracePeriod):
-		w.rec.note("test", "grace period over, SIGKILL", "name", in.name)
-		_ = in.cmd.Process.Kill()
-		<-in.exited
-	}
-	return w.start(in)
-}
-
-// leader returns the instance that holds the newest record of leadership, or nil. It reads it from the store, as
-// operators do.
-func (w *world) leader() *instance {
-	w.store.mu.Lock()
-	defer w.store.mu.Unlock()
-	t := w.store.topics["keyed.leader"]
-	if t == nil || len(t.entries) == 0 {
-		return nil
-	}
-	var record struct {
-		Instance string `json:"instance"`
-		Released bool   `json:"released"`
-	}
-	if err := json.Unmarshal(t.entries[len(t.entries)-1].value, &record); err != nil || record.Released {
-		return nil
-	}
-	for _, in := range w.instances {
-		if in.ip == record.Instance {
-			return in
-		}
-	}
-	return nil
-}
-
 // terms returns how many claims of leadership the store holds.
 func (w *world) terms() int {
 	w.store.mu.Lock()
@@ -315,64 +263,6 @@
 	return n
 }
 
-// limitMemory ends each process that uses more than memoryMB, and starts it again restartDelay later, as the platform does. It
-// counts only memory that is the process's own.
-func (w *world) limitMemory() {
-	for _, in := range w.instances {
-		go func() {
-			for {
-				time.Sleep(50 * time.Millisecond)
-				w.mu.Lock()
-				closed, cmd, exited := w.closed, in.cmd, in.exited
-				w.mu.Unlock()
-				if closed {
-					return
-				}
-				used := ownMemoryMB(cmd.Process.Pid)
-				if used <= memoryMB {
-					continue
-				}
-				_ = cmd.Process.Kill()
-				<-exited
-				w.mu.Lock()
-				w.ends[in.name]++
-				w.rec.note("platform", "process over its memory, SIGKILL", "name", in.name, "MB", used, "limit", memoryMB, "ends", w.ends[in.name])
-				w.mu.Unlock()
-				time.Sleep(restartDelay)
-				if err := w.start(in); err != nil {
-					return
-				}
-			}
-		}()
-	}
-}
-
-// ownMemoryMB returns the resident memory of a process without pages of files, 0 if it has ended.
-func ownMemoryMB(pid int) int {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	for _, line := range strings.Split(string(data), "\n") {
-		var kb int
-		if n, _ := fmt.Sscanf(line, "RssAnon: %d kB", &kb); n == 1 {
-			return kb >> 10
-		}
-	}
-	return 0
-}
-
-// endsOf returns how often the platform has ended each process, and a text with these numbers.
-func (w *world) endsOf() (ends map[string]int, text string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	parts := []string{}
-	for _, in := range w.instances {
-		parts = append(parts, fmt.Sprintf("%s %d", in.name, w.ends[in.name]))
-	}
-	return maps.Clone(w.ends), strings.Join(parts, ", ")
-}
-
 // close ends all processes that were started and removes the temporary folder.
 func (w *world) close() {
 	w.mu.Lock()
