review: case 15, tasks that last wait while their executor's quarantine is renewed

Eight tasks that last, on the only executor of their kind, fail 4 to 20 s after their starts. Each failure begins the executor's quarantine of 6 s anew, so that none starts before all have failed.

--- a/review/standin3/case12.go
+++ b/review/standin3/case12.go
@@ -74,7 +74,7 @@
 	}
 	time.Sleep(time.Second)
 	lost := time.Now()
-	executors[starts[len(starts)-1].executor].terminate(false)
+	executors[starts[len(starts)-1].executor].terminate()
 	for time.Since(lost) < finishTime+idleTime+time.Second {
 		time.Sleep(time.Second)
 		w.call(w.instances[1], "GET", urgent+small, tenantKey, nil)
--- a/review/standin3/case15.go
+++ b/review/standin3/case15.go
@@ -1,37 +1,30 @@
 package main
 
 import (
-	"encoding/json"
-	"errors"
 	"fmt"
-	"strings"
 	"time"
 )
 
-func init() { cases["15"] = lateUpkeep }
+func init() { cases["15"] = failingServices }
 
-// lateBy is how much later the first order for upkeep is carried out: orders without an answer are carried out 2 to
-// 12 s later.
-const lateBy = 9 * time.Second
+const (
+	// restartTime is the time after the last run of a task that lasts from which it is judged.
+	restartTime = 6 * time.Second
+	// serviceTime is how long the tasks are watched.
+	serviceTime = 60 * time.Second
+	services    = 8
+)
 
-// lateUpkeep requests a wave of upkeep of eight machines, one at a time. The first order of the leader gets no answer and is
-// carried out late, and the leader is restarted meanwhile. The rule is broken if an upkeep begins while another machine of the
-// wave is down for its own.
-func lateUpkeep(w *world, trouble bool) (verdict, error) {
-	const waveNumber, machines = 1, 8
-	c := newCloud(w, waveNumber, 1)
-	var err error
-	if w.cloudAddress, _, err = serve(c.handler()); err != nil {
-		return verdict{}, err
-	}
-	var names []string
-	for i := range machines {
+// failingServices runs eight jobs that last, of one task each, on the only executor of their kind. The tasks fail by
+// themselves 4 to 20 s after their starts. The rule is broken if a task has no run for restartTime and idleTime although the
+// executor has room for all tasks many times over.
+func failingServices(w *world, trouble bool) (verdict, error) {
+	for i := range 6 {
 		kind := "a"
 		if i == 0 {
 			kind = "b"
 		}
-		names = append(names, fmt.Sprintf("m-%02d", i+1))
-		if err := c.add(names[i], kind, "r1-1"); err != nil {
+		if err := w.addExecutor(newExecutor(w, fmt.Sprintf("i-%02d", i+1), fmt.Sprintf("m-%02d", i+1), kind, "r1-1")); err != nil {
 			return verdict{}, err
 		}
 	}
@@ -39,52 +32,49 @@
 	if err := w.startInstances(3); err != nil {
 		return verdict{}, err
 	}
-	time.Sleep(5 * time.Second)
-
-	if trouble {
-		c.mu.Lock()
-		c.delay = lateBy
-		c.mu.Unlock()
+	time.Sleep(2 * time.Second)
+	spec := "fail-ms=4000-20000"
+	if !trouble {
+		spec = "until stopped"
 	}
-	wave, err := json.Marshal(map[string]any{"Wave": waveNumber, "Machines": names, "DurationS": 60, "Cap": 1})
-	if err != nil {
-		return verdict{}, err
-	}
-	w.rec.note("operator", "writes op/wave/1", "record", string(wave))
-	w.store.put("keyed.op", fmt.Sprintf("wave/%d", waveNumber), wave)
-	caller := w.instances[0]
-	if trouble {
-		select {
-		case <-c.delayed:
-		case <-time.After(10 * time.Second):
-			return verdict{}, errors.New("no order for upkeep was sent")
+	var tasks []string
+	for i := range services {
+		id := newID()
+		tasks = append(tasks, taskName(id, 0, 0, 0))
+		body := job(spec, step{"Count": 1, "Cpu": 500, "MemMb": 256, "EstimatedMs": 1000, "LongRunning": true, "Requirements": "b"})
+		if r := w.call(w.instances[i%3], "POST", planned+id, tenantKey, body); !r.ok() {
+			return verdict{}, fmt.Errorf("a job was not accepted: status %d", r.status)
 		}
-		leader := w.leader()
-		if leader == nil {
-			return verdict{}, errors.New("no leader")
+	}
+	accepted := time.Now()
+	time.Sleep(serviceTime)
+	until := time.Now()
+	longest, longestTask, idle := time.Duration(0), "", 0
+	for _, task := range tasks {
+		gap := w.longestGap(task, accepted, until)
+		if gap >= restartTime+idleTime {
+			idle++
 		}
-		if leader == caller {
-			caller = w.instances[1]
+		if gap > longest {
+			longest, longestTask = gap, task
 		}
-		go func() {
-			if err := w.restart(leader); err != nil {
-				w.rec.note("test", "restart failed", "cause", err)
-			}
-		}()
-	}
-	// A job for machines of kind b, of which there is one.
-	id := newID()
-	if r := w.call(caller, "POST", urgent+id, tenantKey, job("work-ms=25000", step{"Count": 2, "Cpu": 1000, "MemMb": 100, "Gpu": 1, "EstimatedMs": 25000, "Requirements": "b"})); !r.ok() {
-		return verdict{}, fmt.Errorf("the job was not accepted: status %d", r.status)
 	}
-	time.Sleep(25 * time.Second)
-	begun, over := c.result()
-	w.rec.note("test", "wave", "upkeeps_begun", begun)
-	if begun == 0 {
-		return verdict{}, errors.New("no upkeep has begun")
-	}
-	if len(over) > 0 {
-		return verdict{broken: true, text: strings.Join(over, "; ")}, nil
+	text := fmt.Sprintf("%d of %d tasks had no run for %v or longer; the longest time was %.1f s, of task %s", idle, services, restartTime+idleTime, longest.Seconds(), longestTask)
+	return verdict{broken: idle > 0, text: text}, nil
+}
+
+// longestGap returns the longest time between two instants in which a task had no run.
+func (w *world) longestGap(task string, from, until time.Time) time.Duration {
+	starts, ends := w.tasks.startsOf(task), w.tasks.endsOf(task)
+	longest, idleSince := time.Duration(0), from
+	for _, s := range starts {
+		longest = max(longest, s.at.Sub(idleSince))
+		idleSince = until
+		for _, e := range ends {
+			if e.run == s.run && e.executor == s.executor {
+				idleSince = e.at
+			}
+		}
 	}
-	return verdict{text: fmt.Sprintf("%d upkeeps began, one at a time", begun)}, nil
+	return max(longest, until.Sub(idleSince))
 }
--- a/review/standin3/executor.go
+++ b/review/standin3/executor.go
@@ -146,8 +146,8 @@
 }
 
 // terminate ends everything that runs on the executor and the executor itself. Its port refuses connections from then on.
-// The platform removes its entry at once if it has left, else after three heartbeat intervals of silence.
-func (e *executor) terminate(left bool) {
+// The platform removes its entry after three heartbeat intervals of silence.
+func (e *executor) terminate() {
 	e.mu.Lock()
 	e.gone = true
 	for task, r := range e.running {
@@ -157,12 +157,7 @@
 	e.mu.Unlock()
 	e.w.rec.note("executor", "terminated", "id", e.id, "machine", e.machine)
 	_ = e.server.Close()
-	remove := func() { e.w.store.put("keyed.servers", e.id, nil) }
-	if left {
-		remove()
-		return
-	}
-	time.AfterFunc(3*heartbeat, remove)
+	time.AfterFunc(3*heartbeat, func() { e.w.store.put("keyed.servers", e.id, nil) })
 }
 
 // crash ends the process of the executor, and starts it again after a time: under its id and at its address, with nothing of
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -71,14 +71,12 @@
 
 	mu     sync.Mutex
 	topics map[string]*topic
-	// delay is the time of an answer, beside that of an append.
-	delay time.Duration
 	// readsUntil is when the reads that have been answered are transferred.
 	readsUntil time.Time
 }
 
 func newStore(rec *recorder) *store {
-	return &store{rec: rec, topics: make(map[string]*topic), delay: answerTime}
+	return &store{rec: rec, topics: make(map[string]*topic)}
 }
 
 func (s *store) handler() http.Handler {
@@ -89,20 +87,6 @@
 	return mux
 }
 
-// setDelay sets the time of an answer.
-func (s *store) setDelay(d time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.delay = d
-}
-
-func (s *store) wait() {
-	s.mu.Lock()
-	d := s.delay
-	s.mu.Unlock()
-	time.Sleep(d)
-}
-
 // topic returns a topic, which it creates if create is set; else nil if there is none. The caller holds the mutex.
 func (s *store) topic(name string, create bool) *topic {
 	t := s.topics[name]
@@ -184,7 +168,6 @@
 	}
 	s.mu.Lock()
 	t := s.topic(name, true)
-	slow := max(0, s.delay-appendTime)
 	now := time.Now()
 	if t.busyUntil.Sub(now) > maxWaiting {
 		s.mu.Unlock()
@@ -197,7 +180,6 @@
 	cost := appendTime + time.Duration(len(data))*time.Second/appendRate
 	t.busyUntil = t.busyUntil.Add(cost)
 	s.mu.Unlock()
-	time.Sleep(slow)
 	t.appending.Lock()
 	defer t.appending.Unlock()
 	time.Sleep(cost)
@@ -266,7 +248,7 @@
 		}
 		break
 	}
-	s.wait()
+	time.Sleep(answerTime)
 	maxBytes := int(number(r, "MaxKb")) << 10
 	if maxBytes == 0 {
 		maxBytes = defaultMaxKb << 10
@@ -302,7 +284,7 @@
 }
 
 func (s *store) newest(w http.ResponseWriter, r *http.Request) {
-	s.wait()
+	time.Sleep(answerTime)
 	type item struct {
 		Key    string
 		Value  string
