--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -153,8 +153,7 @@
 	if err != nil {
 		return
 	}
-	query := r.URL.Query()
-	name := query.Get("Topic")
+	name := r.URL.Query().Get("Topic")
 	entries, total, ok := decode(data)
 	if !ok {
 		s.rec.note("store", "append rejected", "topic", name, "cause", "malformed record, or one over RecordBytes")
@@ -166,62 +165,79 @@
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
 		return
 	}
-	s.mu.Lock()
-	t := s.topic(name, true)
-	now := time.Now()
-	if t.busyUntil.Sub(now) > maxWaiting {
-		s.mu.Unlock()
+	t, cost := s.admit(name, len(data))
+	if t == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if t.busyUntil.Before(now) {
-		t.busyUntil = now
-	}
-	cost := appendTime + time.Duration(len(data))*time.Second/appendRate
-	t.busyUntil = t.busyUntil.Add(cost)
-	s.mu.Unlock()
 	t.appending.Lock()
 	defer t.appending.Unlock()
 	time.Sleep(cost)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	status, body := s.appendLocked(t, r, entries)
+	answer(w, status, body)
+}
+
+// admit returns the topic of an append and the time that it takes, or nil if too much is waiting.
+func (s *store) admit(name string, bytes int) (*topic, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t, now := s.topic(name, true), time.Now()
+	if t.busyUntil.Sub(now) > maxWaiting {
+		return nil, 0
+	}
+	if t.busyUntil.Before(now) {
+		t.busyUntil = now
+	}
+	cost := appendTime + time.Duration(bytes)*time.Second/appendRate
+	t.busyUntil = t.busyUntil.Add(cost)
+	return t, cost
+}
+
+// appendLocked appends records unless the producer or the condition forbids it, and returns the answer.
+func (s *store) appendLocked(t *topic, r *http.Request, entries []entry) (status int, body map[string]any) {
+	query := r.URL.Query()
+	sequence := number(r, "Sequence")
+	var p *producer
 	if id := query.Get("Producer"); id != "" {
-		p := t.producers[id]
-		if p == nil {
+		if p = t.producers[id]; p == nil {
 			p = &producer{}
 			t.producers[id] = p
 		}
-		epoch, sequence := number(r, "epoch"), number(r, "Sequence")
-		switch {
-		case p.started && epoch < p.epoch:
-			answer(w, http.StatusConflict, map[string]any{"Reason": "fenced"})
-			return
-		case !p.started || epoch > p.epoch:
-			*p = producer{epoch: epoch, next: sequence, started: true}
-		}
-		for _, a := range p.last {
-			if a.sequence == sequence {
-				answer(w, http.StatusOK, map[string]any{"Offset": a.offset, "End": a.end})
-				return
-			}
-		}
-		if sequence != p.next {
-			answer(w, http.StatusConflict, map[string]any{"Reason": "seq", "Sequence": p.next})
-			return
+		if status, body := p.check(number(r, "epoch"), sequence); status != 0 {
+			return status, body
 		}
 	}
 	if query.Has("At") && number(r, "At") != int64(len(t.entries)) {
-		answer(w, http.StatusPreconditionFailed, map[string]any{"End": len(t.entries)})
-		return
+		return http.StatusPreconditionFailed, map[string]any{"End": len(t.entries)}
 	}
 	offset, end := s.addLocked(t, entries)
-	if id := query.Get("Producer"); id != "" {
-		p := t.producers[id]
+	if p != nil {
 		p.next++
-		p.last = append(p.last, appendAnswer{number(r, "Sequence"), offset, end})
+		p.last = append(p.last, appendAnswer{sequence, offset, end})
 		p.last = p.last[max(0, len(p.last)-keptAppends):]
 	}
-	answer(w, http.StatusOK, map[string]any{"Offset": offset, "End": end})
+	return http.StatusOK, map[string]any{"Offset": offset, "End": end}
+}
+
+// check returns the answer to an append that the producer must not make, or has made before; else 0.
+func (p *producer) check(epoch, sequence int64) (status int, body map[string]any) {
+	switch {
+	case p.started && epoch < p.epoch:
+		return http.StatusConflict, map[string]any{"Reason": "fenced"}
+	case !p.started || epoch > p.epoch:
+		*p = producer{epoch: epoch, next: sequence, started: true}
+	}
+	for _, a := range p.last {
+		if a.sequence == sequence {
+			return http.StatusOK, map[string]any{"Offset": a.offset, "End": a.end}
+		}
+	}
+	if sequence != p.next {
+		return http.StatusConflict, map[string]any{"Reason": "seq", "Sequence": p.next}
+	}
+	return 0, nil
 }
 
 func (s *store) read(w http.ResponseWriter, r *http.Request) {
