--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,9 +1,10 @@
 #!/usr/bin/env bash
-# Runs case 12 against target/oleanderbend. Build the deploy file and review/build-3.sh first.
-set -uo pipefail
-cd "$(dirname "$0")/../.."
-if [ ! -x target/review-3/standin3 ]; then
-  echo "could not run: review/build-3.sh has not been run"
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out the disruption.
+# What was sent, answered and run is written to review/12/record.txt.
+cd "$(dirname "$0")/../.." || exit 2
+if [ ! -x target/oleanderbend ] || [ ! -x target/review-3/standin3 ]; then
+  echo "not built: the build of the deploy file, then review/build-3.sh"
   exit 2
 fi
-exec target/review-3/standin3 12
+rm -f review/12/record.txt
+exec target/review-3/standin3 12 review/12/record.txt
--- a/review/standin3/case11.go
+++ b/review/standin3/case11.go
@@ -12,6 +12,8 @@
 	overdueOccurrences, overdueSteps = 10000, 13
 	// overdueInterval is the time between two occurrences.
 	overdueInterval = time.Minute
+	// doableJobs is the number of jobs of the same queue that can be done: 2 of 40 can't.
+	doableJobs = 38
 	// ordinaryTime is how long the ordinary job is watched.
 	ordinaryTime = 40 * time.Second
 )
@@ -30,6 +32,12 @@
 		return verdict{}, err
 	}
 	time.Sleep(2 * time.Second)
+	for i := range doableJobs {
+		if r := w.call(w.instances[i%3], "POST", planned+newID(), tenantKey, job("work-ms=500", step{"Count": 2, "Cpu": 1000, "MemMb": 100, "EstimatedMs": 500})); !r.ok() {
+			return verdict{}, fmt.Errorf("a job was not accepted: status %d", r.status)
+		}
+	}
+	time.Sleep(3 * time.Second)
 	var steps []step
 	for range overdueSteps {
 		steps = append(steps, step{"Count": 1, "Cpu": 1000, "MemMb": 100, "EstimatedMs": 1000, "Requirements": "none"})
--- a/review/standin3/case14.go
+++ b/review/standin3/case14.go
@@ -19,7 +19,7 @@
 // back. A job of two steps is then submitted that only this executor can run. The rule is broken if its second step doesn't begin
 // within finishTime and idleTime after the tasks of the first have ended.
 func clockOfExecutor(w *world, trouble bool) (verdict, error) {
-	for i := range 5 {
+	for i := range 7 {
 		if err := w.addExecutor(newExecutor(w, fmt.Sprintf("i-%02d", i+1), fmt.Sprintf("m-%02d", i+1), "a", "r1-1")); err != nil {
 			return verdict{}, err
 		}
@@ -29,7 +29,7 @@
 		return verdict{}, err
 	}
 	time.Sleep(2 * time.Second)
-	e := newExecutor(w, "i-06", "m-06", "b", "r1-1")
+	e := newExecutor(w, "i-08", "m-08", "b", "r1-1")
 	e.clockStart = firstClock
 	if trouble {
 		e.clockError = clockStep
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -1,8 +1,9 @@
 // Command standin3 runs the scripted cases of the third review: it starts stand-ins of the platform and instances of
 // the system as separate processes, disturbs them, and judges what callers, executors and the platform saw.
 //
-//	standin3 CASE
+//	standin3 CASE RECORD
 //
+// RECORD is the path of the file to which it writes what was sent, answered and run.
 // The variable TROUBLE is 0 for a run without the disruption. It exits with 1 if the rule was broken, 0 if it held, and
 // 2 if the case could not run.
 package main
@@ -11,7 +12,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 )
 
@@ -27,8 +27,8 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin3 CASE")
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin3 CASE RECORD")
 		return 2
 	}
 	// run.sh starts this program in the root of the repository.
@@ -37,7 +37,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	w, err := newWorld(filepath.Join(root, "review", os.Args[1], "record.txt"), root)
+	w, err := newWorld(os.Args[2], root)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -297,6 +297,8 @@
 	otherKey  = "key-quay-1"
 	// guaranteed is the number of accelerators that are guaranteed to each of the two tenants.
 	guaranteed = 10
+	// recordedBytes is how much of a body the record has.
+	recordedBytes = 300
 )
 
 func (w *world) putConfig(version int) {
@@ -342,6 +344,9 @@
 	if err != nil {
 		panic(err)
 	}
+	if len(data) > 0 {
+		w.rec.note("client", "sends "+method+" "+path, "bytes", len(data), "body", string(data[:min(len(data), recordedBytes)]))
+	}
 	req.Host = host
 	req.Header.Set("Authorization", "Bearer "+key)
 	req.Header.Set("X-Request-Deadline", "3000")
