controller: bound the part of a planning round that one job takes

Cause: a planning round walked over all units of a job for each of its waiting units (describeUnits and heldBack called hasRuns), and over all of their tasks. All due occurrences were created in one go. Rounds, ticks and events of all jobs share one goroutine.

Change: units count their tasks that are done, waiting and running, and a job keeps the sets of its unfinished and waiting units and of those with runs, so that no event walks over a whole job. A round considers at most 384 waiting units of one job: the first ones, and the others by turns, since units that cannot be placed must not block those behind them. Due occurrences are created 4,096 tasks at a time, the jobs by turns. The choice of calls to the advice service and the lines about waiting steps of one job are bounded as well.

--- a/internal/controller/adviceplan.go
+++ b/internal/controller/adviceplan.go
@@ -44,7 +44,12 @@
 	return next
 }
 
-// advisedUnits returns requests without workers for the waiting units of queues with an advice service.
+// adviceLimit limits the waiting units of one job among which the next call is chosen, and about their tasks. Each is compared
+// with all workers.
+var adviceLimit = roundBudget{units: 48, tasks: 8192}
+
+// advisedUnits returns requests without workers for the waiting units of queues with an advice service, of jobs with many
+// units for some of them by turns.
 func (l *leader) advisedUnits(now boottime.Instant) []*adviceRequest {
 	var requests []*adviceRequest
 	for _, j := range l.activeJobs() {
@@ -52,8 +57,10 @@
 		if rules == nil {
 			continue
 		}
-		for _, u := range j.unfinishedUnits() {
-			if u.waiting() > 0 && now >= u.advice.retryAt && l.due(j, u.occurrence) {
+		var units []*unit
+		units, j.nextAdvised = j.roundUnits(j.nextAdvised, adviceLimit)
+		for _, u := range units {
+			if now >= u.advice.retryAt && l.due(j, u.occurrence) {
 				requests = append(requests, &adviceRequest{unit: u, rules: rules})
 			}
 		}
--- a/internal/controller/adviceplan_test.go
+++ b/internal/controller/adviceplan_test.go
@@ -13,7 +13,7 @@
 func unitWithPriority(id, priority int, step batch.Step) *unit {
 	u := &unit{id: id, step: &step, job: &job{spec: &batch.Job{Rules: batch.QueueRules{Service: "s", Priority: priority}}, order: int64(id)}}
 	for index := range step.Count {
-		u.tasks = append(u.tasks, &task{unit: u, id: batch.TaskID{Index: index}})
+		u.addTask(&task{unit: u, id: batch.TaskID{Index: index}})
 	}
 	return u
 }
--- a/internal/controller/doc.go
+++ b/internal/controller/doc.go
@@ -15,6 +15,7 @@
 //
 //   - jobs.go: jobs, units (a step of one occurrence) and tasks; what a takeover restores of them,
 //     phases, cancellation, clean-up.
+//   - unitset.go: sets of the units of a job, so that no event walks over all of them.
 //   - runs.go: the life of a run, from its stored placement over start and stop to its stored end.
 //   - losses.go: metrics of the work that stopped runs lose, by cause, and of stranded capacity.
 //   - stall.go, slow.go: find runs without progress and runs on slow workers, and restart them.
--- a/internal/controller/explain.go
+++ b/internal/controller/explain.go
@@ -277,7 +277,7 @@
 		v.explanation.LaterOccurrences = request.Job.Occurrences() - 1
 		v.explanation.AssumesAdvice = l.adviceRules(j) != nil
 	} else if j.active() {
-		v.explanation.LaterOccurrences = j.spec.Occurrences() - j.createdOccurrences
+		v.explanation.LaterOccurrences = j.spec.Occurrences() - j.createdOccurrences()
 	}
 	covered := l.coveredJobs(extra)
 	v.explanation.Guarantee = l.guaranteeOf(j, covered)
@@ -294,14 +294,12 @@
 	for _, u := range unplanned {
 		withoutTicket[u] = true
 	}
-	for _, u := range j.units {
-		if u.done() {
-			continue
-		}
+	for i := j.unfinished.next(0); i >= 0; i = j.unfinished.next(i + 1) {
 		if len(v.explanation.Steps) == maxExplainedSteps {
-			v.explanation.MoreSteps++
-			continue
+			v.explanation.MoreSteps = j.unfinished.count - maxExplainedSteps
+			break
 		}
+		u := j.units[i]
 		step := l.explainUnplanned(u, withoutTicket[u], now)
 		if i, planned := index[u]; planned {
 			step.State, step.Tasks = StepWaits, v.snapshot.Units[i].Tasks
@@ -317,12 +315,12 @@
 func hypotheticalJob(submitted *batch.Job, now boottime.Instant) *job {
 	spec := *submitted
 	spec.Repeat, spec.Spec = 0, ""
-	j := &job{spec: &spec, order: math.MaxInt64, acceptedAt: now, phase: batch.Queued, createdOccurrences: 1, hypothetical: true}
+	j := &job{spec: &spec, order: math.MaxInt64, acceptedAt: now, phase: batch.Queued, hypothetical: true}
 	for i := range spec.Steps {
 		// One task stands for all tasks of the step: the planner gets only their number.
 		u := &unit{job: j, step: &spec.Steps[i], index: i}
-		u.tasks = []*task{{id: batch.TaskID{Job: spec.ID, Step: i}, unit: u}}
-		j.units = append(j.units, u)
+		u.addTask(&task{id: batch.TaskID{Job: spec.ID, Step: i}, unit: u})
+		j.addUnit(u)
 	}
 	return j
 }
@@ -361,8 +359,10 @@
 	case now < u.notBefore:
 		e.State, e.Message = StepDelayed, "a worker has rejected a start"
 		e.Unblock = fmt.Sprintf("%v have passed", u.notBefore.Sub(now).Round(time.Millisecond))
-	default:
+	case !l.due(u.job, u.occurrence):
 		e.State, e.Message, e.Unblock = StepDelayed, "the occurrence is not due", "it is due"
+	default:
+		e.State, e.Message, e.Unblock = StepDelayed, "a round considers only a part of the job's waiting steps", "it is the step's turn"
 	}
 	return e
 }
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -20,6 +20,9 @@
 	// retentionFactor multiplies FinishedJobRetention, so that finished jobs are kept longer than
 	// callers may query them.
 	retentionFactor = 2
+	// maxCreatedTasks is about how many tasks of due occurrences are created at a time. It bounds how long one job with many of
+	// them takes the leader away from all others.
+	maxCreatedTasks = 4096
 	// occurrenceDelay delays scheduled occurrences, so that they do not start early by the clock of
 	// another machine: the clocks of machines differ slightly.
 	occurrenceDelay = 20 * time.Millisecond
@@ -45,14 +48,23 @@
 	// closed means that the removal of the task records and of the description has been queued.
 	closed    bool
 	cancelled bool
-	// createdOccurrences is the number of occurrences whose units exist.
-	createdOccurrences int
 	// startedOccurrences is the number of occurrences that previous leaders have created, up to the last one
 	// of which a task was placed.
 	startedOccurrences int
-	units              []*unit
-	// The first doneUnits units are known to be done; there may be more.
-	doneUnits int
+	// units holds the units that exist, by occurrence and then by step. See createDueOccurrences.
+	units []*unit
+	// unfinished is the units that are not done, waiting those with tasks that wait to be placed (unit.waiting), withRuns
+	// those with runs.
+	unfinished, waiting, withRuns unitSet
+	// unfinishedOfStep is the number of unfinished units of each step.
+	unfinishedOfStep []int
+	// nextExamined is the index from which on the next planning round continues with the waiting units; see roundUnits.
+	nextExamined int
+	// nextAdvised is the same for the units among which the next call to the advice service is chosen.
+	nextAdvised int
+	// waitLines is the number of lines about waiting units that were logged since waitLinesSince.
+	waitLines      int
+	waitLinesSince boottime.Instant
 	// storedTasks are the task records found at a takeover. They are removed when the job is
 	// closed.
 	storedTasks taskRecords
@@ -68,6 +80,11 @@
 	index      int
 	occurrence int
 	tasks      []*task
+	// doneTasks is the number of tasks that have completed, taskRuns that of the tasks with a run, and idleTasks that of
+	// the tasks with neither.
+	doneTasks, taskRuns, idleTasks int
+	// failedTasks means that a run of a task has failed in this term.
+	failedTasks bool
 	// readySince is when the unit was first considered for planning after the steps before it were
 	// done; 0 before that. It is not reset when tasks restart.
 	readySince boottime.Instant
@@ -112,26 +129,78 @@
 
 func (u *unit) gang() bool { return u.step.Gang && u.step.Count > 1 }
 
-// done reports whether all tasks have completed.
-func (u *unit) done() bool {
-	for _, t := range u.tasks {
-		if !t.rec.Done {
-			return false
-		}
+// addTask adds a task to the unit.
+func (u *unit) addTask(t *task) {
+	u.tasks = append(u.tasks, t)
+	u.count(t, 1)
+}
+
+// count adds a task to the counts of the unit, or removes it if n is -1.
+func (u *unit) count(t *task, n int) {
+	switch {
+	case t.rec.Done:
+		u.doneTasks += n
+	case t.run == nil:
+		u.idleTasks += n
+	}
+	if t.run != nil {
+		u.taskRuns += n
 	}
-	return true
 }
 
-// idle reports whether no task has a run.
-func (u *unit) idle() bool {
-	for _, t := range u.tasks {
-		if t.run != nil {
-			return false
+// setRun sets the run of the task; nil means that it has none.
+func (t *task) setRun(r *run) {
+	t.unit.count(t, -1)
+	t.run = r
+	t.unit.count(t, 1)
+	t.unit.updateSets()
+}
+
+// setDone records that the task has completed.
+func (t *task) setDone() {
+	if t.rec.Done {
+		return
+	}
+	u := t.unit
+	u.count(t, -1)
+	t.rec.Done = true
+	u.count(t, 1)
+	u.updateSets()
+	if u.done() {
+		u.job.updateFollowing(u)
+	}
+}
+
+// updateSets updates the sets of the job after a change of the unit's counts.
+func (u *unit) updateSets() {
+	j, index := u.job, u.position()
+	if done := u.done(); done && j.unfinished.has(index) {
+		j.unfinishedOfStep[u.index]--
+		j.unfinished.set(index, false)
+	}
+	j.waiting.set(index, u.waiting() > 0)
+	j.withRuns.set(index, u.taskRuns > 0)
+}
+
+// updateFollowing updates the set of waiting units after all tasks of a unit have completed: units that depend on it may be
+// ready.
+func (j *job) updateFollowing(u *unit) {
+	for i := u.index + 1; i < len(j.spec.Steps); i++ {
+		if later := j.unitOf(u.occurrence, i); later != nil && slices.Contains(later.step.After, u.index) {
+			later.updateSets()
 		}
 	}
-	return true
 }
 
+// position returns the index of the unit in job.units.
+func (u *unit) position() int { return u.occurrence*len(u.job.spec.Steps) + u.index }
+
+// done reports whether all tasks have completed.
+func (u *unit) done() bool { return u.doneTasks == len(u.tasks) }
+
+// idle reports whether no task has a run.
+func (u *unit) idle() bool { return u.taskRuns == 0 }
+
 // ready reports whether the steps that the unit depends on are done.
 func (u *unit) ready() bool {
 	for _, earlier := range u.step.After {
@@ -142,8 +211,12 @@
 	return true
 }
 
+// unitOf returns a step of an occurrence, or nil if the unit does not exist yet.
 func (j *job) unitOf(occurrence, step int) *unit {
-	return j.units[occurrence*len(j.spec.Steps)+step]
+	if at := occurrence*len(j.spec.Steps) + step; at < len(j.units) {
+		return j.units[at]
+	}
+	return nil
 }
 
 // active reports whether tasks of the job may still be started.
@@ -156,25 +229,17 @@
 	return l.active
 }
 
-// unfinishedUnits returns the units without those at the beginning that are done. A repeated job has more of these with
-// each occurrence.
-func (j *job) unfinishedUnits() []*unit {
-	for j.doneUnits < len(j.units) && j.units[j.doneUnits].done() {
-		j.doneUnits++
-	}
-	return j.units[j.doneUnits:]
-}
-
 // hasRuns reports whether a task of the job has a run.
-func (j *job) hasRuns() bool {
-	for _, u := range j.units {
-		if !u.idle() {
-			return true
-		}
-	}
-	return false
+func (j *job) hasRuns() bool { return j.withRuns.count > 0 }
+
+// createdOccurrences is the number of occurrences of which units exist.
+func (j *job) createdOccurrences() int {
+	return (len(j.units) + len(j.spec.Steps) - 1) / max(1, len(j.spec.Steps))
 }
 
+// totalUnits is the number of units of all occurrences.
+func (j *job) totalUnits() int { return j.spec.Occurrences() * len(j.spec.Steps) }
+
 // loadJob adds a new job, or a job that previous leaders worked on.
 func (l *leader) loadJob(state batch.JobState, records taskRecords) {
 	// Copied, because applyQueueRules changes the rules and the local copy of the table must not
@@ -201,7 +266,7 @@
 	}
 	switch {
 	case !j.phase.Final():
-		l.createDueOccurrences(j)
+		l.createDueOccurrences(j, maxCreatedTasks)
 		l.stopEndedGangs(j)
 		// The previous leader may have stored the failures without the phase that follows from them.
 		if t := j.exhaustedTask(); t != nil {
@@ -213,8 +278,8 @@
 		}
 	case records.mayHaveRuns():
 		// The previous leader had not stopped all runs of the finished job yet.
-		for ; j.createdOccurrences < j.spec.Occurrences(); j.createdOccurrences++ {
-			l.createOccurrence(j, j.createdOccurrences)
+		for len(j.units) < j.totalUnits() {
+			l.createNextUnit(j)
 		}
 	}
 	l.finishIfDone(j)
@@ -289,32 +354,50 @@
 
 // createDueOccurrences creates the units of the occurrences that are due, and of those that a previous
 // leader has started, so that their runs are adopted. By this machine's clock the latter may not be due yet:
-// then their tasks without a run wait until they are.
-func (l *leader) createDueOccurrences(j *job) {
-	for j.createdOccurrences < j.spec.Occurrences() {
-		if j.createdOccurrences >= j.startedOccurrences && !l.due(j, j.createdOccurrences) {
-			return
+// then their tasks without a run wait until they are. After about maxTasks tasks it leaves the rest of the due units to the
+// next calls. It returns the number of tasks that it has created.
+func (l *leader) createDueOccurrences(j *job, maxTasks int) int {
+	created := 0
+	for len(j.units) < j.totalUnits() {
+		occurrence := len(j.units) / len(j.spec.Steps)
+		if occurrence >= j.startedOccurrences && (created >= maxTasks || !l.due(j, occurrence)) {
+			break
 		}
-		l.createOccurrence(j, j.createdOccurrences)
-		j.createdOccurrences++
+		created += len(l.createNextUnit(j).tasks)
 		l.planDue = true
 	}
+	return created
 }
 
-func (l *leader) createOccurrence(j *job, occurrence int) {
-	for i := range j.spec.Steps {
-		u := &unit{id: l.nextUnitID, job: j, step: &j.spec.Steps[i], index: i, occurrence: occurrence}
-		l.nextUnitID++
-		for index := range u.step.Count {
-			id := batch.TaskID{Job: j.spec.ID, Occurrence: occurrence, Step: i, Index: index}
-			t := &task{id: id, unit: u}
-			if rec, ok := j.storedTasks[id]; ok {
-				l.restoreTask(t, rec)
-			}
-			u.tasks = append(u.tasks, t)
+// createNextUnit creates the next unit of a job.
+func (l *leader) createNextUnit(j *job) *unit {
+	occurrence, index := len(j.units)/len(j.spec.Steps), len(j.units)%len(j.spec.Steps)
+	u := &unit{id: l.nextUnitID, job: j, step: &j.spec.Steps[index], index: index, occurrence: occurrence}
+	l.nextUnitID++
+	u.tasks = make([]*task, 0, u.step.Count)
+	for n := range u.step.Count {
+		id := batch.TaskID{Job: j.spec.ID, Occurrence: occurrence, Step: index, Index: n}
+		t := &task{id: id, unit: u}
+		if rec, ok := j.storedTasks[id]; ok {
+			l.restoreTask(t, rec)
+		}
+		u.addTask(t)
+	}
+	j.addUnit(u)
+	return u
+}
+
+// addUnit adds the next unit, with its tasks, to the job.
+func (j *job) addUnit(u *unit) {
+	j.units = append(j.units, u)
+	if !u.done() {
+		if j.unfinishedOfStep == nil {
+			j.unfinishedOfStep = make([]int, len(j.spec.Steps))
 		}
-		j.units = append(j.units, u)
+		j.unfinishedOfStep[u.index]++
+		j.unfinished.set(u.position(), true)
 	}
+	u.updateSets()
 }
 
 // restoreTask applies the stored progress of a task. If the record names a worker, the task may
@@ -337,7 +420,7 @@
 	r.serial = l.nextRunSerial
 	// The racks of the other members of a gang are not known before the registry has been read.
 	r.remote = u.step.DataRack != "" || u.step.RackLocal
-	t.run = r
+	t.run = r // addTask counts it.
 	ws.runs[t.id] = r
 }
 
@@ -372,8 +455,8 @@
 }
 
 func (l *leader) stopJob(j *job, reason string) {
-	for _, u := range j.units {
-		for _, t := range u.tasks {
+	for i := j.withRuns.next(0); i >= 0; i = j.withRuns.next(i + 1) {
+		for _, t := range j.units[i].tasks {
 			if t.run != nil {
 				l.stopRun(t.run, reason)
 			}
@@ -428,17 +511,7 @@
 	}
 }
 
-func (j *job) complete() bool {
-	if j.createdOccurrences < j.spec.Occurrences() {
-		return false
-	}
-	for _, u := range j.units {
-		if !u.done() {
-			return false
-		}
-	}
-	return true
-}
+func (j *job) complete() bool { return len(j.units) == j.totalUnits() && j.unfinished.count == 0 }
 
 // setPhase stores a phase. It calls onStored, if not nil, once the phase is stored.
 func (l *leader) setPhase(j *job, phase batch.Phase, onStored func()) {
@@ -481,7 +554,8 @@
 			}
 		}
 	}
-	j.units, j.doneUnits, j.storedTasks, j.closed = nil, 0, nil, true
+	j.units, j.storedTasks, j.closed = nil, nil, true
+	j.unfinished, j.waiting, j.withRuns = unitSet{}, unitSet{}, unitSet{}
 	if len(records) > 0 {
 		l.storeTasks(records, func() {})
 	}
@@ -493,40 +567,35 @@
 	l.storeJobs([]ledger.Record{closed}, func() {})
 }
 
-// createAllDueOccurrences creates the due occurrences of all active jobs.
+// createAllDueOccurrences creates due occurrences of all active jobs, about maxCreatedTasks tasks in all. The jobs that were
+// last served begin, in turn, with each call, so that one with many due occurrences does not keep others waiting.
 func (l *leader) createAllDueOccurrences() {
-	for _, j := range l.activeJobs() {
-		if j.createdOccurrences < j.spec.Occurrences() {
-			l.createDueOccurrences(j)
+	active := l.activeJobs()
+	left := maxCreatedTasks
+	for n := range active {
+		at := (l.nextCreating + n) % len(active)
+		if j := active[at]; len(j.units) < j.totalUnits() {
+			left -= l.createDueOccurrences(j, min(left, maxCreatedTasks/2))
+			if left <= 0 {
+				l.nextCreating = at + 1
+				return
+			}
 		}
 	}
 }
 
 // hasWaiting reports whether any unit has tasks that wait to be placed.
 func (l *leader) hasWaiting() bool {
-	for _, j := range l.activeJobs() {
-		for _, u := range j.unfinishedUnits() {
-			if u.waiting() > 0 {
-				return true
-			}
-		}
-	}
-	return false
+	return slices.ContainsFunc(l.activeJobs(), func(j *job) bool { return j.waiting.count > 0 })
 }
 
 // waiting returns the number of unfinished tasks without a run, if the steps that the unit depends
 // on are done. For a gang with a run it returns 0.
 func (u *unit) waiting() int {
-	if !u.ready() || (u.gang() && !u.idle()) {
+	if u.idleTasks == 0 || !u.ready() || (u.gang() && !u.idle()) {
 		return 0
 	}
-	n := 0
-	for _, t := range u.tasks {
-		if !t.rec.Done && t.run == nil {
-			n++
-		}
-	}
-	return n
+	return u.idleTasks
 }
 
 // cleanUp removes the expired unconfirmed starts of workers, the task records of finished jobs, and
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -106,8 +106,12 @@
 	lastPlanAt        boottime.Instant
 	takeoverStartedAt boottime.Instant
 	lastCleanupAt     boottime.Instant
-	nextUnitID        int
-	nextRunSerial     int64
+	// nextCreating is the index in active of the job with which createAllDueOccurrences begins.
+	nextCreating int
+	// unitsLeft is the number of waiting units that the last planning round did not consider; see job.roundUnits.
+	unitsLeft     int
+	nextUnitID    int
+	nextRunSerial int64
 	// adviceInFlight means that a call to the advice service is in flight, adviceByAge that the next one goes to
 	// the unit whose last call is the longest ago.
 	adviceInFlight, adviceByAge bool
@@ -341,7 +345,7 @@
 	l.createAllDueOccurrences()
 	l.checkWaves()
 	l.requestAdvice()
-	if boottime.Since(l.lastPlanAt) > replanInterval && l.hasWaiting() {
+	if l.unitsLeft > 0 || (boottime.Since(l.lastPlanAt) > replanInterval && l.hasWaiting()) {
 		l.planDue = true
 	}
 	if boottime.Since(l.lastCleanupAt) > cleanupInterval {
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -104,6 +104,7 @@
 	s, workers := l.describeWorkers(now)
 	s.Headroom = l.peaks.Update(time.Duration(now), l.urgentUsage())
 	units, unplanned := l.describeUnits(&s, nil, l.assignGuarantees(), now)
+	l.continueRounds()
 	for _, u := range units {
 		u.readySince = u.waitingSince(now)
 	}
@@ -141,9 +142,10 @@
 func (l *leader) describeUnits(s *planner.Snapshot, extra *job, guaranteed map[*job]bool, now boottime.Instant) (units, unplanned []*unit) {
 	unused := halfUnused(s.Workers)
 	describe := func(j *job) {
-		for _, u := range j.unfinishedUnits() {
+		considered, _ := j.roundUnits(j.nextExamined, roundLimit)
+		for _, u := range considered {
 			n := u.waiting()
-			if n == 0 || u.excluded || now < u.notBefore || !l.due(j, u.occurrence) {
+			if u.excluded || now < u.notBefore || !l.due(j, u.occurrence) {
 				continue
 			}
 			if j.hypothetical {
@@ -168,6 +170,60 @@
 	return units, unplanned
 }
 
+// roundLimit limits the waiting units, and about the waiting tasks, of one job that a planning round considers.
+var roundLimit = roundBudget{units: 384, tasks: 8192}
+
+// roundBudget is how much of a job one planning round may still consider.
+type roundBudget struct{ units, tasks int }
+
+// roundUnits returns the waiting units of the job that one round considers, in the order of their indices, and the index from
+// which the next round continues, which is 0 if these are all. Without the limits, one job with many units would take the
+// leader away from all others. A third of the limits is for the first waiting units, so that early occurrences go first. The
+// rest is for the others by turns, from the given index on: units that cannot be placed must not keep the others from running.
+func (j *job) roundUnits(from int, limit roundBudget) (units []*unit, next int) {
+	if j.waiting.count == 0 {
+		return nil, 0
+	}
+	first := roundBudget{limit.units / 3, limit.tasks / 3}
+	others := roundBudget{limit.units - first.units, limit.tasks - first.tasks}
+	end := len(j.units)
+	units, firstEnd := j.appendWaiting(make([]*unit, 0, min(j.waiting.count, limit.units)), 0, end, &first)
+	from = max(from, firstEnd)
+	units, next = j.appendWaiting(units, from, end, &others)
+	if next == end {
+		units, next = j.appendWaiting(units, firstEnd, from, &others)
+	}
+	if len(units) == j.waiting.count {
+		next = 0
+	}
+	slices.SortFunc(units, func(a, b *unit) int { return cmp.Compare(a.position(), b.position()) })
+	return units, next
+}
+
+// appendWaiting appends waiting units with indices from first to before end until they use up the budget, which the last one
+// may exceed. It returns the index after the last one, or end if there are no more.
+func (j *job) appendWaiting(units []*unit, first, end int, budget *roundBudget) ([]*unit, int) {
+	for i := j.waiting.next(first); i >= 0 && i < end; i = j.waiting.next(i + 1) {
+		if budget.units <= 0 || budget.tasks <= 0 {
+			return units, i
+		}
+		budget.units--
+		budget.tasks -= j.units[i].idleTasks
+		units = append(units, j.units[i])
+	}
+	return units, end
+}
+
+// continueRounds makes the next round consider the waiting units that follow those of this one.
+func (l *leader) continueRounds() {
+	l.unitsLeft = 0
+	for _, j := range l.activeJobs() {
+		var units []*unit
+		units, j.nextExamined = j.roundUnits(j.nextExamined, roundLimit)
+		l.unitsLeft += j.waiting.count - len(units)
+	}
+}
+
 // waitingSince returns since when the unit has been considered for planning: now if this is the first time.
 func (u *unit) waitingSince(now boottime.Instant) boottime.Instant {
 	if u.readySince == 0 {
@@ -282,10 +338,8 @@
 // occurrenceStarted reports whether a task of the occurrence is done or has a run.
 func (j *job) occurrenceStarted(occurrence int) bool {
 	for i := range j.spec.Steps {
-		for _, t := range j.unitOf(occurrence, i).tasks {
-			if t.rec.Done || t.run != nil {
-				return true
-			}
+		if u := j.unitOf(occurrence, i); u != nil && (u.doneTasks > 0 || u.taskRuns > 0) {
+			return true
 		}
 	}
 	return false
@@ -294,6 +348,9 @@
 // avoidedWorkers returns the workers on which a run of an unfinished task of the unit has failed.
 // All tasks of the unit avoid them.
 func (u *unit) avoidedWorkers() map[string]bool {
+	if !u.failedTasks {
+		return nil
+	}
 	var avoid map[string]bool
 	for _, t := range u.tasks {
 		if t.rec.Done || len(t.avoid) == 0 {
@@ -445,9 +502,9 @@
 // maxUnfinishedGPU returns the number of accelerators of the largest unfinished step.
 func (j *job) maxUnfinishedGPU() int64 {
 	largest := int64(0)
-	for _, u := range j.unfinishedUnits() {
-		if !u.done() {
-			largest = max(largest, u.step.GPU*int64(u.step.Count))
+	for i, unfinished := range j.unfinishedOfStep {
+		if step := &j.spec.Steps[i]; unfinished > 0 {
+			largest = max(largest, step.GPU*int64(step.Count))
 		}
 	}
 	return largest
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -152,7 +152,7 @@
 	l.nextRunSerial++
 	r.serial = l.nextRunSerial
 	r.progress = progress.NewTracker(now, 0)
-	t.run = r
+	t.setRun(r)
 	ws.runs[t.id] = r
 	t.rec.Run, t.rec.Worker, t.rec.Address, t.rec.WorkerStartedAtMS = number, ws.id, ws.address, ws.startedAtMS
 	t.rec.Checkpoint = t.resumeCheckpoint()
@@ -467,7 +467,7 @@
 	if t.run != r {
 		return
 	}
-	t.run = nil
+	t.setRun(nil)
 	delete(ws.runs, t.id)
 	t.rec.Worker, t.rec.Address, t.rec.WorkerStartedAtMS = "", "", 0
 	if checkpoint == "" {
@@ -500,10 +500,10 @@
 		if u.step.LongRunning {
 			return // The task is started again.
 		}
-		t.rec.Done = true
-		if u.gang() {
+		t.setDone()
+		if u.gang() && !u.done() {
 			for _, member := range u.tasks {
-				member.rec.Done = true
+				member.setDone()
 			}
 		}
 	case worker.EndFailed:
@@ -523,6 +523,7 @@
 		t.avoid = make(map[string]bool)
 	}
 	t.avoid[r.worker.id] = true
+	u.failedTasks = true
 	if u.gang() {
 		if r.number <= u.lastFailed {
 			return
--- a/internal/controller/snapshot_test.go
+++ b/internal/controller/snapshot_test.go
@@ -40,7 +40,7 @@
 		ws.info = worker.Info{ID: id, Service: "s", Zone: "z", Rack: fmt.Sprintf("r%d", n/12), State: worker.Ready, CPU: 32000, MemoryMB: 128000, GPU: 8}
 		l.workers[id] = ws
 		for _, t := range load(n, batch.Running, step).units[0].tasks {
-			t.run = &run{task: t, worker: ws, placedAt: boottime.Now()}
+			t.setRun(&run{task: t, worker: ws, placedAt: boottime.Now()})
 			ws.runs[t.id] = t.run
 		}
 	}
@@ -78,14 +78,14 @@
 	require.Len(t, j.units, 50)
 	for _, u := range j.units[:49] {
 		for _, task := range u.tasks {
-			task.rec.Done = true
+			task.setDone()
 		}
 	}
 	s, _, units := l.snapshot()
 	require.Len(t, s.Units, 6)
 	require.Contains(t, units, j.units[49])
 	require.Len(t, l.activeJobs(), 9, "finished jobs")
-	require.Len(t, j.unfinishedUnits(), 1, "finished occurrences")
+	require.Equal(t, 1, j.unfinished.count, "finished occurrences")
 
 	l.jobs["5"].phase = batch.Cancelled
 	_, _, units = l.snapshot()
--- a/internal/controller/wait.go
+++ b/internal/controller/wait.go
@@ -20,6 +20,8 @@
 	minLoggedWait = time.Second
 	// waitLogInterval is the minimum time between two lines about the same unit.
 	waitLogInterval = 2 * time.Second
+	// maxWaitLines is the number of lines about waiting units of one job in waitLogInterval.
+	maxWaitLines = 20
 )
 
 // adviceWaitReason returns why a unit without valid tickets waits.
@@ -99,14 +101,20 @@
 }
 
 // waitLogDue reports whether the reason for which a unit waits is to be logged: first after minLoggedWait,
-// then when it has changed.
+// then when it has changed. Beyond maxWaitLines, a job has no more lines for the time being.
 func (u *unit) waitLogDue(reason planner.WaitReason, now boottime.Instant) bool {
-	return reason != u.loggedWait && now.Sub(u.readySince) >= minLoggedWait && now.Sub(u.waitLoggedAt) >= waitLogInterval
+	j := u.job
+	if now.Sub(j.waitLinesSince) >= waitLogInterval {
+		j.waitLines, j.waitLinesSince = 0, now
+	}
+	return reason != u.loggedWait && now.Sub(u.readySince) >= minLoggedWait && now.Sub(u.waitLoggedAt) >= waitLogInterval &&
+		j.waitLines < maxWaitLines
 }
 
 // logWait logs why a unit waits.
 func (l *leader) logWait(u *unit, reason planner.WaitReason, behind string, free int64, now boottime.Instant) {
 	u.loggedWait, u.waitLoggedAt = reason, now
+	u.job.waitLines++
 	l.logger.Info().Str("step", u.tasks[0].id.StepName()).Int("tasks", u.waiting()).Str("reason", string(reason)).Str("behind", behind).
 		Int64("free", free).Dur("waited", now.Sub(u.readySince)).Msg("step waits")
 }
