controller: abandon a term whose leader makes no progress

Cause: the goroutine that handles all events of a term was busy with one planning round. Another goroutine went on renewing the term, and nothing compared the two.

Change: the time of each turn of the event loop is measured (oleanderbend_leader_turn_seconds, and the longest of the term, which includes the one in progress). After 5 s in one turn Lead returns, which ends the term. The abandoned goroutine has no effect: its context is done, its term is invalid. The instance does not claim leadership while that goroutine lives.

Evidence: TestLeaderWithoutProgressIsReplaced blocks the planner of the leader. With the limit set to 500 s, as good as none, the job had not completed after 15 s; now another leader completes it, and the blocked one starts nothing afterwards.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -151,7 +151,7 @@
 	i.control = control
 	i.elector = election.New(election.Config{
 		Log: leaderLog, Identity: election.Identity{Instance: name, Incarnation: incarnation},
-		Eligible: i.intake.Ready, Lead: control.Lead, Logger: logger,
+		Eligible: func() bool { return i.intake.Ready() && control.Idle() }, Lead: control.Lead, Logger: logger,
 	})
 	leader := ledger.NewFollower(ledger.FollowerConfig{
 		Log: client, Topic: election.Topic, Wait: time.Second, Apply: i.elector.Observe, Logger: logger,
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -92,6 +92,8 @@
 
 	// explaining means that a call of Explain is in progress.
 	explaining atomic.Bool
+	// terms is the number of terms whose goroutine has not ended, including those that Lead has abandoned.
+	terms atomic.Int32
 
 	metrics controllerMetrics
 }
@@ -100,6 +102,7 @@
 type controllerMetrics struct {
 	starts, stops, polls, runsDone, runsNotDone, skippedEntries, panics, excludedUnits, evacuationStops *metrics.Counter
 	planTime, startDelay                                                                                *metrics.Histogram
+	turns                                                                                               turnMetrics
 	// knownSpeeds is the number of workers of known speed, slowerWorkers that of those among them that are too slow for
 	// the tightest objective.
 	knownSpeeds, slowerWorkers *metrics.Gauge
@@ -120,7 +123,7 @@
 	if cfg.Evacuations == nil {
 		cfg.Evacuations = func() evacuation.Copy { return evacuation.Copy{} }
 	}
-	return &Controller{
+	c := &Controller{
 		cfg: cfg, timeOfDay: newCautiousTimeOfDay(cfg.TimeOfDay, cfg.Logger), changed: make(map[string]bool), wake: make(chan struct{}, 1), decide: planner.TryDecide,
 		metrics: controllerMetrics{
 			starts:          set.GetOrCreateCounter(`oleanderbend_orders_total{order="start"}`),
@@ -134,6 +137,7 @@
 			evacuationStops: set.GetOrCreateCounter(`oleanderbend_runs_stopped_by_evacuation_total`),
 			planTime:        set.GetOrCreateHistogram(`oleanderbend_plan_seconds`),
 			startDelay:      set.GetOrCreateHistogram(`oleanderbend_start_delay_seconds`),
+			turns:           newTurnMetrics(set),
 			knownSpeeds:     set.GetOrCreateGauge(`oleanderbend_workers_of_known_speed`, nil),
 			slowerWorkers:   set.GetOrCreateGauge(`oleanderbend_workers_too_slow_for_tightest_objective`, nil),
 			waiting:         newWaitGauges(set),
@@ -142,6 +146,8 @@
 			conflicts:       newConflictMetrics(set),
 		},
 	}
+	set.GetOrCreateGauge(`oleanderbend_leader_longest_turn_seconds`, c.metrics.turns.longestSeconds)
+	return c
 }
 
 // JobsChanged reports that the given jobs have changed in the local copy of the table. It does not
@@ -178,7 +184,7 @@
 	return ids
 }
 
-// Lead schedules jobs until ctx is done or the leadership term has ended.
+// Lead schedules jobs until ctx is done, the leadership term has ended, or the leader makes no progress (maxTurn).
 func (c *Controller) Lead(ctx context.Context, term election.Term) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -186,19 +192,36 @@
 	defer c.setLeading(false)
 	defer c.metrics.setWaiting(nil)
 	defer c.metrics.conflicts.inForce.Set(0)
+	l := newLeader(ctx, c, cancel, term)
+	c.metrics.turns.reset()
+	defer c.setCurrent(nil)
+	ended := make(chan struct{})
+	c.terms.Add(1)
+	go func() {
+		defer close(ended)
+		defer c.terms.Add(-1)
+		c.runTerm(l)
+	}()
+	l.awaitEnd(ended)
+}
+
+// runTerm takes over and handles the events of the term until it ends.
+func (c *Controller) runTerm(l *leader) {
 	// The state in memory may be inconsistent after a panic. The next term begins with what is stored.
 	defer func() {
 		if p := recover(); p != nil {
 			c.metrics.panics.Inc()
-			c.cfg.Logger.Error().Int64("epoch", term.Epoch).Str("panic", fmt.Sprint(p)).Str("stack", string(debug.Stack())).Msg("term ended by a panic")
+			c.cfg.Logger.Error().Int64("epoch", l.term.Epoch).Str("panic", fmt.Sprint(p)).Str("stack", string(debug.Stack())).Msg("term ended by a panic")
 		}
 	}()
-	l := newLeader(ctx, c, cancel, term)
 	if err := l.takeOver(); err != nil {
-		c.cfg.Logger.Warn().Err(err).Int64("epoch", term.Epoch).Msg("takeover failed")
+		c.cfg.Logger.Warn().Err(err).Int64("epoch", l.term.Epoch).Msg("takeover failed")
 		return
 	}
 	c.setCurrent(l)
-	defer c.setCurrent(nil)
 	l.run()
 }
+
+// Idle reports whether no term is being worked on. While it is false after the end of a term, the instance must not claim
+// leadership again: the leader of that term still handles the event for which it was abandoned.
+func (c *Controller) Idle() bool { return c.terms.Load() == 0 }
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -283,14 +283,12 @@
 		case <-l.ctx.Done():
 			return
 		case f := <-l.inbox:
-			f()
+			l.turn(f)
 		case <-l.c.wake:
-			l.applyJobs(l.c.takeChanged())
+			l.turn(func() { l.applyJobs(l.c.takeChanged()) })
 		case <-ticker.C:
-			l.tick()
+			l.turn(l.tick)
 		}
-		l.handleQueuedResults()
-		l.planIfDue()
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -224,8 +224,9 @@
 }
 
 // canLead reports whether the instance may claim leadership. The condition is the same as for new
-// connections: it is not stopping, its local copies are complete and its configuration is not too old.
-func (n *Node) canLead() bool { return n.intake.Ready() }
+// connections: it is not stopping, its local copies are complete and its configuration is not too old. Moreover, no earlier
+// term may still be worked on.
+func (n *Node) canLead() bool { return n.intake.Ready() && n.controller.Idle() }
 
 func (n *Node) applyJobs(u ledger.Update) {
 	n.controller.JobsChanged(n.intake.Apply(u))
