controller: store what grows with a job in parts

Callers saw: after a scheduled job of 85,500 tasks had completed, each leader stepped down right after its takeover. A job of gangs of thousands of members held up all others: at the end of each member the records of all members were stored.

Cause: the removal of the task records of a finished job was one append, larger than a call to the log may be. The next leader began its term with the same one.

Change: the records are removed about 400 at a time, each part after the one before is stored, and the description of the job is reduced after the last one. The members of a gang are stored as done once, not at each end.

--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -17,6 +17,8 @@
 const (
 	// cleanupInterval is how often expired data of finished jobs is removed.
 	cleanupInterval = 5 * time.Second
+	// maxRemovedJobs is the number of expired jobs that are removed at a time, one write each.
+	maxRemovedJobs = 2000
 	// retentionFactor multiplies FinishedJobRetention, so that finished jobs are kept longer than
 	// callers may query them.
 	retentionFactor = 2
@@ -45,7 +47,9 @@
 	// finalStored means that the final phase is stored. The task records must not be deleted before
 	// that.
 	finalStored bool
-	// closed means that the removal of the task records and of the description has been queued.
+	// closing means that the removal of the task records has begun, closed that it is complete and the removal of the
+	// description has been queued.
+	closing   bool
 	closed    bool
 	cancelled bool
 	// startedOccurrences is the number of occurrences that previous leaders have created, up to the last one
@@ -106,6 +110,8 @@
 	completedRuns int
 	// slowRestarts counts the restarts of tasks because of slow workers.
 	slowRestarts int
+	// doneStored means that the records of all members of a gang that has completed its work have been queued for the log.
+	doneStored bool
 	// excluded means that the unit is not planned in this term: see excludeUnit.
 	excluded bool
 	// heldBackSince is since when the unit has been held back (planner.Wait.HeldBack) in all planning rounds
@@ -171,6 +177,13 @@
 	}
 }
 
+// setAllDone records that a gang has completed its work, and with it all of its tasks.
+func (u *unit) setAllDone() {
+	for _, t := range u.tasks {
+		t.setDone()
+	}
+}
+
 // updateSets updates the sets of the job after a change of the unit's counts.
 func (u *unit) updateSets() {
 	j, index := u.job, u.position()
@@ -384,6 +397,10 @@
 		u.addTask(t)
 	}
 	j.addUnit(u)
+	if u.gang() && u.doneTasks > 0 {
+		// The previous leader may have stored only a part of the members as done.
+		u.setAllDone()
+	}
 	return u
 }
 
@@ -537,28 +554,30 @@
 	})
 }
 
-// closeJob removes the task records of a job in a final phase, and its description except for the
-// parts that callers may query. It does nothing while the job has runs; cleanUp tries again.
+// closePartRecords is the number of task records that are removed in one write when a job is closed. The next part follows when
+// the one before is stored, so that other writes need not wait for all of them.
+const closePartRecords = 400
+
+// closeJob removes the task records of a job in a final phase, and then its description except for the
+// parts that callers may query. It does nothing while the job has runs; cleanUp tries again. A leader that takes over before the
+// last part is stored closes the job again.
 func (l *leader) closeJob(j *job) {
-	if j.hasRuns() {
+	if j.hasRuns() || j.closing {
 		return
 	}
-	var records []ledger.Record
-	for id := range j.storedTasks {
-		records = append(records, batch.TaskTombstone(id))
-	}
-	for _, u := range j.units {
-		for _, t := range u.tasks {
-			if _, listed := j.storedTasks[t.id]; !listed && t.rec.Run > 0 {
-				records = append(records, batch.TaskTombstone(t.id))
-			}
-		}
+	j.closing = true
+	l.closeNextPart(j, 0)
+}
+
+// closeNextPart removes task records of the job, of units from the given index on.
+func (l *leader) closeNextPart(j *job, firstUnit int) {
+	records, next := j.tombstones(firstUnit, closePartRecords)
+	if len(records) > 0 {
+		l.storeTasks(records, func() { l.closeNextPart(j, next) })
+		return
 	}
 	j.units, j.storedTasks, j.closed = nil, nil, true
 	j.unfinished, j.waiting, j.withRuns = unitSet{}, unitSet{}, unitSet{}
-	if len(records) > 0 {
-		l.storeTasks(records, func() {})
-	}
 	closed, err := batch.EncodeClosedJob(j.spec)
 	if err != nil {
 		l.logger.Error().Err(err).Str("job", j.spec.ID).Msg("record of closed job cannot be encoded")
@@ -567,6 +586,27 @@
 	l.storeJobs([]ledger.Record{closed}, func() {})
 }
 
+// tombstones returns the records that delete the stored tasks of units from the given index on, of whole units until there are
+// at least enough, and the index of the next unit. After the last unit it returns those of other stored tasks.
+func (j *job) tombstones(firstUnit, enough int) (records []ledger.Record, next int) {
+	for next = firstUnit; next < len(j.units) && len(records) < enough; next++ {
+		for _, t := range j.units[next].tasks {
+			if _, stored := j.storedTasks[t.id]; stored || t.rec.Run > 0 {
+				records = append(records, batch.TaskTombstone(t.id))
+				delete(j.storedTasks, t.id)
+			}
+		}
+	}
+	for id := range j.storedTasks {
+		if next < len(j.units) || len(records) >= enough {
+			break
+		}
+		records = append(records, batch.TaskTombstone(id))
+		delete(j.storedTasks, id)
+	}
+	return records, next
+}
+
 // createAllDueOccurrences creates due occurrences of all active jobs, about maxCreatedTasks tasks in all. The jobs that were
 // last served begin, in turn, with each call, so that one with many due occurrences does not keep others waiting.
 func (l *leader) createAllDueOccurrences() {
@@ -607,16 +647,19 @@
 	}
 	retention := l.c.cfg.Timing.FinishedJobRetention
 	finalBefore := l.c.cfg.TimeOfDay().Add(-retentionFactor * retention).UnixMilli()
+	removed := 0
 	for id, j := range l.jobs {
 		if !j.finalStored || j.hasRuns() {
 			continue
 		}
 		if !j.closed {
 			l.closeJob(j)
+			continue
 		}
-		if j.finalAtMS > 0 && j.finalAtMS < finalBefore && now.Sub(j.finalSince) > retention {
+		if removed < maxRemovedJobs && j.finalAtMS > 0 && j.finalAtMS < finalBefore && now.Sub(j.finalSince) > retention {
 			delete(l.jobs, id)
 			l.storeJobs(batch.JobTombstones(id), func() {})
+			removed++
 		}
 	}
 }
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -357,6 +357,17 @@
 	l.enqueue(l.taskWriter, records, onStored)
 }
 
+// storeTaskParts appends task records, in parts if they are too many for one append, and calls onStored once all of them are
+// stored.
+func (l *leader) storeTaskParts(records []ledger.Record, onStored func()) {
+	parts := ledger.Split(records)
+	for _, part := range parts[:len(parts)-1] {
+		l.storeTasks(part, func() {})
+	}
+	// The writer stores the parts in this order.
+	l.storeTasks(parts[len(parts)-1], onStored)
+}
+
 // storeJobs appends job records and calls onStored once they are stored.
 func (l *leader) storeJobs(records []ledger.Record, onStored func()) {
 	l.enqueue(l.jobWriter, records, onStored)
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -500,11 +500,10 @@
 		if u.step.LongRunning {
 			return // The task is started again.
 		}
-		t.setDone()
-		if u.gang() && !u.done() {
-			for _, member := range u.tasks {
-				member.setDone()
-			}
+		if u.gang() {
+			u.setAllDone()
+		} else {
+			t.setDone()
 		}
 	case worker.EndFailed:
 		l.c.metrics.runsNotDone.Inc()
@@ -584,13 +583,15 @@
 		return
 	}
 	records := []ledger.Record{l.taskRecord(t)}
-	if u.gang() && t.rec.Done {
+	if u.gang() && t.rec.Done && !u.doneStored {
+		// One member that is stored as done suffices for a takeover, but not for leaders of older versions.
+		u.doneStored = true
 		records = records[:0]
 		for _, member := range u.tasks {
 			records = append(records, l.taskRecord(member))
 		}
 	}
-	l.storeTasks(records, func() {
+	l.storeTaskParts(records, func() {
 		onStored()
 		l.finishIfDone(j)
 	})
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -279,3 +279,30 @@
 		require.Len(t, log.LatestValues(topic), 3)
 	})
 }
+
+// Guards against writes over the size of a call: all parts of a large write are small, in the order of the records, and a record that
+// is large by itself has a part of its own.
+func TestSplitKeepsPartsSmall(t *testing.T) {
+	var records []ledger.Record
+	for n := range 5000 {
+		size := 30
+		if n%1000 == 500 {
+			size = 200 << 10
+		}
+		records = append(records, ledger.Record{Key: fmt.Sprint(n), Value: make([]byte, size)})
+	}
+	records = append(records, ledger.Record{Key: "large", Value: make([]byte, 900<<10)})
+	n := 0
+	for _, part := range ledger.Split(records) {
+		bytes := 0
+		for _, r := range part {
+			require.Equal(t, records[n].Key, r.Key)
+			bytes += len(r.Key) + len(r.Value)
+			n++
+		}
+		require.True(t, bytes <= 300<<10 || len(part) == 1)
+		require.LessOrEqual(t, len(part), 400)
+	}
+	require.Equal(t, len(records), n)
+	require.Empty(t, ledger.Split(nil))
+}
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -28,8 +28,10 @@
 	// maxBatchRecords is the number of records after which no further write is added to an append.
 	maxBatchRecords = 400
 	// maxBatchBytes is the maximum size of an append of several writes, so that it stays below the
-	// platform's size limit of a call. A larger write is sent alone.
+	// platform's size limit of a call. A larger write is sent alone; see Split.
 	maxBatchBytes = 1 << 20
+	// maxPartBytes is the size of a part that Split makes of a write: small enough that other writes are appended with it.
+	maxPartBytes = maxBatchBytes / 4
 	// maxQueueTime is the age above which a queued write is not sent but fails with ErrUnavailable, so
 	// that callers learn of an outage well before their deadlines.
 	maxQueueTime = 700 * time.Millisecond
@@ -214,6 +216,25 @@
 	return batch
 }
 
+// Split divides records whose number the caller does not limit into parts that are written one by one, in the same order. Each
+// part fits into one append unless a single record does not.
+func Split(records []Record) [][]Record {
+	var parts [][]Record
+	first, bytes := 0, 0
+	for i := range records {
+		size := recordBytes(records[i : i+1])
+		if i > first && (i-first == maxBatchRecords || bytes+size > maxPartBytes) {
+			parts = append(parts, records[first:i])
+			first, bytes = i, 0
+		}
+		bytes += size
+	}
+	if first < len(records) {
+		parts = append(parts, records[first:])
+	}
+	return parts
+}
+
 // recordOverhead is an upper bound of the size of the lengths that the log adds to a record.
 const recordOverhead = 8
 
