A write that the log rejects fails alone and does not end the term

Cause: the leader stepped down at every error of a write, also at one that the next leader would meet again. Writes were joined before the rejection, so that others failed with the one at fault.

Change: the writer sends the writes of a rejected batch one by one, and then an append without records. Ends are acknowledged and jobs called ended only once they are stored, as before. The runs of a rejected placement end without a start and are placed again. If the log rejects the empty append too, the leader steps down.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -100,9 +100,9 @@
 
 // controllerMetrics are the controller's metrics.
 type controllerMetrics struct {
-	starts, stops, polls, runsDone, runsNotDone, skippedEntries, panics, excludedUnits, evacuationStops *metrics.Counter
-	planTime, startDelay                                                                                *metrics.Histogram
-	turns                                                                                               turnMetrics
+	starts, stops, polls, runsDone, runsNotDone, skippedEntries, panics, excludedUnits, evacuationStops, rejectedWrites *metrics.Counter
+	planTime, startDelay                                                                                                *metrics.Histogram
+	turns                                                                                                               turnMetrics
 	// knownSpeeds is the number of workers of known speed, slowerWorkers that of those among them that are too slow for
 	// the tightest objective.
 	knownSpeeds, slowerWorkers *metrics.Gauge
@@ -135,6 +135,7 @@
 			panics:          set.GetOrCreateCounter(`oleanderbend_terms_ended_by_panic_total`),
 			excludedUnits:   set.GetOrCreateCounter(`oleanderbend_units_excluded_after_panic_total`),
 			evacuationStops: set.GetOrCreateCounter(`oleanderbend_runs_stopped_by_evacuation_total`),
+			rejectedWrites:  set.GetOrCreateCounter(`oleanderbend_rejected_writes_total`),
 			planTime:        set.GetOrCreateHistogram(`oleanderbend_plan_seconds`),
 			startDelay:      set.GetOrCreateHistogram(`oleanderbend_start_delay_seconds`),
 			turns:           newTurnMetrics(set),
--- a/internal/controller/doc.go
+++ b/internal/controller/doc.go
@@ -9,6 +9,7 @@
 //
 //   - controller.go: Controller and its Config; starts and ends the terms of this instance, metrics.
 //   - leader.go: the leader of one term; takeover, event loop, periodic checks, writes to the log.
+//   - store.go: writes of the leader, in parts where they are large, and what follows when the log rejects one.
 //   - turn.go: measures how long the event loop is busy, and abandons a leader that makes no progress.
 //   - timeofday.go: the time of day for due times, which follows a jump forward only once it is confirmed.
 //
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -110,6 +110,8 @@
 	completedRuns int
 	// slowRestarts counts the restarts of tasks because of slow workers.
 	slowRestarts int
+	// rejectedPlacements is the number of placements that the log has rejected.
+	rejectedPlacements int
 	// doneStored means that the records of all members of a gang that has completed its work have been queued for the log.
 	doneStored bool
 	// excluded means that the unit is not planned in this term: see excludeUnit.
@@ -536,13 +538,20 @@
 	if phase.Final() {
 		j.finalAtMS, j.finalSince = l.c.cfg.TimeOfDay().UnixMilli(), boottime.Now()
 	}
-	record, err := batch.EncodePhase(j.spec.ID, batch.PhaseRecord{Phase: phase, AtMS: j.finalAtMS})
-	if err != nil {
-		l.logger.Error().Err(err).Str("job", j.spec.ID).Msg("phase record cannot be encoded")
-		return
+	current := func() []ledger.Record {
+		record, err := batch.EncodePhase(j.spec.ID, batch.PhaseRecord{Phase: j.phase, AtMS: j.finalAtMS})
+		if err != nil || l.jobs[j.spec.ID] != j {
+			l.logger.Error().Err(err).Str("job", j.spec.ID).Msg("phase of a job is not stored")
+			return nil
+		}
+		return []ledger.Record{record}
 	}
 	l.logJob(j, "phase changed")
-	l.storeJobs([]ledger.Record{record}, func() {
+	first := current()
+	if len(first) == 0 {
+		return
+	}
+	l.storeUntilAccepted(l.jobWriter, first, current, func() {
 		if phase.Final() {
 			j.finalStored = true
 			l.logJob(j, "final phase stored")
@@ -573,7 +582,7 @@
 func (l *leader) closeNextPart(j *job, firstUnit int) {
 	records, next := j.tombstones(firstUnit, closePartRecords)
 	if len(records) > 0 {
-		l.storeTasks(records, func() { l.closeNextPart(j, next) })
+		l.storeUntilAccepted(l.taskWriter, records, unchanged(records), func() { l.closeNextPart(j, next) })
 		return
 	}
 	j.units, j.storedTasks, j.closed = nil, nil, true
@@ -583,7 +592,12 @@
 		l.logger.Error().Err(err).Str("job", j.spec.ID).Msg("record of closed job cannot be encoded")
 		return
 	}
-	l.storeJobs([]ledger.Record{closed}, func() {})
+	l.storeUntilAccepted(l.jobWriter, []ledger.Record{closed}, func() []ledger.Record {
+		if l.jobs[j.spec.ID] != j {
+			return nil // The job has expired.
+		}
+		return []ledger.Record{closed}
+	}, func() {})
 }
 
 // tombstones returns the records that delete the stored tasks of units from the given index on, of whole units until there are
@@ -658,7 +672,8 @@
 		}
 		if removed < maxRemovedJobs && j.finalAtMS > 0 && j.finalAtMS < finalBefore && now.Sub(j.finalSince) > retention {
 			delete(l.jobs, id)
-			l.storeJobs(batch.JobTombstones(id), func() {})
+			tombstones := batch.JobTombstones(id)
+			l.storeUntilAccepted(l.jobWriter, tombstones, unchanged(tombstones), func() {})
 			removed++
 		}
 	}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -66,6 +66,8 @@
 	waveWriter *ledger.Writer
 	// speedWriter stores the speeds of workers.
 	speedWriter *ledger.Writer
+	// overflow holds, in their order, the writes that did not fit into the queue of a writer.
+	overflow map[*ledger.Writer][]queuedWrite
 
 	jobs map[string]*job
 	// active holds the jobs that activeJobs returns, and some that have become inactive since its last call.
@@ -126,7 +128,7 @@
 		inbox: make(chan func(), inboxCapacity),
 		jobs:  make(map[string]*job), workers: make(map[string]*workerState), skippedEntries: make(map[string]string),
 		maintenance: newMaintenanceState(), interference: interferenceState{services: make(map[string]*serviceInterference)},
-		speeds: make(map[string]*serviceSpeeds), storedSpeeds: make(map[string]forecast.StoredSpeed),
+		overflow: make(map[*ledger.Writer][]queuedWrite), speeds: make(map[string]*serviceSpeeds), storedSpeeds: make(map[string]forecast.StoredSpeed),
 	}
 	l.taskWriter = l.newWriter(batch.TasksTopic)
 	l.jobWriter = l.newWriter(batch.JobsTopic)
@@ -332,6 +334,7 @@
 // round due if tasks wait, and cleans up.
 func (l *leader) tick() {
 	now := boottime.Now()
+	l.queueOverflow()
 	l.updateEvacuations()
 	for _, ws := range l.workers {
 		l.checkWorker(ws, now)
@@ -351,37 +354,3 @@
 		l.cleanUp()
 	}
 }
-
-// storeTasks appends task records and calls onStored once they are stored.
-func (l *leader) storeTasks(records []ledger.Record, onStored func()) {
-	l.enqueue(l.taskWriter, records, onStored)
-}
-
-// storeTaskParts appends task records, in parts if they are too many for one append, and calls onStored once all of them are
-// stored.
-func (l *leader) storeTaskParts(records []ledger.Record, onStored func()) {
-	parts := ledger.Split(records)
-	for _, part := range parts[:len(parts)-1] {
-		l.storeTasks(part, func() {})
-	}
-	// The writer stores the parts in this order.
-	l.storeTasks(parts[len(parts)-1], onStored)
-}
-
-// storeJobs appends job records and calls onStored once they are stored.
-func (l *leader) storeJobs(records []ledger.Record, onStored func()) {
-	l.enqueue(l.jobWriter, records, onStored)
-}
-
-func (l *leader) enqueue(w *ledger.Writer, records []ledger.Record, onStored func()) {
-	queued := w.Enqueue(records, func(err error) {
-		if err != nil {
-			l.post(func() { l.stepDown(err.Error()) })
-			return
-		}
-		l.post(onStored)
-	})
-	if !queued {
-		l.stepDown("too many writes wait")
-	}
-}
--- a/internal/controller/maintenance.go
+++ b/internal/controller/maintenance.go
@@ -293,5 +293,10 @@
 	record := l.c.cfg.WaveStatus(w.Number, completed)
 	l.maintenance.reported[record.Key] = string(record.Value)
 	l.logger.Info().Int64("wave", w.Number).Bool("completed", completed).Msg("wave reported")
-	l.enqueue(l.waveWriter, []ledger.Record{record}, func() {})
+	l.storeUntilAccepted(l.waveWriter, []ledger.Record{record}, func() []ledger.Record {
+		if l.maintenance.reported[record.Key] != string(record.Value) {
+			return nil // A newer report has followed.
+		}
+		return []ledger.Record{record}
+	}, func() {})
 }
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -596,20 +596,7 @@
 		Bool("entitled", d.Guaranteed).Dur("waited", boottime.Since(u.readySince)).Int("priority", d.Priority).
 		Int64("estimate", u.step.EstimateMS).Int("racks", len(racks)).Float64("min_speed", d.MinSpeed).Float64("slowest", slowest).
 		Int("unknown_speeds", unknown).Int("beside_conflict", beside).Msg("step placed")
-	send := func(runs []*run) {
-		for _, r := range runs {
-			l.sendStart(r)
-		}
-	}
-	if u.gang() {
-		l.storeTaskParts(records, func() { send(runs) })
-		return
-	}
-	for _, part := range ledger.Split(records) {
-		stored := runs[:len(part)]
-		runs = runs[len(part):]
-		l.storeTasks(part, func() { send(stored) })
-	}
+	l.storePlacements(u, runs, records)
 }
 
 // stopUnfinishable stops the running tasks of a draining worker that cannot finish before it shuts
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -582,16 +582,13 @@
 		l.setPhase(j, batch.Completed, onStored)
 		return
 	}
-	records := []ledger.Record{l.taskRecord(t)}
+	tasks := []*task{t}
 	if u.gang() && t.rec.Done && !u.doneStored {
 		// One member that is stored as done suffices for a takeover, but not for leaders of older versions.
 		u.doneStored = true
-		records = records[:0]
-		for _, member := range u.tasks {
-			records = append(records, l.taskRecord(member))
-		}
+		tasks = u.tasks
 	}
-	l.storeTaskParts(records, func() {
+	l.storeTasks(tasks, func() {
 		onStored()
 		l.finishIfDone(j)
 	})
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -306,3 +306,56 @@
 	require.Equal(t, len(records), n)
 	require.Empty(t, ledger.Split(nil))
 }
+
+// Guards against a write that the log rejects and that makes others fail, which were appended with it.
+func TestRejectedWriteFailsAlone(t *testing.T) {
+	for _, retry := range []bool{false, true} {
+		inSimulatedTime(t, func(ctx context.Context, log *ledgertest.Log, c *ledgertest.Client) {
+			log.MaxCallBytes = 100 << 10
+			w := ledger.NewWriter(ledger.WriterConfig{Log: c, Topic: topic, Producer: "w", Epoch: 1, RetryUntilStored: retry, Logger: logging.Discard()})
+			outcomes := make([]error, 4)
+			var writes sync.WaitGroup
+			for n, size := range []int{60 << 10, 150 << 10, 60 << 10, 100} {
+				writes.Add(1)
+				r := ledger.Record{Key: fmt.Sprint(n), Value: make([]byte, size)}
+				require.True(t, w.Enqueue([]ledger.Record{r}, func(err error) {
+					outcomes[n] = err
+					writes.Done()
+				}))
+			}
+			go func() { _ = w.Run(ctx) }()
+			writes.Wait()
+			for n, err := range outcomes {
+				if n == 1 {
+					require.ErrorIs(t, err, ledger.ErrRejected)
+				} else {
+					require.NoError(t, err, "write %d", n)
+				}
+			}
+			require.Len(t, log.LatestValues(topic), 3)
+			require.NoError(t, w.Write(ctx, record("later")))
+		})
+	}
+}
+
+// deniedLog rejects all appends.
+type deniedLog struct{ ledger.Log }
+
+func (deniedLog) Append(context.Context, ledger.Append) (ledger.AppendResult, error) {
+	return ledger.AppendResult{}, ledger.ErrRejected
+}
+
+// Guards against a leader that goes on although the log accepts nothing from it any more, while another instance could lead.
+func TestWriterEndsIfTheLogRejectsEverything(t *testing.T) {
+	inSimulatedTime(t, func(ctx context.Context, _ *ledgertest.Log, c *ledgertest.Client) {
+		w := ledger.NewWriter(ledger.WriterConfig{Log: deniedLog{c}, Topic: topic, Producer: "w", Epoch: 1, RetryUntilStored: true, Logger: logging.Discard()})
+		outcomes := make(chan error, 2)
+		for range 2 {
+			require.True(t, w.Enqueue(record("a"), func(err error) { outcomes <- err }))
+		}
+		require.ErrorIs(t, w.Run(ctx), ledger.ErrRejected)
+		for range 2 {
+			require.ErrorIs(t, <-outcomes, ledger.ErrRejected)
+		}
+	})
+}
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -154,8 +154,9 @@
 	}
 }
 
-// Run sends queued writes. It returns nil when ctx is done, and ErrFenced when the writer is fenced or when
-// it can no longer retry an append safely.
+// Run sends queued writes. It returns nil when ctx is done, ErrFenced when the writer is fenced or when
+// it can no longer retry an append safely. With RetryUntilStored it returns ErrRejected when the log rejects even an append
+// without records. A write that the log rejects fails alone: the writes that were to be appended with it are sent again without it.
 func (w *Writer) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		first := w.next
@@ -170,17 +171,65 @@
 		if len(batch) == 0 {
 			continue
 		}
-		err := w.send(ctx, batch)
-		for _, item := range batch {
-			item.done(err)
-		}
-		if errors.Is(err, ErrFenced) {
+		if err := w.sendBatch(ctx, batch); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// sendBatch sends a batch and calls the done functions of its writes. If the log rejects the batch, it sends each write alone.
+// It returns ErrFenced or ErrRejected if the writer can send nothing more.
+func (w *Writer) sendBatch(ctx context.Context, batch []*queuedWrite) error {
+	unconfirmed, err := w.send(ctx, batch)
+	if errors.Is(err, ErrRejected) && len(batch) > 1 && !unconfirmed {
+		for i := range batch {
+			if err := w.sendBatch(ctx, batch[i:i+1]); err != nil {
+				for _, item := range batch[i+1:] {
+					item.done(err)
+				}
+				return err
+			}
+		}
+		return nil
+	}
+	var failed error
+	if errors.Is(err, ErrRejected) && w.cfg.RetryUntilStored {
+		failed = w.checkRejection(ctx, batch, err)
+	}
+	for _, item := range batch {
+		item.done(err)
+	}
+	if errors.Is(err, ErrFenced) {
+		return err
+	}
+	return failed
+}
+
+// checkRejection determines whether the log rejects only this batch, by an append without records. It returns an error if the
+// log rejects that as well, or if the writer is fenced.
+func (w *Writer) checkRejection(ctx context.Context, batch []*queuedWrite, rejection error) error {
+	records, bytes := 0, 0
+	for _, item := range batch {
+		records += len(item.records)
+		bytes += recordBytes(item.records)
+	}
+	w.cfg.Logger.Error().Str("topic", w.cfg.Topic).Int("records", records).Int("bytes", bytes).Str("first", batch[0].firstKey()).
+		Err(rejection).Msg("log rejected a write")
+	if _, err := w.send(ctx, nil); errors.Is(err, ErrRejected) || errors.Is(err, ErrFenced) {
+		return eris.Wrap(err, "log rejects all writes")
+	}
+	return nil
+}
+
+// firstKey returns the key of the first record, for the log.
+func (q *queuedWrite) firstKey() string {
+	if len(q.records) == 0 {
+		return ""
+	}
+	return q.records[0].Key
+}
+
 // collect returns a batch of the first write and the writes queued behind it, and sets next. Writes that
 // have waited too long fail with ErrUnavailable: they are certainly not stored, because no part of them
 // was sent.
@@ -250,13 +299,12 @@
 // send appends a batch. Once the outcome of an attempt is unknown, the batch is retried until the log has
 // accepted its sequence number: that a later attempt had no effect does not show that the first had none.
 // ErrFenced, ErrRejected and an unexpected sequence number end the retries nevertheless; the records may
-// then be stored although the error does not say so.
-func (w *Writer) send(ctx context.Context, batch []*queuedWrite) error {
+// then be stored although the error does not say so. That is only possible if unconfirmed is true.
+func (w *Writer) send(ctx context.Context, batch []*queuedWrite) (unconfirmed bool, err error) {
 	var records []Record
 	for _, item := range batch {
 		records = append(records, item.records...)
 	}
-	unconfirmed := false
 	for timeout := appendTimeout; ; timeout = min(2*timeout, maxAppendTimeout) {
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		_, err := w.cfg.Log.Append(callCtx, w.newAppend(records))
@@ -265,21 +313,21 @@
 		switch {
 		case err == nil:
 			w.sequence++
-			return nil
+			return unconfirmed, nil
 		case errors.As(err, &seq) && seq.Expected == w.sequence+1 && unconfirmed:
 			w.sequence++
-			return nil
+			return unconfirmed, nil
 		case errors.As(err, &seq) && unconfirmed:
 			// A retry with another sequence number could store the batch a second time. ErrFenced makes
 			// Run return; it is unknown whether the batch is stored.
-			return eris.Wrap(ErrFenced, err.Error())
+			return unconfirmed, eris.Wrap(ErrFenced, err.Error())
 		case errors.As(err, &seq):
 			w.cfg.Logger.Error().Int64("sequence", w.sequence).Int64("expected", seq.Expected).Msg("log expects another sequence number; continuing with that number")
 			w.sequence = seq.Expected
 		case errors.Is(err, ErrFenced), errors.Is(err, ErrRejected):
-			return err
+			return unconfirmed, err
 		case errors.Is(err, ErrUnavailable) && !unconfirmed && !w.cfg.RetryUntilStored:
-			return err
+			return unconfirmed, err
 		case errors.Is(err, ErrUnavailable):
 			// This attempt had no effect: retry.
 		default:
@@ -291,7 +339,7 @@
 		}
 		boottime.Sleep(ctx, appendRetryInterval)
 		if ctx.Err() != nil {
-			return eris.Wrap(ErrUnknownOutcome, "writer stopped before the log responded")
+			return unconfirmed, eris.Wrap(ErrUnknownOutcome, "writer stopped before the log responded")
 		}
 	}
 }
