--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -181,6 +181,9 @@
 
 // setAllDone records that a gang has completed its work, and with it all of its tasks.
 func (u *unit) setAllDone() {
+	if u.done() {
+		return
+	}
 	for _, t := range u.tasks {
 		t.setDone()
 	}
