--- a/internal/controller/parts_test.go
+++ b/internal/controller/parts_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -149,3 +150,68 @@
 		require.Zero(t, c.fleet.IncompleteGangRuns())
 	})
 }
+
+// cutLog loses its connection at the n-th append of task records, which takes effect or not.
+type cutLog struct {
+	ledger.Log
+	left       *atomic.Int64
+	takeEffect bool
+}
+
+func (l cutLog) Append(ctx context.Context, a ledger.Append) (ledger.AppendResult, error) {
+	left := l.left.Load()
+	if left > 0 && a.Topic == batch.TasksTopic && len(a.Records) > 0 {
+		left = l.left.Add(-1)
+		if left == 0 && l.takeEffect {
+			_, _ = l.Log.Append(ctx, a)
+		}
+	}
+	if left == 0 {
+		<-ctx.Done()
+		return ledger.AppendResult{}, ledger.ErrUnknownOutcome
+	}
+	return l.Log.Append(ctx, a)
+}
+
+// Guards against gangs and jobs that the next leader takes for something else because the last one lost the log between two parts of a
+// write: placements, ends and the removal of records.
+func TestLeaderLostBetweenParts(t *testing.T) {
+	const members = 500
+	workOf := func(id batch.TaskID) workertest.Work {
+		if id.Job == jobID(1) {
+			return workertest.Work{Duration: time.Second, GangSize: members}
+		}
+		return workertest.Work{Duration: time.Second}
+	}
+	for n := int64(1); ; n++ {
+		cut := false
+		for _, takeEffect := range []bool{false, true} {
+			inVirtualTime(t, uint64(n), workOf, func(c *cluster) {
+				for w := range 4 {
+					info := workerInfo(fmt.Sprintf("w%d", w), "r1")
+					info.CPU = 500000
+					c.register(c.fleet.Add(info, clockRate))
+				}
+				var left atomic.Int64
+				left.Store(n)
+				c.wrapLog = func(log ledger.Log) ledger.Log { return cutLog{log, &left, takeEffect} }
+				c.startInstance("a")
+				time.Sleep(100 * time.Millisecond)
+				c.wrapLog = nil
+				c.startInstance("b")
+				c.submit(jobID(1), batch.Step{Count: members, CPU: 1000, MemoryMB: 1, Gang: true, EstimateMS: 1000})
+				c.submit(jobID(2), batch.Step{Count: members, CPU: 1000, MemoryMB: 1, EstimateMS: 1000})
+				c.waitFor(60*time.Second, "completed", func() bool {
+					return c.phase(jobID(1)) == batch.Completed && c.phase(jobID(2)) == batch.Completed
+				})
+				c.waitFor(20*time.Second, "removal of the records", func() bool { return len(c.log.LatestValues(batch.TasksTopic)) == 0 })
+				cut = cut || left.Load() == 0
+				require.Empty(t, c.fleet.Violations(), "append %d", n)
+			})
+		}
+		if !cut {
+			require.Greater(t, n, int64(8), "appends that can be cut")
+			return
+		}
+	}
+}
