ledger: end the writer if a rejected append may still take effect

If an earlier attempt of that write had no response, it may take effect late, with the sequence number that the next write gets: the log then answers the next write as if it were stored, and it is not.

Change: after such a rejection the writer ends, and with it the term. Found by reading. TestWriterEndsIfRejectedAppendMayTakeEffect did not end before.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -359,3 +360,44 @@
 		}
 	})
 }
+
+// lateLog carries out the first append late, without a response, and rejects the second.
+type lateLog struct {
+	ledger.Log
+	calls *atomic.Int64
+}
+
+func (l lateLog) Append(ctx context.Context, a ledger.Append) (ledger.AppendResult, error) {
+	switch l.calls.Add(1) {
+	case 1:
+		time.AfterFunc(5*time.Second, func() { _, _ = l.Log.Append(context.Background(), a) })
+		<-ctx.Done()
+		return ledger.AppendResult{}, ledger.ErrUnknownOutcome
+	case 2:
+		return ledger.AppendResult{}, ledger.ErrRejected
+	default:
+		return l.Log.Append(ctx, a)
+	}
+}
+
+// Guards against a write that counts as stored and is not: the append before it took effect late, after a later attempt of it had been
+// rejected, and the log took the write for a repetition of that append.
+func TestWriterEndsIfRejectedAppendMayTakeEffect(t *testing.T) {
+	inSimulatedTime(t, func(ctx context.Context, log *ledgertest.Log, c *ledgertest.Client) {
+		w := ledger.NewWriter(ledger.WriterConfig{
+			Log: lateLog{c, new(atomic.Int64)}, Topic: topic, Producer: "w", Epoch: 1, RetryUntilStored: true, Logger: logging.Discard(),
+		})
+		outcomes := make(chan error, 2)
+		require.True(t, w.Enqueue(record("first"), func(err error) { outcomes <- err }))
+		ended := make(chan error, 1)
+		go func() { ended <- w.Run(ctx) }()
+		require.ErrorIs(t, <-outcomes, ledger.ErrRejected)
+		time.Sleep(10 * time.Second)
+		require.True(t, w.Enqueue(record("second"), func(err error) { outcomes <- err }))
+		time.Sleep(time.Second)
+		if len(outcomes) > 0 && <-outcomes == nil {
+			require.Contains(t, log.LatestValues(topic), "second")
+		}
+		require.ErrorIs(t, <-ended, ledger.ErrRejected)
+	})
+}
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -156,7 +156,7 @@
 
 // Run sends queued writes. It returns nil when ctx is done, ErrFenced when the writer is fenced or when
 // it can no longer retry an append safely. With RetryUntilStored it returns ErrRejected when the log rejects even an append
-// without records. A write that the log rejects fails alone: the writes that were to be appended with it are sent again without it.
+// without records, or rejects an append after an attempt without a response. A write that the log rejects fails alone: the writes that were to be appended with it are sent again without it.
 func (w *Writer) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		first := w.next
@@ -194,7 +194,12 @@
 		return nil
 	}
 	var failed error
-	if errors.Is(err, ErrRejected) && w.cfg.RetryUntilStored {
+	switch {
+	case !errors.Is(err, ErrRejected) || !w.cfg.RetryUntilStored:
+	case unconfirmed:
+		// An earlier attempt may still take effect, and the log would take the next append for a repetition of it.
+		failed = eris.Wrap(err, "append rejected after an attempt without a response")
+	default:
 		failed = w.checkRejection(ctx, batch, err)
 	}
 	for _, item := range batch {
