--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -543,9 +543,12 @@
 	}
 	current := func() []ledger.Record {
 		record, err := batch.EncodePhase(j.spec.ID, batch.PhaseRecord{Phase: j.phase, AtMS: j.finalAtMS})
-		if err != nil || l.jobs[j.spec.ID] != j {
-			l.logger.Error().Err(err).Str("job", j.spec.ID).Msg("phase of a job is not stored")
+		switch {
+		case err != nil:
+			l.logger.Error().Err(err).Str("job", j.spec.ID).Msg("phase record cannot be encoded")
 			return nil
+		case l.jobs[j.spec.ID] != j:
+			return nil // The job has expired.
 		}
 		return []ledger.Record{record}
 	}
@@ -624,8 +627,8 @@
 	return records, next
 }
 
-// createAllDueOccurrences creates due occurrences of all active jobs, about maxCreatedTasks tasks in all. The jobs that were
-// last served begin, in turn, with each call, so that one with many due occurrences does not keep others waiting.
+// createAllDueOccurrences creates due occurrences of all active jobs, about maxCreatedTasks tasks in all. It begins after the job
+// at which the last call ended, so that one with many due occurrences does not keep others waiting.
 func (l *leader) createAllDueOccurrences() {
 	active := l.activeJobs()
 	left := maxCreatedTasks
